--- /dev/null
+++ b/crates/model/src/resources.rs
@@ -0,0 +1,42 @@
+//! What a host offers and a task asks for, in several dimensions.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of processor, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub millicores: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Whether `other` fits into this amount in every dimension.
+    pub fn fits(self, other: Resources) -> bool {
+        self.millicores >= other.millicores
+            && self.memory_mib >= other.memory_mib
+            && self.accelerators >= other.accelerators
+    }
+
+    /// The sum in every dimension.
+    pub fn plus(self, other: Resources) -> Resources {
+        Resources {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference in every dimension, zero where `other` is larger.
+    pub fn minus(self, other: Resources) -> Resources {
+        Resources {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
