--- a/crates/model/src/digest.rs
+++ b/crates/model/src/digest.rs
@@ -1,6 +1,10 @@
 //! Digests of keys. A key itself is never stored, logged or compared.
 
-use std::fmt;
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+    str::FromStr,
+};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -11,7 +15,7 @@
 const DIGEST_BYTES: usize = 32;
 
 /// The SHA-256 digest of a key. Equality takes constant time.
-#[derive(Clone, Copy, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyDigest([u8; DIGEST_BYTES]);
 
@@ -30,6 +34,12 @@
 
 impl Eq for KeyDigest {}
 
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl TryFrom<&str> for KeyDigest {
     type Error = Error;
 
@@ -53,6 +63,14 @@
     }
 }
 
+impl FromStr for KeyDigest {
+    type Err = Error;
+
+    fn from_str(raw: &str) -> Result<Self> {
+        Self::try_from(raw)
+    }
+}
+
 impl From<KeyDigest> for String {
     fn from(digest: KeyDigest) -> String {
         digest.to_string()
