Confirmed plans are part of the configuration and hold their hosts

Cause: two confirmed plans on one host could both begin, and progress of a wave kept apart from the configuration could differ from it after a crash. Change: StartPlan, SetPlanState, AdvancePlan and EndPlan; a held host changes only by entries of its plan, but for setting it aside; the progress of each host is worked out by applying entries. Conclusion: progress and host states change in one conditional write.

--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -8,6 +8,7 @@
     config::{Pool, Service, Version},
     host::{Host, HostState},
     names::{EntryName, HostName, KeyId, OperatorName, PlanId, PoolName, ServiceName, TeamName},
+    plan::PlanState,
     team::{Key, Team},
     units::{Units, WallTime},
 };
@@ -106,6 +107,32 @@
         /// The entry host.
         entry: EntryName,
     },
+    /// Starts a confirmed plan; it holds its hosts until it ends.
+    StartPlan {
+        /// The plan.
+        plan: PlanId,
+        /// The hosts that it will change.
+        hosts: Vec<HostName>,
+    },
+    /// Pauses, resumes or cancels a plan.
+    SetPlanState {
+        /// The plan.
+        plan: PlanId,
+        /// What it shall do next.
+        state: PlanState,
+    },
+    /// Moves a plan on to a later step.
+    AdvancePlan {
+        /// The plan.
+        plan: PlanId,
+        /// The index of the step.
+        step: u32,
+    },
+    /// Ends a plan and lets go of its hosts.
+    EndPlan {
+        /// The plan.
+        plan: PlanId,
+    },
 }
 
 /// One entry of the configuration log, and at once of the audit trail.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -8,7 +8,8 @@
     change::{Change, LogEntry},
     error::{Error, Result},
     host::{Host, HostState},
-    names::{DataCentre, EntryName, HostName, KeyId, PoolName, ServiceName, TeamName},
+    names::{DataCentre, EntryName, HostName, KeyId, PlanId, PoolName, ServiceName, TeamName},
+    plan::{ActivePlan, PlanState, Progress},
     team::{Key, Team},
     units::Slots,
 };
@@ -107,6 +108,8 @@
     pub hosts: BTreeMap<HostName, Host>,
     /// The entry hosts on record and their peer addresses.
     pub entry_hosts: BTreeMap<EntryName, SocketAddr>,
+    /// The confirmed plans that have not ended.
+    pub plans: BTreeMap<PlanId, ActivePlan>,
 }
 
 impl Configuration {
@@ -120,7 +123,7 @@
         }
         let mut next = self.clone();
         for change in &entry.changes {
-            next.apply_change(change)?;
+            next.apply_change(change, entry)?;
         }
         next.check_budgets(self)?;
         next.version = entry.version;
@@ -151,7 +154,7 @@
         self.hosts_of(pool).filter(out).count() as u32
     }
 
-    fn apply_change(&mut self, change: &Change) -> Result<()> {
+    fn apply_change(&mut self, change: &Change, entry: &LogEntry) -> Result<()> {
         match change {
             Change::PutPool { pool } => {
                 self.pools.insert(pool.name.clone(), pool.clone());
@@ -182,13 +185,31 @@
             Change::WithdrawKey { key } => {
                 self.keys.remove(key).ok_or_else(|| Error::NoKey(key.clone()))?;
             }
-            Change::PutHost { host } => self.put_host(host)?,
+            Change::PutHost { host } => {
+                self.check_holder(&host.name, entry.plan.as_ref())?;
+                self.put_host(host)?;
+            }
             Change::RemoveHost { host } => {
                 self.need_host_state(host, "removed", "set-aside", &[HostState::SetAside])?;
                 self.hosts.remove(host);
             }
-            Change::SetHostState { host, state } => self.set_host_state(host, *state)?,
-            Change::MoveHost { host, pool } => self.move_host(host, pool)?,
+            Change::SetHostState { host, state } => {
+                if *state != HostState::SetAside {
+                    self.check_holder(host, entry.plan.as_ref())?;
+                }
+                self.set_host_state(host, *state)?;
+                self.record_progress(host, Progress::after(*state));
+            }
+            Change::MoveHost { host, pool } => {
+                self.check_holder(host, entry.plan.as_ref())?;
+                self.move_host(host, pool)?;
+            }
+            Change::StartPlan { plan, hosts } => self.start_plan(plan, hosts, entry)?,
+            Change::SetPlanState { plan, state } => self.set_plan_state(plan, *state)?,
+            Change::AdvancePlan { plan, step } => self.advance_plan(plan, *step)?,
+            Change::EndPlan { plan } => {
+                self.plans.remove(plan).ok_or_else(|| Error::NoPlan(plan.clone()))?;
+            }
             Change::PutEntryHost { entry, peer } => {
                 self.entry_hosts.insert(entry.clone(), *peer);
             }
@@ -254,6 +275,80 @@
         Ok(())
     }
 
+    /// The plan that holds a host.
+    pub fn holder(&self, host: &HostName) -> Option<(&PlanId, &ActivePlan)> {
+        self.plans.iter().find(|(_, plan)| plan.hosts.contains_key(host))
+    }
+
+    fn check_holder(&self, host: &HostName, acting: Option<&PlanId>) -> Result<()> {
+        match self.holder(host) {
+            Some((plan, active)) if acting != Some(plan) => Err(Error::HostHeld {
+                host: host.clone(),
+                plan: plan.clone(),
+                who: active.who.clone(),
+                intent: active.intent.clone(),
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn record_progress(&mut self, host: &HostName, progress: Progress) {
+        if let Some(held) = self.plans.values_mut().find_map(|plan| plan.hosts.get_mut(host)) {
+            *held = progress;
+        }
+    }
+
+    fn start_plan(&mut self, id: &PlanId, hosts: &[HostName], entry: &LogEntry) -> Result<()> {
+        if self.plans.contains_key(id) {
+            return Err(Error::AlreadyThere { kind: "plan", name: id.to_string() });
+        }
+        for host in hosts {
+            if !self.hosts.contains_key(host) {
+                return Err(Error::NoHost(host.clone()));
+            }
+            self.check_holder(host, None)?;
+        }
+        let active = ActivePlan {
+            who: entry.who.clone(),
+            intent: entry.intent.clone(),
+            state: PlanState::Running,
+            step: 0,
+            hosts: hosts.iter().map(|host| (host.clone(), Progress::Pending)).collect(),
+        };
+        self.plans.insert(id.clone(), active);
+        Ok(())
+    }
+
+    fn plan_mut(&mut self, id: &PlanId) -> Result<&mut ActivePlan> {
+        self.plans.get_mut(id).ok_or_else(|| Error::NoPlan(id.clone()))
+    }
+
+    fn set_plan_state(&mut self, id: &PlanId, state: PlanState) -> Result<()> {
+        let active = self.plan_mut(id)?;
+        if active.state == PlanState::Cancelling && state != PlanState::Cancelling {
+            return Err(Error::PlanState {
+                plan: id.clone(),
+                found: active.state.as_str().into(),
+                wanted: state.as_str().into(),
+            });
+        }
+        active.state = state;
+        Ok(())
+    }
+
+    fn advance_plan(&mut self, id: &PlanId, step: u32) -> Result<()> {
+        let active = self.plan_mut(id)?;
+        if step <= active.step {
+            return Err(Error::PlanState {
+                plan: id.clone(),
+                found: format!("at step {}", active.step),
+                wanted: format!("at step {step}"),
+            });
+        }
+        active.step = step;
+        Ok(())
+    }
+
     fn need_pool(&self, pool: &PoolName) -> Result<()> {
         if self.pools.contains_key(pool) { Ok(()) } else { Err(Error::NoPool(pool.clone())) }
     }
--- a/crates/model/src/error.rs
+++ b/crates/model/src/error.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     config::Version,
-    names::{HostName, KeyId, PoolName, RackName, ServiceName, TeamName},
+    names::{HostName, KeyId, OperatorName, PlanId, PoolName, RackName, ServiceName, TeamName},
 };
 
 /// The result of a check in this crate.
@@ -112,6 +112,35 @@
         /// The most that may be out at once.
         most: u32,
     },
+    /// A host is held by another plan.
+    #[error(
+        "Host '{host}' is held by plan '{plan}' of {who} ({intent}); wait for that plan or cancel it."
+    )]
+    HostHeld {
+        /// The host.
+        host: HostName,
+        /// The plan that holds it.
+        plan: PlanId,
+        /// Who confirmed that plan.
+        who: OperatorName,
+        /// What that plan is for.
+        intent: String,
+    },
+    /// A change names a plan that is not being carried out.
+    #[error("The plan '{0}' is not being carried out; list the plans with 'fuchsiamill plans'.")]
+    NoPlan(PlanId),
+    /// A plan cannot go to the wanted state or step.
+    #[error(
+        "The plan '{plan}' is {found} and cannot become {wanted}; look at it with 'fuchsiamill plans'."
+    )]
+    PlanState {
+        /// The plan.
+        plan: PlanId,
+        /// What it is now.
+        found: String,
+        /// What was asked for.
+        wanted: String,
+    },
     /// A pool is in use and cannot be removed.
     #[error("Pool '{0}' still has hosts or services; move them first.")]
     PoolInUse(PoolName),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod map;
 pub mod names;
 pub mod outcome;
+pub mod plan;
 pub mod resources;
 pub mod team;
 pub mod units;
@@ -28,6 +29,7 @@
     RackName, Region, ServiceName, TeamName,
 };
 pub use outcome::{Problem, ProblemKind, RunState};
+pub use plan::{ActivePlan, PlanState, Progress};
 pub use resources::Resources;
 pub use team::{Key, Team};
 pub use units::{Millisecond, Moment, Slots, Units, WallTime};
