Platform clients and stand-ins

Cause: tests must judge from a record of what truly happened, and the product must tell a refused write from a lost answer.

The table client sorts every failure into 'nothing was written' and 'may have taken effect'.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Clients of the platform: its transactional table service, object store and list of hosts.
+//!
+//! Every error tells whether a write has certainly not taken effect or may have.
+
+pub mod error;
+pub mod hosts;
+pub mod objects;
+pub mod table;
+
+pub use error::{Error, Result};
+pub use hosts::{HostListClient, HostReport, Liveness};
+pub use objects::ObjectClient;
+pub use table::{
+    Commit, CommitOutcome, Condition, Put, Range, Row, RowVersion, Table, TableClient,
+};
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,154 @@
+//! The platform: table service, object store and host list on one port, with faults on demand.
+
+mod hosts;
+mod store;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
+use fuchsiamill_platform::{Commit, CommitOutcome, Range};
+use http::{Method, StatusCode};
+use monoio::time::sleep;
+
+use crate::{admin::PlatformFault, record::PlatformRecord, reply};
+
+const LARGEST_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Starts the platform on the current runtime.
+pub fn start(listen: SocketAddr) -> io::Result<SocketAddr> {
+    let bounds = Bounds { body_bytes: LARGEST_BODY_BYTES, ..Bounds::default() };
+    let server = Server::bind(listen, bounds, Rc::<Platform>::default())?;
+    let addr = server.local_addr()?;
+    monoio::spawn(async move {
+        let (_handle, shutdown) = shutdown_pair();
+        server.run(shutdown).await;
+    });
+    Ok(addr)
+}
+
+#[derive(Default)]
+struct Platform {
+    store: RefCell<store::Store>,
+    hosts: RefCell<hosts::HostList>,
+    record: RefCell<PlatformRecord>,
+    fault: Cell<PlatformFault>,
+}
+
+enum Delivery {
+    Answer(Response),
+    Lost,
+}
+
+impl Handler for Platform {
+    async fn handle(&self, incoming: Incoming) -> Response {
+        if let Some(path) = incoming.request.path().strip_prefix("/admin/") {
+            return self.admin(path, &incoming.request.body);
+        }
+        match self.fault.get() {
+            PlatformFault::Down => {
+                self.record.borrow_mut().refused += 1;
+                return Response::text(StatusCode::SERVICE_UNAVAILABLE, "down");
+            }
+            PlatformFault::Silent => {
+                self.record.borrow_mut().refused += 1;
+                return reply::never(incoming).await;
+            }
+            PlatformFault::Slow { ms } => sleep(Duration::from_millis(ms)).await,
+            PlatformFault::None | PlatformFault::LoseAnswers { .. } => {}
+        }
+        match self.serve(&incoming) {
+            Delivery::Answer(response) => {
+                self.record.borrow_mut().bytes +=
+                    (response.body.len() + incoming.request.body.len()) as u64;
+                response
+            }
+            Delivery::Lost => reply::never(incoming).await,
+        }
+    }
+}
+
+impl Platform {
+    fn serve(&self, incoming: &Incoming) -> Delivery {
+        let request = &incoming.request;
+        let response = match (&request.method, request.path()) {
+            (&Method::POST, "/table/commit") => return self.commit(&request.body),
+            (&Method::POST, "/table/get") => {
+                self.record.borrow_mut().reads += 1;
+                reply::with_body(&request.body, |keys: Vec<String>| {
+                    reply::value(&self.store.borrow().get(&keys))
+                })
+            }
+            (&Method::POST, "/table/range") => {
+                self.record.borrow_mut().reads += 1;
+                reply::with_body(&request.body, |range: Range| {
+                    reply::value(&self.store.borrow().range(&range))
+                })
+            }
+            (&Method::GET, "/hosts") => reply::value(&self.hosts.borrow_mut().list()),
+            (method, path) => match path.strip_prefix("/objects/") {
+                Some(name) => self.object(method, name, &request.body),
+                None => Response::empty(StatusCode::NOT_FOUND),
+            },
+        };
+        Delivery::Answer(response)
+    }
+
+    fn commit(&self, body: &[u8]) -> Delivery {
+        let commit: Commit = match serde_json::from_slice(body) {
+            Ok(commit) => commit,
+            Err(e) => {
+                return Delivery::Answer(Response::text(StatusCode::BAD_REQUEST, e.to_string()));
+            }
+        };
+        let outcome = self.store.borrow_mut().commit(&commit);
+        let mut record = self.record.borrow_mut();
+        match outcome {
+            CommitOutcome::Conflict { .. } => record.conflicts += 1,
+            CommitOutcome::Done { .. } => {
+                record.commits += 1;
+                record.rows_written += (commit.puts.len() + commit.deletes.len()) as u64;
+                if let PlatformFault::LoseAnswers { count: count @ 1.. } = self.fault.get() {
+                    self.fault.set(PlatformFault::LoseAnswers { count: count - 1 });
+                    record.answers_lost += 1;
+                    return Delivery::Lost;
+                }
+            }
+        }
+        Delivery::Answer(reply::value(&outcome))
+    }
+
+    fn object(&self, method: &Method, name: &str, body: &[u8]) -> Response {
+        match *method {
+            Method::GET => reply::value(&self.store.borrow().object(name)),
+            Method::POST => reply::with_body(body, |value| {
+                self.store.borrow_mut().put_object(name, value);
+                reply::value(&())
+            }),
+            _ => Response::empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    fn admin(&self, path: &str, body: &[u8]) -> Response {
+        match path {
+            "fault" => reply::with_body(body, |fault| {
+                self.fault.set(fault);
+                reply::value(&())
+            }),
+            "liveness" => reply::with_body(body, |set| {
+                self.hosts.borrow_mut().set(set);
+                reply::value(&())
+            }),
+            "record" => reply::value(&*self.record.borrow()),
+            "rows" => reply::with_body(body, |range: Range| {
+                reply::value(&self.store.borrow().range(&range))
+            }),
+            _ => Response::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
