Policy of claims, retries, outliers, backend intake and keys

Cause: the callers' side needs its decisions as pure state machines before the daemon is written. Change: claims on idempotency keys with group commit under a token bucket of writes, typestate from held to sent; retries under a budget with jitter and deadline; outlier ejection under a cap; intake of backend servers from list, answers and probes; key look-up by digest prefix.

--- a/crates/model/src/digest.rs
+++ b/crates/model/src/digest.rs
@@ -24,6 +24,13 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
+
+    /// The first eight bytes, to find candidates that are then compared whole.
+    pub fn prefix(&self) -> u64 {
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&self.0[..8]);
+        u64::from_be_bytes(prefix)
+    }
 }
 
 impl PartialEq for KeyDigest {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Every decision of fuchsiamill as pure state machines.
+//!
+//! Nothing here opens a socket, reads a clock or runs a task: time is passed in, and each step
+//! returns what to do next.
+
+pub mod backend_state;
+pub mod claims;
+pub mod keys;
+pub mod outlier;
+pub mod retry;
--- /dev/null
+++ b/crates/policy/tests/backend_intake.rs
@@ -0,0 +1,79 @@
+//! New work stops on any signal of leaving and returns only on newer direct evidence.
+
+use fuchsiamill_model::Moment;
+use fuchsiamill_policy::backend_state::{BackendState, Cause, Intake, Listed, Probe, Said};
+use quickcheck::{Gen, QuickCheck};
+
+#[test]
+fn each_signal_alone_stops_new_work() {
+    let mut by_list = BackendState::default();
+    by_list.listed(Listed::Leaving);
+    assert_eq!(by_list.intake(), Intake::Closed(Cause::List));
+
+    let mut by_answer = BackendState::default();
+    by_answer.answered(Moment(1), Said::Leaving);
+    assert_eq!(by_answer.intake(), Intake::Closed(Cause::Said));
+
+    let mut by_probe = BackendState::default();
+    by_probe.probed(Moment(1), Moment(2), Probe::Said(Said::Leaving));
+    assert_eq!(by_probe.intake(), Intake::Closed(Cause::Said));
+
+    let mut by_silence = BackendState::default();
+    by_silence.probed(Moment(1), Moment(2), Probe::Missed);
+    assert_eq!(by_silence.intake(), Intake::Open);
+    by_silence.probed(Moment(3), Moment(4), Probe::Missed);
+    assert_eq!(by_silence.intake(), Intake::Closed(Cause::Silent));
+}
+
+#[test]
+fn a_lagging_list_does_not_bring_work_back() {
+    let mut state = BackendState::default();
+    state.answered(Moment(10), Said::Leaving);
+    state.listed(Listed::Live);
+    assert_eq!(state.intake(), Intake::Closed(Cause::Said));
+}
+
+#[test]
+fn a_probe_begun_before_the_signal_does_not_bring_work_back() {
+    let mut state = BackendState::default();
+    state.answered(Moment(10), Said::Leaving);
+    state.probed(Moment(9), Moment(11), Probe::Said(Said::Serving));
+    assert_eq!(state.intake(), Intake::Closed(Cause::Said));
+    state.probed(Moment(11), Moment(12), Probe::Said(Said::Serving));
+    assert_eq!(state.intake(), Intake::Open);
+}
+
+/// Signals in any order: open implies that the last direct word after any leaving was a probe.
+#[test]
+fn open_needs_a_probe_after_the_last_leaving_word() {
+    fn property(signals: Vec<u8>) -> bool {
+        let mut state = BackendState::default();
+        let mut leaving = false;
+        signals.into_iter().zip((10..).step_by(10)).all(|(signal, at)| {
+            match signal % 6 {
+                0 => state.listed(Listed::Live),
+                1 => state.listed(Listed::Absent),
+                2 => state.answered(Moment(at), Said::Serving),
+                3 => {
+                    state.answered(Moment(at), Said::Leaving);
+                    leaving = true;
+                }
+                4 => {
+                    state.probed(Moment(at - 5), Moment(at), Probe::Said(Said::Serving));
+                    leaving = false;
+                }
+                _ => {
+                    state.probed(Moment(at - 5), Moment(at), Probe::Said(Said::Leaving));
+                    leaving = true;
+                }
+            }
+            (state.intake() == Intake::Open) != leaving
+        })
+    }
+    let seed = 0xbac;
+    println!("generator seed {seed}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, seed))
+        .tests(500)
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/crates/policy/tests/claim_writes.rs
@@ -0,0 +1,94 @@
+//! The number of table writes that claims cost, and how long they wait for one.
+
+use fuchsiamill_model::{Incarnation, Moment, ServiceName, TeamName, WallTime};
+use fuchsiamill_policy::claims::{
+    Batcher, Bounds, ClaimId, ClaimKey, ClaimRow, Fate, IdempotencyKey, Outcome, Progress,
+    RequestDigest, Scope, Step, Submitted,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const BOUNDS: Bounds =
+    Bounds { writes_per_second: 4, burst: 4, rows_per_write: 256, waiting: 1_024, remembered: 64 };
+
+fn claim(number: u64) -> (ClaimKey, ClaimRow) {
+    let scope = Scope::Team(TeamName::try_from("rota").unwrap());
+    let key = IdempotencyKey::try_from(number.to_string().as_str()).unwrap();
+    let row = ClaimRow {
+        id: ClaimId(number.to_string()),
+        entry: Incarnation::try_from("a-0").unwrap(),
+        request: RequestDigest::of(&ServiceName::try_from("swaps").unwrap(), b"", b""),
+        deadline: WallTime(0),
+        progress: Progress::Claimed,
+    };
+    (ClaimKey::new(&scope, &key), row)
+}
+
+/// Runs claims at a steady gap for 30 s and returns the writes made and the claims held.
+fn load(gap: u64) -> (u64, u64) {
+    let mut batcher = Batcher::new(BOUNDS);
+    let mut rng = fastrand::Rng::with_seed(gap);
+    let (mut writes, mut held) = (0, 0);
+    for now in 0..30_000 {
+        if now % gap == 0 {
+            let (key, row) = claim(now);
+            assert!(matches!(batcher.submit(key, row, Moment(now + 2_000)), Submitted::Queued(_)));
+        }
+        if let Step::Write(batch) = batcher.next(Moment(now)) {
+            writes += 1;
+            let versions = batch.ops.iter().map(|op| op.id.0).collect();
+            batcher.done(Moment(now), Outcome::Written(versions), &mut rng);
+        }
+        for (_, fate) in batcher.fates() {
+            let Fate::Held(claim) = fate else { panic!("the table answered: {fate:?}") };
+            let (key, work, _) = claim.send().lost("The answer was cut.");
+            batcher.work(key, work);
+            held += 1;
+        }
+    }
+    (writes, held)
+}
+
+#[test]
+fn writes_stay_within_the_bound() {
+    fn property(gap: u8) -> bool {
+        let gap = u64::from(gap) + 4;
+        let (writes, held) = load(gap);
+        let most = 30 * u64::from(BOUNDS.writes_per_second) + u64::from(BOUNDS.burst);
+        let begun = 30_000_u64.div_ceil(gap);
+        let waiting_at_end = 1_000 / gap + 1;
+        writes <= most && held + waiting_at_end >= begun
+    }
+    let seed = 0xc1a1;
+    println!("generator seed {seed}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(32, seed))
+        .tests(60)
+        .quickcheck(property as fn(u8) -> bool);
+}
+
+#[test]
+fn a_claim_in_a_quiet_time_waits_for_nothing() {
+    let mut batcher = Batcher::new(BOUNDS);
+    let (key, row) = claim(1);
+    batcher.submit(key, row, Moment(2_000));
+    assert!(matches!(batcher.next(Moment(0)), Step::Write(_)));
+}
+
+#[test]
+fn a_claim_that_the_table_never_answers_ends_in_time() {
+    let mut batcher = Batcher::new(BOUNDS);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (key, row) = claim(1);
+    batcher.submit(key.clone(), row.clone(), Moment(2_000));
+    for now in 0..=2_000 {
+        if let Step::Write(_) = batcher.next(Moment(now)) {
+            batcher.done(Moment(now), Outcome::Lost, &mut rng);
+        }
+    }
+    let fates = batcher.fates();
+    assert!(matches!(fates.as_slice(), [(_, Fate::Unavailable)]), "{fates:?}");
+    assert!(
+        matches!(batcher.submit(key, row, Moment(4_000)), Submitted::Known(_)),
+        "the first write may have taken effect, so a repeat must not be claimed anew"
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/outlier_cap.rs
@@ -0,0 +1,100 @@
+//! Members that fail everything are taken out, within the cap, and return by trial.
+
+use fuchsiamill_model::Moment;
+use fuchsiamill_policy::outlier::{Bounds, Change, Ending, Outliers, Standing};
+use quickcheck::{Gen, QuickCheck, Testable};
+
+const BOUNDS: Bounds = Bounds {
+    failures: 5,
+    first_ejection: 5_000,
+    longest_ejection: 60_000,
+    most_out_percent: 30,
+    trial: 10_000,
+};
+
+fn check<T: Testable>(property: T) {
+    let seed = 0x0071;
+    println!("generator seed {seed}");
+    QuickCheck::new().rng(Gen::from_size_and_seed(400, seed)).tests(400).quickcheck(property);
+}
+
+fn pool(members: u8) -> Outliers<u8> {
+    let mut pool = Outliers::new(BOUNDS);
+    pool.set_members(&(0..members).collect::<Vec<_>>());
+    pool
+}
+
+#[test]
+fn no_more_members_are_out_than_the_cap() {
+    fn property(members: u8, events: Vec<(u8, bool, u16)>) -> bool {
+        let members = members % 40 + 1;
+        let mut pool = pool(members);
+        let mut now = Moment(0);
+        events.into_iter().all(|(member, fails, gap)| {
+            now = now + u64::from(gap % 2_000);
+            let member = member % members;
+            if pool.standing(now, &member) == Standing::Trial {
+                pool.begin_trial(now, &member);
+            }
+            for _ in 0..3 {
+                let ending = if fails { Ending::Failed } else { Ending::Served };
+                pool.record(now, &member, ending);
+            }
+            pool.out() <= usize::from(members) * 30 / 100
+        })
+    }
+    check(property as fn(u8, Vec<(u8, bool, u16)>) -> bool);
+}
+
+#[test]
+fn a_pool_that_fails_whole_keeps_most_members() {
+    let mut pool = pool(10);
+    for _ in 0..20 {
+        (0..10).for_each(|it| {
+            pool.record(Moment(0), &it, Ending::Failed);
+        });
+    }
+    assert_eq!(pool.out(), 3);
+}
+
+#[test]
+fn a_member_returns_by_one_trial() {
+    let mut pool = pool(10);
+    for _ in 0..4 {
+        assert_eq!(pool.record(Moment(0), &1, Ending::Failed), Change::None);
+    }
+    assert_eq!(pool.record(Moment(0), &1, Ending::Failed), Change::Ejected);
+    assert_eq!(pool.standing(Moment(4_999), &1), Standing::OutUntil(Moment(5_000)));
+    assert_eq!(pool.standing(Moment(5_000), &1), Standing::Trial);
+    pool.begin_trial(Moment(5_000), &1);
+    assert_eq!(pool.standing(Moment(5_001), &1), Standing::OutUntil(Moment(15_000)));
+    assert_eq!(pool.record(Moment(5_100), &1, Ending::Served), Change::Readmitted);
+    assert_eq!(pool.standing(Moment(5_101), &1), Standing::In);
+}
+
+#[test]
+fn each_failed_trial_doubles_the_ejection() {
+    let mut pool = pool(10);
+    (0..5).for_each(|_| {
+        pool.record(Moment(0), &1, Ending::Failed);
+    });
+    let mut now = Moment(5_000);
+    for span in [10_000, 20_000, 40_000, 60_000, 60_000] {
+        pool.begin_trial(now, &1);
+        assert_eq!(pool.record(now, &1, Ending::Failed), Change::Ejected);
+        now = now + span;
+        assert_eq!(pool.standing(now - 1, &1), Standing::OutUntil(now));
+    }
+}
+
+#[test]
+fn a_success_clears_the_run_of_failures() {
+    let mut pool = pool(10);
+    for _ in 0..50 {
+        (0..4).for_each(|_| {
+            pool.record(Moment(0), &1, Ending::Failed);
+        });
+        pool.record(Moment(0), &1, Ending::Served);
+    }
+    assert_eq!(pool.out(), 0);
+}
--- /dev/null
+++ b/crates/policy/tests/retry_budget.rs
@@ -0,0 +1,113 @@
+//! Retries stay within their budget, their deadline and what is safe.
+
+use fuchsiamill_model::{Moment, RunState};
+use fuchsiamill_policy::retry::{Bounds, Budget, Failure, Idempotency, Next, Tries};
+use quickcheck::{Gen, QuickCheck, Testable};
+
+const BOUNDS: Bounds = Bounds { per_mille: 100, burst: 10, tries: 3, least_left: 20 };
+
+fn check<T: Testable>(property: T) {
+    let seed = 0x4e7;
+    println!("generator seed {seed}");
+    QuickCheck::new().rng(Gen::from_size_and_seed(64, seed)).tests(300).quickcheck(property);
+}
+
+fn failure(number: u8) -> Failure {
+    match number % 3 {
+        0 => Failure::NotSent,
+        1 => Failure::SaidNotRun,
+        _ => Failure::MaybeRan,
+    }
+}
+
+/// Sends made when every one of `fresh` requests fails.
+fn brown_out(fresh: u64, bounds: Bounds) -> u64 {
+    let mut budget = Budget::new(bounds);
+    let mut rng = fastrand::Rng::with_seed(fresh);
+    let mut sends = 0;
+    for at in 0..fresh {
+        budget.earn();
+        let mut tries = Tries::new(Idempotency::Idempotent, Moment(at + 10_000));
+        sends += 1;
+        while let Next::RetryAfter(_) =
+            tries.failed(Moment(at), Failure::SaidNotRun, &mut budget, &mut rng)
+        {
+            sends += 1;
+        }
+    }
+    sends
+}
+
+#[test]
+fn a_brown_out_is_not_amplified() {
+    fn property(fresh: u16, per_mille: u8, burst: u8) -> bool {
+        let bounds = Bounds { per_mille: per_mille.into(), burst: burst.into(), ..BOUNDS };
+        let fresh = u64::from(fresh);
+        let most = fresh + fresh * u64::from(per_mille) / 1_000 + u64::from(burst);
+        brown_out(fresh, bounds) <= most
+    }
+    check(property as fn(u16, u8, u8) -> bool);
+}
+
+#[test]
+fn the_budget_lets_retries_through() {
+    let sends = brown_out(10_000, BOUNDS);
+    assert!(sends > 10_900, "{sends} sends of 10000 fresh requests: the budget gives too little");
+}
+
+#[test]
+fn no_try_begins_near_or_past_the_deadline() {
+    fn property(seed: u64, left: u16, failures: Vec<u8>) -> bool {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut budget = Budget::new(Bounds { tries: 100, burst: 1_000, ..BOUNDS });
+        let deadline = Moment(u64::from(left));
+        let mut tries = Tries::new(Idempotency::Idempotent, deadline);
+        let mut now = Moment(0);
+        for it in failures {
+            match tries.failed(now, failure(it), &mut budget, &mut rng) {
+                Next::RetryAfter(delay) => now = now + delay,
+                Next::GiveUp(_) => return true,
+            }
+            if now + BOUNDS.least_left > deadline {
+                return false;
+            }
+        }
+        true
+    }
+    check(property as fn(u64, u16, Vec<u8>) -> bool);
+}
+
+#[test]
+fn non_idempotent_work_is_repeated_only_when_no_byte_left() {
+    fn property(seed: u64, failures: Vec<u8>) -> bool {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut budget = Budget::new(Bounds { tries: 100, burst: 1_000, ..BOUNDS });
+        let mut tries = Tries::new(Idempotency::NonIdempotent, Moment(1_000_000));
+        failures.into_iter().map(failure).all(|it| {
+            let next = tries.failed(Moment(0), it, &mut budget, &mut rng);
+            it == Failure::NotSent || matches!(next, Next::GiveUp(_))
+        })
+    }
+    check(property as fn(u64, Vec<u8>) -> bool);
+}
+
+#[test]
+fn one_try_that_may_have_run_is_never_forgotten() {
+    fn property(seed: u64, failures: Vec<u8>) -> bool {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut budget = Budget::new(BOUNDS);
+        let mut tries = Tries::new(Idempotency::Idempotent, Moment(1_000_000));
+        let mut maybe_ran = RunState::NotRun;
+        for it in failures.into_iter().map(failure) {
+            if it == Failure::MaybeRan {
+                maybe_ran = RunState::Unknown;
+            }
+            let next = tries.failed(Moment(0), it, &mut budget, &mut rng);
+            if let Next::GiveUp(run) = next {
+                return run == maybe_ran;
+            }
+        }
+        true
+    }
+    check(property as fn(u64, Vec<u8>) -> bool);
+}
