Planner: candidates, measures and the choice by a site's weights

Cause: operators state intents and need a plan to confirm that shows its cost. Change: waves, drains, moves and restores are laid out as candidates within the budgets (rack by rack, data centre by data centre, rolling at several widths, with the spare pool lent); the cheapest by weight is the plan, with its measures, effects, lower bound, facts that it depends on and rejected candidates.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod claims;
 pub mod keys;
 pub mod outlier;
+pub mod planner;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/planner/effects.rs
@@ -0,0 +1,51 @@
+//! What a plan does to each team's share.
+
+use fuchsiamill_model::{Configuration, Slots, TeamName};
+use serde::{Deserialize, Serialize};
+
+use super::{fleet::Fleet, timeline::Timeline};
+
+/// The slots that a team's share of the whole fleet comes to when the fleet is full.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamEffect {
+    /// The team.
+    pub team: TeamName,
+    /// Before the plan.
+    pub before: Slots,
+    /// At the lowest while it runs, every pool at its lowest.
+    pub lowest: Slots,
+    /// After it.
+    pub after: Slots,
+}
+
+/// The effect on every team that is affected.
+pub fn on_teams(
+    fleet: &Fleet<'_>,
+    timeline: &Timeline<'_>,
+    after: &Configuration,
+) -> Vec<TeamEffect> {
+    let serving: Slots = fleet.pools.iter().map(|pool| pool.serving).sum();
+    let (lost, change) = timeline.effects().iter().fold((0, 0i64), |(lost, change), pool| {
+        let lowest = pool.before.min(pool.lowest);
+        (lost + pool.before - lowest, change + i64::from(pool.after) - i64::from(pool.before))
+    });
+    let finally = (i64::from(serving) + change).max(0) as Slots;
+    let each = |(name, team): (&TeamName, &fuchsiamill_model::Team)| {
+        let before = fleet.config.teams.get(name).map_or(0, |it| it.share);
+        let effect = TeamEffect {
+            team: name.clone(),
+            before: part(fleet.config, before, serving),
+            lowest: part(fleet.config, before, serving - lost.min(serving)),
+            after: part(after, team.share, finally),
+        };
+        let same = effect.before == effect.after && effect.before == effect.lowest;
+        (!same).then_some(effect)
+    };
+    after.teams.iter().filter_map(each).collect()
+}
+
+fn part(config: &Configuration, share: u32, slots: Slots) -> Slots {
+    let all: u64 = config.teams.values().map(|team| u64::from(team.share)).sum();
+    (u64::from(slots) * u64::from(share) / all.max(1)) as Slots
+}
--- /dev/null
+++ b/crates/policy/src/planner/ledger.rs
@@ -0,0 +1,119 @@
+//! Counts what serves and what is out while a plan is laid out, against the pools' budgets.
+
+use fuchsiamill_model::{DataCentre, Host, PoolName, Slots};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    fleet::{Fleet, PoolIndex},
+    step::Task,
+};
+
+/// Why a host cannot go out.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Shortage {
+    /// The pool would serve with too little.
+    Serving {
+        /// The pool.
+        pool: PoolName,
+        /// The slots that would be left.
+        left: Slots,
+        /// The least of the budget.
+        least: Slots,
+    },
+    /// Too many of the pool's hosts would be out in one data centre.
+    Domain {
+        /// The pool.
+        pool: PoolName,
+        /// The data centre.
+        data_centre: DataCentre,
+        /// The hosts that would be out.
+        out: u32,
+        /// The most of the budget.
+        most: u32,
+    },
+}
+
+impl std::fmt::Display for Shortage {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Shortage::Serving { pool, left, least } => {
+                write!(f, "pool '{pool}' would serve with {left} slots, its budget is {least}")
+            }
+            Shortage::Domain { pool, data_centre, out, most } => write!(
+                f,
+                "pool '{pool}' would have {out} hosts out in '{data_centre}', its budget is {most}"
+            ),
+        }
+    }
+}
+
+/// Running counts of every pool.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    serving: Vec<Slots>,
+    out: Vec<Vec<u32>>,
+}
+
+impl Ledger {
+    /// The counts as the configuration has them.
+    pub fn new(fleet: &Fleet<'_>) -> Self {
+        Self {
+            serving: fleet.pools.iter().map(|pool| pool.serving).collect(),
+            out: fleet.pools.iter().map(|pool| pool.out.clone()).collect(),
+        }
+    }
+
+    /// The slots that serve in a pool.
+    pub fn serving(&self, pool: PoolIndex) -> Slots {
+        self.serving[pool]
+    }
+
+    /// Checks whether a host of `pool` may go out; says why not.
+    pub fn check(&self, fleet: &Fleet<'_>, host: &Host, pool: PoolIndex) -> Option<Shortage> {
+        let budget = fleet.pools[pool].pool;
+        let left = self.serving[pool].saturating_sub(host.slots);
+        if left < budget.least_serving {
+            let least = budget.least_serving;
+            return Some(Shortage::Serving { pool: budget.name.clone(), left, least });
+        }
+        let out = self.out[pool][fleet.domain_of(host)] + 1;
+        if out > budget.most_out_per_domain {
+            return Some(Shortage::Domain {
+                pool: budget.name.clone(),
+                data_centre: host.data_centre.clone(),
+                out,
+                most: budget.most_out_per_domain,
+            });
+        }
+        None
+    }
+
+    /// Takes a serving host out.
+    pub fn take_out(&mut self, fleet: &Fleet<'_>, host: &Host, pool: PoolIndex) {
+        self.serving[pool] -= host.slots.min(self.serving[pool]);
+        self.out[pool][fleet.domain_of(host)] += 1;
+    }
+
+    /// Counts what a task leaves behind once a batch of serving hosts is through.
+    pub fn settle(&mut self, fleet: &Fleet<'_>, batch: &[(&Host, PoolIndex)], task: &Task) {
+        for &(host, pool) in batch {
+            match task {
+                Task::Cycle | Task::Restore => {}
+                Task::TakeOut => self.take_out(fleet, host, pool),
+                Task::Move { to } => {
+                    let Some(to) = fleet.pool(to) else { continue };
+                    self.serving[pool] -= host.slots.min(self.serving[pool]);
+                    self.serving[to] += host.slots;
+                }
+            }
+        }
+    }
+
+    /// Brings a host that was out in `from` back, to serve in `to`.
+    pub fn bring_back(&mut self, fleet: &Fleet<'_>, host: &Host, from: PoolIndex, to: PoolIndex) {
+        let domain = fleet.domain_of(host);
+        self.out[from][domain] = self.out[from][domain].saturating_sub(1);
+        self.serving[to] += host.slots;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/planner/mod.rs
@@ -0,0 +1,149 @@
+//! Makes a plan for an operator's intent: candidates, their measures and the choice among them.
+
+mod bound;
+mod candidate;
+mod cost;
+mod direct;
+mod drain_plans;
+mod effects;
+mod error;
+mod facts;
+mod fleet;
+mod ledger;
+mod move_plans;
+mod pack;
+mod plan;
+mod scope;
+mod step;
+mod timeline;
+mod timing;
+mod wave_plans;
+mod words;
+
+use fuchsiamill_model::{Configuration, Intent, Millisecond, OperatorName, PlanId, WallTime};
+
+pub use candidate::{Candidate, Family};
+pub use cost::{Weights, costs};
+pub use effects::TeamEffect;
+pub use error::{Error, Result};
+pub use facts::{Facts, HostFacts, PoolFacts};
+pub use fleet::Fleet;
+pub use ledger::Shortage;
+pub use plan::{LeftOut, Plan, Rejected};
+pub use step::{Batch, Order, Step, Task, Work};
+pub use timeline::{Measures, PoolEffect};
+pub use timing::Timing;
+pub use words::intent_words;
+
+use scope::Scope;
+use timeline::Timeline;
+
+/// What a plan is made with, besides the configuration and the intent.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The id of the plan.
+    pub id: PlanId,
+    /// The operator who asks.
+    pub who: OperatorName,
+    /// The time now.
+    pub now: WallTime,
+    /// How long the plan can be confirmed, in milliseconds.
+    pub valid: Millisecond,
+    /// What the site values.
+    pub weights: Weights,
+    /// Expected times of work on one host.
+    pub timing: Timing,
+}
+
+/// Makes a plan for an intent, the cheapest of its candidates by the weights of the request.
+pub fn plan(config: &Configuration, req: &Request, intent: &Intent) -> Result<Plan> {
+    let fleet = Fleet::new(config);
+    let scope = Scope::of(&fleet, intent)?;
+    let after = direct::applied(config, req, intent)?;
+    let candidates = scope.candidates(&fleet);
+    let measures: Vec<_> = candidates
+        .iter()
+        .map(|it| Timeline::walk(&fleet, &req.timing, &it.steps).measures())
+        .collect();
+    let (chosen, costs) = choose(&req.weights, &candidates, &measures);
+    let rejected = rejected(&candidates, &measures, &costs, chosen);
+    let Candidate { family, steps, blocked } =
+        candidates.into_iter().nth(chosen).ok_or(Error::NothingToDo)?;
+    let timeline = Timeline::walk(&fleet, &req.timing, &steps);
+    let facts = Facts::gather(config, intent, &steps);
+    Ok(Plan {
+        id: req.id.clone(),
+        who: req.who.clone(),
+        intent: intent.clone(),
+        summary: intent_words(intent),
+        version: config.version,
+        digest: facts.digest(),
+        facts,
+        made_at: req.now,
+        expires_at: WallTime(req.now.0 + req.valid),
+        family,
+        measures: measures[chosen],
+        cost: costs[chosen].unwrap_or(0.0),
+        lower_bound: scope.lower_bound(&fleet, &req.timing),
+        pools: timeline.effects(),
+        teams: effects::on_teams(&fleet, &timeline, &after),
+        steps,
+        blocked: blocked.into_iter().collect(),
+        left_out: scope.left_out,
+        rejected,
+    })
+}
+
+/// Every candidate for an intent with its measures, the baseline first.
+pub fn candidates(
+    config: &Configuration,
+    timing: &Timing,
+    intent: &Intent,
+) -> Result<Vec<(Candidate, Measures)>> {
+    let fleet = Fleet::new(config);
+    let candidates = Scope::of(&fleet, intent)?.candidates(&fleet);
+    let measured = |it: Candidate| {
+        let measures = Timeline::walk(&fleet, timing, &it.steps).measures();
+        (it, measures)
+    };
+    Ok(candidates.into_iter().map(measured).collect())
+}
+
+/// The index of the cheapest candidate and the cost of each that can be carried out.
+///
+/// Among equals the earlier one wins; when all are blocked, the first.
+fn choose(
+    weights: &Weights,
+    candidates: &[Candidate],
+    measures: &[Measures],
+) -> (usize, Vec<Option<f64>>) {
+    let feasible: Vec<_> =
+        (0..candidates.len()).filter(|&at| candidates[at].blocked.is_empty()).collect();
+    let of_feasible: Vec<_> = feasible.iter().map(|&at| measures[at]).collect();
+    let mut all = vec![None; candidates.len()];
+    for (&at, cost) in feasible.iter().zip(costs(weights, &of_feasible)) {
+        all[at] = Some(cost);
+    }
+    let least = |at: &usize, other: &usize| {
+        let [one, two] = [at, other].map(|it| all[*it].unwrap_or(f64::INFINITY));
+        one.total_cmp(&two)
+    };
+    let chosen = feasible.into_iter().min_by(least).unwrap_or(0);
+    (chosen, all)
+}
+
+fn rejected(
+    candidates: &[Candidate],
+    measures: &[Measures],
+    costs: &[Option<f64>],
+    chosen: usize,
+) -> Vec<Rejected> {
+    let others = (0..candidates.len()).filter(|&at| at != chosen);
+    let each = |at: usize| Rejected {
+        family: candidates[at].family.clone(),
+        measures: costs[at].map(|_| measures[at]),
+        cost: costs[at],
+        blocked: candidates[at].blocked.iter().cloned().collect(),
+    };
+    others.map(each).collect()
+}
--- /dev/null
+++ b/crates/policy/src/planner/timeline.rs
@@ -0,0 +1,160 @@
+//! Walks a plan's steps batch by batch and counts what it costs.
+
+use fuchsiamill_model::{FastMap, Host, HostName, Millisecond, PoolName, Slots};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    fleet::{Fleet, PoolIndex},
+    ledger::Ledger,
+    step::{Step, Task, Work},
+    timing::Timing,
+};
+
+const PER_MILLE: u64 = 1_000;
+
+/// The four measures of a plan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Measures {
+    /// The most slots that are out of service or lent out of the spare pool at once.
+    pub buffer: Slots,
+    /// The expected roll-out time, in milliseconds.
+    pub rollout: Millisecond,
+    /// Hosts moved between pools, each way counted.
+    pub moves: u32,
+    /// How far a pool falls short of its slots at worst, in thousandths of its slots before the plan.
+    pub shortfall: u32,
+}
+
+/// What a plan does to one pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolEffect {
+    /// The pool.
+    pub pool: PoolName,
+    /// The slots that serve before the plan.
+    pub before: Slots,
+    /// The fewest slots that serve while it runs.
+    pub lowest: Slots,
+    /// The slots that serve after it.
+    pub after: Slots,
+    /// The least serving slots of the pool's budget.
+    pub least: Slots,
+}
+
+/// The state of the walk.
+pub struct Timeline<'a> {
+    fleet: &'a Fleet<'a>,
+    ledger: Ledger,
+    pools: FastMap<HostName, PoolIndex>,
+    lowest: Vec<Slots>,
+    lent: Slots,
+    measures: Measures,
+}
+
+impl<'a> Timeline<'a> {
+    /// Walks steps from the fleet as it is.
+    pub fn walk(fleet: &'a Fleet<'a>, timing: &Timing, steps: &[Step]) -> Self {
+        let mut timeline = Self::new(fleet);
+        for work in steps.iter().filter_map(Step::work) {
+            timeline.work(work, timing);
+        }
+        timeline
+    }
+
+    fn new(fleet: &'a Fleet<'a>) -> Self {
+        let ledger = Ledger::new(fleet);
+        let lowest = (0..fleet.pools.len()).map(|pool| ledger.serving(pool)).collect();
+        Self {
+            fleet,
+            ledger,
+            pools: FastMap::default(),
+            lowest,
+            lent: 0,
+            measures: Measures::default(),
+        }
+    }
+
+    /// The measures of the whole walk.
+    pub fn measures(&self) -> Measures {
+        let short = |(pool, &lowest): (usize, &Slots)| {
+            let before = self.fleet.pools[pool].serving;
+            let missing = u64::from(before.saturating_sub(lowest));
+            (missing * PER_MILLE).div_ceil(u64::from(before.max(1))) as u32
+        };
+        let serving = |(pool, _): &(usize, &Slots)| Some(*pool) != self.fleet.spare();
+        let shortfall = self.lowest.iter().enumerate().filter(serving).map(short).max();
+        Measures { shortfall: shortfall.unwrap_or(0), ..self.measures }
+    }
+
+    /// The effect on each pool that the walk touched.
+    pub fn effects(&self) -> Vec<PoolEffect> {
+        let each = |(index, &lowest): (usize, &Slots)| {
+            let count = &self.fleet.pools[index];
+            let after = self.ledger.serving(index);
+            (lowest != count.serving || after != count.serving).then(|| PoolEffect {
+                pool: count.pool.name.clone(),
+                before: count.serving,
+                lowest,
+                after,
+                least: count.pool.least_serving,
+            })
+        };
+        self.lowest.iter().enumerate().filter_map(each).collect()
+    }
+
+    fn pool_of(&self, host: &Host) -> PoolIndex {
+        self.pools.get(&host.name).copied().unwrap_or_else(|| self.fleet.pool_of(host))
+    }
+
+    fn work(&mut self, work: &Work, timing: &Timing) {
+        for batch in &work.batches {
+            let hosts: Vec<_> =
+                batch.hosts.iter().filter_map(|name| self.fleet.host(name)).collect();
+            self.begin(&work.task, &hosts);
+            self.end(&work.task, &hosts);
+            self.measures.rollout += work.task.expected(timing);
+        }
+    }
+
+    fn begin(&mut self, task: &Task, hosts: &[&Host]) {
+        if *task == Task::Restore {
+            return;
+        }
+        let mut out = 0;
+        for host in hosts {
+            let pool = self.pool_of(host);
+            self.ledger.take_out(self.fleet, host, pool);
+            self.lowest[pool] = self.lowest[pool].min(self.ledger.serving(pool));
+            out += host.slots;
+        }
+        self.measures.buffer = self.measures.buffer.max(self.lent + out);
+    }
+
+    fn end(&mut self, task: &Task, hosts: &[&Host]) {
+        for host in hosts {
+            let from = self.pool_of(host);
+            match task {
+                Task::TakeOut => self.lent += host.slots,
+                Task::Cycle | Task::Restore => {
+                    self.ledger.bring_back(self.fleet, host, from, from);
+                }
+                Task::Move { to } => self.relocate(host, from, to),
+            }
+        }
+    }
+
+    fn relocate(&mut self, host: &Host, from: PoolIndex, to: &PoolName) {
+        let Some(to) = self.fleet.pool(to) else { return };
+        let spare = self.fleet.spare();
+        if Some(from) == spare {
+            self.lent += host.slots;
+        }
+        if Some(to) == spare {
+            self.lent = self.lent.saturating_sub(host.slots);
+        }
+        self.ledger.bring_back(self.fleet, host, from, to);
+        self.pools.insert(host.name.clone(), to);
+        self.measures.moves += 1;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/planner/timing.rs
@@ -0,0 +1,16 @@
+//! Expected times of work on one host.
+
+use fuchsiamill_model::Millisecond;
+use serde::{Deserialize, Serialize};
+
+/// Expected times of work on one host, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Timing {
+    /// From the last new request until the host is empty.
+    pub drain: Millisecond,
+    /// From the request to reboot until the host is back.
+    pub reboot: Millisecond,
+    /// The checks after that.
+    pub check: Millisecond,
+}
--- /dev/null
+++ b/crates/policy/src/planner/wave_plans.rs
@@ -0,0 +1,120 @@
+//! Candidates for maintenance waves.
+
+use std::collections::BTreeMap;
+
+use fuchsiamill_model::Host;
+
+use super::{
+    candidate::{Candidate, Family, Layout, Placed, Relocation},
+    fleet::{Fleet, PoolIndex},
+    pack::UNBOUNDED,
+    step::{Order, Step, Task},
+};
+
+/// Every candidate for a wave over `hosts`; the first is the baseline.
+pub fn candidates<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>) -> Vec<Candidate> {
+    let widest = rolling(fleet, hosts, UNBOUNDED);
+    let most = width(&widest);
+    let mut all = vec![rack_by_rack(fleet, hosts), data_centres(fleet, hosts)];
+    all.extend(widths(most).map(|at_once| rolling(fleet, hosts, at_once)));
+    all.push(widest);
+    let lendable = lendable(fleet, &[]);
+    for lent in [lendable.len(), lendable.len() / 2] {
+        all.extend(lending(fleet, hosts, &lendable[..lent]));
+    }
+    all
+}
+
+/// The hosts that the spare pool may lend within its budget, but for those of `except`.
+pub fn lendable<'a>(fleet: &Fleet<'a>, except: &[&Host]) -> Vec<&'a Host> {
+    let Some(spare) = fleet.spare() else { return Vec::new() };
+    let count = &fleet.pools[spare];
+    let mut left = count.serving;
+    let mut hosts = fleet.free_hosts(spare);
+    hosts.retain(|host| !except.iter().any(|it| it.name == host.name));
+    hosts.retain(|host| {
+        let fits = left.saturating_sub(host.slots) >= count.pool.least_serving;
+        left -= if fits { host.slots } else { 0 };
+        fits
+    });
+    hosts
+}
+
+/// Widths from one host at once, doubling, below `most`.
+pub fn widths(most: usize) -> impl Iterator<Item = usize> {
+    std::iter::successors(Some(1), |it| Some(it * 2)).take_while(move |&it| it < most)
+}
+
+/// The most hosts of a candidate that are out at once.
+pub fn width(candidate: &Candidate) -> usize {
+    candidate.steps.iter().filter_map(Step::work).map(|it| it.at_once).max().unwrap_or(0) as usize
+}
+
+fn rack_by_rack<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>) -> Candidate {
+    by(fleet, hosts, Family::RackByRack, |host| &host.rack)
+}
+
+fn data_centres<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>) -> Candidate {
+    by(fleet, hosts, Family::DataCentres, |host| &host.data_centre)
+}
+
+fn by<'a, K: Ord>(
+    fleet: &Fleet<'a>,
+    hosts: &Placed<'a>,
+    family: Family,
+    key: fn(&'a Host) -> &'a K,
+) -> Candidate {
+    let mut groups: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for &(host, pool) in hosts {
+        groups.entry(key(host)).or_default().push((host, pool));
+    }
+    let mut layout = Layout::new(fleet, family);
+    for group in groups.values() {
+        layout.step(group, Task::Cycle, Order::Batches, UNBOUNDED);
+    }
+    layout.finish()
+}
+
+fn rolling<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>, at_once: usize) -> Candidate {
+    let lay_out = |at_once: usize| {
+        let family = Family::Rolling { at_once: at_once as u32 };
+        let mut layout = Layout::new(fleet, family);
+        layout.step(hosts, Task::Cycle, Order::Rolling, at_once);
+        layout.finish()
+    };
+    let mut made = lay_out(at_once);
+    made.family = Family::Rolling { at_once: width(&made) as u32 };
+    made
+}
+
+/// Lends spare hosts to the pools of the wave, round robin, and takes them back after it.
+fn lending<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>, lent: &[&'a Host]) -> Vec<Candidate> {
+    let Some(spare) = fleet.spare() else { return Vec::new() };
+    let (of_spare, others): (Vec<_>, Vec<_>) = hosts.iter().partition(|(_, pool)| *pool == spare);
+    let receivers = pools_of(&others);
+    if lent.is_empty() || receivers.is_empty() {
+        return Vec::new();
+    }
+    let out = lent.iter().zip(receivers.iter().cycle());
+    let out: Vec<_> = out.map(|(&host, &to)| Relocation { host, from: spare, to }).collect();
+    let back: Vec<_> = out.iter().map(|it| it.reversed()).collect();
+    let lay_out = |at_once: usize| {
+        let family = Family::Lending { at_once: 0, lent: lent.len() as u32 };
+        let mut layout = Layout::new(fleet, family);
+        layout.step(&of_spare, Task::Cycle, Order::Rolling, UNBOUNDED);
+        layout.moves(&out);
+        layout.step(&others, Task::Cycle, Order::Rolling, at_once);
+        layout.moves(&back);
+        let mut made = layout.finish();
+        made.family = Family::Lending { at_once: width(&made) as u32, lent: lent.len() as u32 };
+        made
+    };
+    vec![lay_out(UNBOUNDED), lay_out(lent.len())]
+}
+
+fn pools_of(hosts: &Placed<'_>) -> Vec<PoolIndex> {
+    let mut pools: Vec<_> = hosts.iter().map(|(_, pool)| *pool).collect();
+    pools.sort_unstable();
+    pools.dedup();
+    pools
+}
