The whole path, thin: a request is served end to end by separate processes

Cause: the whole path comes first, so that every further part is measured on it.

Entry hosts read the configuration from the table, check key and standing, take backend servers in turn and return the whole answer.

--- /dev/null
+++ b/crates/daemon/src/cx.rs
@@ -0,0 +1,38 @@
+//! What every task of the daemon shares: settings, clock, counters and handles to the other tasks.
+
+use std::rc::Rc;
+
+use fuchsiamill_model::Incarnation;
+use fuchsiamill_platform::{HostListClient, ObjectClient, TableClient};
+use fuchsiamill_settings::Settings;
+
+use crate::{
+    backend::Backends, clock::Clock, cluster::ClusterHandle, config::ConfigHandle,
+    dispatch::DispatchHandle, metrics::Metrics,
+};
+
+/// The shared context of one entry host.
+pub struct Cx {
+    /// The checked settings.
+    pub settings: Rc<Settings>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// The counters.
+    pub metrics: Metrics,
+    /// The platform's table service.
+    pub table: Rc<TableClient>,
+    /// The platform's object store.
+    pub objects: Rc<ObjectClient>,
+    /// The platform's list of hosts.
+    pub hosts: Rc<HostListClient>,
+    /// The configuration task.
+    pub config: ConfigHandle,
+    /// The cluster task.
+    pub cluster: ClusterHandle,
+    /// The dispatch task.
+    pub dispatch: DispatchHandle,
+    /// Connections to backend servers.
+    pub backends: Backends,
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,142 @@
+//! One entry host: starts its tasks, tells its addresses and stops it gracefully.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use anyhow::{Context, Result};
+use fuchsiamill_http::{Bounds, Server, ShutdownHandle, shutdown_pair};
+use fuchsiamill_model::Incarnation;
+use fuchsiamill_peer::{PeerServer, Router};
+use fuchsiamill_platform::{HostListClient, ObjectClient, TableClient};
+use fuchsiamill_settings::Settings;
+use monoio::{task::JoinHandle, time::sleep};
+
+use crate::{
+    backend::Backends,
+    caller::Callers,
+    clock::Clock,
+    cluster::ClusterHandle,
+    config::ConfigHandle,
+    cx::Cx,
+    dispatch::DispatchHandle,
+    health::{Health, Intake},
+    metrics::Metrics,
+};
+
+/// Where an entry host listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+    /// For the other entry hosts.
+    pub peer: SocketAddr,
+    /// For metrics, readiness and liveness.
+    pub metrics: SocketAddr,
+}
+
+/// A running entry host.
+pub struct Entry {
+    cx: Rc<Cx>,
+    addresses: Addresses,
+    intake: Rc<Cell<Intake>>,
+    callers: Running,
+}
+
+struct Running {
+    shutdown: ShutdownHandle,
+    task: JoinHandle<()>,
+}
+
+impl Entry {
+    /// Binds every port and starts every task.
+    pub async fn start(settings: Rc<Settings>) -> Result<Self> {
+        let clock = Clock::start();
+        let incarnation = new_incarnation();
+        let platform = &settings.platform;
+        let time = Duration::from_millis(platform.request_timeout_ms);
+        let mut router = Router::default();
+        let peer =
+            PeerServer::bind(settings.entry.peer).context("The peer port cannot be bound.")?;
+        let peer_addr = peer.local_addr()?;
+        let cx = Rc::new(Cx {
+            clock,
+            incarnation: incarnation.clone(),
+            metrics: Metrics::new()?,
+            table: Rc::new(TableClient::new(platform.table, time)),
+            objects: Rc::new(ObjectClient::new(platform.objects, time)),
+            hosts: Rc::new(HostListClient::new(platform.hosts, time)),
+            config: ConfigHandle::new(&mut router),
+            cluster: ClusterHandle::new(&settings, clock, incarnation, &mut router),
+            dispatch: DispatchHandle::new(&mut router),
+            backends: Backends::new(&settings),
+            settings,
+        });
+        cx.config.start(&cx);
+        cx.cluster.start(&cx);
+        cx.dispatch.start(&cx);
+        monoio::spawn(peer.run(Rc::new(router)));
+        let intake = Rc::new(Cell::new(Intake::Open));
+        let health = serve(
+            cx.settings.entry.metrics,
+            Bounds::default(),
+            Health::new(cx.clone(), intake.clone()),
+        )?;
+        let callers =
+            serve(cx.settings.entry.caller, caller_bounds(&cx.settings), Callers::new(cx.clone()))?;
+        let operator = cx.settings.entry.operator;
+        let addresses =
+            Addresses { caller: callers.0, operator, peer: peer_addr, metrics: health.0 };
+        Ok(Self { cx, addresses, intake, callers: callers.1 })
+    }
+
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops gracefully: unready first, still serving while the balancer notices; then what runs
+    /// finishes and the rest is refused.
+    pub async fn stop(self) {
+        let timing = &self.cx.settings.timing;
+        log::info!("shutting down");
+        self.intake.set(Intake::Closing);
+        sleep(Duration::from_millis(timing.shutdown_notice_ms)).await;
+        self.callers.shutdown.stop();
+        let longest = Duration::from_millis(timing.shutdown_ms);
+        if monoio::time::timeout(longest, self.callers.task).await.is_err() {
+            log::warn!("requests were still running at the end of shutdown-ms");
+        }
+        log::info!("stopped");
+    }
+}
+
+fn serve<H: fuchsiamill_http::Handler + 'static>(
+    addr: SocketAddr,
+    bounds: Bounds,
+    handler: H,
+) -> Result<(SocketAddr, Running)> {
+    let server = Server::bind(addr, bounds, Rc::new(handler));
+    let server = server.with_context(|| format!("The address {addr} cannot be bound."))?;
+    let bound = server.local_addr()?;
+    let (handle, shutdown) = shutdown_pair();
+    let task = monoio::spawn(server.run(shutdown));
+    Ok((bound, Running { shutdown: handle, task }))
+}
+
+fn caller_bounds(settings: &Settings) -> Bounds {
+    let callers = &settings.callers;
+    Bounds {
+        head_bytes: callers.head_bytes,
+        body_bytes: callers.body_bytes,
+        head_time: Duration::from_millis(callers.head_ms),
+        body_time: Duration::from_millis(callers.body_ms),
+        idle_time: Duration::from_millis(callers.idle_ms),
+        connections: callers.connections,
+    }
+}
+
+fn new_incarnation() -> Incarnation {
+    let raw = format!("{:016x}", fastrand::u64(..));
+    Incarnation::try_from(raw.as_str()).expect("hexadecimal digits are a name")
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Counters and gauges, through opentelemetry, shown as Prometheus text.
+
+use anyhow::Result;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// The instruments of one entry host.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    /// Requests answered, by service and outcome.
+    pub requests: Counter<u64>,
+    /// Refusals, by kind.
+    pub refusals: Counter<u64>,
+    /// Exchanges with backend servers, by outcome.
+    pub exchanges: Counter<u64>,
+    /// Calls to the platform, by service and outcome.
+    pub platform_calls: Counter<u64>,
+    /// Time from a request's arrival to its answer, in milliseconds.
+    pub latency: Histogram<f64>,
+    /// The version of the configuration that is applied.
+    pub config_version: Gauge<u64>,
+    /// Whether this entry host serves: 1 or 0.
+    pub serving: Gauge<u64>,
+    /// A counter for everything else, by event.
+    pub events: Counter<u64>,
+}
+
+impl Metrics {
+    /// Fresh instruments with a registry of their own.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fuchsiamill");
+        Ok(Self {
+            requests: meter.u64_counter("requests").build(),
+            refusals: meter.u64_counter("refusals").build(),
+            exchanges: meter.u64_counter("exchanges").build(),
+            platform_calls: meter.u64_counter("platform_calls").build(),
+            latency: meter.f64_histogram("request_latency").with_unit("ms").build(),
+            config_version: meter.u64_gauge("config_version").build(),
+            serving: meter.u64_gauge("serving").build(),
+            events: meter.u64_counter("events").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts one event by name.
+    pub fn event(&self, name: &'static str) {
+        self.events.add(1, &[KeyValue::new("event", name)]);
+    }
+
+    /// All instruments as Prometheus text.
+    pub fn text(&self) -> Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,350 @@
+//! A small site for tests: real entry-host processes between this test and stand-ins.
+//!
+//! `Site::of(3).pool("front", 10).team("north", 40).start()` reads as it runs. The stand-ins run on
+//! threads of the test; the entry hosts are processes. Every address is on a loopback address of
+//! this test's own, so that tests side by side never meet.
+
+#![allow(dead_code)]
+
+pub mod entry;
+pub mod net;
+pub mod standins;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use fuchsiamill_http::{Request, Response};
+use fuchsiamill_model::{
+    Configuration, EntryName, Host, HostName, HostState, Key, KeyDigest, KeyId, Pool, PoolName,
+    Resources, Service, Slots, Team, Units, Version,
+    config::{Access, PoolRole},
+    team::Urgency,
+};
+use fuchsiamill_standin::{
+    admin::{BackendMode, PlatformFault, Route, RouteFault, SetMode, SetRouteFault},
+    record::{BackendRecord, PlatformRecord},
+};
+
+pub use entry::EntryProcess;
+use net::LoopbackNet;
+use standins::Standins;
+
+/// The longest that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+const SLOTS: Slots = 8;
+const CONNECTIONS: u32 = 64;
+const HOSTS_PER_RACK: usize = 4;
+const DATA_CENTRES: usize = 3;
+
+/// What a site is made of, before it starts.
+pub struct SiteBuilder {
+    entry_hosts: usize,
+    pools: Vec<(String, usize, PoolRole)>,
+    teams: Vec<Team>,
+    work_ms: u64,
+    settings: BTreeMap<String, String>,
+    proxied: Proxied,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Proxied {
+    Nothing,
+    Everything,
+}
+
+/// A running site.
+pub struct Site {
+    /// The entry hosts.
+    pub entries: Vec<EntryProcess>,
+    /// The configuration that the site started with.
+    pub config: Configuration,
+    standins: Standins,
+    routes: BTreeMap<(String, String), SocketAddr>,
+}
+
+impl Site {
+    /// A site with so many entry hosts.
+    pub fn of(entry_hosts: usize) -> SiteBuilder {
+        SiteBuilder {
+            entry_hosts,
+            pools: Vec::new(),
+            teams: Vec::new(),
+            work_ms: 20,
+            settings: BTreeMap::new(),
+            proxied: Proxied::Nothing,
+        }
+    }
+
+    /// Posts `body` to a service through one entry host with a team's key.
+    pub fn post(&self, entry: usize, service: &str, key: &str, body: &str) -> Response {
+        self.try_post(entry, service, key, body).expect("the entry host answers")
+    }
+
+    /// Like [`Site::post`], or `None` when no answer came.
+    pub fn try_post(&self, entry: usize, service: &str, key: &str, body: &str) -> Option<Response> {
+        let request = Request::post(format!("/v1/services/{service}"), body.to_owned());
+        net::send(self.entries[entry].caller, net::with_key(request, key))
+    }
+
+    /// What truly ran at the backend servers.
+    pub fn backend_record(&self) -> BackendRecord {
+        net::post(self.standins.backends, "/record", &())
+    }
+
+    /// What the platform truly did.
+    pub fn platform_record(&self) -> PlatformRecord {
+        net::post(self.standins.platform, "/admin/record", &())
+    }
+
+    /// The address of the platform.
+    pub fn platform(&self) -> SocketAddr {
+        self.standins.platform
+    }
+
+    /// Makes the platform misbehave.
+    pub fn platform_fault(&self, fault: PlatformFault) {
+        net::post::<_, ()>(self.standins.platform, "/admin/fault", &fault);
+    }
+
+    /// Sets how the backend server of one host behaves.
+    pub fn backend_mode(&self, host: &str, mode: BackendMode) {
+        let server = self.standins.server_of(host);
+        net::post::<_, ()>(self.standins.backends, "/mode", &SetMode { server, mode });
+    }
+
+    /// Puts a fault on the way from one process to another; names are 'entry-0' or 'platform'.
+    pub fn route_fault(&self, from: &str, to: &str, fault: RouteFault) {
+        let listen = self.routes[&(from.to_owned(), to.to_owned())];
+        net::post::<_, ()>(self.standins.proxy, "/fault", &SetRouteFault { listen, fault });
+    }
+
+    /// Cuts or heals both ways between two groups of entry hosts.
+    pub fn partition(&self, left: &[usize], right: &[usize], fault: RouteFault) {
+        for &a in left {
+            for &b in right {
+                self.route_fault(&entry_name(a), &entry_name(b), fault);
+                self.route_fault(&entry_name(b), &entry_name(a), fault);
+            }
+        }
+    }
+
+    /// Waits until every entry host that runs is ready.
+    pub fn wait_ready(&self) {
+        for entry in self.entries.iter().filter(|it| it.is_running()) {
+            wait_until("the entry host is ready", || entry.is_ready());
+        }
+    }
+
+    /// Starts an entry host anew that was killed or stopped.
+    pub fn restart(&mut self, entry: usize) {
+        self.entries[entry].restart();
+    }
+}
+
+impl SiteBuilder {
+    /// Adds a pool of so many hosts that serves a service of the same name.
+    pub fn pool(mut self, name: &str, hosts: usize) -> Self {
+        self.pools.push((name.into(), hosts, PoolRole::Serving));
+        self
+    }
+
+    /// Adds a spare pool of so many hosts.
+    pub fn spare(mut self, name: &str, hosts: usize) -> Self {
+        self.pools.push((name.into(), hosts, PoolRole::Spare));
+        self
+    }
+
+    /// Adds a team whose key is its name followed by `-key`.
+    pub fn team(mut self, name: &str, upper_limit: Units) -> Self {
+        self.teams.push(team(name, upper_limit));
+        self
+    }
+
+    /// Sets how long a request runs at a backend server, in milliseconds.
+    pub fn work_ms(mut self, ms: u64) -> Self {
+        self.work_ms = ms;
+        self
+    }
+
+    /// Sets one settings key of every entry host, as `section.key`.
+    pub fn setting(mut self, key: &str, value: impl ToString) -> Self {
+        self.settings.insert(key.into(), value.to_string());
+        self
+    }
+
+    /// Puts a route of the fault-injecting proxy between all processes.
+    pub fn proxied(mut self) -> Self {
+        self.proxied = Proxied::Everything;
+        self
+    }
+
+    /// Starts the stand-ins, writes the configuration to the table and starts the entry hosts.
+    pub fn start(self) -> Site {
+        let site = self.start_without_waiting();
+        site.wait_ready();
+        site
+    }
+
+    /// Like [`SiteBuilder::start`], without waiting for the entry hosts to be ready.
+    pub fn start_without_waiting(self) -> Site {
+        let net = LoopbackNet::new();
+        let hosts: usize = self.pools.iter().map(|(_, hosts, _)| hosts).sum();
+        let mut standins = Standins::start(&net, hosts, SLOTS, self.work_ms);
+        let peers: Vec<SocketAddr> = (0..self.entry_hosts).map(|_| net.free()).collect();
+        let config = self.configuration(&mut standins, &peers);
+        standins.seed(&config);
+        let routes = self.open_routes(&standins, &net, &peers);
+        let entries = (0..self.entry_hosts)
+            .map(|index| self.entry(index, &net, &standins, &peers, &routes))
+            .collect();
+        Site { entries, config, standins, routes }
+    }
+
+    fn configuration(&self, standins: &mut Standins, peers: &[SocketAddr]) -> Configuration {
+        let mut config =
+            Configuration { version: Version(1), entry_version: Version(1), ..Default::default() };
+        let mut index = 0;
+        for (name, hosts, role) in &self.pools {
+            let pool = PoolName::try_from(name.as_str()).unwrap();
+            for _ in 0..*hosts {
+                let host = standins.host(index, &pool);
+                config.hosts.insert(host.name.clone(), host);
+                index += 1;
+            }
+            let budget = Pool {
+                name: pool.clone(),
+                role: *role,
+                least_serving: 0,
+                most_out_per_domain: u32::MAX,
+            };
+            config.pools.insert(pool.clone(), budget);
+            if *role == PoolRole::Serving {
+                let service = Service {
+                    name: name.as_str().try_into().unwrap(),
+                    pool,
+                    access: Access::Teams,
+                };
+                config.services.insert(service.name.clone(), service);
+            }
+        }
+        for team in &self.teams {
+            let key = key_of(team);
+            config.keys.insert(key.id.clone(), key);
+            config.teams.insert(team.name.clone(), team.clone());
+        }
+        for (index, peer) in peers.iter().enumerate() {
+            config.entry_hosts.insert(EntryName::try_from(entry_name(index)).unwrap(), *peer);
+        }
+        config
+    }
+
+    fn open_routes(
+        &self,
+        standins: &Standins,
+        net: &LoopbackNet,
+        peers: &[SocketAddr],
+    ) -> BTreeMap<(String, String), SocketAddr> {
+        let mut routes = BTreeMap::new();
+        if self.proxied == Proxied::Nothing {
+            return routes;
+        }
+        let mut open = |from: usize, to_name: String, to: SocketAddr| {
+            let addr = net::post(standins.proxy, "/route", &Route { listen: net.any(), to });
+            routes.insert((entry_name(from), to_name), addr);
+        };
+        for from in 0..peers.len() {
+            open(from, "platform".into(), standins.platform);
+            for (to, peer) in peers.iter().enumerate().filter(|(to, _)| *to != from) {
+                open(from, entry_name(to), *peer);
+            }
+        }
+        routes
+    }
+
+    fn entry(
+        &self,
+        index: usize,
+        net: &LoopbackNet,
+        standins: &Standins,
+        peers: &[SocketAddr],
+        routes: &BTreeMap<(String, String), SocketAddr>,
+    ) -> EntryProcess {
+        let me = entry_name(index);
+        let route =
+            |to: String, direct: SocketAddr| *routes.get(&(me.clone(), to)).unwrap_or(&direct);
+        let platform = route("platform".into(), standins.platform);
+        let mut settings = self.settings.clone();
+        let mut set = |key: &str, value: String| {
+            settings.entry(key.into()).or_insert(value);
+        };
+        set("entry.name", me.clone());
+        set("entry.region", "north".into());
+        set("entry.data-centre", format!("dc-{}", index % DATA_CENTRES));
+        set("entry.caller", net.free().to_string());
+        set("entry.operator", net.free().to_string());
+        set("entry.metrics", net.free().to_string());
+        set("entry.peer", peers[index].to_string());
+        for (to, peer) in peers.iter().enumerate() {
+            set(&format!("peers.{}", entry_name(to)), route(entry_name(to), *peer).to_string());
+        }
+        for service in ["table", "objects", "hosts"] {
+            set(&format!("platform.{service}"), platform.to_string());
+        }
+        set("operators.ada", KeyDigest::of("ada-key").to_string());
+        set("operators.ben", KeyDigest::of("ben-key").to_string());
+        EntryProcess::start(me, settings)
+    }
+}
+
+/// The name of the entry host with this index.
+pub fn entry_name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+/// A team with a share of 1.
+pub fn team(name: &str, upper_limit: Units) -> Team {
+    Team {
+        name: name.try_into().unwrap(),
+        share: 1,
+        upper_limit,
+        queue: 1000,
+        urgent: Urgency::Normal,
+    }
+}
+
+/// The key of a team: its name followed by `-key`.
+pub fn key_of(team: &Team) -> Key {
+    let id = KeyId::try_from(format!("{}-1", team.name)).unwrap();
+    Key { id, team: team.name.clone(), digest: KeyDigest::of(&format!("{}-key", team.name)) }
+}
+
+/// A host of the site; four to a rack, racks in turn over three data centres.
+pub fn host(index: usize, pool: &PoolName, backend: SocketAddr, worker: SocketAddr) -> Host {
+    let rack = index / HOSTS_PER_RACK;
+    Host {
+        name: HostName::try_from(format!("host-{index}")).unwrap(),
+        pool: pool.clone(),
+        rack: format!("rack-{rack}").try_into().unwrap(),
+        data_centre: format!("dc-{}", rack % DATA_CENTRES).try_into().unwrap(),
+        region: "north".try_into().unwrap(),
+        backend,
+        worker,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        resources: Resources { millicores: 16_000, memory_mib: 32 * 1024, accelerators: 0 },
+        state: HostState::Serving,
+    }
+}
+
+/// Waits until `condition` holds; panics with `what` when it does not within [`PATIENCE`].
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
