Model: orders to a worker's task agent and its reports

Cause: jobs need words that policy, the worker client and the stand-in share. Change: task orders, reports, fence and ticket. A lease counts from a ticket of the worker's own clock; the ticket's serial makes orders void that come late.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod plan;
 pub mod resources;
+pub mod task;
 pub mod team;
 pub mod units;
 
@@ -25,8 +26,8 @@
 pub use intent::Intent;
 pub use map::{FastMap, FastSet};
 pub use names::{
-    DataCentre, EntryName, HostName, Incarnation, JobId, KeyId, OperatorName, PlanId, PoolName,
-    RackName, Region, ServiceName, TeamName,
+    DataCentre, EntryName, HostName, Incarnation, JobId, JobKind, KeyId, OperatorName, PlanId,
+    PoolName, RackName, Region, ServiceName, TeamName,
 };
 pub use outcome::{Problem, ProblemKind, RunState};
 pub use plan::{ActivePlan, PlanState, Progress};
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -106,6 +106,8 @@
     KeyId, "key id");
 name_type!(/// An accepted job.
     JobId, "job");
+name_type!(/// What a team calls jobs of the same sort, to learn their size from each other.
+    JobKind, "job kind");
 name_type!(/// A plan that waits to be confirmed or is being carried out.
     PlanId, "plan");
 name_type!(/// An operator, as the audit trail names them.
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -39,4 +39,13 @@
             accelerators: self.accelerators.saturating_sub(other.accelerators),
         }
     }
+
+    /// The smaller amount in every dimension.
+    pub fn min_of(self, other: Resources) -> Resources {
+        Resources {
+            millicores: self.millicores.min(other.millicores),
+            memory_mib: self.memory_mib.min(other.memory_mib),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
 }
--- /dev/null
+++ b/crates/policy/src/jobs.rs
@@ -0,0 +1,16 @@
+//! Jobs: accepted means kept, then placed and finished or truthfully refused.
+
+mod health;
+mod queue;
+mod row;
+mod scheduler;
+mod stage;
+mod workers;
+
+pub use health::{Health, Verdict};
+pub use queue::{Queue, Weight};
+pub use row::{
+    Begun, Cancel, JobCore, JobRow, JobSpec, PoolLease, Rerun, Resolution, Stage, WriteId, resolve,
+};
+pub use scheduler::{AnswerOutcome, Proposal, Scheduler, Timing, UnitChange, WriteIds};
+pub use stage::{AfterRun, Ended, Job, Running, TaskEnd, Waiting, WrongStage};
--- /dev/null
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -0,0 +1,311 @@
+//! The jobs of one pool, as their owner keeps them in memory.
+//!
+//! The scheduler only proposes changes of rows. The daemon writes them, each conditional on the row's version and
+//! on the lease of the pool, and tells the outcome; no order is given to a worker before the row says so.
+
+mod orders;
+mod starts;
+
+use fuchsiamill_model::{
+    FastMap, Host, HostName, HostState, JobId, JobKind, Millisecond, Moment, PoolName, Resources,
+    TeamName, Units,
+    task::{Fence, TaskId, Usage},
+};
+
+use super::{
+    health::Health,
+    queue::Queue,
+    row::{JobRow, Stage, WriteId},
+    stage::Running,
+    workers::Workers,
+};
+use crate::placement::{Placer, Sizes};
+
+pub use orders::AnswerOutcome;
+
+/// Spans that the owner and the workers go by.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// The lease of a task, in milliseconds.
+    pub lease: Millisecond,
+}
+
+/// A proposed change of a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proposal {
+    /// The version of the row that the change is conditional on.
+    pub version: u64,
+    /// The row as it is to be.
+    pub row: JobRow,
+    /// What happens to the team's upper limit in the same write.
+    pub unit: UnitChange,
+}
+
+/// What a write does to the job units of the team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnitChange {
+    /// Takes one.
+    Take,
+    /// Gives one back.
+    GiveBack,
+    /// Leaves them as they are.
+    None,
+}
+
+/// Gives an id to each write.
+pub trait WriteIds {
+    /// A new id.
+    fn next_id(&mut self) -> WriteId;
+}
+
+impl<F: FnMut() -> WriteId> WriteIds for F {
+    fn next_id(&mut self) -> WriteId {
+        self()
+    }
+}
+
+/// What is known of a task from its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    NotSent,
+    Unconfirmed,
+    Running,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    row: JobRow,
+    version: u64,
+    pending: Option<JobRow>,
+    seen: Seen,
+    usage: Option<Usage>,
+    peak: Resources,
+}
+
+impl Entry {
+    /// The run that holds room on a host: written, or about to be.
+    fn held(&self) -> Option<&Running> {
+        running_of(&self.row).or_else(|| self.pending.as_ref().and_then(running_of))
+    }
+}
+
+/// The jobs of one pool.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    pool: PoolName,
+    fence: Fence,
+    timing: Timing,
+    placer: Placer,
+    hosts: FastMap<HostName, Host>,
+    queue: Queue,
+    entries: FastMap<JobId, Entry>,
+    on_host: FastMap<HostName, Vec<JobId>>,
+    running: FastMap<TeamName, Units>,
+    workers: Workers,
+    sizes: Sizes,
+    awaiting_usage: FastMap<TaskId, (TeamName, JobKind)>,
+    health: Health,
+}
+
+impl Scheduler {
+    /// A scheduler that took the pool over at `now`, before its rows and hosts are put in.
+    pub fn new(pool: PoolName, fence: Fence, timing: Timing, now: Moment) -> Self {
+        Self {
+            pool,
+            fence,
+            timing,
+            placer: Placer::default(),
+            hosts: FastMap::default(),
+            queue: Queue::default(),
+            entries: FastMap::default(),
+            on_host: FastMap::default(),
+            running: FastMap::default(),
+            workers: Workers::new(timing, now),
+            sizes: Sizes::default(),
+            awaiting_usage: FastMap::default(),
+            health: Health::default(),
+        }
+    }
+
+    /// The pool.
+    pub fn pool(&self) -> &PoolName {
+        &self.pool
+    }
+
+    /// The fence that this owner took.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// The jobs that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The jobs that hold a host.
+    pub fn held(&self) -> usize {
+        self.on_host.values().map(Vec::len).sum()
+    }
+
+    /// Whether a change of the job is being written.
+    pub fn is_pending(&self, job: &JobId) -> bool {
+        self.entries.get(job).is_some_and(|it| it.pending.is_some())
+    }
+
+    /// Takes over the pool's hosts as the configuration has them now.
+    pub fn set_hosts<'a>(&mut self, hosts: impl Iterator<Item = &'a Host>) {
+        self.hosts = hosts.map(|it| (it.name.clone(), it.clone())).collect();
+        let mut sorted: Vec<&Host> = self.hosts.values().collect();
+        sorted.sort_by(|one, other| one.name.cmp(&other.name));
+        self.placer = Placer::new(sorted.into_iter());
+        for host in self.health.ejected() {
+            self.placer.eject(host);
+        }
+        for entry in self.entries.values() {
+            if let Some(run) = entry.held() {
+                self.placer.take(&run.host, &entry.row.core.team, run.size);
+            }
+        }
+    }
+
+    /// The pool's hosts whose workers are to be synchronised with.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// Puts in a row as read from the table. A row that is being written is left alone.
+    pub fn put(&mut self, row: JobRow, version: u64) {
+        let job = row.core.id.clone();
+        match self.entries.get(&job) {
+            Some(entry) if entry.pending.is_some() || entry.version == version => (),
+            Some(_) => self.replace(row, version),
+            None => self.insert(row, version),
+        }
+    }
+
+    /// The jobs known here, to be compared with the rows of the table.
+    pub fn known(&self) -> impl Iterator<Item = &JobId> {
+        self.entries.keys()
+    }
+
+    /// Drops a job whose row is gone.
+    pub fn drop_job(&mut self, job: &JobId) {
+        if self.is_pending(job) {
+            return;
+        }
+        self.remove(job);
+    }
+
+    /// The proposed row was written and has this version.
+    pub fn committed(&mut self, job: &JobId, version: u64) {
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        let Some(row) = entry.pending.take() else { return };
+        let before = entry.row.clone();
+        self.release_if_held(job, &before, &row);
+        if matches!(row.stage, Stage::Ended(_)) {
+            self.remove(job);
+            return;
+        }
+        if matches!(row.stage, Stage::Waiting(_)) {
+            self.queue.push(&row.core.team, job.clone());
+        }
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        entry.row = row;
+        entry.version = version;
+        entry.seen = Seen::NotSent;
+        entry.usage = None;
+    }
+
+    /// The proposed row was not written and never will be: a row that it is conditional on has a newer version.
+    ///
+    /// The job's row is to be read and put in again. A write whose fate is not known stays pending.
+    pub fn rejected(&mut self, job: &JobId) {
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        let Some(row) = entry.pending.take() else { return };
+        let was_running = running_of(&entry.row).is_some();
+        let team = entry.row.core.team.clone();
+        if let (false, Some(run)) = (was_running, running_of(&row)) {
+            self.unhold(job, &team, run);
+        }
+        if !was_running {
+            self.queue.push(&team, job.clone());
+        }
+    }
+
+    fn insert(&mut self, row: JobRow, version: u64) {
+        let job = row.core.id.clone();
+        let team = row.core.team.clone();
+        match &row.stage {
+            Stage::Waiting(_) => self.queue.push(&team, job.clone()),
+            Stage::Running(run) => self.hold(&job, &team, run),
+            Stage::Ended(_) => return,
+        }
+        let (seen, usage, peak) = (Seen::Unconfirmed, None, Resources::default());
+        self.entries.insert(job, Entry { row, version, pending: None, seen, usage, peak });
+    }
+
+    fn replace(&mut self, row: JobRow, version: u64) {
+        let job = row.core.id.clone();
+        let known = self.entries.get(&job);
+        let same_run = known.is_some_and(|it| {
+            it.row.core.attempt == row.core.attempt && running_of(&it.row) == running_of(&row)
+        });
+        if same_run && running_of(&row).is_some() {
+            let Some(entry) = self.entries.get_mut(&job) else { return };
+            entry.row = row;
+            entry.version = version;
+            return;
+        }
+        self.remove(&job);
+        self.insert(row, version);
+    }
+
+    fn remove(&mut self, job: &JobId) {
+        self.queue.remove(job);
+        let Some(entry) = self.entries.remove(job) else { return };
+        if let Some(run) = entry.held() {
+            self.unhold(job, &entry.row.core.team, run);
+        }
+    }
+
+    fn release_if_held(&mut self, job: &JobId, before: &JobRow, after: &JobRow) {
+        let Some(run) = running_of(before) else { return };
+        if running_of(after).is_some() {
+            return;
+        }
+        self.unhold(job, &before.core.team, run);
+        if !self.awaiting_usage.contains_key(&before.core.task()) {
+            self.workers.forget(&run.host, before.core.task());
+        }
+        if let Some(entry) = self.entries.get_mut(job) {
+            entry.row.stage = after.stage.clone();
+        }
+    }
+
+    fn hold(&mut self, job: &JobId, team: &TeamName, run: &Running) {
+        self.placer.take(&run.host, team, run.size);
+        self.on_host.entry(run.host.clone()).or_default().push(job.clone());
+        *self.running.entry(team.clone()).or_default() += 1;
+    }
+
+    fn unhold(&mut self, job: &JobId, team: &TeamName, run: &Running) {
+        self.placer.give_back(&run.host, team, run.size);
+        if let Some(jobs) = self.on_host.get_mut(&run.host) {
+            jobs.retain(|it| it != job);
+        }
+        if let Some(running) = self.running.get_mut(team) {
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    fn is_leaving(&self, host: &HostName) -> bool {
+        self.hosts.get(host).is_some_and(|it| it.state != HostState::Serving)
+    }
+}
+
+fn running_of(row: &JobRow) -> Option<&Running> {
+    match &row.stage {
+        Stage::Running(run) => Some(run),
+        Stage::Waiting(_) | Stage::Ended(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/jobs/scheduler/orders.rs
@@ -0,0 +1,271 @@
+//! Orders to workers, and what follows from their answers and their silence.
+
+use fuchsiamill_model::{
+    FastMap, HostName, JobId, Moment,
+    task::{
+        Fence, TaskId, TaskOrder, TaskReport, TaskStart, TaskState, Ticket, Usage, WorkerAnswer,
+        WorkerSync,
+    },
+};
+
+use super::{Entry, Proposal, Scheduler, Seen, UnitChange, WriteIds, running_of};
+use crate::{
+    jobs::{
+        health::Verdict,
+        row::{Cancel, JobRow},
+        stage::{Job, Running, TaskEnd},
+    },
+    placement::{Relief, TaskLoad, relieve},
+};
+
+/// Ended tasks whose usage is waited for at once.
+const MOST_AWAITED: usize = 4096;
+
+/// What follows from a worker's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerOutcome {
+    /// Changes to write.
+    Propose(Vec<Proposal>),
+    /// A later owner has taken over; this one gives no more orders.
+    Superseded(Fence),
+}
+
+impl Scheduler {
+    /// The orders for one worker. Only runs that are written are started.
+    pub fn orders(&mut self, host: &HostName) -> WorkerSync {
+        let ticket = self.workers.quote(host);
+        let mut orders: Vec<TaskOrder> = self
+            .workers
+            .to_forget(host)
+            .into_iter()
+            .map(|task| TaskOrder::Forget { task })
+            .collect();
+        if let Some(ticket) = &ticket {
+            self.add_task_orders(host, ticket, &mut orders);
+            orders.extend(self.relief_order(host));
+        }
+        let (pool, fence, lease) = (self.pool.clone(), self.fence, self.timing.lease);
+        WorkerSync { pool, fence, lease, ticket, orders }
+    }
+
+    /// Takes in a worker's answer.
+    pub fn on_answer(
+        &mut self,
+        host: &HostName,
+        answer: WorkerAnswer,
+        ids: &mut impl WriteIds,
+        now: Moment,
+    ) -> AnswerOutcome {
+        match answer {
+            WorkerAnswer::Fenced { newest } => AnswerOutcome::Superseded(newest),
+            WorkerAnswer::Report { ticket, tasks } => {
+                AnswerOutcome::Propose(self.on_report(host, ticket, tasks, ids, now))
+            }
+        }
+    }
+
+    /// Gives up the runs on workers that have been silent until every lease ran out.
+    pub fn give_up_lapsed(&mut self, ids: &mut impl WriteIds, now: Moment) -> Vec<Proposal> {
+        let lapsed: Vec<JobId> = self
+            .on_host
+            .iter()
+            .filter(|(host, jobs)| !jobs.is_empty() && self.workers.has_lapsed(host, now))
+            .flat_map(|(_, jobs)| jobs.iter().cloned())
+            .collect();
+        lapsed.iter().filter_map(|job| self.give_up(job, ids)).collect()
+    }
+
+    fn give_up(&mut self, job: &JobId, ids: &mut impl WriteIds) -> Option<Proposal> {
+        let end = match self.entries.get(job)?.seen {
+            Seen::NotSent => TaskEnd::NotStarted,
+            Seen::Unconfirmed | Seen::Running => TaskEnd::Lost,
+        };
+        self.propose_end(job, end, ids)
+    }
+
+    fn add_task_orders(&mut self, host: &HostName, ticket: &Ticket, orders: &mut Vec<TaskOrder>) {
+        let leaving = self.is_leaving(host);
+        for job in self.on_host.get(host).into_iter().flatten() {
+            let Some(entry) = self.entries.get_mut(job) else { continue };
+            let Some(run) = running_of(&entry.row) else { continue };
+            // A run whose end is being written is not renewed.
+            if run.boot != ticket.boot || entry.pending.is_some() {
+                continue;
+            }
+            let start = start_order(entry, run);
+            let task = entry.row.core.task();
+            match entry.seen {
+                _ if entry.row.core.cancel == Cancel::Asked => {
+                    orders.push(TaskOrder::Stop { task });
+                }
+                Seen::Running => {
+                    orders.push(TaskOrder::Renew { task: task.clone() });
+                    if leaving {
+                        orders.push(TaskOrder::Checkpoint { task });
+                    }
+                }
+                Seen::NotSent | Seen::Unconfirmed if leaving => {
+                    orders.push(TaskOrder::Checkpoint { task });
+                }
+                Seen::NotSent | Seen::Unconfirmed => {
+                    entry.seen = Seen::Unconfirmed;
+                    orders.push(start);
+                }
+            }
+        }
+    }
+
+    fn relief_order(&self, host: &HostName) -> Option<TaskOrder> {
+        let offered = self.hosts.get(host)?.resources;
+        let entries = self.on_host.get(host)?.iter().filter_map(|job| self.entries.get(job));
+        let load = |entry: &Entry| {
+            let run = running_of(&entry.row)?;
+            let used = entry.usage?.peak;
+            Some(TaskLoad { task: entry.row.core.task(), reserved: run.size, used })
+        };
+        let loads: Vec<TaskLoad> = entries.filter_map(load).collect();
+        match relieve(offered, &loads) {
+            Relief::None => None,
+            Relief::Throttle(task, to) => Some(TaskOrder::Throttle { task, to }),
+            Relief::Checkpoint(task) => Some(TaskOrder::Checkpoint { task }),
+        }
+    }
+
+    fn on_report(
+        &mut self,
+        host: &HostName,
+        ticket: Ticket,
+        reports: Vec<TaskReport>,
+        ids: &mut impl WriteIds,
+        now: Moment,
+    ) -> Vec<Proposal> {
+        let boot = ticket.boot.clone();
+        self.workers.heard(host, ticket, now);
+        if !self.health.ejected().any(|it| it == host) {
+            self.placer.readmit(host);
+        }
+        let mut told: FastMap<TaskId, TaskReport> =
+            reports.into_iter().map(|it| (it.task.clone(), it)).collect();
+        self.workers.told(host, |task| told.contains_key(task));
+        let jobs = self.on_host.get(host).cloned().unwrap_or_default();
+        let mut proposals = Vec::new();
+        for job in jobs {
+            let Some(entry) = self.entries.get(&job) else { continue };
+            let Some(run) = running_of(&entry.row) else { continue };
+            let report = told.remove(&entry.row.core.task());
+            let end = match report {
+                _ if run.boot != boot && entry.seen == Seen::NotSent => Some(TaskEnd::NotStarted),
+                _ if run.boot != boot => Some(TaskEnd::Lost),
+                None => (entry.seen == Seen::Running).then_some(TaskEnd::Lost),
+                Some(report) => self.on_task(host, &job, report, now),
+            };
+            proposals.extend(end.and_then(|end| self.propose_end(&job, end, ids)));
+        }
+        for (task, report) in told {
+            self.on_stray(host, task, report);
+        }
+        proposals
+    }
+
+    fn on_stray(&mut self, host: &HostName, task: TaskId, report: TaskReport) {
+        if report.state == TaskState::Running {
+            return;
+        }
+        let awaited = self.awaiting_usage.get(&task);
+        if awaited.is_some() && report.usage.is_none() {
+            return;
+        }
+        if let (Some((team, kind)), Some(usage)) = (awaited, report.usage) {
+            self.sizes.record(team, kind, usage);
+        }
+        self.awaiting_usage.remove(&task);
+        self.workers.forget(host, task);
+    }
+
+    fn on_task(
+        &mut self,
+        host: &HostName,
+        job: &JobId,
+        report: TaskReport,
+        now: Moment,
+    ) -> Option<TaskEnd> {
+        let entry = self.entries.get_mut(job)?;
+        if let Some(usage) = report.usage {
+            entry.usage = Some(usage);
+            entry.peak = usage.peak;
+        }
+        if entry.pending.is_some() {
+            return None;
+        }
+        let end = match report.state {
+            TaskState::Running => {
+                entry.seen = Seen::Running;
+                return None;
+            }
+            TaskState::Finished { output } => TaskEnd::Finished(output),
+            TaskState::Failed { reason } => TaskEnd::Failed(reason),
+            TaskState::Checkpointed { checkpoint } => TaskEnd::Checkpointed(checkpoint),
+            TaskState::Stopped | TaskState::Lapsed => TaskEnd::Stopped,
+            TaskState::NotStarted => TaskEnd::NotStarted,
+        };
+        self.learn(host, job, &end, report.usage, now);
+        Some(end)
+    }
+
+    fn learn(
+        &mut self,
+        host: &HostName,
+        job: &JobId,
+        end: &TaskEnd,
+        usage: Option<Usage>,
+        now: Moment,
+    ) {
+        let Some(entry) = self.entries.get(job) else { return };
+        let core = &entry.row.core;
+        match end {
+            TaskEnd::Finished(_) => {
+                self.health.finished(host);
+                match usage {
+                    Some(usage) => self.sizes.record(&core.team, &core.spec.kind, usage),
+                    None if self.awaiting_usage.len() < MOST_AWAITED => {
+                        let whose = (core.team.clone(), core.spec.kind.clone());
+                        self.awaiting_usage.insert(core.task(), whose);
+                    }
+                    None => (),
+                }
+            }
+            TaskEnd::Failed(_) if core.failed_on.is_empty() => {
+                match self.health.failed(host, self.hosts.len(), now) {
+                    Verdict::Eject => self.placer.eject(host),
+                    Verdict::Keep => (),
+                }
+            }
+            _ => (),
+        }
+    }
+
+    fn propose_end(
+        &mut self,
+        job: &JobId,
+        end: TaskEnd,
+        ids: &mut impl WriteIds,
+    ) -> Option<Proposal> {
+        let entry = self.entries.get_mut(job)?;
+        if entry.pending.is_some() {
+            return None;
+        }
+        let running = Job::<Running>::try_from(entry.row.clone()).ok()?;
+        let row: JobRow = running.end(end, ids.next_id()).into();
+        entry.pending = Some(row.clone());
+        Some(Proposal { version: entry.version, row, unit: UnitChange::GiveBack })
+    }
+}
+
+fn start_order(entry: &Entry, run: &Running) -> TaskOrder {
+    TaskOrder::Start(TaskStart {
+        task: entry.row.core.task(),
+        payload: entry.row.core.spec.payload.clone(),
+        resources: run.size,
+        checkpoint: run.checkpoint.clone(),
+    })
+}
--- /dev/null
+++ b/crates/policy/src/placement/placer.rs
@@ -0,0 +1,300 @@
+//! The free room of a pool's hosts and the choice of a host for a task.
+
+use std::collections::BTreeMap;
+
+use fuchsiamill_model::{
+    DataCentre, FastMap, FastSet, Host, HostName, HostState, RackName, Resources, TeamName,
+};
+
+use super::grid::{Cell, Grid, HostIx};
+
+/// One whole dimension of the largest host, in units of cost.
+const WHOLE: u64 = 10_000;
+/// Cost of each task of the same team in the same data centre.
+const SAME_DATA_CENTRE: u64 = WHOLE / 50;
+/// Cost of each task of the same team in the same rack.
+const SAME_RACK: u64 = WHOLE / 20;
+/// Spreading never costs more than this, so that it cannot break up the largest holes.
+const MOST_SPREAD: u64 = WHOLE / 4;
+
+/// A task that needs a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The team, whose tasks are spread.
+    pub team: &'a TeamName,
+    /// What the task is expected to use.
+    pub size: Resources,
+    /// Hosts where the job failed before.
+    pub avoid: &'a [HostName],
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// Room on this host.
+    On(HostName),
+    /// No room now.
+    Wait(WaitReason),
+    /// No host of the pool is large enough even when it is empty.
+    Unplaceable,
+}
+
+/// Why a task waits for a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WaitReason {
+    /// The hosts that are large enough are full.
+    Full,
+    /// The hosts that are large enough are out of service or ejected.
+    OutOfService,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Plain,
+    Accelerated,
+}
+
+/// What a host offers, in an order that makes equal hosts one shape.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Shape(u32, u32, u32);
+
+impl Shape {
+    fn of(offered: Resources) -> Self {
+        Self(offered.millicores, offered.memory_mib, offered.accelerators)
+    }
+
+    fn offered(self) -> Resources {
+        Resources { millicores: self.0, memory_mib: self.1, accelerators: self.2 }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    name: HostName,
+    rack: RackName,
+    data_centre: DataCentre,
+    state: HostState,
+    offered: Resources,
+    used: Resources,
+    cell: Option<Cell>,
+}
+
+impl Entry {
+    fn free(&self) -> Resources {
+        self.offered.minus(self.used)
+    }
+
+    fn class(&self) -> Class {
+        if self.offered.accelerators == 0 { Class::Plain } else { Class::Accelerated }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Presence {
+    data_centres: FastMap<DataCentre, u64>,
+    racks: FastMap<RackName, u64>,
+}
+
+/// The hosts of one pool with what is free on them.
+#[derive(Clone, Debug, Default)]
+pub struct Placer {
+    entries: Vec<Entry>,
+    by_name: FastMap<HostName, HostIx>,
+    grids: BTreeMap<(Class, DataCentre), Grid>,
+    presence: FastMap<TeamName, Presence>,
+    ejected: FastSet<HostName>,
+    shapes: BTreeMap<Shape, u32>,
+    largest: Resources,
+}
+
+impl Placer {
+    /// The pool's hosts, all empty.
+    pub fn new<'a>(hosts: impl Iterator<Item = &'a Host>) -> Self {
+        let entries: Vec<Entry> = hosts.map(entry_of).collect();
+        let by_name = entries.iter().zip(0..).map(|(it, host)| (it.name.clone(), host)).collect();
+        let largest = entries.iter().fold(Resources::default(), larger);
+        let shapes = entries.iter().map(|it| (Shape::of(it.offered), 0)).collect();
+        let mut placer = Self { entries, by_name, largest, shapes, ..Self::default() };
+        for host in 0..placer.entries.len() as HostIx {
+            placer.index(host);
+        }
+        placer
+    }
+
+    /// The largest amount of each dimension on any host.
+    pub fn largest(&self) -> Resources {
+        self.largest
+    }
+
+    /// Leaves a host out of new placements, until it is readmitted.
+    pub fn eject(&mut self, host: &HostName) {
+        if self.ejected.insert(host.clone()) {
+            self.with_reindexed(host, |_| ());
+        }
+    }
+
+    /// Takes an ejected host into new placements again.
+    pub fn readmit(&mut self, host: &HostName) {
+        if self.ejected.remove(host) {
+            self.with_reindexed(host, |_| ());
+        }
+    }
+
+    /// Whether some host of the pool, in service or not, is large enough for `size` when it is empty.
+    pub fn can_ever_fit(&self, size: Resources) -> bool {
+        self.shapes.keys().any(|it| it.offered().fits(size))
+    }
+
+    /// Chooses a host.
+    pub fn place(&self, ask: &Ask<'_>) -> Placement {
+        let found = if ask.size.accelerators > 0 {
+            self.best_of(Class::Accelerated, ask)
+        } else {
+            self.place_plain(ask)
+        };
+        match found {
+            Some(host) => Placement::On(self.entries[host as usize].name.clone()),
+            None => self.why_not(ask),
+        }
+    }
+
+    /// Counts a task as running on a host.
+    pub fn take(&mut self, host: &HostName, team: &TeamName, size: Resources) {
+        self.with_reindexed(host, |it| it.used = it.used.plus(size));
+        self.count_presence(host, team, |count| count + 1);
+    }
+
+    /// Counts a task as gone from a host.
+    pub fn give_back(&mut self, host: &HostName, team: &TeamName, size: Resources) {
+        self.with_reindexed(host, |it| it.used = it.used.minus(size));
+        self.count_presence(host, team, |count| count.saturating_sub(1));
+    }
+
+    /// What is free on a host.
+    pub fn free(&self, host: &HostName) -> Option<Resources> {
+        self.by_name.get(host).map(|&host| self.entries[host as usize].free())
+    }
+
+    fn place_plain(&self, ask: &Ask<'_>) -> Option<HostIx> {
+        if let Some(host) = self.best_of(Class::Plain, ask) {
+            return Some(host);
+        }
+        let plain_could = self
+            .shapes
+            .keys()
+            .map(|it| it.offered())
+            .any(|it| it.accelerators == 0 && it.fits(ask.size));
+        if plain_could { None } else { self.best_of(Class::Accelerated, ask) }
+    }
+
+    fn best_of(&self, class: Class, ask: &Ask<'_>) -> Option<HostIx> {
+        let presence = self.presence.get(ask.team);
+        self.grids
+            .iter()
+            .filter(|((it, _), _)| *it == class)
+            .filter_map(|(_, grid)| grid.best(ask.size, |host| self.cost(host, ask, presence)))
+            .min()
+            .map(|(_, host)| host)
+    }
+
+    fn cost(&self, host: HostIx, ask: &Ask<'_>, presence: Option<&Presence>) -> Option<u64> {
+        let entry = &self.entries[host as usize];
+        if !entry.free().fits(ask.size) || ask.avoid.contains(&entry.name) {
+            return None;
+        }
+        let left = entry.free().minus(ask.size);
+        let waste = part(left.millicores, self.largest.millicores)
+            + part(left.memory_mib, self.largest.memory_mib)
+            + part(left.accelerators, self.largest.accelerators);
+        Some(waste + spread_cost(entry, presence))
+    }
+
+    fn why_not(&self, ask: &Ask<'_>) -> Placement {
+        if !self.entries.is_empty() && !self.can_ever_fit(ask.size) {
+            return Placement::Unplaceable;
+        }
+        let mut open = self.shapes.iter().filter(|(_, open)| **open > 0);
+        if open.any(|(it, _)| it.offered().fits(ask.size)) {
+            Placement::Wait(WaitReason::Full)
+        } else {
+            Placement::Wait(WaitReason::OutOfService)
+        }
+    }
+
+    fn is_open(&self, entry: &Entry) -> bool {
+        entry.state == HostState::Serving && !self.ejected.contains(&entry.name)
+    }
+
+    fn count_presence(&mut self, host: &HostName, team: &TeamName, count: impl Fn(u64) -> u64) {
+        let Some(&host) = self.by_name.get(host) else { return };
+        let entry = &self.entries[host as usize];
+        let presence = self.presence.entry(team.clone()).or_default();
+        let tasks = presence.data_centres.entry(entry.data_centre.clone()).or_default();
+        *tasks = count(*tasks);
+        let tasks = presence.racks.entry(entry.rack.clone()).or_default();
+        *tasks = count(*tasks);
+    }
+
+    fn with_reindexed(&mut self, host: &HostName, change: impl FnOnce(&mut Entry)) {
+        let Some(&host) = self.by_name.get(host) else { return };
+        self.unindex(host);
+        change(&mut self.entries[host as usize]);
+        self.index(host);
+    }
+
+    fn index(&mut self, host: HostIx) {
+        let entry = &self.entries[host as usize];
+        if !self.is_open(entry) {
+            return;
+        }
+        let free = entry.free();
+        *self.shapes.entry(Shape::of(entry.offered)).or_default() += 1;
+        let key = (entry.class(), entry.data_centre.clone());
+        let largest = self.largest;
+        let grid = self.grids.entry(key).or_insert_with(|| Grid::new(largest));
+        let entries = &mut self.entries;
+        grid.insert(host, free, |host, cell| entries[host as usize].cell = Some(cell));
+    }
+
+    fn unindex(&mut self, host: HostIx) {
+        let entry = &mut self.entries[host as usize];
+        let Some(cell) = entry.cell.take() else { return };
+        *self.shapes.entry(Shape::of(entry.offered)).or_default() -= 1;
+        let key = (entry.class(), entry.data_centre.clone());
+        let entries = &mut self.entries;
+        if let Some(grid) = self.grids.get_mut(&key) {
+            grid.remove(cell, |host, cell| entries[host as usize].cell = Some(cell));
+        }
+    }
+}
+
+fn entry_of(host: &Host) -> Entry {
+    Entry {
+        name: host.name.clone(),
+        rack: host.rack.clone(),
+        data_centre: host.data_centre.clone(),
+        state: host.state,
+        offered: host.resources,
+        used: Resources::default(),
+        cell: None,
+    }
+}
+
+fn larger(most: Resources, entry: &Entry) -> Resources {
+    Resources {
+        millicores: most.millicores.max(entry.offered.millicores),
+        memory_mib: most.memory_mib.max(entry.offered.memory_mib),
+        accelerators: most.accelerators.max(entry.offered.accelerators),
+    }
+}
+
+fn spread_cost(entry: &Entry, presence: Option<&Presence>) -> u64 {
+    let Some(presence) = presence else { return 0 };
+    let data_centre = presence.data_centres.get(&entry.data_centre).copied().unwrap_or(0);
+    let rack = presence.racks.get(&entry.rack).copied().unwrap_or(0);
+    (data_centre * SAME_DATA_CENTRE + rack * SAME_RACK).min(MOST_SPREAD)
+}
+
+fn part(amount: u32, whole: u32) -> u64 {
+    if whole == 0 { 0 } else { u64::from(amount) * WHOLE / u64::from(whole) }
+}
