Policy: placement and the life cycle of jobs; worker agent as a state machine

Cause: accepted jobs must be placed, finished or truthfully refused through lost answers, late orders and changes of owner. Change: best fit in a grid by free room, one grid for each data centre and class; learned sizes; jobs as typestate; a scheduler that proposes conditional writes and orders; the stand-in's agent without sockets.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod backend_state;
 pub mod claims;
+pub mod jobs;
 pub mod keys;
 pub mod outlier;
+pub mod placement;
 pub mod planner;
 pub mod retry;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod record;
 pub mod reply;
 pub mod run;
+pub mod worker;
