--- a/crates/model/src/change.rs
+++ b/crates/model/src/change.rs
@@ -135,6 +135,13 @@
     },
 }
 
+impl Change {
+    /// Whether it changes the record of entry hosts.
+    pub fn is_record_change(&self) -> bool {
+        matches!(self, Change::PutEntryHost { .. } | Change::RemoveEntryHost { .. })
+    }
+}
+
 /// One entry of the configuration log, and at once of the audit trail.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -11,6 +11,7 @@
     names::{DataCentre, EntryName, HostName, KeyId, PlanId, PoolName, ServiceName, TeamName},
     plan::{ActivePlan, PlanState, Progress},
     team::{Key, Team},
+    undo::Undo,
     units::Slots,
 };
 
@@ -121,19 +122,31 @@
                 needed: Version(entry.version.0.saturating_sub(1)),
             });
         }
-        let mut next = self.clone();
-        for change in &entry.changes {
-            next.apply_change(change, entry)?;
+        let mut undo = Undo::default();
+        if let Err(e) = self.apply_changes(entry, &mut undo) {
+            undo.restore(self);
+            return Err(e);
         }
-        next.check_budgets(self)?;
-        next.version = entry.version;
-        if next.entry_hosts != self.entry_hosts {
-            next.entry_version = entry.version;
+        self.version = entry.version;
+        if entry.changes.iter().any(Change::is_record_change) {
+            self.entry_version = entry.version;
         }
-        *self = next;
         Ok(())
     }
 
+    /// Tells whether [`Configuration::apply`] would take an entry.
+    pub fn check(&self, entry: &LogEntry) -> Result<()> {
+        self.clone().apply(entry)
+    }
+
+    fn apply_changes(&mut self, entry: &LogEntry, undo: &mut Undo) -> Result<()> {
+        for change in &entry.changes {
+            undo.save(self, change);
+            self.apply_change(change, entry)?;
+        }
+        self.check_budgets(undo)
+    }
+
     /// The hosts of a pool, in the order of their names.
     pub fn hosts_of<'a>(&'a self, pool: &'a PoolName) -> impl Iterator<Item = &'a Host> + 'a {
         self.hosts.values().filter(move |host| &host.pool == pool)
@@ -379,15 +392,8 @@
     /// Refuses planned work that takes a pool below its budget.
     ///
     /// A host that fails counts against the budget but is never refused: setting it aside only records it.
-    fn check_budgets(&self, before: &Configuration) -> Result<()> {
-        for host in self.hosts.values().filter(|host| host.state == HostState::Draining) {
-            let newly =
-                before.hosts.get(&host.name).is_none_or(|it| it.state != HostState::Draining);
-            if newly {
-                self.check_pool_budget(host)?;
-            }
-        }
-        Ok(())
+    fn check_budgets(&self, undo: &Undo) -> Result<()> {
+        undo.newly_draining(self).into_iter().try_for_each(|host| self.check_pool_budget(host))
     }
 
     fn check_pool_budget(&self, host: &Host) -> Result<()> {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod resources;
 pub mod task;
 pub mod team;
+mod undo;
 pub mod units;
 
 pub use change::{Change, ChangeId, LogEntry};
