Policy of the configuration log: append, replica, acceptance and compaction

Append writes one entry at most once: a lost answer is resolved by reading the log for the writer's own id. Replica applies in order and never back.

--- /dev/null
+++ b/crates/policy/src/config_log/mod.rs
@@ -0,0 +1,18 @@
+//! The numbered log of configuration changes: writing, applying, accepting and compacting it.
+//!
+//! The log lives in the platform's table; these state machines decide what to read and write there
+//! and what a lost answer means.
+
+mod acceptance;
+mod append;
+mod compaction;
+mod replica;
+mod rows;
+mod subject;
+
+pub use acceptance::{Acceptance, Confirmation, Told};
+pub use append::{Append, AppendEvent, AppendStep, Basis, Conflict, Finish, Proposal, Write};
+pub use compaction::{Compaction, compaction_due};
+pub use replica::{Offer, Replica, Since};
+pub use rows::{HEAD_KEY, Head, LOG_PREFIX, SNAPSHOT_KEY, log_key};
+pub use subject::Subject;
--- /dev/null
+++ b/crates/policy/src/config_log/replica.rs
@@ -0,0 +1,127 @@
+//! One host's copy of the configuration: applied strictly in order, never back.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use fuchsiamill_model::{ChangeId, Configuration, Error, LogEntry, Version};
+
+const RECENT_ENTRIES: usize = 4_096;
+
+/// What came of entries or a snapshot that were offered to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// Nothing new was in them.
+    Nothing,
+    /// The replica moved on to this version.
+    Applied(Version),
+    /// Entries are missing; they are to be asked for from after this version.
+    Gap(Version),
+    /// An entry of the log does not apply; the replica stays behind and must not serve.
+    Broken(Error),
+}
+
+/// What a host at some version still needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Since {
+    /// These entries, in order; none when it is up to date.
+    Entries(Vec<Arc<LogEntry>>),
+    /// A snapshot, as the entries after its version are no longer kept.
+    Snapshot(Arc<Configuration>),
+}
+
+/// One host's copy of the configuration, with the entries that led to it.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    current: Arc<Configuration>,
+    recent: VecDeque<Arc<LogEntry>>,
+    heard: Version,
+}
+
+impl Replica {
+    /// A replica that starts from a snapshot.
+    pub fn new(snapshot: Configuration) -> Self {
+        Self { heard: snapshot.version, current: Arc::new(snapshot), recent: VecDeque::new() }
+    }
+
+    /// The configuration as applied.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.current
+    }
+
+    /// The version that is applied.
+    pub fn version(&self) -> Version {
+        self.current.version
+    }
+
+    /// The newest version that this host heard of, applied or not.
+    pub fn heard(&self) -> Version {
+        self.heard
+    }
+
+    /// Whether nothing newer was heard of than what is applied.
+    pub fn is_current(&self) -> bool {
+        self.heard == self.current.version
+    }
+
+    /// Takes note of a version that another host or the table told.
+    pub fn hear(&mut self, version: Version) {
+        self.heard = self.heard.max(version);
+    }
+
+    /// Applies entries that follow the applied version; skips those already applied.
+    pub fn offer(&mut self, entries: impl IntoIterator<Item = Arc<LogEntry>>) -> Offer {
+        let before = self.version();
+        for entry in entries {
+            self.hear(entry.version);
+            if entry.version <= self.version() {
+                continue;
+            }
+            if entry.version > self.version().next() {
+                return Offer::Gap(self.version());
+            }
+            if let Err(e) = Arc::make_mut(&mut self.current).apply(&entry) {
+                return Offer::Broken(e);
+            }
+            self.remember(entry);
+        }
+        if self.version() == before { Offer::Nothing } else { Offer::Applied(self.version()) }
+    }
+
+    /// Takes a snapshot that is newer than what is applied; an older one changes nothing.
+    pub fn install(&mut self, snapshot: Arc<Configuration>) -> Offer {
+        self.hear(snapshot.version);
+        if snapshot.version <= self.version() {
+            return Offer::Nothing;
+        }
+        self.current = snapshot;
+        self.recent.clear();
+        Offer::Applied(self.version())
+    }
+
+    /// What a host that has applied `version` still needs.
+    pub fn since(&self, version: Version) -> Since {
+        let missing = self.version().0.saturating_sub(version.0) as usize;
+        if missing > self.recent.len() {
+            return Since::Snapshot(self.current.clone());
+        }
+        Since::Entries(self.recent.range(self.recent.len() - missing..).cloned().collect())
+    }
+
+    /// A recent entry by its writer's id.
+    pub fn find(&self, id: &ChangeId) -> Option<&Arc<LogEntry>> {
+        self.recent.iter().rev().find(|entry| &entry.id == id)
+    }
+
+    /// The entries after a version, or none when they are no longer all kept.
+    pub fn entries_after(&self, version: Version) -> Option<impl Iterator<Item = &Arc<LogEntry>>> {
+        let missing = self.version().0.saturating_sub(version.0) as usize;
+        let from = self.recent.len().checked_sub(missing)?;
+        Some(self.recent.range(from..))
+    }
+
+    fn remember(&mut self, entry: Arc<LogEntry>) {
+        if self.recent.len() == RECENT_ENTRIES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(entry);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/log_append.rs
@@ -0,0 +1,216 @@
+//! Writers race on the log while the table loses, delays and drops their writes and answers.
+
+use std::sync::Arc;
+
+use fastrand::Rng;
+use fuchsiamill_model::{
+    Change, ChangeId, Configuration, LogEntry, Team, Version, WallTime, team::Urgency,
+};
+use fuchsiamill_policy::config_log::{
+    Append, AppendEvent, AppendStep, Basis, Conflict, Finish, Offer, Proposal, Replica, Since,
+    Write,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const WRITERS: usize = 3;
+const PROPOSALS: u32 = 12;
+
+#[derive(Default)]
+struct Table {
+    log: Vec<Arc<LogEntry>>,
+    delayed: Vec<Write>,
+}
+
+impl Table {
+    fn take(&mut self, write: &Write) -> bool {
+        let holds = write.condition == Version(self.log.len() as u64);
+        if holds {
+            self.log.push(write.entry.clone());
+        }
+        holds
+    }
+
+    fn deliver_delayed(&mut self, rng: &mut Rng) {
+        if !self.delayed.is_empty() {
+            let write = self.delayed.swap_remove(rng.usize(0..self.delayed.len()));
+            self.take(&write);
+        }
+    }
+
+    fn position(&self, id: &ChangeId) -> Vec<u64> {
+        let found = self.log.iter().filter(|entry| &entry.id == id);
+        found.map(|entry| entry.version.0).collect()
+    }
+}
+
+struct Writer {
+    replica: Replica,
+    append: Option<(Append, AppendStep)>,
+}
+
+fn team(rng: &mut Rng) -> Team {
+    Team {
+        name: format!("t{}", rng.u8(0..4)).as_str().try_into().expect("a valid name"),
+        share: rng.u32(0..4),
+        upper_limit: 4,
+        queue: 4,
+        urgent: Urgency::Normal,
+    }
+}
+
+fn proposal(rng: &mut Rng, id: u32, basis: Version) -> Proposal {
+    Proposal {
+        id: ChangeId(format!("c{id}")),
+        who: "mei".try_into().expect("a valid name"),
+        intent: "make a team".into(),
+        plan: None,
+        basis: if rng.bool() { Basis::At(basis) } else { Basis::Newest },
+        changes: vec![Change::PutTeam { team: team(rng) }],
+    }
+}
+
+fn answer(rng: &mut Rng, table: &mut Table, write: Write) -> AppendEvent {
+    match rng.u8(0..6) {
+        0 => {
+            table.take(&write);
+            AppendEvent::AnswerLost
+        }
+        1 => AppendEvent::AnswerLost,
+        2 => {
+            table.delayed.push(write);
+            AppendEvent::AnswerLost
+        }
+        _ if table.take(&write) => AppendEvent::Written,
+        _ => AppendEvent::HeadMoved,
+    }
+}
+
+fn catch_up(rng: &mut Rng, table: &Table, replica: &mut Replica) -> AppendEvent {
+    if rng.u8(0..4) == 0 {
+        return AppendEvent::ReadFailed;
+    }
+    let offer = replica.offer(table.log.iter().cloned());
+    assert!(matches!(offer, Offer::Nothing | Offer::Applied(_)), "{offer:?}");
+    AppendEvent::CaughtUp
+}
+
+fn each_proposal_is_written_as_told(seed: u64) -> bool {
+    let mut rng = Rng::with_seed(seed);
+    let mut table = Table::default();
+    let writer = || Writer { replica: Replica::default(), append: None };
+    let mut writers: Vec<Writer> = (0..WRITERS).map(|_| writer()).collect();
+    let (mut next, mut finished) = (0, Vec::new());
+    while finished.len() < PROPOSALS as usize {
+        if rng.u8(0..4) == 0 {
+            table.deliver_delayed(&mut rng);
+        }
+        let writer = &mut writers[rng.usize(0..WRITERS)];
+        let at = WallTime(u64::from(next));
+        let Some((append, step)) = writer.append.take() else {
+            if next < PROPOSALS {
+                let basis = writer.replica.version();
+                let mut append = Append::new(proposal(&mut rng, next, basis), basis);
+                let step = append.start(&writer.replica, at);
+                writer.append = Some((append, step));
+                next += 1;
+            }
+            continue;
+        };
+        let mut append = append;
+        let event = match step {
+            AppendStep::Write(write) => answer(&mut rng, &mut table, write),
+            AppendStep::CatchUp => catch_up(&mut rng, &table, &mut writer.replica),
+            AppendStep::Finish(finish) => {
+                finished.push((append.proposal().clone(), finish));
+                continue;
+            }
+        };
+        let step = append.next(event, &writer.replica, at);
+        writer.append = Some((append, step));
+    }
+    while !table.delayed.is_empty() {
+        table.deliver_delayed(&mut rng);
+    }
+    finished.iter().all(|(proposal, finish)| is_true(&table, proposal, finish))
+}
+
+fn is_true(table: &Table, proposal: &Proposal, finish: &Finish) -> bool {
+    let found = table.position(&proposal.id);
+    match finish {
+        Finish::Written(entry) => found == [entry.version.0],
+        Finish::Conflict(Conflict::Changed { by, .. }) => found.is_empty() && by.id != proposal.id,
+        _ => found.is_empty(),
+    }
+}
+
+#[test]
+fn append_tells_the_truth_about_its_entry() {
+    QuickCheck::new()
+        .tests(2_000)
+        .max_tests(2_000)
+        .rng(Gen::from_size_and_seed(100, 7))
+        .quickcheck(each_proposal_is_written_as_told as fn(u64) -> bool);
+}
+
+fn entries(count: u64) -> Vec<Arc<LogEntry>> {
+    let mut rng = Rng::with_seed(3);
+    let entry = |version| {
+        let mut team = team(&mut rng);
+        team.share = 1 + version as u32;
+        Arc::new(LogEntry {
+            version: Version(version),
+            id: ChangeId(format!("c{version}")),
+            who: "mei".try_into().expect("a valid name"),
+            intent: "make a team".into(),
+            plan: None,
+            at: WallTime(version),
+            changes: vec![Change::PutTeam { team }],
+        })
+    };
+    (1..=count).map(entry).collect()
+}
+
+fn replica_follows_the_log(seed: u64) -> bool {
+    let mut rng = Rng::with_seed(seed);
+    let entries = entries(40);
+    let mut states = vec![Arc::new(Configuration::default())];
+    let mut reference = Replica::default();
+    for entry in &entries {
+        reference.offer([entry.clone()]);
+        states.push(reference.configuration().clone());
+    }
+    let mut replica = Replica::default();
+    for _ in 0..60 {
+        let before = replica.version();
+        let from = rng.usize(0..entries.len());
+        let to = rng.usize(from..=entries.len());
+        let offer = match rng.u8(0..12) {
+            0 => replica.install(states[from].clone()),
+            _ => replica.offer(entries[from..to].iter().cloned()),
+        };
+        let is_gap = offer == Offer::Gap(replica.version());
+        let moved = replica.version() > before;
+        let told = matches!(offer, Offer::Applied(version) if version == replica.version());
+        let holds = replica.version() >= before
+            && replica.configuration() == &states[replica.version().0 as usize]
+            && replica.heard() >= replica.version()
+            && (told == moved || is_gap);
+        if !holds {
+            return false;
+        }
+    }
+    let mut laggard = Replica::new((*states[rng.usize(0..=40)]).clone());
+    match replica.since(laggard.version()) {
+        Since::Entries(entries) => laggard.offer(entries),
+        Since::Snapshot(snapshot) => laggard.install(snapshot),
+    };
+    laggard.version() >= replica.version()
+}
+
+#[test]
+fn replica_applies_in_order_and_never_back() {
+    QuickCheck::new()
+        .tests(500)
+        .rng(Gen::from_size_and_seed(100, 13))
+        .quickcheck(replica_follows_the_log as fn(u64) -> bool);
+}
