Waves: typestate life cycle, evidence and the runner of a plan

Cause: a confirmed plan has to be carried out by any entry host, over losses. Change: each step of a host exists only in its state and on evidence (draining accepted everywhere and nothing in flight, restart done, checks passed); the runner works out progress from the configuration alone, keeps the budgets, waits with a reason, stops after too many failures and brings lent hosts home when cancelled. A moved host is checked in its old pool and enters the new one serving, in one entry.

--- a/crates/model/tests/plan_holds.rs
+++ b/crates/model/tests/plan_holds.rs
@@ -125,3 +125,19 @@
     apply(&mut cfg, "ben", Some("x"), state(PlanState::Cancelling)).expect("a cancel");
     assert!(apply(&mut cfg, "ann", Some("x"), state(PlanState::Running)).is_err());
 }
+
+#[test]
+fn two_plans_cannot_spend_one_budget() {
+    let mut cfg = fleet();
+    let drain = |host| vec![set(host, HostState::Draining)];
+    apply(&mut cfg, "ann", Some("x"), vec![start("x", &["a", "b"])]).expect("the first plan");
+    apply(&mut cfg, "ben", Some("y"), vec![start("y", &["c"])]).expect("the second plan");
+    apply(&mut cfg, "ann", Some("x"), drain("a")).expect("the first host");
+    apply(&mut cfg, "ben", Some("y"), drain("c")).expect("the second host");
+    let refused = apply(&mut cfg, "ann", Some("x"), drain("b"));
+    assert!(matches!(refused, Err(Error::Budget { left: 0, least: 8, .. })), "{refused:?}");
+    let failed = vec![set("c", HostState::SetAside)];
+    apply(&mut cfg, "monitor", None, failed).expect("a failure is only recorded");
+    let refused = apply(&mut cfg, "ann", Some("x"), drain("b"));
+    assert!(refused.is_err(), "a failure counts against the budget");
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod placement;
 pub mod planner;
 pub mod retry;
+pub mod waves;
--- a/crates/policy/src/planner/mod.rs
+++ b/crates/policy/src/planner/mod.rs
@@ -28,7 +28,7 @@
 pub use error::{Error, Result};
 pub use facts::{Facts, HostFacts, PoolFacts};
 pub use fleet::Fleet;
-pub use ledger::Shortage;
+pub use ledger::{Ledger, Shortage};
 pub use plan::{LeftOut, Plan, Rejected};
 pub use step::{Batch, Order, Step, Task, Work};
 pub use timeline::{Measures, PoolEffect};
