Policy: upper limits by units in escrow

Cause: a team's limit has to hold over the fleet through races, restarts, pauses and table outages, without a table write for each request. Change: the escrow row with its transactions, and one holder per team and entry host. Only an acknowledged write raises a holding; lenders subtract first and count a loan out until its last work has ended; each loss of standing begins a new term, so that a late reclaim cannot take the new holding. After a lowering nothing starts until the sum of holdings was seen to fit, and holders cut their own holdings to what is in use (a cut by the lowering write would let an idle holder start while another is still above its part).

--- /dev/null
+++ b/crates/policy/src/escrow/holder.rs
@@ -0,0 +1,285 @@
+//! One holder's state machine: its own units, its loans and the grants charged to them.
+
+use fuchsiamill_model::{EntryName, FastMap, Moment, Units, Version};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    EscrowRow, GrantId, HolderId, LoanAsk, LoanId, LoanReturn, Provenance, Terms,
+    account::Account,
+    loan::{Active, Asked, Borrowed, Lent},
+};
+
+mod borrow;
+mod lend;
+mod table;
+
+/// A revision of a table row, as the table gives it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// How a team's upper limit changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// It was raised, or set for the first time.
+    Raised,
+    /// It was lowered, or entries of the log were passed over so that it may have been.
+    Lowered,
+}
+
+/// What became of a table write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect and the row has this revision.
+    Applied(Revision),
+    /// The row had another revision; nothing was written.
+    Conflict,
+    /// The answer was lost; the write may have taken effect or may do so yet.
+    Unknown,
+}
+
+/// What a holder wants done next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Read the row and report it with [`Holder::read`] or [`Holder::read_failed`].
+    Read,
+    /// Write the row if it has the expected revision and report it with [`Holder::wrote`].
+    Write {
+        /// The revision that the row must have.
+        expected: Revision,
+        /// The whole new row.
+        row: EscrowRow,
+    },
+    /// Ask another holder for a loan.
+    Ask(LoanAsk),
+    /// Tell a lender of returned units.
+    Return(LoanReturn),
+}
+
+/// Whether the units held in the row may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Title {
+    /// An acknowledged write of this term names them.
+    Confirmed,
+    /// Standing was lost since the last acknowledged write.
+    Unconfirmed,
+}
+
+/// The table exchange that is under way; at most one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Exchange {
+    Idle,
+    Reading { lowered_at: Version },
+    Writing { lowered_at: Version, held: Units },
+}
+
+/// Whether the last exchange with the table had an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TableHealth {
+    Answers,
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    row: EscrowRow,
+    revision: Revision,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reserve {
+    units: Units,
+    until: Moment,
+}
+
+/// One entry host's part in the upper limit of one team.
+///
+/// Every method that starts work, lends or steps needs majority standing at that moment; whoever
+/// loses it calls [`Holder::lose_standing`] first.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    id: HolderId,
+    terms: Terms,
+    seen: Option<Seen>,
+    lowered_at: Version,
+    settled_at: Option<Version>,
+    held: Units,
+    title: Title,
+    exchange: Exchange,
+    read_at: Option<Moment>,
+    wrote_at: Option<Moment>,
+    ended: Vec<HolderId>,
+    must_read: bool,
+    table: TableHealth,
+    surplus_since: Option<Moment>,
+    queued: Units,
+    account: Account,
+    lent: FastMap<LoanId, Lent>,
+    reserved: FastMap<EntryName, Reserve>,
+    asked: FastMap<LoanId, Borrowed<Asked>>,
+    borrowed: FastMap<LoanId, Borrowed<Active>>,
+    refused: FastMap<EntryName, Moment>,
+    next_number: u64,
+}
+
+impl Holder {
+    /// A holder that has nothing; `lowered_at` is the version of the configuration it starts from.
+    pub fn new(id: HolderId, terms: Terms, lowered_at: Version) -> Self {
+        Self {
+            id,
+            terms,
+            seen: None,
+            lowered_at,
+            settled_at: None,
+            held: 0,
+            title: Title::Unconfirmed,
+            exchange: Exchange::Idle,
+            read_at: None,
+            wrote_at: None,
+            ended: Vec::new(),
+            must_read: true,
+            table: TableHealth::Answers,
+            surplus_since: None,
+            queued: 0,
+            account: Account::default(),
+            lent: FastMap::default(),
+            reserved: FastMap::default(),
+            asked: FastMap::default(),
+            borrowed: FastMap::default(),
+            refused: FastMap::default(),
+            next_number: 0,
+        }
+    }
+
+    /// This holder's present id.
+    pub fn id(&self) -> &HolderId {
+        &self.id
+    }
+
+    /// The units on which work may start now.
+    pub fn free(&self, now: Moment) -> Units {
+        if !self.is_settled() {
+            return 0;
+        }
+        self.own_free().saturating_add(self.borrowed_free(now))
+    }
+
+    /// The units that this holder may use: its own that are not lent, and its loans.
+    pub fn has(&self, now: Moment) -> Units {
+        let borrowed = self.borrowed.values().filter(|it| it.state.expires > now);
+        let units: Units = borrowed.map(|it| it.state.units - it.state.returned).sum();
+        self.held.saturating_sub(self.out()) + units
+    }
+
+    /// The grants that are charged.
+    pub fn running(&self) -> usize {
+        self.account.len()
+    }
+
+    /// The units held in the row as far as this holder may rely on it.
+    pub fn held(&self) -> Units {
+        self.held
+    }
+
+    /// The units lent to others.
+    pub fn out(&self) -> Units {
+        self.lent.values().map(Lent::out).sum()
+    }
+
+    /// The row as it was last seen.
+    pub fn row(&self) -> Option<&EscrowRow> {
+        self.seen.as_ref().map(|seen| &seen.row)
+    }
+
+    /// Charges a grant to a free unit until it is released or, at the latest, `until`.
+    ///
+    /// Returns `None`, and charges nothing, when no unit is free.
+    pub fn charge(&mut self, now: Moment, grant: GrantId, until: Moment) -> Option<Provenance> {
+        if !self.is_settled() {
+            return None;
+        }
+        let provenance = if self.own_free() > 0 {
+            Provenance::Own
+        } else {
+            Provenance::Loan(self.use_loan(now)?)
+        };
+        self.account.charge(grant, provenance.clone(), until);
+        Some(provenance)
+    }
+
+    /// Frees the unit of a grant whose work has ended. Repeated and late calls change nothing.
+    pub fn release(&mut self, grant: GrantId) {
+        if let Some(Provenance::Loan(loan)) = self.account.release(grant)
+            && let Some(borrowed) = self.borrowed.get_mut(&loan)
+        {
+            borrowed.state.in_use -= 1;
+        }
+    }
+
+    /// Gives up what needs standing and begins a new term.
+    ///
+    /// Grants and loans that are out stay charged: their work may still run.
+    pub fn lose_standing(&mut self) {
+        self.id.term += 1;
+        self.title = Title::Unconfirmed;
+        self.must_read = true;
+        self.reserved.clear();
+    }
+
+    /// Tells that the applied configuration changed the team's limit at `version`.
+    pub fn limit_changed(&mut self, change: LimitChange, version: Version) {
+        self.must_read = true;
+        if change == LimitChange::Lowered {
+            self.lowered_at = self.lowered_at.max(version);
+        }
+    }
+
+    /// Has the next write remove holders whose work has ended, as a [`super::Reclaimer`] found.
+    pub fn reclaim(&mut self, ended: Vec<HolderId>) {
+        self.ended = ended;
+    }
+
+    /// What to do next, when `queued` requests wait and `peers` are the other hosts of the view.
+    pub fn next(&mut self, now: Moment, queued: Units, peers: &[EntryName]) -> Vec<Step> {
+        self.queued = queued;
+        self.expire(now);
+        let mut steps = Vec::new();
+        steps.extend(self.table_step(now));
+        self.return_steps(now, &mut steps);
+        self.renew_steps(now, &mut steps);
+        self.ask_steps(now, peers, &mut steps);
+        steps
+    }
+
+    fn expire(&mut self, now: Moment) {
+        for grant in self.account.ended(now) {
+            self.release(grant);
+        }
+        self.lent.retain(|_, lent| lent.until > now && lent.out() > 0);
+        self.reserved.retain(|_, reserve| reserve.until > now);
+        self.borrowed.retain(|_, borrowed| borrowed.state.expires > now);
+        let loan = self.terms.loan;
+        self.asked.retain(|_, asked| asked.state.at + loan > now);
+        self.refused.retain(|_, until| *until > now);
+    }
+
+    /// Whether the sum of holdings was seen to keep the newest limit that is known.
+    fn is_settled(&self) -> bool {
+        self.settled_at.is_some_and(|version| version >= self.lowered_at)
+    }
+
+    fn in_use(&self) -> Units {
+        self.account.own() + self.out()
+    }
+
+    fn reserved(&self) -> Units {
+        self.reserved.values().map(|reserve| reserve.units).sum()
+    }
+
+    fn own_free(&self) -> Units {
+        match self.title {
+            Title::Confirmed => self.held.saturating_sub(self.in_use() + self.reserved()),
+            Title::Unconfirmed => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/escrow/holder/borrow.rs
@@ -0,0 +1,149 @@
+//! The holder as a borrower.
+
+use fuchsiamill_model::{EntryName, Millisecond, Moment, Units};
+
+use super::{Active, Asked, Borrowed, Holder, Step};
+use crate::escrow::{LoanAnswer, LoanAsk, LoanId, LoanReturn};
+
+const ASKS_AT_ONCE: usize = 2;
+const REFUSED_PAUSE: Millisecond = 200;
+
+impl Holder {
+    /// Takes a lender's answer. Late, repeated and unasked answers change nothing.
+    pub fn lent(&mut self, now: Moment, answer: &LoanAnswer) {
+        self.settle(answer.settled_at);
+        if let Some(borrowed) = self.borrowed.get_mut(&answer.id) {
+            extend(&mut borrowed.state, answer, self.terms.loan);
+            return;
+        }
+        let is_asked = self.asked.get(&answer.id).is_some_and(|it| it.state.ask == answer.ask);
+        if !is_asked {
+            return;
+        }
+        let Some(asked) = self.asked.remove(&answer.id) else { return };
+        if answer.units == 0 {
+            self.refused.insert(asked.lender, now + REFUSED_PAUSE);
+            return;
+        }
+        let granted = asked.granted(answer.units, self.terms.loan);
+        self.borrowed.insert(answer.id.clone(), granted);
+    }
+
+    pub(super) fn borrowed_free(&self, now: Moment) -> Units {
+        let live = self.borrowed.values().filter(|it| it.state.expires > now);
+        live.map(Borrowed::free).sum()
+    }
+
+    /// Takes a unit of the loan that lasts longest.
+    pub(super) fn use_loan(&mut self, now: Moment) -> Option<LoanId> {
+        let usable = |it: &Borrowed<Active>| it.state.expires > now && it.free() > 0;
+        let (id, borrowed) = self
+            .borrowed
+            .iter_mut()
+            .filter(|(_, it)| usable(it))
+            .max_by_key(|(_, it)| it.state.expires)?;
+        borrowed.state.in_use += 1;
+        Some(id.clone())
+    }
+
+    pub(super) fn return_steps(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let idle = self.terms.idle;
+        let mut needed = self.queued.saturating_sub(self.own_free());
+        for (id, borrowed) in &mut self.borrowed {
+            let kept = borrowed.free().min(needed);
+            needed -= kept;
+            let unused = borrowed.free() - kept;
+            let Some(since) = idle_since(&mut borrowed.state, unused, now) else { continue };
+            if now.since(since) < idle {
+                continue;
+            }
+            borrowed.state.returned += unused;
+            steps.push(Step::Return(LoanReturn {
+                id: id.clone(),
+                lender: borrowed.lender.clone(),
+                returned: borrowed.state.returned,
+            }));
+        }
+    }
+
+    pub(super) fn renew_steps(&mut self, now: Moment, steps: &mut Vec<Step>) {
+        let has = self.has(now);
+        let half = self.terms.loan / 2;
+        for (id, borrowed) in &mut self.borrowed {
+            let state = &mut borrowed.state;
+            let is_used = state.returned < state.units;
+            let is_asked = state.renewal.is_some_and(|it| now.since(it.at) < half / 2);
+            if !is_used || is_asked || now + half < state.expires {
+                continue;
+            }
+            let ask = self.next_number;
+            self.next_number += 1;
+            state.renewal = Some(Asked { ask, at: now });
+            let lender = borrowed.lender.clone();
+            steps.push(Step::Ask(LoanAsk { id: id.clone(), lender, ask, want: 0, has }));
+        }
+    }
+
+    pub(super) fn ask_steps(&mut self, now: Moment, peers: &[EntryName], steps: &mut Vec<Step>) {
+        let mut missing = self.missing(now);
+        if missing == 0 {
+            return;
+        }
+        for lender in self.lenders(peers) {
+            if missing == 0 || self.asked.len() >= ASKS_AT_ONCE {
+                return;
+            }
+            let held = self.held_by_entry(&lender);
+            let want = if held == 0 { missing } else { missing.min(held) };
+            steps.push(Step::Ask(self.ask(now, lender, want)));
+            missing -= want;
+        }
+    }
+
+    /// The queued requests for which neither this holder nor the table has units.
+    fn missing(&self, now: Moment) -> Units {
+        let room = self.expected_room(now);
+        let free = self.own_free() + self.reserved() + self.borrowed_free(now);
+        self.queued.saturating_sub(free.saturating_add(room))
+    }
+
+    /// The peers that may lend, the one with most units first.
+    fn lenders(&self, peers: &[EntryName]) -> Vec<EntryName> {
+        let is_pending = |peer: &EntryName| self.asked.values().any(|it| &it.lender == peer);
+        let is_open = |peer: &&EntryName| !self.refused.contains_key(*peer) && !is_pending(peer);
+        let mut lenders: Vec<EntryName> = peers.iter().filter(is_open).cloned().collect();
+        lenders.sort_by_key(|peer| std::cmp::Reverse(self.held_by_entry(peer)));
+        lenders
+    }
+
+    fn held_by_entry(&self, entry: &EntryName) -> Units {
+        let Some(row) = self.row() else { return 0 };
+        row.held.iter().filter(|(id, _)| &id.entry == entry).map(|(_, units)| *units).sum()
+    }
+
+    fn ask(&mut self, now: Moment, lender: EntryName, want: Units) -> LoanAsk {
+        let number = self.next_number;
+        self.next_number += 1;
+        let id = LoanId { borrower: self.id.clone(), number };
+        let asked = Borrowed { lender: lender.clone(), state: Asked { ask: number, at: now } };
+        self.asked.insert(id.clone(), asked);
+        LoanAsk { id, lender, ask: number, want, has: self.has(now) }
+    }
+}
+
+/// Extends a loan from the moment before its renewal was asked for.
+fn extend(state: &mut Active, answer: &LoanAnswer, loan: Millisecond) {
+    let Some(renewal) = state.renewal.filter(|it| it.ask == answer.ask) else { return };
+    state.renewal = None;
+    if answer.units >= state.units {
+        state.expires = state.expires.max(renewal.at + loan);
+    }
+}
+
+fn idle_since(state: &mut Active, unused: Units, now: Moment) -> Option<Moment> {
+    if unused == 0 {
+        state.idle_since = None;
+        return None;
+    }
+    Some(*state.idle_since.get_or_insert(now))
+}
--- /dev/null
+++ b/crates/policy/tests/escrow_races.rs
@@ -0,0 +1,143 @@
+//! Single races of the escrow that a random interleaving meets too seldom.
+
+use fuchsiamill_model::{EntryName, FastMap, Incarnation, Moment, Units, Version};
+use fuchsiamill_policy::escrow::{
+    EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, Reclaimer, Revision,
+    Step, Terms, WriteOutcome,
+};
+
+fn entry(raw: &str) -> EntryName {
+    raw.parse().expect("a valid name")
+}
+
+fn id(raw: &str, term: u64) -> HolderId {
+    HolderId { entry: entry(raw), incarnation: incarnation(), term }
+}
+
+fn incarnation() -> Incarnation {
+    "i0".parse().expect("a valid name")
+}
+
+fn write_in(steps: &[Step]) -> EscrowRow {
+    let write = steps.iter().find_map(|step| match step {
+        Step::Write { row, .. } => Some(row.clone()),
+        _ => None,
+    });
+    write.expect("a write")
+}
+
+fn ask_in(steps: &[Step]) -> LoanAsk {
+    let ask = steps.iter().find_map(|step| match step {
+        Step::Ask(ask) => Some(ask.clone()),
+        _ => None,
+    });
+    ask.expect("a loan is asked for")
+}
+
+/// A holder with `units` acknowledged at time 1,000, of a row with that limit.
+fn holding(units: Units) -> (Holder, EscrowRow) {
+    let mut holder = Holder::new(id("a", 0), Terms::default(), Version(0));
+    assert_eq!(holder.next(Moment(0), units, &[]), [Step::Read]);
+    holder.read(EscrowRow::new(units, Version(0)), Revision(1));
+    let row = write_in(&holder.next(Moment(1_000), units, &[]));
+    holder.wrote(row.clone(), WriteOutcome::Applied(Revision(2)));
+    assert_eq!(holder.free(Moment(1_000)), units);
+    (holder, row)
+}
+
+#[test]
+fn shrink_that_lands_after_a_read_is_safe() {
+    let (mut holder, row) = holding(8);
+    holder.next(Moment(2_000), 0, &[]);
+    let shrunk = write_in(&holder.next(Moment(6_000), 0, &[]));
+    assert_eq!(shrunk.held_by(&id("a", 0)), 0);
+    holder.wrote(shrunk, WriteOutcome::Unknown);
+    assert_eq!(holder.next(Moment(7_000), 8, &[]), [Step::Read]);
+    holder.read(row, Revision(2));
+    assert_eq!(holder.free(Moment(7_000)), 0, "the shrinking write may still land");
+}
+
+#[test]
+fn late_answer_gives_no_longer_loan() {
+    let mut holder = Holder::new(id("b", 0), Terms::default(), Version(0));
+    holder.next(Moment(0), 5, &[]);
+    holder.read_failed();
+    let ask = ask_in(&holder.next(Moment(1_000), 5, &[entry("a")]));
+    let settled_at = Some(Version(0));
+    let answer = LoanAnswer { id: ask.id, ask: ask.ask, units: 5, settled_at };
+    holder.lent(Moment(5_900), &answer);
+    assert_eq!(holder.free(Moment(5_900)), 5);
+    assert_eq!(holder.free(Moment(6_000)), 0, "the loan began when it was asked for");
+    assert!(holder.charge(Moment(6_000), GrantId(1), Moment(9_000)).is_none());
+}
+
+#[test]
+fn new_term_outlives_a_late_reclaim() {
+    let (mut holder, row) = holding(8);
+    let mut late_reclaim = row.clone();
+    holder.lose_standing();
+    assert_eq!(holder.free(Moment(2_000)), 0);
+    assert_eq!(holder.next(Moment(2_000), 8, &[]), [Step::Read]);
+    holder.read(row, Revision(2));
+    let adopted = write_in(&holder.next(Moment(3_000), 8, &[]));
+    holder.wrote(adopted.clone(), WriteOutcome::Applied(Revision(3)));
+    assert_eq!(holder.free(Moment(3_000)), 8);
+    assert_eq!(late_reclaim.reclaim(&id("a", 0)), 8);
+    let mut after = adopted;
+    assert_eq!(after.reclaim(&id("a", 0)), 0, "the old term's name is gone");
+    assert_eq!(after.held_by(&id("a", 1)), 8);
+}
+
+#[test]
+fn reclaimer_without_standing_waits_anew() {
+    let terms = Terms::default();
+    let mut row = EscrowRow::new(8, Version(0));
+    row.grow(&id("a", 0), 8);
+    let live: FastMap<EntryName, Incarnation> = FastMap::default();
+    let mut reclaimer = Reclaimer::default();
+    let later = Moment(terms.outstanding() + 1);
+    assert!(reclaimer.observe(Moment(0), &row, &live, &terms).is_empty());
+    assert_eq!(reclaimer.clone().observe(later, &row, &live, &terms), [id("a", 0)]);
+    reclaimer.lose_standing();
+    assert!(reclaimer.observe(later, &row, &live, &terms).is_empty());
+}
+
+#[test]
+fn lowered_limit_waits_for_a_later_read() {
+    let (mut holder, row) = holding(8);
+    holder.limit_changed(LimitChange::Lowered, Version(4));
+    assert_eq!(holder.free(Moment(1_100)), 0);
+    assert_eq!(holder.next(Moment(2_000), 1, &[]), [Step::Read]);
+    holder.limit_changed(LimitChange::Lowered, Version(5));
+    holder.read(row, Revision(2));
+    assert_eq!(holder.free(Moment(2_000)), 0, "the read began before the second change");
+}
+
+#[test]
+fn raised_limit_keeps_work_starting() {
+    let (mut holder, _) = holding(8);
+    holder.limit_changed(LimitChange::Raised, Version(4));
+    assert_eq!(holder.free(Moment(1_100)), 8);
+}
+
+#[test]
+fn starved_borrower_gets_an_even_part() {
+    let (mut lender, _) = holding(8);
+    let now = Moment(1_000);
+    for grant in 0..8 {
+        lender.charge(now, GrantId(grant), Moment(60_000)).expect("a free unit");
+    }
+    lender.next(now, 20, &[]);
+    let borrower = id("b", 0);
+    let ask = |number| LoanAsk {
+        id: fuchsiamill_policy::escrow::LoanId { borrower: borrower.clone(), number },
+        lender: entry("a"),
+        ask: number,
+        want: 6,
+        has: 0,
+    };
+    assert_eq!(lender.lend(now, &ask(1)).units, 0);
+    (0..6).for_each(|grant| lender.release(GrantId(grant)));
+    assert_eq!(lender.free(now), 2, "four of six are reserved");
+    assert_eq!(lender.lend(now, &ask(2)).units, 4);
+}
