Settings of claims and the burst of retries

Cause: claims of idempotency keys and retries need bounds from the settings. Change: section [claims] and key burst of [retries].

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! allowed and the remedy. Units stand in the key names: `-ms` is milliseconds.
 
 mod callers;
+mod claims;
 mod entry;
 mod error;
 mod operators;
@@ -20,6 +21,7 @@
 use log::LevelFilter;
 
 pub use callers::Callers;
+pub use claims::Claims;
 pub use entry::Entry;
 pub use error::{Error, Result};
 pub use operators::Operators;
@@ -30,8 +32,18 @@
 pub use timing::Timing;
 pub use weights::Weights;
 
-const SECTIONS: [&str; 9] =
-    ["entry", "peers", "platform", "callers", "operators", "timing", "retries", "weights", "log"];
+const SECTIONS: [&str; 10] = [
+    "entry",
+    "peers",
+    "platform",
+    "callers",
+    "claims",
+    "operators",
+    "timing",
+    "retries",
+    "weights",
+    "log",
+];
 
 /// The checked settings of one entry host.
 #[derive(Clone, Debug)]
@@ -44,6 +56,8 @@
     pub platform: Platform,
     /// Bounds towards callers.
     pub callers: Callers,
+    /// Bounds on the claims of idempotency keys.
+    pub claims: Claims,
     /// The operators and the digests of their keys.
     pub operators: Operators,
     /// Time limits of the entry hosts' protocols.
@@ -108,6 +122,7 @@
             peers: document.section("peers")?.try_into()?,
             platform: document.section("platform")?.try_into()?,
             callers: document.section("callers")?.try_into()?,
+            claims: document.section("claims")?.try_into()?,
             operators: document.section("operators")?.try_into()?,
             timing: document.section("timing")?.try_into()?,
             retries: document.section("retries")?.try_into()?,
--- a/crates/settings/src/retries.rs
+++ b/crates/settings/src/retries.rs
@@ -12,6 +12,8 @@
 pub struct Retries {
     /// Retries allowed for every hundred first attempts.
     pub budget_percent: u32,
+    /// Retries allowed at once after a quiet time.
+    pub burst: u32,
     /// The most attempts at one request, the first included.
     pub attempts: u32,
     /// The pause before the first retry; it doubles with each further one.
@@ -24,6 +26,7 @@
     fn try_from(mut section: Section<'_>) -> Result<Self> {
         let retries = Self {
             budget_percent: section.number("budget-percent", 10, 0..=100)?,
+            burst: section.number("burst", 10, 0..=10_000)?,
             attempts: section.number("attempts", 3, 1..=10)?,
             backoff_ms: section.number("backoff-ms", 50, 1..=10_000)?,
         };
