Claims task: idempotency keys in the table, in batches

Cause: a non-idempotent request must never run twice, also through another entry host, after a lost table answer or in an outage. A release or an end carries the version that it was written at, so that a withdrawn claim and its repeat never mix. Not yet used by the caller path.

--- a/crates/daemon/src/cx.rs
+++ b/crates/daemon/src/cx.rs
@@ -7,7 +7,7 @@
 use fuchsiamill_settings::Settings;
 
 use crate::{
-    backend::Backends, clock::Clock, cluster::ClusterHandle, config::ConfigHandle,
+    backend::Backends, claims::Claims, clock::Clock, cluster::ClusterHandle, config::ConfigHandle,
     dispatch::DispatchHandle, metrics::Metrics,
 };
 
@@ -33,6 +33,8 @@
     pub cluster: ClusterHandle,
     /// The dispatch task.
     pub dispatch: DispatchHandle,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
     /// Connections to backend servers.
     pub backends: Backends,
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -13,6 +13,7 @@
 use crate::{
     backend::Backends,
     caller::Callers,
+    claims,
     clock::Clock,
     cluster::ClusterHandle,
     config::ConfigHandle,
@@ -59,12 +60,16 @@
         let peer =
             PeerServer::bind(settings.entry.peer).context("The peer port cannot be bound.")?;
         let peer_addr = peer.local_addr()?;
+        let table = Rc::new(TableClient::new(platform.table, time));
+        let objects = Rc::new(ObjectClient::new(platform.objects, time));
+        let claims = claims::Config::new(&settings.claims, clock, incarnation.clone());
         let cx = Rc::new(Cx {
+            claims: claims::start(claims, table.clone(), objects.clone()),
             clock,
             incarnation: incarnation.clone(),
             metrics: Metrics::new()?,
-            table: Rc::new(TableClient::new(platform.table, time)),
-            objects: Rc::new(ObjectClient::new(platform.objects, time)),
+            table,
+            objects,
             hosts: Rc::new(HostListClient::new(platform.hosts, time)),
             config: ConfigHandle::new(&mut router),
             cluster: ClusterHandle::new(&settings, clock, incarnation, &mut router),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod cluster;
--- a/crates/policy/src/claims/batch.rs
+++ b/crates/policy/src/claims/batch.rs
@@ -69,8 +69,8 @@
 enum Task {
     Insert { row: ClaimRow, give_up: Moment, tried: Tried },
     Withdraw { row: ClaimRow },
-    Finish { row: ClaimRow },
-    Release { id: ClaimId },
+    Finish { row: ClaimRow, version: RowVersion },
+    Release { id: ClaimId, version: RowVersion },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,13 +128,19 @@
 
     /// Hands in the end or the release of a claim that this process holds.
     pub fn work(&mut self, key: ClaimKey, work: Work) {
-        match work {
-            Work::Release { id } => self.enqueue(key, Task::Release { id }),
+        let id = match &work {
+            Work::Release { id } => id,
+            Work::Finish { row } => &row.id,
+        };
+        let Some(version) = self.known.version(&key, id) else { return };
+        let task = match work {
+            Work::Release { id } => Task::Release { id, version },
             Work::Finish { row } => {
                 self.known.finish(&key, row.clone());
-                self.enqueue(key, Task::Finish { row })
+                Task::Finish { row, version }
             }
         };
+        self.enqueue(key, task);
     }
 
     /// Whether every claim, end and release has reached the table.
@@ -204,28 +210,14 @@
                 later.push_back(it);
                 continue;
             }
-            if let Some(write) = self.write_of(&it) {
-                ops.push(Op { id: it.id, key: it.key.clone(), write });
-                self.in_flight.push(it);
-            }
+            ops.push(Op { id: it.id, key: it.key.clone(), write: it.write() });
+            self.in_flight.push(it);
         }
         self.waiting = later;
-        if ops.is_empty() {
-            return Step::Idle;
-        }
         self.batches += 1;
         Step::Write(Batch { number: self.batches, ops })
     }
 
-    fn write_of(&self, it: &Waiting) -> Option<Write> {
-        let version = || self.known.get(&it.key).and_then(|entry| entry.version);
-        match &it.task {
-            Task::Insert { row, .. } | Task::Withdraw { row } => Some(Write::Insert(row.clone())),
-            Task::Finish { row } => version().map(|version| Write::Replace(row.clone(), version)),
-            Task::Release { .. } => version().map(Write::Delete),
-        }
-    }
-
     fn wait_for(&self, start: Option<Moment>) -> Step {
         let give_up = self.waiting.iter().chain(&self.in_flight).filter_map(Waiting::give_up).min();
         match start.into_iter().chain(give_up).min() {
@@ -238,47 +230,45 @@
         let late = |it: &Waiting| it.give_up().is_some_and(|at| now >= at);
         for it in std::mem::take(&mut self.waiting) {
             if late(&it) {
-                self.give_up_waiting(it);
+                self.give_up(&it);
+                self.waiting.extend(it.withdrawn_if_written());
             } else {
                 self.waiting.push_back(it);
             }
         }
-        for it in self.in_flight.iter_mut().filter(|it| late(it)) {
-            self.fates.push((it.id, Fate::Unavailable));
-            it.withdraw();
+        for it in std::mem::take(&mut self.in_flight) {
+            if late(&it) {
+                self.give_up(&it);
+                self.in_flight.push(it.withdrawn());
+            } else {
+                self.in_flight.push(it);
+            }
         }
     }
 
-    /// A claim that may be in the table is withdrawn later, so that a repeat can run.
-    fn give_up_waiting(&mut self, mut it: Waiting) {
+    /// A repeat is claimed anew, behind the withdrawal of this claim where there is one.
+    fn give_up(&mut self, it: &Waiting) {
         self.fates.push((it.id, Fate::Unavailable));
-        if let Task::Insert { row, tried: Tried::Never, .. } = &it.task {
-            self.known.forget(&it.key, &row.id);
-            return;
-        }
-        it.withdraw();
-        self.waiting.push_back(it);
+        self.known.forget(&it.key, it.claim_id());
     }
 
     fn written(&mut self, it: Waiting, version: RowVersion) {
         match it.task {
             Task::Insert { row, .. } => self.hold(it.id, it.key, row, version),
-            Task::Withdraw { row } => self.withdraw(it.key, row, version),
+            Task::Withdraw { row } => {
+                let task = Task::Release { id: row.id, version };
+                self.waiting.push_front(Waiting { task, ..it });
+            }
             Task::Finish { .. } => self.known.settle(&it.key),
-            Task::Release { id } => self.known.forget(&it.key, &id),
+            Task::Release { id, .. } => self.known.forget(&it.key, &id),
         }
     }
 
     fn hold(&mut self, op: OpId, key: ClaimKey, row: ClaimRow, version: RowVersion) {
-        self.known.set_version(&key, version);
+        self.known.set_version(&key, &row.id, version);
         self.fates.push((op, Fate::Held(Claim::held(key, row))));
     }
 
-    fn withdraw(&mut self, key: ClaimKey, row: ClaimRow, version: RowVersion) {
-        self.known.set_version(&key, version);
-        self.enqueue(key, Task::Release { id: row.id });
-    }
-
     fn conflict(&mut self, batch: Vec<Waiting>, found: Vec<Found>) {
         let mut rest = Vec::new();
         for it in batch {
@@ -308,21 +298,20 @@
         }
     }
 
-    fn resolve_own(&mut self, it: Waiting, row: ClaimRow, version: RowVersion) -> Option<Waiting> {
-        match &it.task {
-            Task::Finish { row: wanted } if *wanted == row => {
+    fn resolve_own(&mut self, it: Waiting, row: ClaimRow, found: RowVersion) -> Option<Waiting> {
+        let task = match it.task {
+            Task::Finish { row: wanted, .. } if wanted == row => {
                 self.known.settle(&it.key);
-                None
+                return None;
             }
             Task::Insert { .. } | Task::Withdraw { .. } => {
-                self.written(it, version);
-                None
+                self.written(it, found);
+                return None;
             }
-            Task::Finish { .. } | Task::Release { .. } => {
-                self.known.set_version(&it.key, version);
-                Some(it)
-            }
-        }
+            Task::Finish { row, .. } => Task::Finish { row, version: found },
+            Task::Release { id, .. } => Task::Release { id, version: found },
+        };
+        Some(Waiting { task, ..it })
     }
 
     fn again(&mut self, batch: Vec<Waiting>) {
@@ -340,17 +329,34 @@
 
     fn claim_id(&self) -> &ClaimId {
         match &self.task {
-            Task::Insert { row, .. } | Task::Withdraw { row } | Task::Finish { row } => &row.id,
-            Task::Release { id } => id,
+            Task::Insert { row, .. } | Task::Withdraw { row } | Task::Finish { row, .. } => &row.id,
+            Task::Release { id, .. } => id,
         }
     }
 
-    fn withdraw(&mut self) {
-        if let Task::Insert { row, .. } = &self.task {
-            self.task = Task::Withdraw { row: row.clone() };
+    fn write(&self) -> Write {
+        match &self.task {
+            Task::Insert { row, .. } | Task::Withdraw { row } => Write::Insert(row.clone()),
+            Task::Finish { row, version } => Write::Replace(row.clone(), *version),
+            Task::Release { version, .. } => Write::Delete(*version),
         }
     }
 
+    fn withdrawn_if_written(self) -> Option<Self> {
+        match self.task {
+            Task::Insert { tried: Tried::Never, .. } => None,
+            _ => Some(self.withdrawn()),
+        }
+    }
+
+    fn withdrawn(self) -> Self {
+        let task = match self.task {
+            Task::Insert { row, .. } => Task::Withdraw { row },
+            task => task,
+        };
+        Self { task, ..self }
+    }
+
     fn maybe_written(self) -> Self {
         let task = match self.task {
             Task::Insert { row, give_up, .. } => {
--- a/crates/policy/src/claims/exchange.rs
+++ b/crates/policy/src/claims/exchange.rs
@@ -68,6 +68,11 @@
         (key, work, Problem::unknown(ProblemKind::AnswerLost, detail))
     }
 
+    /// The whole answer came and could not be kept for repeats.
+    pub fn unkept(self) -> (ClaimKey, Work) {
+        self.finish(Progress::Unknown)
+    }
+
     fn finish(self, progress: Progress) -> (ClaimKey, Work) {
         let row = ClaimRow { progress, ..self.row };
         (self.key, Work::Finish { row })
--- a/crates/policy/src/claims/key.rs
+++ b/crates/policy/src/claims/key.rs
@@ -65,7 +65,7 @@
 }
 
 /// The digest of a request's method, target and body, to tell a repeat from other work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestDigest([u8; 16]);
 
--- a/crates/policy/src/claims/known.rs
+++ b/crates/policy/src/claims/known.rs
@@ -44,12 +44,17 @@
     }
 
     /// The version of a claim's row became known.
-    pub fn set_version(&mut self, key: &ClaimKey, version: RowVersion) {
-        if let Some(entry) = self.entries.get_mut(key) {
+    pub fn set_version(&mut self, key: &ClaimKey, id: &ClaimId, version: RowVersion) {
+        if let Some(entry) = self.entries.get_mut(key).filter(|it| &it.row.id == id) {
             entry.version = Some(version);
         }
     }
 
+    /// The version of a claim's row, once it is held.
+    pub fn version(&self, key: &ClaimKey, id: &ClaimId) -> Option<RowVersion> {
+        self.entries.get(key).filter(|it| &it.row.id == id)?.version
+    }
+
     /// A claim's request ended with this row.
     pub fn finish(&mut self, key: &ClaimKey, row: ClaimRow) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -7,8 +7,7 @@
 use fuchsiamill_model::{Millisecond, Moment, RunState};
 
 const MILLI: u64 = 1_000;
-const FIRST_DELAY: Millisecond = 10;
-const MAX_DELAY: Millisecond = 1_000;
+const MAX_PAUSE: Millisecond = 1_000;
 
 /// Whether a request may run twice without harm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +47,8 @@
     pub burst: u32,
     /// Tries of one request, the first included.
     pub tries: u32,
+    /// The longest pause before the first retry; it doubles with each further one.
+    pub first_pause: Millisecond,
     /// The least time that must be left before the deadline when a try begins.
     pub least_left: Millisecond,
 }
@@ -120,12 +121,12 @@
         if !self.may_repeat(failure) || self.failed >= budget.bounds.tries {
             return Next::GiveUp(self.run);
         }
-        let delay = jittered(self.failed, rng);
-        if now + delay + budget.bounds.least_left > self.deadline {
+        let pause = jittered(budget.bounds.first_pause, self.failed, rng);
+        if now + pause + budget.bounds.least_left > self.deadline {
             return Next::GiveUp(self.run);
         }
         match budget.spend() {
-            Spent::Yes => Next::RetryAfter(delay),
+            Spent::Yes => Next::RetryAfter(pause),
             Spent::Empty => Next::GiveUp(self.run),
         }
     }
@@ -138,8 +139,8 @@
     }
 }
 
-/// Full jitter: anywhere from nothing to an exponentially growing delay.
-fn jittered(failed: u32, rng: &mut fastrand::Rng) -> Millisecond {
-    let most = (FIRST_DELAY << failed.min(16)).min(MAX_DELAY);
-    rng.u64(0..=most)
+/// Full jitter: anywhere from nothing to an exponentially growing pause.
+fn jittered(first: Millisecond, failed: u32, rng: &mut fastrand::Rng) -> Millisecond {
+    let doublings = (failed - 1).min(16);
+    rng.u64(0..=(first << doublings).min(MAX_PAUSE))
 }
