Workers: HTTP client of the task agent and a stand-in that serves it

Cause: jobs run on workers, and their record decides tests. Change: one call gives a batch of orders and takes the reports; the stand-in can fail everything, be cut off, lose its answers or restart, and keeps every run over restarts.

--- a/crates/daemon/tests/common/standins.rs
+++ b/crates/daemon/tests/common/standins.rs
@@ -8,10 +8,13 @@
 use fuchsiamill_standin::{
     backend::{self, BackendPlan},
     platform, proxy,
+    worker::{self, WorkerPlan},
 };
 
 use super::net::{self, LoopbackNet};
 
+const USAGE_LAG_MS: u64 = 500;
+
 /// The addresses of the stand-ins.
 pub struct Standins {
     /// The platform.
@@ -20,7 +23,10 @@
     pub backends: SocketAddr,
     /// The admin port of the proxy.
     pub proxy: SocketAddr,
+    /// The admin port of the workers.
+    pub workers: SocketAddr,
     servers: Vec<(String, SocketAddr)>,
+    agents: Vec<(String, SocketAddr)>,
 }
 
 impl Standins {
@@ -30,15 +36,24 @@
         let plan =
             BackendPlan { listen, count: hosts, slots, work: Duration::from_millis(work_ms) };
         let started = on_thread(move || backend::start(&plan).expect("free ports"));
+        let plan = WorkerPlan { listen, count: hosts, usage_lag: USAGE_LAG_MS };
+        let agents = on_thread(move || worker::start(&plan).expect("free ports"));
         let platform = on_thread(move || platform::start(listen).expect("a free port"));
         let proxy = on_thread(move || proxy::start(listen).expect("a free port"));
-        Self { platform, backends: started.admin, proxy, servers: started.servers }
+        Self {
+            platform,
+            backends: started.admin,
+            proxy,
+            workers: agents.admin,
+            servers: started.servers,
+            agents: agents.workers,
+        }
     }
 
     /// The host with this index, on its backend server.
     pub fn host(&self, index: usize, pool: &PoolName) -> Host {
         let backend = self.servers[index].1;
-        super::host(index, pool, backend, backend)
+        super::host(index, pool, backend, self.agents[index].1)
     }
 
     /// The name of a host's backend server.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,4 @@
-//! Clients of the platform: its transactional table service, object store and list of hosts.
+//! Clients of the platform: its transactional table service, object store, list of hosts and workers.
 //!
 //! Every error tells whether a write has certainly not taken effect or may have.
 
@@ -6,6 +6,7 @@
 pub mod hosts;
 pub mod objects;
 pub mod table;
+pub mod worker;
 
 pub use error::{Error, Result};
 pub use hosts::{HostListClient, HostReport, Liveness};
@@ -13,3 +14,4 @@
 pub use table::{
     Commit, CommitOutcome, Condition, Put, Range, Row, RowVersion, Table, TableClient,
 };
+pub use worker::{Worker, WorkerClient};
--- a/crates/policy/tests/job_cycle.rs
+++ b/crates/policy/tests/job_cycle.rs
@@ -275,7 +275,7 @@
 
     fn restart_worker(&mut self, n: usize) {
         let now = self.agent_now(n);
-        self.agents[n].advance(now);
+        self.agents[n].restart(now);
         self.boots += 1;
         let boot: Incarnation = format!("b{}", self.boots).parse().unwrap();
         let old = std::mem::replace(&mut self.agents[n], Agent::new(boot, 300));
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -20,6 +20,8 @@
     Platform(PlatformArgs),
     /// Backend servers.
     Backends(BackendArgs),
+    /// Workers.
+    Workers(WorkerArgs),
     /// The TCP proxy.
     Proxy(ProxyArgs),
 }
@@ -51,6 +53,21 @@
     pub work_ms: u64,
 }
 
+/// Run the task agents of workers in one process, each on a port of its own.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "workers")]
+pub struct WorkerArgs {
+    /// the address whose free ports are taken
+    #[argh(option)]
+    pub listen: SocketAddr,
+    /// how many workers
+    #[argh(option, default = "10")]
+    pub count: usize,
+    /// the lag of their usage figures, in milliseconds
+    #[argh(option, default = "1000")]
+    pub usage_lag_ms: u64,
+}
+
 /// Run a TCP proxy whose routes are made and broken through its admin port.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "proxy")]
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -8,7 +8,7 @@
 use crate::{
     backend,
     cli::{Args, Command},
-    platform, proxy,
+    platform, proxy, worker,
 };
 
 /// Runs until the process is ended.
@@ -23,6 +23,13 @@
                 }
                 announce("admin", started.admin);
             }
+            Command::Workers(args) => {
+                let started = worker::start(&args.into())?;
+                for (name, addr) in &started.workers {
+                    announce(name, *addr);
+                }
+                announce("admin", started.admin);
+            }
             Command::Proxy(args) => announce("admin", proxy::start(args.listen)?),
         }
         pending().await
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -1,5 +1,7 @@
-//! A stand-in of a worker's task agent, and its record of what truly ran.
+//! A stand-in of workers' task agents, and its record of what truly ran.
 
 mod agent;
+mod server;
 
 pub use agent::{Agent, Conduct, Run, RunEnd, Work};
+pub use server::{Access, SetAccess, SetConduct, Started, WorkerPlan, WorkerRecord, start};
--- a/crates/standin/src/worker/agent.rs
+++ b/crates/standin/src/worker/agent.rs
@@ -124,6 +124,16 @@
         &self.record
     }
 
+    /// Ends every task: the agent's process is gone.
+    pub fn restart(&mut self, now: Moment) {
+        self.advance(now);
+        let running: Vec<TaskId> =
+            self.tasks.keys().filter(|it| self.is_running(it)).cloned().collect();
+        for task in running {
+            self.end(&task, TaskState::Stopped, RunEnd::Cut, now);
+        }
+    }
+
     /// Ends what is due and stops what has no lease any more.
     pub fn advance(&mut self, now: Moment) {
         let due: Vec<TaskId> = self
