Spare pool: reactive and forecasting lending with hysteresis

Cause: the spare pool covers peaks, and hosts must not swing between pools whose queues peak in turn. Change: hosts follow load that has lasted and come back once it has been low; forecasting lends ahead of peaks that return at even intervals; decisions on one pool keep a least distance in time.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod placement;
 pub mod planner;
 pub mod retry;
+pub mod spare;
 pub mod waves;
