Platform: restarts of hosts, once for each id

Cause: waves restart hosts through the platform, and a runner that takes over must be able to ask again. Change: a client of the restarts; the stand-in restarts once for each id, with hosts that are slow or never come back, and records each restart.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod error;
 pub mod hosts;
 pub mod objects;
+pub mod restart;
 pub mod table;
 pub mod worker;
 
 pub use error::{Error, Result};
 pub use hosts::{HostListClient, HostReport, Liveness};
 pub use objects::ObjectClient;
+pub use restart::{RestartClient, RestartOrder, RestartState};
 pub use table::{
     Commit, CommitOutcome, Condition, Put, Range, Row, RowVersion, Table, TableClient,
 };
--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -70,6 +70,34 @@
     pub lag_ms: u64,
 }
 
+/// How a host restarts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "mode", rename_all = "kebab-case")]
+pub enum RestartMode {
+    /// It is back after a time.
+    Back {
+        /// The time in milliseconds.
+        ms: u64,
+    },
+    /// It never comes back.
+    Never,
+}
+
+impl Default for RestartMode {
+    fn default() -> Self {
+        RestartMode::Back { ms: 200 }
+    }
+}
+
+/// Sets how a host restarts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SetRestart {
+    /// The host.
+    pub host: String,
+    /// How it restarts from then on.
+    pub mode: RestartMode,
+}
+
 /// A route of the proxy.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform: table service, object store and host list on one port, with faults on demand.
 
 mod hosts;
+mod restarts;
 mod store;
 
 use std::{
@@ -8,11 +9,11 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
-use fuchsiamill_platform::{Commit, CommitOutcome, Range};
+use fuchsiamill_platform::{Commit, CommitOutcome, Range, RestartOrder};
 use http::{Method, StatusCode};
 use monoio::time::sleep;
 
@@ -23,7 +24,7 @@
 /// Starts the platform on the current runtime.
 pub fn start(listen: SocketAddr) -> io::Result<SocketAddr> {
     let bounds = Bounds { body_bytes: LARGEST_BODY_BYTES, ..Bounds::default() };
-    let server = Server::bind(listen, bounds, Rc::<Platform>::default())?;
+    let server = Server::bind(listen, bounds, Rc::new(Platform::new()))?;
     let addr = server.local_addr()?;
     monoio::spawn(async move {
         let (_handle, shutdown) = shutdown_pair();
@@ -32,8 +33,9 @@
     Ok(addr)
 }
 
-#[derive(Default)]
 struct Platform {
+    began: Instant,
+    restarts: RefCell<restarts::Restarts>,
     store: RefCell<store::Store>,
     hosts: RefCell<hosts::HostList>,
     record: RefCell<PlatformRecord>,
@@ -74,6 +76,27 @@
 }
 
 impl Platform {
+    fn new() -> Self {
+        Self {
+            began: Instant::now(),
+            restarts: RefCell::default(),
+            store: RefCell::default(),
+            hosts: RefCell::default(),
+            record: RefCell::default(),
+            fault: Cell::default(),
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn restart(&self, order: &RestartOrder) -> Response {
+        let (state, begun) = self.restarts.borrow_mut().order(order, self.now_ms());
+        self.record.borrow_mut().restarts.extend(begun);
+        reply::value(&state)
+    }
+
     fn serve(&self, incoming: &Incoming) -> Delivery {
         let request = &incoming.request;
         let response = match (&request.method, request.path()) {
@@ -90,6 +113,9 @@
                     reply::value(&self.store.borrow().range(&range))
                 })
             }
+            (&Method::POST, "/hosts/restart") => {
+                reply::with_body(&request.body, |order| self.restart(&order))
+            }
             (&Method::GET, "/hosts") => reply::value(&self.hosts.borrow_mut().list()),
             (method, path) => match path.strip_prefix("/objects/") {
                 Some(name) => self.object(method, name, &request.body),
@@ -144,7 +170,15 @@
                 self.hosts.borrow_mut().set(set);
                 reply::value(&())
             }),
-            "record" => reply::value(&*self.record.borrow()),
+            "restart" => reply::with_body(body, |set| {
+                self.restarts.borrow_mut().set(set);
+                reply::value(&())
+            }),
+            "record" => {
+                let mut record = self.record.borrow_mut();
+                record.now_ms = self.now_ms();
+                reply::value(&*record)
+            }
             "rows" => reply::with_body(body, |range: Range| {
                 reply::value(&self.store.borrow().range(&range))
             }),
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -56,6 +56,19 @@
     pub now_ms: u64,
 }
 
+/// One restart of a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Restart {
+    /// The host.
+    pub host: String,
+    /// The id that it was ordered with.
+    pub id: String,
+    /// When it began, in milliseconds since the stand-in started.
+    pub began_ms: u64,
+    /// When the host is back, unless it never is.
+    pub back_ms: Option<u64>,
+}
+
 /// The record of the platform.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PlatformRecord {
@@ -73,4 +86,8 @@
     pub answers_lost: u64,
     /// Body bytes read and written.
     pub bytes: u64,
+    /// The restarts of hosts, in their order.
+    pub restarts: Vec<Restart>,
+    /// The time at which the record was read, in milliseconds since the stand-in started.
+    pub now_ms: u64,
 }
