Settings of plans and waves

Cause: waves need limits and expected times that differ between sites. Conclusion: unknown sections name the new one among the allowed.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod entry;
 mod error;
+mod maintenance;
 mod operators;
 mod peers;
 mod platform;
@@ -24,6 +25,7 @@
 pub use claims::Claims;
 pub use entry::Entry;
 pub use error::{Error, Result};
+pub use maintenance::Maintenance;
 pub use operators::Operators;
 pub use peers::Peers;
 pub use platform::Platform;
@@ -32,7 +34,7 @@
 pub use timing::Timing;
 pub use weights::Weights;
 
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "entry",
     "peers",
     "platform",
@@ -42,6 +44,7 @@
     "timing",
     "retries",
     "weights",
+    "maintenance",
     "log",
 ];
 
@@ -66,6 +69,8 @@
     pub retries: Retries,
     /// What the planner values.
     pub weights: Weights,
+    /// Plans and waves.
+    pub maintenance: Maintenance,
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
 }
@@ -127,6 +132,7 @@
             timing: document.section("timing")?.try_into()?,
             retries: document.section("retries")?.try_into()?,
             weights: document.section("weights")?.try_into()?,
+            maintenance: document.section("maintenance")?.try_into()?,
             log_level: log_level(document.section("log")?)?,
         };
         settings.check_across(&document)?;
--- a/crates/settings/tests/settings_file.rs
+++ b/crates/settings/tests/settings_file.rs
@@ -106,7 +106,7 @@
         ),
         (
             with("timings", "standing-ms = 1"),
-            "site.ini: section 'timings' is not known; allowed are entry, peers, platform, callers, claims, operators, timing, retries, weights, log; rename or remove it.",
+            "site.ini: section 'timings' is not known; allowed are entry, peers, platform, callers, claims, operators, timing, retries, weights, maintenance, log; rename or remove it.",
         ),
         (
             with("timing", "suspect-ms = 2000"),
