Caller path: claims, retries, keys checked twice and queues that let go

Cause: the thin path sent a non-idempotent request like any other, did not retry, and checked the key once. Change: a request with an idempotency key is claimed before it may be sent and its answer kept; idempotent requests are retried within a budget; the key, the standing, the deadline and start_by are checked again just before sending; callers that hang up and a shutdown give queued places back; a non-idempotent request goes out on a new connection so that a stale one is no reason for 'unknown'. Refusals before a claim was read say 'unknown', since an earlier request with the same key may have run. The owner of a pool probes its backend servers, reads the host list and ejects outliers; a release carries a report.

--- /dev/null
+++ b/crates/daemon/src/backend/health.rs
@@ -0,0 +1,231 @@
+//! Which backend servers may take new work: host list, probes, their own answers and outliers.
+
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use fuchsiamill_http::{Bounds, Connection, Request, Response};
+use fuchsiamill_model::{Configuration, FastMap, HostName, HostState, Moment, PoolName};
+use fuchsiamill_platform::{HostReport, Liveness};
+use fuchsiamill_policy::{
+    backend_state::{BackendState, Intake, Listed, Probe, Said},
+    outlier::{self, Change, Outliers, Standing},
+};
+use http::{HeaderMap, StatusCode};
+use monoio::time::{Instant, sleep};
+
+use crate::{
+    cx::Cx,
+    dispatch::{Ending, Report},
+};
+
+const PERIOD: Duration = Duration::from_millis(1_000);
+const PROBE_TIME: Duration = Duration::from_millis(900);
+const SERVER_STATE: &str = "server-state";
+const OUTLIERS: outlier::Bounds = outlier::Bounds {
+    failures: 5,
+    first_ejection: 5_000,
+    longest_ejection: 300_000,
+    most_out_percent: 30,
+    trial: 30_000,
+};
+
+/// Whether a host may be given a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Take {
+    /// Yes.
+    Yes,
+    /// One, to see whether it has recovered.
+    Trial,
+    /// No.
+    No,
+}
+
+/// What is known of the backend servers of the pools that this entry host owns.
+#[derive(Default)]
+pub struct BackendHealth {
+    states: RefCell<FastMap<HostName, BackendState>>,
+    outliers: RefCell<FastMap<PoolName, Outliers<HostName>>>,
+    probes: RefCell<FastMap<HostName, Connection>>,
+}
+
+impl BackendHealth {
+    /// Starts to read the host list and to probe.
+    pub fn start(&self, cx: &Rc<Cx>) {
+        monoio::spawn(read_list_on(cx.clone()));
+        monoio::spawn(probe_on(cx.clone()));
+    }
+
+    /// Whether a host may be given a request now.
+    pub fn may_take(&self, now: Moment, pool: &PoolName, host: &HostName) -> Take {
+        let states = self.states.borrow();
+        if states.get(host).is_some_and(|it| it.intake() != Intake::Open) {
+            return Take::No;
+        }
+        let outliers = self.outliers.borrow();
+        match outliers.get(pool).map_or(Standing::In, |it| it.standing(now, host)) {
+            Standing::In => Take::Yes,
+            Standing::Trial => Take::Trial,
+            Standing::OutUntil(_) => Take::No,
+        }
+    }
+
+    /// A host that `may_take` allowed a trial is given its request.
+    pub fn begin_trial(&self, now: Moment, pool: &PoolName, host: &HostName) {
+        if let Some(outliers) = self.outliers.borrow_mut().get_mut(pool) {
+            outliers.begin_trial(now, host);
+        }
+    }
+
+    /// An exchange with a host's backend server ended.
+    pub fn record(&self, cx: &Cx, pool: &PoolName, host: &HostName, report: &Report) {
+        let now = cx.clock.now();
+        if let Some(said) = report.said {
+            self.change_state(cx, host, |it| it.answered(now, said));
+        }
+        let ending = match report.ending {
+            Ending::Unsent | Ending::Refused => return,
+            Ending::Answered => outlier::Ending::Served,
+            Ending::Unreachable | Ending::Failed | Ending::Lost => outlier::Ending::Failed,
+        };
+        let change = match self.outliers.borrow_mut().get_mut(pool) {
+            Some(outliers) => outliers.record(now, host, ending),
+            None => Change::None,
+        };
+        tell(cx, host, change);
+    }
+
+    fn change_state(&self, cx: &Cx, host: &HostName, change: impl FnOnce(&mut BackendState)) {
+        let mut states = self.states.borrow_mut();
+        let state = states.entry(host.clone()).or_default();
+        let before = state.intake();
+        change(state);
+        match (before, state.intake()) {
+            (Intake::Open, Intake::Closed(cause)) => {
+                cx.metrics.event("backend_closed");
+                log::info!("host {host} takes no new requests: {cause:?}");
+            }
+            (Intake::Closed(_), Intake::Open) => {
+                cx.metrics.event("backend_opened");
+                log::info!("host {host} takes new requests again");
+            }
+            _ => {}
+        }
+    }
+
+    fn follow(&self, config: &Configuration) {
+        let mut outliers = self.outliers.borrow_mut();
+        outliers.retain(|pool, _| config.pools.contains_key(pool));
+        for pool in config.pools.keys() {
+            let members: Vec<HostName> = config.hosts_of(pool).map(|it| it.name.clone()).collect();
+            let pool = outliers.entry(pool.clone()).or_insert_with(|| Outliers::new(OUTLIERS));
+            pool.set_members(&members);
+        }
+        self.states.borrow_mut().retain(|host, _| config.hosts.contains_key(host));
+        self.probes.borrow_mut().retain(|host, _| config.hosts.contains_key(host));
+    }
+
+    async fn probe(&self, host: &HostName, addr: SocketAddr) -> Probe {
+        let kept = self.probes.borrow_mut().remove(host);
+        let Ok(Ok((connection, response))) =
+            monoio::time::timeout(PROBE_TIME, ask(kept, addr)).await
+        else {
+            return Probe::Missed;
+        };
+        if connection.is_reusable() {
+            self.probes.borrow_mut().insert(host.clone(), connection);
+        }
+        match (response.status, said(&response.headers)) {
+            (_, Some(Said::Leaving)) => Probe::Said(Said::Leaving),
+            (StatusCode::OK, _) => Probe::Said(Said::Serving),
+            _ => Probe::Missed,
+        }
+    }
+}
+
+/// What a backend server says of itself in an answer.
+pub fn said(headers: &HeaderMap) -> Option<Said> {
+    match headers.get(SERVER_STATE)?.to_str().ok()? {
+        "serving" => Some(Said::Serving),
+        "draining" => Some(Said::Leaving),
+        _ => None,
+    }
+}
+
+async fn ask(
+    kept: Option<Connection>,
+    addr: SocketAddr,
+) -> Result<(Connection, Response), fuchsiamill_http::ExchangeError> {
+    let mut connection = match kept {
+        Some(connection) => connection,
+        None => Connection::connect(addr, Bounds::default(), PROBE_TIME).await?,
+    };
+    let response =
+        connection.exchange(Request::get("/health"), Instant::now() + PROBE_TIME).await?;
+    Ok((connection, response))
+}
+
+async fn probe_on(cx: Rc<Cx>) {
+    loop {
+        cx.health.follow(&cx.config.current());
+        let probes = owned_hosts(&cx).into_iter().map(|(host, addr)| probe_one(&cx, host, addr));
+        futures_util::future::join_all(probes).await;
+        sleep(PERIOD).await;
+    }
+}
+
+async fn probe_one(cx: &Cx, host: HostName, addr: SocketAddr) {
+    let begun = cx.clock.now();
+    let probe = cx.health.probe(&host, addr).await;
+    cx.health.change_state(cx, &host, |it| it.probed(begun, cx.clock.now(), probe));
+}
+
+async fn read_list_on(cx: Rc<Cx>) {
+    loop {
+        if !owned_hosts(&cx).is_empty()
+            && let Ok(reports) = cx.hosts.list().await
+        {
+            take_list(&cx, &reports);
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+fn take_list(cx: &Cx, reports: &[HostReport]) {
+    let listed: BTreeMap<&HostName, Liveness> =
+        reports.iter().map(|it| (&it.host, it.liveness)).collect();
+    for (host, _) in owned_hosts(cx) {
+        let listed = match listed.get(&host) {
+            Some(Liveness::Live) => Listed::Live,
+            Some(Liveness::Leaving) => Listed::Leaving,
+            Some(Liveness::Gone) | None => Listed::Absent,
+        };
+        cx.health.change_state(cx, &host, |it| it.listed(listed));
+    }
+}
+
+/// The hosts of the pools that this entry host owns, but for those that are out for maintenance.
+fn owned_hosts(cx: &Cx) -> Vec<(HostName, SocketAddr)> {
+    let config = cx.config.current();
+    let owned = |pool: &PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
+    config
+        .hosts
+        .values()
+        .filter(|it| matches!(it.state, HostState::Serving | HostState::Checking))
+        .filter(|it| owned(&it.pool))
+        .map(|it| (it.name.clone(), it.backend))
+        .collect()
+}
+
+fn tell(cx: &Cx, host: &HostName, change: Change) {
+    match change {
+        Change::None => {}
+        Change::Ejected => {
+            cx.metrics.event("backend_ejected");
+            log::warn!("host {host} failed everything it started; it is taken out for a while");
+        }
+        Change::Readmitted => {
+            cx.metrics.event("backend_readmitted");
+            log::info!("host {host} serves again after its trial");
+        }
+        Change::Capped => cx.metrics.event("backend_ejection_capped"),
+    }
+}
--- a/crates/daemon/src/backend/mod.rs
+++ b/crates/daemon/src/backend/mod.rs
@@ -1,5 +1,7 @@
 //! Connections to backend servers: one exchange at a time, never used again after a failure.
 
+mod health;
+
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use fuchsiamill_http::{Bounds, Connection, ExchangeError, Request, Response};
@@ -7,48 +9,92 @@
 use fuchsiamill_settings::Settings;
 use monoio::time::Instant;
 
+pub use health::{BackendHealth, Take, said};
+
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 const MOST_IDLE: usize = 8;
+/// Below the time after which backend servers usually close an idle connection.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+type Result<T> = std::result::Result<T, ExchangeError>;
+
+/// Which connection a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// A kept one; the backend server may just have closed it.
+    Kept,
+    /// A new one, so that a failure after it opened is the backend server's.
+    New,
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
 
 /// The idle connections to every backend server.
 pub struct Backends {
     bounds: Bounds,
-    idle: RefCell<FastMap<SocketAddr, Vec<Connection>>>,
+    idle: RefCell<FastMap<SocketAddr, Vec<Idle>>>,
 }
 
 impl Backends {
     /// No connections yet.
     pub fn new(settings: &Settings) -> Self {
-        let bounds = Bounds { body_bytes: settings.callers.body_bytes, ..Bounds::default() };
+        let bounds = Bounds {
+            body_bytes: settings.callers.body_bytes,
+            body_time: Duration::from_millis(settings.callers.longest_deadline_ms),
+            idle_time: Duration::from_millis(settings.callers.longest_deadline_ms),
+            ..Bounds::default()
+        };
         Self { bounds, idle: RefCell::default() }
     }
 
-    /// Sends `request` to `backend` and reads the whole answer before `deadline`.
-    pub async fn exchange(
-        &self,
-        backend: SocketAddr,
-        request: Request,
-        deadline: Instant,
-    ) -> Result<Response, ExchangeError> {
-        let mut connection = self.connection(backend).await?;
-        let response = connection.exchange(request, deadline).await?;
-        self.keep(backend, connection);
-        Ok(response)
+    /// Opens a connection, or takes a kept one. Nothing is sent yet.
+    pub async fn open(&self, backend: SocketAddr, freshness: Freshness) -> Result<Open<'_>> {
+        let kept = match freshness {
+            Freshness::Kept => self.kept(backend),
+            Freshness::New => None,
+        };
+        let connection = match kept {
+            Some(connection) => connection,
+            None => Connection::connect(backend, self.bounds, CONNECT_TIME).await?,
+        };
+        Ok(Open { backends: self, backend, connection })
     }
 
-    async fn connection(&self, backend: SocketAddr) -> Result<Connection, ExchangeError> {
-        let idle = self.idle.borrow_mut().get_mut(&backend).and_then(Vec::pop);
-        match idle {
-            Some(connection) => Ok(connection),
-            None => Connection::connect(backend, self.bounds, CONNECT_TIME).await,
-        }
+    fn kept(&self, backend: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.get_mut(&backend)?;
+        idle.retain(|it| it.since.elapsed() < IDLE_TIME);
+        idle.pop().map(|it| it.connection)
     }
 
     fn keep(&self, backend: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, idle| {
+            idle.retain(|it| it.since.elapsed() < IDLE_TIME);
+            !idle.is_empty()
+        });
         let idle = idle.entry(backend).or_default();
         if connection.is_reusable() && idle.len() < MOST_IDLE {
-            idle.push(connection);
+            idle.push(Idle { connection, since: Instant::now() });
         }
     }
 }
+
+/// An open connection on which nothing of the request was sent.
+pub struct Open<'a> {
+    backends: &'a Backends,
+    backend: SocketAddr,
+    connection: Connection,
+}
+
+impl Open<'_> {
+    /// Sends `request` and reads the whole answer before `deadline`.
+    pub async fn exchange(mut self, request: Request, deadline: Instant) -> Result<Response> {
+        let response = self.connection.exchange(request, deadline).await?;
+        self.backends.keep(self.backend, self.connection);
+        Ok(response)
+    }
+}
--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -1,142 +1,174 @@
-//! Callers' requests: admitted by key, granted a slot, sent and answered whole.
+//! Callers' requests: admitted by key, claimed when not idempotent, granted a slot, sent and
+//! answered whole.
 
+mod admit;
+mod attempt;
+mod exchange;
 mod problem;
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
-use fuchsiamill_http::{ExchangeError, Handler, Incoming, Malformed, Request, Response};
-use fuchsiamill_model::{
-    KeyDigest, Problem, ProblemKind, ServiceName, TeamName,
-    config::{Access, Service},
+use fuchsiamill_http::{Handler, Incoming, Malformed, Response};
+use fuchsiamill_model::{Moment, Problem, ProblemKind, Version};
+use fuchsiamill_policy::{
+    claims::{Claim, Held},
+    keys::KeyRing,
+    retry::{self, Budget, Tries},
 };
-use http::{HeaderName, HeaderValue, Method, header};
+use fuchsiamill_settings::Retries;
+use http::Method;
+use opentelemetry::KeyValue;
+use tokio::sync::watch;
 
 use crate::{
+    claims::{Claimed, Wanted},
     cx::Cx,
-    dispatch::{Ask, Ending},
 };
+use admit::{Call, Mark};
+use exchange::Exchange;
 
-const SERVICES: &str = "/v1/services/";
-const TEAM: HeaderName = HeaderName::from_static("team");
-const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout-ms");
+/// The least time that must be left before the deadline when a retry begins.
+const LEAST_LEFT_MS: u64 = 20;
+const PER_MILLE_OF_PERCENT: u32 = 10;
 
 type Result<T> = std::result::Result<T, Problem>;
 
+/// Whether queued requests may go on waiting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queueing {
+    /// They may.
+    Open,
+    /// The process shuts down: they are refused.
+    Closed,
+}
+
 /// Answers on the caller port.
 pub struct Callers {
     cx: Rc<Cx>,
+    queueing: watch::Receiver<Queueing>,
+    budget: RefCell<Budget>,
+    ring: RefCell<(Version, Rc<KeyRing>)>,
+    rng: RefCell<fastrand::Rng>,
 }
 
 impl Callers {
     /// The caller port of the entry host that `cx` belongs to.
-    pub fn new(cx: Rc<Cx>) -> Self {
-        Self { cx }
+    pub fn new(cx: Rc<Cx>, queueing: watch::Receiver<Queueing>) -> Self {
+        let budget = RefCell::new(Budget::new(retry_bounds(&cx.settings.retries)));
+        let ring = RefCell::new((Version::default(), Rc::default()));
+        Self { cx, queueing, budget, ring, rng: RefCell::new(fastrand::Rng::new()) }
     }
 
-    async fn serve(&self, incoming: Incoming) -> Result<Response> {
-        let request = incoming.request;
-        let service = self.service(&request)?;
-        let team = self.team(&service, &request)?;
-        self.check_standing()?;
-        let now = self.cx.clock.now();
-        let deadline = now + self.allowed(&request);
-        let ask = Ask { pool: service.pool.clone(), team: team.clone(), deadline };
-        let grant = self.cx.dispatch.acquire(&self.cx, ask).await?;
-        self.check_standing()?;
-        let request = outgoing(request, team, grant.deadline.since(self.cx.clock.now()));
-        let answer = self
-            .cx
-            .backends
-            .exchange(grant.backend, request, self.cx.clock.instant(grant.deadline))
-            .await;
-        let ending = match &answer {
-            Ok(_) => Ending::Answered,
-            Err(e) if e.is_certainly_unsent() => Ending::Unsent,
-            Err(_) => Ending::Lost,
+    /// The keys of the configuration that is applied.
+    fn ring(&self) -> Rc<KeyRing> {
+        let config = self.cx.config.current();
+        let mut ring = self.ring.borrow_mut();
+        if ring.0 != config.version {
+            *ring = (config.version, Rc::new(KeyRing::from(&*config)));
+        }
+        ring.1.clone()
+    }
+
+    async fn serve(&self, incoming: Incoming, arrived: Moment) -> Result<Response> {
+        let cx = &self.cx;
+        let call = Call::admit(&self.ring(), &cx.settings.callers, incoming, arrived)?;
+        // Whether an earlier request with the same idempotency key ran is not known before its claim is read.
+        let ready = self.check_open().and_then(|()| self.check_standing());
+        ready.map_err(|problem| call.before_claim(problem))?;
+        let claim = match self.claim(&call).await? {
+            Ready::Idempotent => None,
+            Ready::Held(claim) => Some(claim),
+            Ready::Replay(response) => return Ok(response),
         };
-        self.cx.dispatch.release(&self.cx, grant, ending);
-        answer.map_err(lost)
+        self.budget.borrow_mut().earn();
+        let tries = Tries::new(call.idempotency(), call.deadline);
+        Exchange { callers: self, call, tries, claim }.run().await
     }
 
-    fn service(&self, request: &Request) -> Result<Service> {
-        let path = request.path();
-        let name = path.strip_prefix(SERVICES).and_then(|it| ServiceName::try_from(it).ok());
-        let config = self.cx.config.current();
-        let service = name.and_then(|it| config.services.get(&it).cloned());
-        let not_found =
-            || Problem::not_run(ProblemKind::NotFound, format!("Nothing is at '{path}'."));
-        let service = service.ok_or_else(not_found)?;
-        if request.method != Method::POST {
-            let detail = format!("'{path}' does not take {}.", request.method);
-            return Err(Problem::not_run(ProblemKind::MethodNotAllowed, detail));
+    async fn claim(&self, call: &Call) -> Result<Ready> {
+        let Mark::NonIdempotent { key, request } = &call.mark else { return Ok(Ready::Idempotent) };
+        let now = self.cx.clock.now();
+        let patience = now + self.cx.settings.claims.wait_ms;
+        let wall = self.cx.clock.wall();
+        let wanted = Wanted {
+            key: key.clone(),
+            request: *request,
+            deadline: fuchsiamill_model::WallTime(wall.0 + call.deadline.since(now)),
+            give_up: patience.min(call.deadline),
+        };
+        match self.cx.claims.claim(wanted, wall).await {
+            Claimed::Held(claim) => Ok(Ready::Held(claim)),
+            Claimed::Replay(response) => Ok(Ready::Replay(response)),
+            Claimed::Refused(problem) => Err(problem),
         }
-        Ok(service)
     }
 
-    fn team(&self, service: &Service, request: &Request) -> Result<Option<TeamName>> {
-        if service.access == Access::Open {
-            return Ok(None);
+    fn check_open(&self) -> Result<()> {
+        match *self.queueing.borrow() {
+            Queueing::Open => Ok(()),
+            Queueing::Closed => Err(shutting_down()),
         }
-        let presented = request
-            .text_header(header::AUTHORIZATION.as_str())
-            .and_then(|it| it.strip_prefix("Bearer "));
-        let Some(presented) = presented else {
-            return Err(Problem::not_run(
-                ProblemKind::KeyMissing,
-                "The service needs a team's key.",
-            ));
-        };
-        let digest = KeyDigest::of(presented);
-        let config = self.cx.config.current();
-        let key = config.keys.values().find(|it| it.digest == digest);
-        let refused =
-            || Problem::not_run(ProblemKind::KeyRefused, "The key is not known or was withdrawn.");
-        key.map(|it| Some(it.team.clone())).ok_or_else(refused)
     }
 
     fn check_standing(&self) -> Result<()> {
         match self.cx.cluster.standing().refusal() {
             None => Ok(()),
             Some(reason) => {
-                Err(Problem::not_run(ProblemKind::NotInStanding, reason).retry_after(1000))
+                Err(Problem::not_run(ProblemKind::NotInStanding, reason).retry_after(1_000))
             }
         }
     }
 
-    fn allowed(&self, request: &Request) -> u64 {
-        let bounds = &self.cx.settings.callers;
-        let wanted = request.text_header(REQUEST_TIMEOUT.as_str()).and_then(|it| it.parse().ok());
-        wanted.unwrap_or(bounds.default_deadline_ms).min(bounds.longest_deadline_ms)
+    fn refuse_with(&self, problem: &Problem) -> Response {
+        let kind = KeyValue::new("kind", problem.kind.slug());
+        self.cx.metrics.refusals.add(1, &[kind]);
+        problem::response(problem)
     }
 }
 
 impl Handler for Callers {
     async fn handle(&self, incoming: Incoming) -> Response {
-        match self.serve(incoming).await {
+        let arrived = self.cx.clock.now();
+        let head = incoming.request.method == Method::HEAD;
+        let answer = self.serve(incoming, arrived).await;
+        let took = self.cx.clock.now().since(arrived);
+        self.cx.metrics.latency.record(took as f64, &[]);
+        let outcome = if answer.is_ok() { "answered" } else { "refused" };
+        self.cx.metrics.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        match answer {
             Ok(response) => response,
-            Err(problem) => problem::response(&problem),
+            Err(problem) => {
+                let mut response = self.refuse_with(&problem);
+                if head {
+                    response.body = Default::default();
+                }
+                response
+            }
         }
     }
 
     fn refuse(&self, malformed: Malformed) -> Response {
-        problem::response(&problem::of_malformed(malformed))
+        self.refuse_with(&problem::of_malformed(malformed))
     }
 }
 
-fn outgoing(mut request: Request, team: Option<TeamName>, left: u64) -> Request {
-    request.headers.remove(header::AUTHORIZATION);
-    request.headers.remove(TEAM);
-    if let Some(team) = team.and_then(|it| HeaderValue::from_str(it.as_str()).ok()) {
-        request.headers.insert(TEAM, team);
-    }
-    request.headers.insert(REQUEST_TIMEOUT, left.into());
-    request
+enum Ready {
+    Idempotent,
+    Held(Box<Claim<Held>>),
+    Replay(Response),
+}
+
+fn shutting_down() -> Problem {
+    let detail = "This entry host is shutting down; the request was not sent.";
+    Problem::not_run(ProblemKind::ShuttingDown, detail).retry_after(0)
 }
 
-fn lost(e: ExchangeError) -> Problem {
-    if e.is_certainly_unsent() {
-        Problem::not_run(ProblemKind::BackendRefused, e.to_string())
-    } else {
-        Problem::unknown(ProblemKind::AnswerLost, e.to_string())
+fn retry_bounds(settings: &Retries) -> retry::Bounds {
+    retry::Bounds {
+        per_mille: settings.budget_percent * PER_MILLE_OF_PERCENT,
+        burst: settings.burst,
+        tries: settings.attempts,
+        first_pause: settings.backoff_ms,
+        least_left: LEAST_LEFT_MS,
     }
 }
--- a/crates/daemon/src/caller/problem.rs
+++ b/crates/daemon/src/caller/problem.rs
@@ -32,7 +32,10 @@
     let status =
         StatusCode::from_u16(problem.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let body = serde_json::to_vec(&document).unwrap_or_default();
-    let response = Response::with_type(status, MEDIA_TYPE, body);
+    let mut response = Response::with_type(status, MEDIA_TYPE, body);
+    if problem.kind == ProblemKind::MethodNotAllowed {
+        response = response.header(header::ALLOW, HeaderValue::from_static("POST"));
+    }
     match problem.retry_after {
         Some(ms) => response.header(header::RETRY_AFTER, ms.div_ceil(MS_PER_SECOND).into()),
         None => response,
--- a/crates/daemon/src/cx.rs
+++ b/crates/daemon/src/cx.rs
@@ -7,8 +7,13 @@
 use fuchsiamill_settings::Settings;
 
 use crate::{
-    backend::Backends, claims::Claims, clock::Clock, cluster::ClusterHandle, config::ConfigHandle,
-    dispatch::DispatchHandle, metrics::Metrics,
+    backend::{BackendHealth, Backends},
+    claims::Claims,
+    clock::Clock,
+    cluster::ClusterHandle,
+    config::ConfigHandle,
+    dispatch::DispatchHandle,
+    metrics::Metrics,
 };
 
 /// The shared context of one entry host.
@@ -35,6 +40,8 @@
     pub dispatch: DispatchHandle,
     /// Claims of idempotency keys.
     pub claims: Claims,
+    /// What is known of the backend servers of owned pools.
+    pub health: BackendHealth,
     /// Connections to backend servers.
     pub backends: Backends,
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -9,10 +9,11 @@
 use fuchsiamill_platform::{HostListClient, ObjectClient, TableClient};
 use fuchsiamill_settings::Settings;
 use monoio::{task::JoinHandle, time::sleep};
+use tokio::sync::watch;
 
 use crate::{
-    backend::Backends,
-    caller::Callers,
+    backend::{BackendHealth, Backends},
+    caller::{Callers, Queueing},
     claims,
     clock::Clock,
     cluster::ClusterHandle,
@@ -23,6 +24,9 @@
     metrics::Metrics,
 };
 
+/// How long a shutdown waits for the table to take the last claims.
+const CLAIMS_TIME: Duration = Duration::from_secs(5);
+
 /// Where an entry host listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -41,6 +45,7 @@
     cx: Rc<Cx>,
     addresses: Addresses,
     intake: Rc<Cell<Intake>>,
+    queueing: watch::Sender<Queueing>,
     callers: Running,
 }
 
@@ -75,11 +80,13 @@
             cluster: ClusterHandle::new(&settings, clock, incarnation, &mut router),
             dispatch: DispatchHandle::new(&mut router),
             backends: Backends::new(&settings),
+            health: BackendHealth::default(),
             settings,
         });
         cx.config.start(&cx);
         cx.cluster.start(&cx);
         cx.dispatch.start(&cx);
+        cx.health.start(&cx);
         monoio::spawn(peer.run(Rc::new(router)));
         let intake = Rc::new(Cell::new(Intake::Open));
         let health = serve(
@@ -87,12 +94,16 @@
             Bounds::default(),
             Health::new(cx.clone(), intake.clone()),
         )?;
-        let callers =
-            serve(cx.settings.entry.caller, caller_bounds(&cx.settings), Callers::new(cx.clone()))?;
+        let (queueing, queueing_rx) = watch::channel(Queueing::Open);
+        let callers = serve(
+            cx.settings.entry.caller,
+            caller_bounds(&cx.settings),
+            Callers::new(cx.clone(), queueing_rx),
+        )?;
         let operator = cx.settings.entry.operator;
         let addresses =
             Addresses { caller: callers.0, operator, peer: peer_addr, metrics: health.0 };
-        Ok(Self { cx, addresses, intake, callers: callers.1 })
+        Ok(Self { cx, addresses, intake, queueing, callers: callers.1 })
     }
 
     /// Where it listens.
@@ -107,11 +118,15 @@
         log::info!("shutting down");
         self.intake.set(Intake::Closing);
         sleep(Duration::from_millis(timing.shutdown_notice_ms)).await;
+        self.queueing.send_replace(Queueing::Closed);
         self.callers.shutdown.stop();
         let longest = Duration::from_millis(timing.shutdown_ms);
         if monoio::time::timeout(longest, self.callers.task).await.is_err() {
             log::warn!("requests were still running at the end of shutdown-ms");
         }
+        if monoio::time::timeout(CLAIMS_TIME, self.cx.claims.settle()).await.is_err() {
+            log::warn!("the table did not take the last claims; repeats are told 'unknown'");
+        }
         log::info!("stopped");
     }
 }
