Membership: standing, views and who owns a pool

Cause: slots, shares and queues of a pool need one owner at a time, with no coordinator, through store outages, pauses, partitions and restarts.

A view is promised by a majority and installed once every host left out has been silent for the standing time at each that promised.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod escrow;
 pub mod jobs;
 pub mod keys;
+pub mod membership;
 pub mod outlier;
 pub mod placement;
 pub mod planner;
--- /dev/null
+++ b/crates/policy/src/membership/heartbeat.rs
@@ -0,0 +1,171 @@
+//! Heartbeats: what an entry host tells each of the others every period.
+
+use fuchsiamill_model::{EntryName, Incarnation, Millisecond, Moment, Version};
+use serde::{Deserialize, Serialize};
+
+use super::{MOST_SENT, Membership, OwnRead, Peer, ViewId};
+
+/// How a host counts for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Mode {
+    /// It started a short time ago, or has not caught up; it counts for nobody.
+    #[serde(rename = "s")]
+    Starting,
+    /// It counts towards majorities.
+    #[serde(rename = "c")]
+    Counting,
+    /// It is shutting down; it counts, but owns nothing any more.
+    #[serde(rename = "l")]
+    Leaving,
+}
+
+impl Mode {
+    /// Whether it counts towards majorities.
+    pub fn counts(self) -> bool {
+        self != Mode::Starting
+    }
+}
+
+/// A read of the table as its reader tells others of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableRead {
+    /// How long ago it began when the heartbeat was sent.
+    #[serde(rename = "a")]
+    pub age: Millisecond,
+    /// The version that it showed.
+    #[serde(rename = "v")]
+    pub version: Version,
+}
+
+/// One heartbeat. Its member names are short because it is most of the bytes between idle hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Heartbeat {
+    /// The sender.
+    #[serde(rename = "f")]
+    pub from: EntryName,
+    /// The sender's incarnation.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+    /// Its number, growing with every round.
+    #[serde(rename = "s")]
+    pub seq: u64,
+    /// The number of the last heartbeat that the sender had from the addressee.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub echo: Option<u64>,
+    /// How the sender counts.
+    #[serde(rename = "m")]
+    pub mode: Mode,
+    /// The newest configuration version that the sender has applied.
+    #[serde(rename = "v")]
+    pub version: Version,
+    /// The newest view that the sender has promised.
+    #[serde(rename = "p")]
+    pub promised: ViewId,
+    /// The newest view that the sender knows to be installed.
+    #[serde(rename = "n")]
+    pub installed: ViewId,
+    /// The freshest read of the table by the sender itself.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub table_read: Option<TableRead>,
+}
+
+/// What a heartbeat asks its receiver to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing.
+    Nothing,
+    /// The sender knows a newer configuration: get it from there.
+    NewerConfiguration,
+    /// The sender knows a newer installed view: get it from there.
+    NewerView,
+}
+
+impl Membership {
+    /// Begins a round of heartbeats at `now`; gives their number.
+    pub fn begin_round(&mut self, now: Moment) -> u64 {
+        self.observe(now);
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.sent.push_back((seq, now));
+        if self.sent.len() > MOST_SENT {
+            self.sent.pop_front();
+        }
+        seq
+    }
+
+    /// The heartbeat of round `seq` for one peer. The age of a read counts from its beginning.
+    pub fn heartbeat(&self, now: Moment, seq: u64, to: &EntryName) -> Heartbeat {
+        let told = |read: &OwnRead| TableRead { age: now.since(read.began), version: read.version };
+        Heartbeat {
+            from: self.me.clone(),
+            incarnation: self.incarnation.clone(),
+            seq,
+            echo: self.peers.get(to).map(|it| it.seq),
+            mode: self.mode(now),
+            version: self.version,
+            promised: self.views.promised_id(),
+            installed: self.views.installed_id(),
+            table_read: self.own_read.as_ref().map(told),
+        }
+    }
+
+    /// Takes a heartbeat that arrived at `now`.
+    pub fn hear(&mut self, now: Moment, heartbeat: &Heartbeat) -> Heard {
+        self.observe(now);
+        if heartbeat.from == self.me || self.is_outdated(heartbeat) {
+            return Heard::Nothing;
+        }
+        let echoed = heartbeat.echo.and_then(|seq| self.sent_at(seq));
+        self.note_peer(now, heartbeat, echoed);
+        self.heard_version = self.heard_version.max(heartbeat.version);
+        self.views.heard(&heartbeat.promised, &heartbeat.installed);
+        if let (Some(read), Some(sent)) = (heartbeat.table_read, echoed) {
+            self.take_read(read, sent);
+        }
+        if heartbeat.version > self.version {
+            return Heard::NewerConfiguration;
+        }
+        if heartbeat.installed > self.views.installed_id() {
+            return Heard::NewerView;
+        }
+        Heard::Nothing
+    }
+
+    /// A read of a peer is dated from when this host sent the heartbeat that the peer echoes: the
+    /// peer's message left after that, and the read began `age` before it left.
+    fn take_read(&mut self, read: TableRead, echoed: Moment) {
+        self.heard_version = self.heard_version.max(read.version);
+        if read.age > echoed.0 {
+            return;
+        }
+        let began = echoed - read.age;
+        self.table_read = self.table_read.max(Some(began));
+        self.note_read(began, read.version);
+    }
+
+    fn sent_at(&self, seq: u64) -> Option<Moment> {
+        self.sent.iter().find(|(it, _)| *it == seq).map(|(_, at)| *at)
+    }
+
+    fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
+        let known = self.peers.get(&heartbeat.from);
+        known.is_some_and(|it| it.incarnation == heartbeat.incarnation && it.seq >= heartbeat.seq)
+    }
+
+    fn note_peer(&mut self, now: Moment, heartbeat: &Heartbeat, echoed: Option<Moment>) {
+        let support = echoed.filter(|_| heartbeat.mode.counts());
+        let known =
+            self.peers.get(&heartbeat.from).filter(|it| it.incarnation == heartbeat.incarnation);
+        let support = support.max(known.and_then(|it| it.support));
+        let peer = Peer {
+            incarnation: heartbeat.incarnation.clone(),
+            mode: heartbeat.mode,
+            seq: heartbeat.seq,
+            last_heard: now,
+            support,
+            version: heartbeat.version,
+        };
+        self.peers.insert(heartbeat.from.clone(), peer);
+    }
+}
