--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -117,6 +117,7 @@
         let timing = &self.cx.settings.timing;
         log::info!("shutting down");
         self.intake.set(Intake::Closing);
+        self.cx.cluster.leave();
         sleep(Duration::from_millis(timing.shutdown_notice_ms)).await;
         self.queueing.send_replace(Queueing::Closed);
         self.callers.shutdown.stop();
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -24,6 +24,8 @@
     pub latency: Histogram<f64>,
     /// The version of the configuration that is applied.
     pub config_version: Gauge<u64>,
+    /// The entry hosts in the installed view.
+    pub view_members: Gauge<u64>,
     /// Whether this entry host serves: 1 or 0.
     pub serving: Gauge<u64>,
     /// A counter for everything else, by event.
@@ -45,6 +47,7 @@
             platform_calls: meter.u64_counter("platform_calls").build(),
             latency: meter.f64_histogram("request_latency").with_unit("ms").build(),
             config_version: meter.u64_gauge("config_version").build(),
+            view_members: meter.u64_gauge("view_members").build(),
             serving: meter.u64_gauge("serving").build(),
             events: meter.u64_counter("events").build(),
             registry,
--- a/crates/peer/src/router.rs
+++ b/crates/peer/src/router.rs
@@ -106,7 +106,7 @@
     pub fn route(&mut self, method: &'static str, tx: CallSender) {
         let callback = move |params: jsonrpsee::types::Params<'static>, _: Arc<()>, _| {
             let tx = tx.clone();
-            async move { forward(tx, params.parse().unwrap_or(Value::Null)).await }
+            async move { forward(tx, params.one().unwrap_or(Value::Null)).await }
         };
         self.module.register_async_method(method, callback).expect("a method is routed once");
     }
