Planner measured: costs relative to the baseline, buffer without double counting

Change: costs relative to the baseline; buffer is the larger of what is out and what is lent; widths halve from the widest; fuchsiamill-measure plans and spare; design notes of plans, waves, moves and the spare pool.

--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,29 @@
+//! Measures the policies of fuchsiamill and prints tables for the design notes.
+
+mod plans;
+mod spare;
+
+use anyhow::Result;
+use argh::FromArgs;
+
+/// measure the policies of fuchsiamill
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Plans(plans::PlansArgs),
+    Spare(spare::SpareArgs),
+}
+
+fn main() -> Result<()> {
+    let args: Args = argh::from_env();
+    match args.command {
+        Command::Plans(args) => plans::run(&args),
+        Command::Spare(args) => spare::run(&args),
+    }
+}
--- a/crates/policy/src/planner/mod.rs
+++ b/crates/policy/src/planner/mod.rs
@@ -65,7 +65,7 @@
         .iter()
         .map(|it| Timeline::walk(&fleet, &req.timing, &it.steps).measures())
         .collect();
-    let (chosen, costs) = choose(&req.weights, &candidates, &measures);
+    let (chosen, costs) = choose(&req.weights, scope.len(), &candidates, &measures);
     let rejected = rejected(&candidates, &measures, &costs, chosen);
     let Candidate { family, steps, blocked } =
         candidates.into_iter().nth(chosen).ok_or(Error::NothingToDo)?;
@@ -114,6 +114,7 @@
 /// Among equals the earlier one wins; when all are blocked, the first.
 fn choose(
     weights: &Weights,
+    hosts: usize,
     candidates: &[Candidate],
     measures: &[Measures],
 ) -> (usize, Vec<Option<f64>>) {
@@ -121,7 +122,7 @@
         (0..candidates.len()).filter(|&at| candidates[at].blocked.is_empty()).collect();
     let of_feasible: Vec<_> = feasible.iter().map(|&at| measures[at]).collect();
     let mut all = vec![None; candidates.len()];
-    for (&at, cost) in feasible.iter().zip(costs(weights, &of_feasible)) {
+    for (&at, cost) in feasible.iter().zip(costs(weights, hosts, &of_feasible)) {
         all[at] = Some(cost);
     }
     let least = |at: &usize, other: &usize| {
--- a/crates/policy/src/planner/scope.rs
+++ b/crates/policy/src/planner/scope.rs
@@ -67,6 +67,11 @@
         if scope.hosts.is_empty() { Err(Error::NothingToDo) } else { Ok(scope) }
     }
 
+    /// The hosts that it is about.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Every candidate, the baseline first.
     pub fn candidates(&self, fleet: &Fleet<'a>) -> Vec<Candidate> {
         match &self.kind {
--- a/crates/policy/src/planner/timeline.rs
+++ b/crates/policy/src/planner/timeline.rs
@@ -16,7 +16,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Measures {
-    /// The most slots that are out of service or lent out of the spare pool at once.
+    /// The capacity that has to be at hand: the most slots out of service or lent by the spare pool
+    /// at once, whichever is more.
     pub buffer: Slots,
     /// The expected roll-out time, in milliseconds.
     pub rollout: Millisecond,
@@ -49,6 +50,7 @@
     pools: FastMap<HostName, PoolIndex>,
     lowest: Vec<Slots>,
     lent: Slots,
+    gone: Slots,
     measures: Measures,
 }
 
@@ -71,6 +73,7 @@
             pools: FastMap::default(),
             lowest,
             lent: 0,
+            gone: 0,
             measures: Measures::default(),
         }
     }
@@ -128,14 +131,14 @@
             self.lowest[pool] = self.lowest[pool].min(self.ledger.serving(pool));
             out += host.slots;
         }
-        self.measures.buffer = self.measures.buffer.max(self.lent + out);
+        self.measures.buffer = self.measures.buffer.max(self.lent).max(self.gone + out);
     }
 
     fn end(&mut self, task: &Task, hosts: &[&Host]) {
         for host in hosts {
             let from = self.pool_of(host);
             match task {
-                Task::TakeOut => self.lent += host.slots,
+                Task::TakeOut => self.gone += host.slots,
                 Task::Cycle | Task::Restore => {
                     self.ledger.bring_back(self.fleet, host, from, from);
                 }
@@ -149,6 +152,7 @@
         let spare = self.fleet.spare();
         if Some(from) == spare {
             self.lent += host.slots;
+            self.measures.buffer = self.measures.buffer.max(self.lent);
         }
         if Some(to) == spare {
             self.lent = self.lent.saturating_sub(host.slots);
--- a/crates/policy/src/planner/wave_plans.rs
+++ b/crates/policy/src/planner/wave_plans.rs
@@ -11,6 +11,8 @@
     step::{Order, Step, Task},
 };
 
+const MOST_WIDTHS: usize = 6;
+
 /// Every candidate for a wave over `hosts`; the first is the baseline.
 pub fn candidates<'a>(fleet: &Fleet<'a>, hosts: &Placed<'a>) -> Vec<Candidate> {
     let widest = rolling(fleet, hosts, UNBOUNDED);
@@ -40,9 +42,10 @@
     hosts
 }
 
-/// Widths from one host at once, doubling, below `most`.
+/// Widths below `most`, halving, down to one host at once at the least.
 pub fn widths(most: usize) -> impl Iterator<Item = usize> {
-    std::iter::successors(Some(1), |it| Some(it * 2)).take_while(move |&it| it < most)
+    let halved = std::iter::successors(Some(most / 2), |it| Some(it / 2));
+    halved.take_while(|&it| it > 0).take(MOST_WIDTHS)
 }
 
 /// The most hosts of a candidate that are out at once.
@@ -109,7 +112,9 @@
         made.family = Family::Lending { at_once: width(&made) as u32, lent: lent.len() as u32 };
         made
     };
-    vec![lay_out(UNBOUNDED), lay_out(lent.len())]
+    // At the second width each pool has no more hosts out than it was lent.
+    let covered = receivers.len() * (lent.len() / receivers.len());
+    vec![lay_out(UNBOUNDED), lay_out(covered.max(1))]
 }
 
 fn pools_of(hosts: &Placed<'_>) -> Vec<PoolIndex> {
