Policy: shares, slots and the owner's dispatch

Cause: running work has to tend to the teams' shares and keep slots and limits over the fleet, with one owner for each pool. Change: queues of a pool with weighted max-min turns, urgent lanes first and a bounded queue each; slots of backend servers, least loaded first and spread over data centres; the owner's state machine that joins them with the escrow. An ask is left open for a bounded time and asked again, so that nothing is granted to an entry host that is gone; a lost answer keeps its slot and unit until the deadline; a new owner first hears what is in flight. A holder without demand leaves the table alone, and grows with headroom of a quarter and a sixteenth of the limit. Nearness to share: the integral of min(running, weighted max-min part) over the integral of that part while full.

--- /dev/null
+++ b/crates/policy/src/dispatch/machine.rs
@@ -0,0 +1,335 @@
+//! The state machine of one entry host's dispatch.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use fuchsiamill_model::{
+    Configuration, EntryName, FastMap, HostName, Incarnation, Millisecond, Moment, PoolName,
+    Problem, ProblemKind, TeamName, Version,
+};
+
+use super::{Acquire, Answer, Ending, InFlight, Release, pool::OwnedPool, units::Teams};
+use crate::{
+    escrow::{
+        EscrowRow, GrantId, Holder, HolderId, LoanAnswer, LoanAsk, LoanReturn, Revision, Terms,
+        WriteOutcome,
+    },
+    outlier,
+    shares::{Lane, LaneSettings, Nearness, Ticket},
+    slots::Intake,
+};
+
+mod grants;
+mod upkeep;
+
+const RETRY_AFTER: Millisecond = 1_000;
+
+/// The bounds of dispatch that every entry host of a site shares.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The time limits of units and grants.
+    pub terms: Terms,
+    /// How long an entry host's ask is left open before it has to ask again, in milliseconds.
+    pub ask: Millisecond,
+    /// How long a new owner waits for reports at the longest, in milliseconds.
+    pub take_over: Millisecond,
+    /// What services open to all were promised.
+    pub open: LaneSettings,
+    /// When a backend server that fails is taken out.
+    pub outliers: outlier::Bounds,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Answer the open ask of a ticket.
+    Answer {
+        /// The request.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Read a team's escrow row and report it with [`Dispatch::row_read`].
+    ReadRow {
+        /// The team.
+        team: TeamName,
+    },
+    /// Write a team's escrow row and report it with [`Dispatch::row_written`].
+    WriteRow {
+        /// The team.
+        team: TeamName,
+        /// The revision that the row must have.
+        expected: Revision,
+        /// The new row.
+        row: EscrowRow,
+    },
+    /// Ask another entry host for a loan of units.
+    AskLoan {
+        /// The team.
+        team: TeamName,
+        /// The request.
+        ask: LoanAsk,
+    },
+    /// Tell a lender of returned units.
+    ReturnLoan {
+        /// The team.
+        team: TeamName,
+        /// The message.
+        ret: LoanReturn,
+    },
+}
+
+/// A grant that this host gave and that is not released.
+#[derive(Clone, Debug)]
+struct Given {
+    pool: PoolName,
+    lane: Lane,
+    ticket: Ticket,
+    ask: u64,
+    until: Moment,
+}
+
+/// The dispatch of one entry host.
+///
+/// Whoever drives it checks majority standing before each call, and on losing it calls
+/// [`Dispatch::lose_standing`] before anything else.
+#[derive(Debug)]
+pub struct Dispatch {
+    me: EntryName,
+    incarnation: Incarnation,
+    bounds: Bounds,
+    config: Rc<Configuration>,
+    live: FastMap<EntryName, Incarnation>,
+    peers: Vec<EntryName>,
+    pools: BTreeMap<PoolName, OwnedPool>,
+    teams: Teams,
+    grants: FastMap<GrantId, Given>,
+    by_ticket: FastMap<Ticket, GrantId>,
+    next_grant: u64,
+    ticked_at: Option<Moment>,
+}
+
+impl Dispatch {
+    /// A dispatch that owns nothing.
+    pub fn new(me: EntryName, incarnation: Incarnation, bounds: Bounds) -> Self {
+        let id = HolderId { entry: me.clone(), incarnation: incarnation.clone(), term: 0 };
+        Self {
+            me,
+            incarnation,
+            bounds,
+            config: Rc::default(),
+            live: FastMap::default(),
+            peers: Vec::new(),
+            pools: BTreeMap::new(),
+            teams: Teams::new(id, bounds.terms),
+            grants: FastMap::default(),
+            by_ticket: FastMap::default(),
+            next_grant: 0,
+            ticked_at: None,
+        }
+    }
+
+    /// Takes a new configuration.
+    pub fn configure(&mut self, now: Moment, config: Rc<Configuration>) -> Vec<Action> {
+        let before = std::mem::replace(&mut self.config, config);
+        self.teams.configure(&before, &self.config);
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            self.configure_pool(now, &pool);
+        }
+        self.tick(now)
+    }
+
+    /// Takes a view: its members with their processes, and the pools that this host owns in it.
+    ///
+    /// Returns the pools that it newly owns. Each member's grants in them are to be reported with
+    /// [`Dispatch::report`].
+    pub fn set_view(
+        &mut self,
+        now: Moment,
+        members: FastMap<EntryName, Incarnation>,
+        owned: Vec<PoolName>,
+    ) -> (Vec<PoolName>, Vec<Action>) {
+        self.peers = members.keys().filter(|it| **it != self.me).cloned().collect();
+        self.peers.sort();
+        self.live = members;
+        let mut actions = Vec::new();
+        let lost = self.pools.keys().filter(|it| !owned.contains(it)).cloned().collect::<Vec<_>>();
+        for pool in lost {
+            self.drop_pool(&pool, &mut actions);
+        }
+        let fresh: Vec<PoolName> =
+            owned.into_iter().filter(|it| !self.pools.contains_key(it)).collect();
+        for pool in &fresh {
+            let until = now + self.bounds.take_over;
+            let members = self.live.keys().cloned();
+            let owned = OwnedPool::new(members, until, self.bounds.outliers);
+            self.pools.insert(pool.clone(), owned);
+            self.configure_pool(now, pool);
+        }
+        (fresh, actions)
+    }
+
+    /// Drops every pool, and begins a new term of holding units.
+    pub fn lose_standing(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            self.drop_pool(&pool, &mut actions);
+        }
+        self.teams.lose_standing();
+        actions
+    }
+
+    /// Takes what an entry host still runs in a pool that this host newly owns.
+    pub fn report(
+        &mut self,
+        now: Moment,
+        pool: &PoolName,
+        entry: &EntryName,
+        in_flight: Vec<InFlight>,
+    ) -> Vec<Action> {
+        let Some(owned) = self.pools.get_mut(pool) else { return Vec::new() };
+        owned.report(now, entry, in_flight);
+        self.pump(now, pool)
+    }
+
+    /// Takes what signals and probes say of a backend server of a pool.
+    pub fn signal(&mut self, now: Moment, pool: &PoolName, host: &HostName, intake: Intake) {
+        if let Some(owned) = self.pools.get_mut(pool) {
+            owned.signal(now, host, intake);
+        }
+    }
+
+    /// Takes an entry host's ask; it is answered by an action of this or of a later call.
+    ///
+    /// An entry host that asks again has not used a grant that its earlier ask led to.
+    pub fn acquire(&mut self, now: Moment, req: Acquire) -> Vec<Action> {
+        if let Some(number) = self.by_ticket.get(&req.ticket).copied() {
+            if self.grants.get(&number).is_some_and(|it| it.ask >= req.ask) {
+                return Vec::new();
+            }
+            self.end(now, number, Ending::Unsent);
+        }
+        match self.enqueue(now, &req) {
+            Ok(()) => self.pump(now, &req.pool),
+            Err(answer) => vec![Action::Answer { ticket: req.ticket, answer }],
+        }
+    }
+
+    /// Takes a request out of its queue that its entry host has given up.
+    pub fn cancel(&mut self, pool: &PoolName, ticket: &Ticket) {
+        if let Some(owned) = self.pools.get_mut(pool) {
+            owned.queues.remove_where(|it| &it.ticket == ticket);
+        }
+    }
+
+    /// Takes a grant back, also one that an earlier owner of the pool gave.
+    pub fn release(&mut self, now: Moment, release: &Release) -> Vec<Action> {
+        let is_mine =
+            release.grant.owner == self.me && release.grant.incarnation == self.incarnation;
+        let mut actions = Vec::new();
+        if is_mine {
+            if let Some(team) = self.end(now, release.grant.number, release.ending) {
+                actions.extend(self.pump_team(now, &team));
+            }
+        } else if let Some(owned) = self.pools.get_mut(&release.pool) {
+            owned.end(now, &release.grant, release.ending);
+        }
+        actions.extend(self.pump(now, &release.pool));
+        actions
+    }
+
+    /// Takes a row that was read, or `None` when no answer came or no row is there.
+    pub fn row_read(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        row: Option<(EscrowRow, Revision)>,
+    ) -> Vec<Action> {
+        let Some(holder) = self.teams.get_mut(team) else { return Vec::new() };
+        match row {
+            Some((row, revision)) => holder.read(row, revision),
+            None => holder.read_failed(),
+        }
+        self.pump_team(now, team)
+    }
+
+    /// Takes the outcome of writing `row`.
+    pub fn row_written(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        row: EscrowRow,
+        outcome: WriteOutcome,
+    ) -> Vec<Action> {
+        let Some(holder) = self.teams.get_mut(team) else { return Vec::new() };
+        holder.wrote(row, outcome);
+        self.pump_team(now, team)
+    }
+
+    /// Answers another entry host's ask for units.
+    pub fn lend(&mut self, now: Moment, team: &TeamName, ask: &LoanAsk) -> LoanAnswer {
+        let refusal =
+            || LoanAnswer { id: ask.id.clone(), ask: ask.ask, units: 0, settled_at: None };
+        self.teams.get_mut(team).map_or_else(refusal, |holder| holder.lend(now, ask))
+    }
+
+    /// Takes a lender's answer.
+    pub fn lent(&mut self, now: Moment, team: &TeamName, answer: &LoanAnswer) -> Vec<Action> {
+        let Some(holder) = self.teams.get_mut(team) else { return Vec::new() };
+        holder.lent(now, answer);
+        self.pump_team(now, team)
+    }
+
+    /// Takes units back from a borrower.
+    pub fn take_back(&mut self, now: Moment, team: &TeamName, ret: &LoanReturn) -> Vec<Action> {
+        let Some(holder) = self.teams.get_mut(team) else { return Vec::new() };
+        holder.take_back(ret);
+        self.pump_team(now, team)
+    }
+
+    /// What is due by time alone; to be called every few tens of milliseconds.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let span = self.ticked_at.map_or(0, |at| now.since(at));
+        self.ticked_at = Some(now);
+        self.end_overdue(now);
+        self.teams.reclaim(now, &self.live);
+        let mut actions = Vec::new();
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            self.tick_pool(now, span, &pool, &mut actions);
+            actions.extend(self.pump(now, &pool));
+        }
+        for team in self.teams.names() {
+            self.step(now, &team, &mut actions);
+        }
+        actions
+    }
+
+    /// Whether a grant of `version` for `team` still stands under the configuration applied here.
+    pub fn is_current(&self, team: &TeamName, version: Version) -> bool {
+        self.teams.is_current(team, version)
+    }
+
+    /// Whether this host owns a pool.
+    pub fn owns(&self, pool: &PoolName) -> bool {
+        self.pools.contains_key(pool)
+    }
+
+    /// Each owned pool: slots that may get work, slots in use, queued requests, nearness to share.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolName, u32, u32, usize, &Nearness)> {
+        self.pools.iter().map(|(name, it)| {
+            (name, it.slots.open_slots(), it.slots.in_use(), it.queues.len(), &it.nearness)
+        })
+    }
+
+    /// Each team's holder.
+    pub fn holders(&self) -> impl Iterator<Item = (&TeamName, &Holder)> {
+        self.teams.iter()
+    }
+}
+
+pub(super) fn answer(ticket: Ticket, answer: Answer) -> Action {
+    Action::Answer { ticket, answer }
+}
+
+pub(super) fn refused(kind: ProblemKind, detail: impl Into<String>) -> Answer {
+    Answer::Refused { problem: Problem::not_run(kind, detail).retry_after(RETRY_AFTER) }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/machine/grants.rs
@@ -0,0 +1,129 @@
+//! Giving and ending grants.
+
+use fuchsiamill_model::{Moment, PoolName, TeamName};
+
+use super::{Action, Dispatch, Given, answer};
+use crate::{
+    dispatch::{Answer, Ending, GrantRef, Granted, pool::Use},
+    escrow::{GrantId, Step},
+    shares::Lane,
+};
+
+impl Dispatch {
+    /// Grants as long as slots, units and requests are there.
+    pub(super) fn pump(&mut self, now: Moment, pool: &PoolName) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(owned) = self.pools.get_mut(pool) else { return actions };
+        if !owned.is_granting(now) {
+            return actions;
+        }
+        while self.grant_next(now, pool, &mut actions) {}
+        for team in self.short_of_units(now, pool) {
+            self.step(now, &team, &mut actions);
+        }
+        actions
+    }
+
+    /// The teams that have requests queued in a pool with free slots.
+    fn short_of_units(&self, now: Moment, pool: &PoolName) -> Vec<TeamName> {
+        let Some(owned) = self.pools.get(pool) else { return Vec::new() };
+        if owned.queues.is_empty() || owned.slots.free(now) == 0 {
+            return Vec::new();
+        }
+        let team = |lane: &Lane| match lane {
+            Lane::Team(team) => Some(team.clone()),
+            Lane::Open => None,
+        };
+        owned.queues.waiting_lanes().filter_map(team).collect()
+    }
+
+    fn grant_next(&mut self, now: Moment, pool: &PoolName, actions: &mut Vec<Action>) -> bool {
+        let Some(owned) = self.pools.get_mut(pool) else { return false };
+        if owned.slots.free(now) == 0 {
+            return false;
+        }
+        let teams = &mut self.teams;
+        let may_start = |lane: &Lane| match lane {
+            Lane::Open => true,
+            Lane::Team(team) => teams.get_mut(team).is_some_and(|it| it.free(now) > 0),
+        };
+        let Some((lane, waiting)) = owned.queues.pop(may_start) else { return false };
+        let number = GrantId(self.next_grant);
+        let until = waiting.until;
+        let holder = match &lane {
+            Lane::Open => None,
+            Lane::Team(team) => self.teams.get_mut(team),
+        };
+        if let Some(holder) = holder
+            && holder.charge(now, number, until).is_none()
+        {
+            return false;
+        }
+        let Some(host) = owned.slots.pick(now, &waiting.data_centre) else { return false };
+        self.next_grant += 1;
+        let ticket = waiting.ticket;
+        let grant =
+            GrantRef { owner: self.me.clone(), incarnation: self.incarnation.clone(), number };
+        owned.begin(now, grant.clone(), Use { lane: lane.clone(), host: host.clone(), until });
+        let given =
+            Given { pool: pool.clone(), lane, ticket: ticket.clone(), ask: waiting.ask, until };
+        self.grants.insert(number, given);
+        self.by_ticket.insert(ticket.clone(), number);
+        let granted = Granted { grant, host, version: self.config.version };
+        actions.push(answer(ticket, Answer::Granted { grant: granted }));
+        true
+    }
+
+    /// Ends a grant of this host and returns the team whose unit became free.
+    pub(super) fn end(&mut self, now: Moment, number: GrantId, ending: Ending) -> Option<TeamName> {
+        let given = self.grants.get(&number)?.clone();
+        let grant = self.grant_ref(number);
+        if let Some(owned) = self.pools.get_mut(&given.pool) {
+            owned.end(now, &grant, ending);
+        }
+        if ending == Ending::Lost {
+            return None;
+        }
+        self.grants.remove(&number);
+        self.by_ticket.remove(&given.ticket);
+        let Lane::Team(team) = given.lane else { return None };
+        self.teams.get_mut(&team)?.release(number);
+        Some(team)
+    }
+
+    pub(super) fn end_overdue(&mut self, now: Moment) {
+        let over = self.grants.iter().filter(|(_, it)| it.until <= now);
+        for number in over.map(|(number, _)| *number).collect::<Vec<_>>() {
+            self.end(now, number, Ending::Unsent);
+        }
+    }
+
+    fn grant_ref(&self, number: GrantId) -> GrantRef {
+        GrantRef { owner: self.me.clone(), incarnation: self.incarnation.clone(), number }
+    }
+
+    pub(super) fn pump_team(&mut self, now: Moment, team: &TeamName) -> Vec<Action> {
+        let lane = Lane::Team(team.clone());
+        let waiting = self.pools.iter().filter(|(_, it)| it.queues.queued(&lane) > 0);
+        let pools: Vec<PoolName> = waiting.map(|(name, _)| name.clone()).collect();
+        let mut actions = Vec::new();
+        for pool in pools {
+            actions.extend(self.pump(now, &pool));
+        }
+        self.step(now, team, &mut actions);
+        actions
+    }
+
+    pub(super) fn step(&mut self, now: Moment, team: &TeamName, actions: &mut Vec<Action>) {
+        let lane = Lane::Team(team.clone());
+        let wanted = self.pools.values().map(|it| it.units_wanted(now, &lane)).sum();
+        let steps = self.teams.steps(now, team, wanted, &self.peers);
+        let team = || team.clone();
+        actions.extend(steps.into_iter().map(|step| match step {
+            Step::Read => Action::ReadRow { team: team() },
+            Step::Write { expected, row } => Action::WriteRow { team: team(), expected, row },
+            Step::Ask(ask) => Action::AskLoan { team: team(), ask },
+            Step::Return(ret) => Action::ReturnLoan { team: team(), ret },
+        }));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/machine/upkeep.rs
@@ -0,0 +1,81 @@
+//! The pools' upkeep: configuration, queues, deadlines and measures.
+
+use fuchsiamill_model::{HostName, Millisecond, Moment, PoolName, ProblemKind};
+
+use super::{Action, Dispatch, answer, refused};
+use crate::{
+    dispatch::{Acquire, Answer},
+    escrow::with_drift,
+    shares::{Lane, Waiting},
+};
+
+impl Dispatch {
+    pub(super) fn configure_pool(&mut self, now: Moment, pool: &PoolName) {
+        let Some(owned) = self.pools.get_mut(pool) else { return };
+        let hosts: Vec<HostName> =
+            self.config.hosts_of(pool).map(|host| host.name.clone()).collect();
+        owned.slots.set_hosts(self.config.hosts_of(pool));
+        owned.set_members(&hosts);
+        owned.refresh(now, &hosts);
+        owned.queues.set_lane(Lane::Open, self.bounds.open);
+        for team in self.config.teams.values() {
+            owned.queues.set_lane(Lane::Team(team.name.clone()), team.into());
+        }
+    }
+
+    pub(super) fn drop_pool(&mut self, pool: &PoolName, actions: &mut Vec<Action>) {
+        let Some(mut owned) = self.pools.remove(pool) else { return };
+        let waiting = owned.queues.remove_where(|_| true);
+        let asking = waiting.into_iter().filter(|it| it.is_asking);
+        actions.extend(asking.map(|it| answer(it.ticket, Answer::NotOwner)));
+    }
+
+    pub(super) fn enqueue(&mut self, now: Moment, req: &Acquire) -> Result<(), Answer> {
+        let Some(owned) = self.pools.get_mut(&req.pool) else { return Err(Answer::NotOwner) };
+        if !owned.slots.is_serving() && owned.slots.in_use() == 0 && owned.is_granting(now) {
+            let detail = format!("No host of pool '{}' serves.", req.pool);
+            return Err(refused(ProblemKind::NoCapacity, detail));
+        }
+        let waiting = Waiting {
+            ticket: req.ticket.clone(),
+            ask: req.ask,
+            data_centre: req.data_centre.clone(),
+            until: now + with_drift(req.left),
+            asked_at: now,
+            is_asking: true,
+        };
+        let full = |_| {
+            let detail = format!("The queue of pool '{}' is full.", req.pool);
+            refused(ProblemKind::QueueFull, detail)
+        };
+        owned.queues.enqueue(&req.lane, waiting).map_err(full)
+    }
+
+    pub(super) fn tick_pool(
+        &mut self,
+        now: Moment,
+        span: Millisecond,
+        pool: &PoolName,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(owned) = self.pools.get_mut(pool) else { return };
+        let hosts: Vec<HostName> =
+            self.config.hosts_of(pool).map(|host| host.name.clone()).collect();
+        owned.expire(now);
+        owned.refresh(now, &hosts);
+        owned.measure(now, span);
+        let start_by = self.bounds.terms.start_by;
+        let overdue = owned.queues.remove_where(|it| it.until <= now);
+        for over in overdue.into_iter().filter(|it| it.is_asking) {
+            let detail = "The deadline passed while the request was queued.";
+            actions.push(answer(over.ticket, refused(ProblemKind::DeadlinePassed, detail)));
+        }
+        owned.queues.remove_where(|it| now.since(it.asked_at) > start_by);
+        for waiting in owned.queues.waiting_mut() {
+            if waiting.is_asking && now.since(waiting.asked_at) >= self.bounds.ask {
+                waiting.is_asking = false;
+                actions.push(answer(waiting.ticket.clone(), Answer::Queued));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/pool.rs
@@ -0,0 +1,195 @@
+//! One pool at its owner.
+
+use fuchsiamill_model::{EntryName, FastMap, FastSet, HostName, Millisecond, Moment, Slots};
+
+use super::{Ending, GrantRef, InFlight};
+use crate::{
+    escrow::with_drift,
+    outlier::{self, Outliers, Standing},
+    shares::{Lane, Nearness, Queues},
+    slots::{Intake, SlotTable},
+};
+
+/// How long a backend server that answered busy gets no new work.
+const BUSY_PAUSE: Millisecond = 50;
+
+/// Work in flight that holds a slot.
+#[derive(Clone, Debug)]
+pub(super) struct Use {
+    pub(super) lane: Lane,
+    pub(super) host: HostName,
+    pub(super) until: Moment,
+}
+
+/// Where a new owner is with a pool.
+#[derive(Clone, Debug)]
+enum Stage {
+    /// It waits for what these entry hosts still run there, until a time at the longest.
+    TakingOver { missing: FastSet<EntryName>, until: Moment, released: FastSet<GrantRef> },
+    /// It grants.
+    Granting,
+}
+
+/// One pool at its owner.
+#[derive(Debug)]
+pub(super) struct OwnedPool {
+    pub(super) queues: Queues,
+    pub(super) slots: SlotTable,
+    pub(super) nearness: Nearness,
+    outliers: Outliers<HostName>,
+    signals: FastMap<HostName, Intake>,
+    uses: FastMap<GrantRef, Use>,
+    stage: Stage,
+}
+
+impl OwnedPool {
+    /// A pool that `members` have yet to report on, until `until` at the longest.
+    pub(super) fn new(
+        members: impl Iterator<Item = EntryName>,
+        until: Moment,
+        bounds: outlier::Bounds,
+    ) -> Self {
+        Self {
+            queues: Queues::default(),
+            slots: SlotTable::default(),
+            nearness: Nearness::default(),
+            outliers: Outliers::new(bounds),
+            signals: FastMap::default(),
+            uses: FastMap::default(),
+            stage: Stage::TakingOver {
+                missing: members.collect(),
+                until,
+                released: FastSet::default(),
+            },
+        }
+    }
+
+    /// Takes what an entry host still runs in the pool.
+    pub(super) fn report(&mut self, now: Moment, entry: &EntryName, in_flight: Vec<InFlight>) {
+        let Stage::TakingOver { missing, released, .. } = &mut self.stage else { return };
+        if !missing.remove(entry) {
+            return;
+        }
+        let fresh: Vec<InFlight> =
+            in_flight.into_iter().filter(|it| !released.contains(&it.grant)).collect();
+        if missing.is_empty() {
+            self.stage = Stage::Granting;
+        }
+        for InFlight { grant, lane, host, left } in fresh {
+            self.slots.adopt(&host);
+            self.queues.started(&lane);
+            self.uses.insert(grant, Use { lane, host, until: now + with_drift(left) });
+        }
+    }
+
+    /// Whether grants may be given.
+    pub(super) fn is_granting(&mut self, now: Moment) -> bool {
+        if let Stage::TakingOver { until, .. } = &self.stage
+            && *until <= now
+        {
+            self.stage = Stage::Granting;
+        }
+        matches!(self.stage, Stage::Granting)
+    }
+
+    /// Takes what signals and probes say of a backend server.
+    pub(super) fn signal(&mut self, now: Moment, host: &HostName, intake: Intake) {
+        self.signals.insert(host.clone(), intake);
+        self.refresh_intake(now, host);
+    }
+
+    /// Counts a slot of a picked host as in use.
+    pub(super) fn begin(&mut self, now: Moment, grant: GrantRef, used: Use) {
+        if self.outliers.standing(now, &used.host) == Standing::Trial {
+            self.outliers.begin_trial(now, &used.host);
+        }
+        self.queues.started(&used.lane);
+        self.uses.insert(grant, used);
+    }
+
+    /// Frees the slot of a grant and learns from its ending.
+    ///
+    /// Work whose answer was lost keeps its slot until its deadline.
+    pub(super) fn end(&mut self, now: Moment, grant: &GrantRef, ending: Ending) {
+        if let Stage::TakingOver { released, .. } = &mut self.stage {
+            released.insert(grant.clone());
+        }
+        if ending == Ending::Lost {
+            if let Some(used) = self.uses.get(grant) {
+                self.outliers.record(now, &used.host, outlier::Ending::Failed);
+            }
+            return;
+        }
+        let Some(used) = self.uses.remove(grant) else { return };
+        self.slots.release(&used.host);
+        self.queues.ended(&used.lane);
+        match ending {
+            Ending::Unsent | Ending::Lost => {}
+            Ending::Busy => self.slots.set_busy(&used.host, now + BUSY_PAUSE),
+            Ending::Answered => {
+                self.outliers.record(now, &used.host, outlier::Ending::Served);
+            }
+            Ending::Unreachable | Ending::Failed => {
+                self.outliers.record(now, &used.host, outlier::Ending::Failed);
+            }
+        }
+    }
+
+    /// Frees the slots of work whose deadline has passed without a release.
+    pub(super) fn expire(&mut self, now: Moment) {
+        let over: Vec<GrantRef> =
+            self.uses.iter().filter(|(_, it)| it.until <= now).map(|(it, _)| it.clone()).collect();
+        for grant in over {
+            self.end(now, &grant, Ending::Unsent);
+        }
+    }
+
+    /// Brings what outlier detection says of each host into the slots.
+    pub(super) fn refresh(&mut self, now: Moment, hosts: &[HostName]) {
+        for host in hosts {
+            self.refresh_intake(now, host);
+        }
+    }
+
+    /// The pool's members for outlier detection.
+    pub(super) fn set_members(&mut self, hosts: &[HostName]) {
+        self.outliers.set_members(hosts);
+        self.signals.retain(|host, _| hosts.contains(host));
+    }
+
+    /// Adds a span of time to nearness to share, if the pool is full.
+    pub(super) fn measure(&mut self, now: Moment, span: Millisecond) {
+        if self.queues.is_empty() || self.slots.free(now) > 0 {
+            return;
+        }
+        for (lane, entitled, running) in self.queues.entitled(self.slots.open_slots()) {
+            self.nearness.add(&lane, entitled, f64::from(running), span);
+        }
+    }
+
+    /// The units that a lane could use more than it has running.
+    pub(super) fn units_wanted(&self, now: Moment, lane: &Lane) -> u32 {
+        let queued = self.queues.queued(lane);
+        if queued == 0 {
+            return 0;
+        }
+        let entitled = self.queues.entitled(self.slots.open_slots());
+        let part = entitled.iter().find(|(it, ..)| it == lane);
+        let below = part.map_or(0, |(_, part, running)| below_part(*part, *running));
+        queued.min(below.max(self.slots.free(now)).max(1))
+    }
+
+    fn refresh_intake(&mut self, now: Moment, host: &HostName) {
+        let signal = self.signals.get(host).copied().unwrap_or_default();
+        let intake = match (signal, self.outliers.standing(now, host)) {
+            (Intake::Closed, _) | (_, Standing::OutUntil(_)) => Intake::Closed,
+            (Intake::Trial, _) | (_, Standing::Trial) => Intake::Trial,
+            (Intake::Open, Standing::In) => Intake::Open,
+        };
+        self.slots.set_intake(host, intake);
+    }
+}
+
+fn below_part(part: f64, running: Slots) -> u32 {
+    (part.ceil() as u32).saturating_sub(running)
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/units.rs
@@ -0,0 +1,105 @@
+//! The teams' upper limits at one entry host.
+
+use fuchsiamill_model::{
+    Configuration, EntryName, FastMap, Incarnation, Moment, TeamName, Units, Version,
+};
+
+use crate::escrow::{Holder, HolderId, LimitChange, Reclaimer, Step, Terms};
+
+/// One team's units at this entry host.
+#[derive(Debug)]
+pub(super) struct TeamUnits {
+    pub(super) holder: Holder,
+    reclaimer: Reclaimer,
+    lowered_at: Version,
+}
+
+/// All teams' units at this entry host.
+#[derive(Debug)]
+pub(super) struct Teams {
+    id: HolderId,
+    terms: Terms,
+    teams: FastMap<TeamName, TeamUnits>,
+}
+
+impl Teams {
+    pub(super) fn new(id: HolderId, terms: Terms) -> Self {
+        Self { id, terms, teams: FastMap::default() }
+    }
+
+    pub(super) fn get_mut(&mut self, team: &TeamName) -> Option<&mut Holder> {
+        self.teams.get_mut(team).map(|it| &mut it.holder)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&TeamName, &Holder)> {
+        self.teams.iter().map(|(team, units)| (team, &units.holder))
+    }
+
+    pub(super) fn names(&self) -> Vec<TeamName> {
+        self.teams.keys().cloned().collect()
+    }
+
+    /// Whether no limit of the team was lowered after `version`, as far as this host knows.
+    pub(super) fn is_current(&self, team: &TeamName, version: Version) -> bool {
+        self.teams.get(team).is_some_and(|it| it.lowered_at <= version)
+    }
+
+    /// Takes a new configuration.
+    pub(super) fn configure(&mut self, before: &Configuration, after: &Configuration) {
+        for (name, team) in &after.teams {
+            let Some(units) = self.teams.get_mut(name) else {
+                self.add(name, after.version);
+                continue;
+            };
+            let old = before.teams.get(name).map(|it| it.upper_limit);
+            let is_next = before.version.next() == after.version;
+            let change = match old {
+                Some(old) if is_next && old == team.upper_limit => continue,
+                Some(old) if is_next && old < team.upper_limit => LimitChange::Raised,
+                _ => LimitChange::Lowered,
+            };
+            if change == LimitChange::Lowered {
+                units.lowered_at = after.version;
+            }
+            units.holder.limit_changed(change, after.version);
+        }
+        self.teams.retain(|name, units| {
+            after.teams.contains_key(name) || units.holder.running() > 0 || units.holder.out() > 0
+        });
+    }
+
+    pub(super) fn lose_standing(&mut self) {
+        self.id.term += 1;
+        for units in self.teams.values_mut() {
+            units.holder.lose_standing();
+            units.reclaimer.lose_standing();
+        }
+    }
+
+    /// The next steps of one team, of which `wanted` units could be used at once.
+    pub(super) fn steps(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        wanted: Units,
+        peers: &[EntryName],
+    ) -> Vec<Step> {
+        let Some(units) = self.teams.get_mut(team) else { return Vec::new() };
+        units.holder.next(now, wanted, peers)
+    }
+
+    /// Finds holdings of processes that are gone.
+    pub(super) fn reclaim(&mut self, now: Moment, live: &FastMap<EntryName, Incarnation>) {
+        for units in self.teams.values_mut() {
+            let Some(row) = units.holder.row() else { continue };
+            let ended = units.reclaimer.observe(now, row, live, &self.terms);
+            units.holder.reclaim(ended);
+        }
+    }
+
+    fn add(&mut self, name: &TeamName, version: Version) {
+        let holder = Holder::new(self.id.clone(), self.terms, version);
+        let units = TeamUnits { holder, reclaimer: Reclaimer::default(), lowered_at: version };
+        self.teams.insert(name.clone(), units);
+    }
+}
--- a/crates/policy/src/escrow/holder/table.rs
+++ b/crates/policy/src/escrow/holder/table.rs
@@ -2,9 +2,12 @@
 
 use fuchsiamill_model::{Millisecond, Moment, Units, Version};
 
-use super::{EscrowRow, Exchange, Holder, Revision, Seen, Step, TableHealth, Title, WriteOutcome};
+use super::{
+    EscrowRow, Exchange, Holder, HolderId, Revision, Seen, Step, TableHealth, Title, WriteOutcome,
+};
 
 const TABLE_WAIT: Millisecond = 100;
+const LIMIT_PER_HEADROOM: Units = 16;
 
 impl Holder {
     /// Takes a row that was read after a [`Step::Read`].
@@ -71,6 +74,9 @@
             return None;
         }
         let lowered_at = self.lowered_at;
+        if !self.needs_table() {
+            return None;
+        }
         if self.must_read || self.seen.is_none() {
             return self.is_due(now, self.read_at).then(|| {
                 self.read_at = Some(now);
@@ -99,6 +105,16 @@
         self.seen = Some(Seen { row, revision });
     }
 
+    /// A holder that has nothing and wants nothing leaves the table alone.
+    fn needs_table(&self) -> bool {
+        let has_row = self.row().is_some_and(|row| row.held.keys().any(|id| self.is_mine(id)));
+        self.queued > 0 || self.held > 0 || self.in_use() > 0 || has_row
+    }
+
+    fn is_mine(&self, id: &HolderId) -> bool {
+        id.is_same_process(&self.id)
+    }
+
     fn is_due(&self, now: Moment, last: Option<Moment>) -> bool {
         last.is_none_or(|at| now.since(at) >= self.terms.write_period)
     }
@@ -116,24 +132,37 @@
         if !row.is_settled() {
             row.shrink(&self.id, self.in_use());
         } else if wanted > held {
-            row.grow(&self.id, with_headroom(wanted) - held);
-        } else if self.has_lasting_surplus(now, held, wanted) {
-            row.shrink(&self.id, with_headroom(wanted));
+            let target = with_headroom(wanted, row.limit);
+            row.grow(&self.id, target - held);
+        } else if self.has_lasting_surplus(now, held, wanted, row.limit) {
+            let keep = if wanted == 0 { 0 } else { with_headroom(wanted, row.limit) };
+            row.shrink(&self.id, keep);
         }
         let is_changed = row != seen.row;
-        let is_unconfirmed = row.held_by(&self.id) > self.held || self.title == Title::Unconfirmed;
+        let in_row = row.held_by(&self.id);
+        if !is_changed && in_row == 0 {
+            self.title = Title::Confirmed;
+        }
+        let is_unconfirmed = in_row > self.held || self.title == Title::Unconfirmed;
         if is_changed || is_unconfirmed {
             return Some((seen.revision, row));
         }
-        if !row.is_settled() {
+        if !row.is_settled() || wanted > held {
             self.must_read = true;
         }
         None
     }
 
-    /// Hysteresis: units are given back only when half as many again were unused for a while.
-    fn has_lasting_surplus(&mut self, now: Moment, held: Units, wanted: Units) -> bool {
-        if held <= with_headroom(with_headroom(wanted)) {
+    /// Hysteresis: units are given back only when more than twice the headroom was unused for a while.
+    fn has_lasting_surplus(
+        &mut self,
+        now: Moment,
+        held: Units,
+        wanted: Units,
+        limit: Units,
+    ) -> bool {
+        let enough = with_headroom(with_headroom(wanted, limit), limit);
+        if held == 0 || (wanted > 0 && held <= enough) {
             self.surplus_since = None;
             return false;
         }
@@ -142,6 +171,7 @@
     }
 }
 
-fn with_headroom(units: Units) -> Units {
-    units + units / 4
+/// Headroom of a quarter and a little of the limit lets demand grow without a write each time.
+fn with_headroom(units: Units, limit: Units) -> Units {
+    units + units / 4 + limit / LIMIT_PER_HEADROOM + 1
 }
--- a/crates/policy/src/escrow/terms.rs
+++ b/crates/policy/src/escrow/terms.rs
@@ -33,6 +33,6 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { loan: 5_000, start_by: 1_000, deadline: 30_000, write_period: 500, idle: 3_000 }
+        Self { loan: 5_000, start_by: 1_000, deadline: 30_000, write_period: 250, idle: 3_000 }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backend_state;
 pub mod claims;
 pub mod config_log;
+pub mod dispatch;
 pub mod escrow;
 pub mod jobs;
 pub mod keys;
@@ -14,5 +15,7 @@
 pub mod placement;
 pub mod planner;
 pub mod retry;
+pub mod shares;
+pub mod slots;
 pub mod spare;
 pub mod waves;
