Configuration task, audit trail and operator port

Changes are proposed to the configuration task, written as one commit with their audit record and the escrow rows of limits that they change, pushed to the peers and answered as accepted, pending, in doubt, conflict, refused or unavailable. A lost answer of the table is resolved by reading the log for the change's own id. The table is read by about one host at a time, whatever their number; hosts that are behind ask a peer, also one that starts while the table is down. An empty table gets the settings' entry hosts as its first record.

The operator port takes JSON-RPC calls with an operator's key. A change that moves nothing needs no plan there.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -1,95 +1,169 @@
-//! The configuration: read from the table and applied strictly in order.
+//! The configuration: proposed, written, spread, accepted and applied strictly in order.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+mod appends;
+mod limits;
+mod reads;
+mod spread;
+mod store;
+mod task;
+mod wire;
 
-use fuchsiamill_model::{Configuration, LogEntry, Version};
-use fuchsiamill_peer::Router;
-use fuchsiamill_platform::{Range, Result, Table};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use fuchsiamill_model::{Configuration, EntryName, Version};
+use fuchsiamill_peer::{CallReceiver, NoticeReceiver, Router, call_channel, notice_channel};
+use fuchsiamill_policy::config_log::{Conflict, Proposal};
 use monoio::time::sleep;
-use tokio::sync::watch;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot, watch};
+
+pub use appends::describe;
 
 use crate::cx::Cx;
+use task::{Message, Task};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// How a proposal ended, as far as this host knows when it answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is in force: no host serves by an older configuration.
+    Accepted(Version),
+    /// It is in the table and will be accepted; these hosts have not confirmed it yet.
+    Pending(Version, Vec<EntryName>),
+    /// The table's answer was lost. Proposing it again with the same id tells, and acts once.
+    InDoubt(String),
+    /// Another change stands in the way; nothing was written.
+    Conflict(Conflict),
+    /// The rules refuse it, with the reason and remedy; nothing was written.
+    Refused(String),
+    /// The table does not serve; nothing was written.
+    Unavailable(String),
+}
 
-const SNAPSHOT_KEY: &str = "config/snapshot";
-const LOG_PREFIX: &str = "config/log/";
-const MOST_ENTRIES: usize = 1000;
+/// What this host knows of the configuration's way through the site.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigStatus {
+    /// The version that this host has applied.
+    pub version: Version,
+    /// The newest accepted version that this host knows.
+    pub accepted: Version,
+    /// The version that each entry host on record has applied; none for those that do not answer.
+    pub hosts: BTreeMap<EntryName, Option<Version>>,
+}
 
 /// A handle to the configuration task.
 pub struct ConfigHandle {
-    tx: watch::Sender<Rc<Configuration>>,
-    log: RefCell<Vec<LogEntry>>,
+    current: watch::Sender<Rc<Configuration>>,
+    accepted: watch::Sender<Version>,
+    tx: mpsc::UnboundedSender<Message>,
+    inputs: RefCell<Option<Inputs>>,
+}
+
+struct Inputs {
+    rx: mpsc::UnboundedReceiver<Message>,
+    entries: CallReceiver,
+    version: CallReceiver,
+    since: CallReceiver,
+    seen: NoticeReceiver,
 }
 
 impl ConfigHandle {
     /// A handle whose task is not started yet.
-    pub fn new(_router: &mut Router) -> Self {
-        Self { tx: watch::channel(Rc::default()).0, log: RefCell::default() }
+    pub fn new(router: &mut Router) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut route = |method| {
+            let (tx, rx) = call_channel();
+            router.route(method, tx);
+            rx
+        };
+        let (entries, version, since) =
+            (route(wire::ENTRIES), route(wire::VERSION), route(wire::SINCE));
+        let (seen_tx, seen) = notice_channel();
+        router.route_notices(wire::SEEN, seen_tx);
+        Self {
+            current: watch::channel(Rc::default()).0,
+            accepted: watch::channel(Version::default()).0,
+            tx,
+            inputs: RefCell::new(Some(Inputs { rx, entries, version, since, seen })),
+        }
     }
 
     /// The configuration that is applied.
     pub fn current(&self) -> Rc<Configuration> {
-        self.tx.borrow().clone()
+        self.current.borrow().clone()
     }
 
     /// Follows the configuration.
     pub fn subscribe(&self) -> watch::Receiver<Rc<Configuration>> {
-        self.tx.subscribe()
-    }
-
-    /// Starts the task.
-    pub fn start(&self, cx: &Rc<Cx>) {
-        let cx = cx.clone();
-        monoio::spawn(async move {
-            let period = Duration::from_millis(cx.settings.timing.store_read_ms);
-            loop {
-                let began = cx.clock.now();
-                if cx.config.read_table(&cx).await.is_ok() {
-                    cx.cluster.table_read(began, cx.config.version());
-                }
-                sleep(period).await;
-            }
-        });
+        self.current.subscribe()
     }
 
     /// The version that is applied.
     pub fn version(&self) -> Version {
-        self.tx.borrow().version
+        self.current.borrow().version
     }
 
-    async fn read_table(&self, cx: &Cx) -> Result<()> {
-        if self.version() == Version::default() {
-            self.read_snapshot(cx).await?;
-        }
-        let start = format!("{LOG_PREFIX}{:020}", self.version().next().0);
-        let end = format!("{LOG_PREFIX}:");
-        let rows = cx.table.range(&Range { start, end, limit: MOST_ENTRIES }).await?;
-        for row in rows {
-            if let Ok(entry) = serde_json::from_value::<LogEntry>(row.value) {
-                self.apply(cx, entry);
+    /// The newest accepted version that this host knows.
+    pub fn accepted(&self) -> Version {
+        *self.accepted.borrow()
+    }
+
+    /// Proposes changes; answers within about `patience`.
+    pub async fn propose(&self, proposal: Proposal, patience: Duration) -> Outcome {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::Propose { proposal, patience, reply });
+        let ended = || Outcome::Unavailable("The entry host is shutting down; use another.".into());
+        answer.await.unwrap_or_else(|_| ended())
+    }
+
+    /// Asks every entry host for its version.
+    pub async fn status(&self) -> ConfigStatus {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.tx.send(Message::Status(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Starts the task.
+    pub fn start(&self, cx: &Rc<Cx>) {
+        let Some(inputs) = self.inputs.take() else { return };
+        let tx = &self.tx;
+        forward(inputs.entries, tx, Message::Entries);
+        forward(inputs.version, tx, Message::Version);
+        forward(inputs.since, tx, Message::Since);
+        forward(inputs.seen, tx, Message::Seen);
+        let ticks = tx.clone();
+        monoio::spawn(async move {
+            while ticks.send(Message::Tick).is_ok() {
+                sleep(TICK).await;
             }
-        }
-        Ok(())
+        });
+        monoio::spawn(follow_newer(cx.clone(), tx.clone()));
+        let task = Task::new(cx.clone(), tx.clone(), self.current.clone(), self.accepted.clone());
+        monoio::spawn(task.run(inputs.rx));
     }
+}
 
-    async fn read_snapshot(&self, cx: &Cx) -> Result<()> {
-        let rows = cx.table.get(&[SNAPSHOT_KEY.to_owned()]).await?;
-        let snapshot = rows
-            .into_iter()
-            .flatten()
-            .next()
-            .and_then(|row| serde_json::from_value(row.value).ok());
-        if let Some(snapshot) = snapshot {
-            self.tx.send_replace(Rc::new(snapshot));
+async fn follow_newer(cx: Rc<Cx>, tx: mpsc::UnboundedSender<Message>) {
+    let mut newer = cx.cluster.follow_newer();
+    while newer.changed().await.is_ok() {
+        let told = newer.borrow_and_update().clone();
+        if let Some((from, version)) = told {
+            let _ = tx.send(Message::Heard(from, version));
         }
-        Ok(())
     }
+}
 
-    fn apply(&self, cx: &Cx, entry: LogEntry) {
-        let mut next = (*self.current()).clone();
-        if next.apply(&entry).is_ok() {
-            cx.metrics.config_version.record(next.version.0, &[]);
-            self.log.borrow_mut().push(entry);
-            self.tx.send_replace(Rc::new(next));
+fn forward<T: 'static>(
+    mut rx: mpsc::UnboundedReceiver<T>,
+    tx: &mpsc::UnboundedSender<Message>,
+    wrap: fn(T) -> Message,
+) {
+    let tx = tx.clone();
+    monoio::spawn(async move {
+        while let Some(item) = rx.recv().await {
+            let _ = tx.send(wrap(item));
         }
-    }
+    });
 }
--- a/crates/daemon/src/cx.rs
+++ b/crates/daemon/src/cx.rs
@@ -7,6 +7,7 @@
 use fuchsiamill_settings::Settings;
 
 use crate::{
+    audit::AuditHandle,
     backend::{BackendHealth, Backends},
     claims::Claims,
     clock::Clock,
@@ -32,6 +33,8 @@
     pub objects: Rc<ObjectClient>,
     /// The platform's list of hosts.
     pub hosts: Rc<HostListClient>,
+    /// The audit trail.
+    pub audit: AuditHandle,
     /// The configuration task.
     pub config: ConfigHandle,
     /// The cluster task.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    audit::AuditHandle,
     backend::{BackendHealth, Backends},
     caller::{Callers, Queueing},
     claims,
@@ -22,6 +23,7 @@
     dispatch::DispatchHandle,
     health::{Health, Intake},
     metrics::Metrics,
+    operator::{self, Operators},
 };
 
 /// How long a shutdown waits for the table to take the last claims.
@@ -47,6 +49,7 @@
     intake: Rc<Cell<Intake>>,
     queueing: watch::Sender<Queueing>,
     callers: Running,
+    operators: Running,
 }
 
 struct Running {
@@ -76,6 +79,7 @@
             table,
             objects,
             hosts: Rc::new(HostListClient::new(platform.hosts, time)),
+            audit: AuditHandle::default(),
             config: ConfigHandle::new(&mut router),
             cluster: ClusterHandle::new(&settings, clock, incarnation, &mut router),
             dispatch: DispatchHandle::new(&mut router),
@@ -83,6 +87,7 @@
             health: BackendHealth::default(),
             settings,
         });
+        cx.audit.start(&cx);
         cx.config.start(&cx);
         cx.cluster.start(&cx);
         cx.dispatch.start(&cx);
@@ -100,10 +105,17 @@
             caller_bounds(&cx.settings),
             Callers::new(cx.clone(), queueing_rx),
         )?;
-        let operator = cx.settings.entry.operator;
-        let addresses =
-            Addresses { caller: callers.0, operator, peer: peer_addr, metrics: health.0 };
-        Ok(Self { cx, addresses, intake, queueing, callers: callers.1 })
+        let mut router = Router::default();
+        operator::route(&mut router).start(&cx);
+        let operators = Operators::new(cx.clone(), Rc::new(router));
+        let operator = serve(cx.settings.entry.operator, Bounds::default(), operators)?;
+        let addresses = Addresses {
+            caller: callers.0,
+            operator: operator.0,
+            peer: peer_addr,
+            metrics: health.0,
+        };
+        Ok(Self { cx, addresses, intake, queueing, callers: callers.1, operators: operator.1 })
     }
 
     /// Where it listens.
@@ -121,6 +133,7 @@
         sleep(Duration::from_millis(timing.shutdown_notice_ms)).await;
         self.queueing.send_replace(Queueing::Closed);
         self.callers.shutdown.stop();
+        self.operators.shutdown.stop();
         let longest = Duration::from_millis(timing.shutdown_ms);
         if monoio::time::timeout(longest, self.callers.task).await.is_err() {
             log::warn!("requests were still running at the end of shutdown-ms");
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of an entry host: tasks that own their sockets and state and talk by messages.
 
+pub mod audit;
 pub mod backend;
 pub mod caller;
 pub mod claims;
@@ -13,6 +14,7 @@
 pub mod health;
 pub mod logging;
 pub mod metrics;
+pub mod operator;
 pub mod run;
 pub mod signals;
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod entry;
 pub mod net;
+pub mod operator;
 pub mod standins;
 
 use std::{
--- a/crates/policy/examples/config_cost.rs
+++ b/crates/policy/examples/config_cost.rs
@@ -1,7 +1,7 @@
 //! Prints what the configuration costs at several fleet sizes: snapshot bytes, and the time to read a
 //! snapshot, to copy the configuration and to apply an entry. Run with `--release`.
 
-use std::{hint::black_box, sync::Arc, time::Instant};
+use std::{hint::black_box, rc::Rc, time::Instant};
 
 use fuchsiamill_model::{
     Change, ChangeId, Configuration, Host, HostState, LogEntry, Pool, Resources, WallTime,
@@ -35,7 +35,7 @@
     }
     let copy_us = started.elapsed().as_secs_f64() * 1e6 / 16.0;
 
-    let entries: Vec<_> = (0..ENTRIES).map(|at| Arc::new(entry(size, at))).collect();
+    let entries: Vec<_> = (0..ENTRIES).map(|at| Rc::new(entry(size, at))).collect();
     let entry_bytes = serde_json::to_string(&*entries[0]).expect("an entry is JSON").len();
 
     let mut replica = Replica::new(cfg.clone());
--- a/crates/policy/src/config_log/acceptance.rs
+++ b/crates/policy/src/config_log/acceptance.rs
@@ -132,6 +132,14 @@
         self.advance(now);
     }
 
+    /// Takes note that a version is accepted, as the host that wrote it told.
+    pub fn accept(&mut self, version: Version) {
+        while let Some(pending) = self.pending.pop_front_if(|it| it.version <= version) {
+            self.accepted = pending.version;
+            self.record = pending.record;
+        }
+    }
+
     /// Takes note that time has passed; answers the newest accepted version.
     pub fn tick(&mut self, now: Moment) -> Version {
         self.advance(now);
--- a/crates/policy/src/config_log/append.rs
+++ b/crates/policy/src/config_log/append.rs
@@ -1,6 +1,6 @@
 //! Appending one entry to the log, at most once, also when the table's answer is lost.
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use fuchsiamill_model::{
     Change, ChangeId, Error, LogEntry, OperatorName, PlanId, Version, WallTime,
@@ -42,7 +42,7 @@
     /// The head after the write.
     pub head: Head,
     /// The entry that is added.
-    pub entry: Arc<LogEntry>,
+    pub entry: Rc<LogEntry>,
 }
 
 /// Why a proposal lost against another one.
@@ -53,7 +53,7 @@
         /// What both are about.
         subject: Subject,
         /// The entry that came first.
-        by: Arc<LogEntry>,
+        by: Rc<LogEntry>,
     },
     /// The basis is so old that what changed since is no longer kept.
     TooOld {
@@ -71,7 +71,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Finish {
     /// The entry is in the log.
-    Written(Arc<LogEntry>),
+    Written(Rc<LogEntry>),
     /// Another entry stands in the way; nothing was written.
     Conflict(Conflict),
     /// The rules refuse the changes; nothing was written.
@@ -125,9 +125,9 @@
         &self.proposal
     }
 
-    /// Whether a write was sent whose outcome is not known.
-    pub fn is_in_doubt(&self) -> bool {
-        self.sent.is_some()
+    /// The version of a write that was sent and whose outcome is not known.
+    pub fn sent_version(&self) -> Option<Version> {
+        self.sent.as_ref().map(|write| write.entry.version)
     }
 
     /// The first step.
@@ -175,7 +175,7 @@
             return AppendStep::Finish(finish);
         }
         let head = Head { version: entry.version, id: Some(entry.id.clone()) };
-        let write = Write { condition: replica.version(), head, entry: Arc::new(entry) };
+        let write = Write { condition: replica.version(), head, entry: Rc::new(entry) };
         self.sent = Some(write.clone());
         AppendStep::Write(write)
     }
--- a/crates/policy/src/config_log/compaction.rs
+++ b/crates/policy/src/config_log/compaction.rs
@@ -8,14 +8,14 @@
 const LEAST_ENTRIES: u64 = 512;
 const ITEMS_PER_ENTRY: u64 = 4;
 
-/// A snapshot to write, and the log rows that may go in the same write.
+/// A snapshot to write, and the log rows that may go once it is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Compaction {
     /// The version of the snapshot.
     pub snapshot: Version,
-    /// The first log version that is removed.
-    pub remove_from: Version,
-    /// The last log version that is removed; below `remove_from` when there is none.
+    /// The version of the snapshot that it replaces.
+    pub replaces: Version,
+    /// The last log version that may be removed.
     pub remove_to: Version,
 }
 
@@ -31,7 +31,7 @@
     }
     Some(Compaction {
         snapshot: configuration.version,
-        remove_from: Version(snapshot.0.saturating_sub(KEPT_ENTRIES) + 1),
+        replaces: snapshot,
         remove_to: Version(configuration.version.0.saturating_sub(KEPT_ENTRIES)),
     })
 }
--- a/crates/policy/src/config_log/replica.rs
+++ b/crates/policy/src/config_log/replica.rs
@@ -1,6 +1,6 @@
 //! One host's copy of the configuration: applied strictly in order, never back.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::VecDeque, rc::Rc};
 
 use fuchsiamill_model::{ChangeId, Configuration, Error, LogEntry, Version};
 
@@ -23,27 +23,27 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Since {
     /// These entries, in order; none when it is up to date.
-    Entries(Vec<Arc<LogEntry>>),
+    Entries(Vec<Rc<LogEntry>>),
     /// A snapshot, as the entries after its version are no longer kept.
-    Snapshot(Arc<Configuration>),
+    Snapshot(Rc<Configuration>),
 }
 
 /// One host's copy of the configuration, with the entries that led to it.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    current: Arc<Configuration>,
-    recent: VecDeque<Arc<LogEntry>>,
+    current: Rc<Configuration>,
+    recent: VecDeque<Rc<LogEntry>>,
     heard: Version,
 }
 
 impl Replica {
     /// A replica that starts from a snapshot.
     pub fn new(snapshot: Configuration) -> Self {
-        Self { heard: snapshot.version, current: Arc::new(snapshot), recent: VecDeque::new() }
+        Self { heard: snapshot.version, current: Rc::new(snapshot), recent: VecDeque::new() }
     }
 
     /// The configuration as applied.
-    pub fn configuration(&self) -> &Arc<Configuration> {
+    pub fn configuration(&self) -> &Rc<Configuration> {
         &self.current
     }
 
@@ -68,7 +68,7 @@
     }
 
     /// Applies entries that follow the applied version; skips those already applied.
-    pub fn offer(&mut self, entries: impl IntoIterator<Item = Arc<LogEntry>>) -> Offer {
+    pub fn offer(&mut self, entries: impl IntoIterator<Item = Rc<LogEntry>>) -> Offer {
         let before = self.version();
         for entry in entries {
             self.hear(entry.version);
@@ -78,7 +78,7 @@
             if entry.version > self.version().next() {
                 return Offer::Gap(self.version());
             }
-            if let Err(e) = Arc::make_mut(&mut self.current).apply(&entry) {
+            if let Err(e) = Rc::make_mut(&mut self.current).apply(&entry) {
                 return Offer::Broken(e);
             }
             self.remember(entry);
@@ -87,7 +87,7 @@
     }
 
     /// Takes a snapshot that is newer than what is applied; an older one changes nothing.
-    pub fn install(&mut self, snapshot: Arc<Configuration>) -> Offer {
+    pub fn install(&mut self, snapshot: Rc<Configuration>) -> Offer {
         self.hear(snapshot.version);
         if snapshot.version <= self.version() {
             return Offer::Nothing;
@@ -107,18 +107,18 @@
     }
 
     /// A recent entry by its writer's id.
-    pub fn find(&self, id: &ChangeId) -> Option<&Arc<LogEntry>> {
+    pub fn find(&self, id: &ChangeId) -> Option<&Rc<LogEntry>> {
         self.recent.iter().rev().find(|entry| &entry.id == id)
     }
 
     /// The entries after a version, or none when they are no longer all kept.
-    pub fn entries_after(&self, version: Version) -> Option<impl Iterator<Item = &Arc<LogEntry>>> {
+    pub fn entries_after(&self, version: Version) -> Option<impl Iterator<Item = &Rc<LogEntry>>> {
         let missing = self.version().0.saturating_sub(version.0) as usize;
         let from = self.recent.len().checked_sub(missing)?;
         Some(self.recent.range(from..))
     }
 
-    fn remember(&mut self, entry: Arc<LogEntry>) {
+    fn remember(&mut self, entry: Rc<LogEntry>) {
         if self.recent.len() == RECENT_ENTRIES {
             self.recent.pop_front();
         }
--- a/crates/policy/tests/log_append.rs
+++ b/crates/policy/tests/log_append.rs
@@ -1,6 +1,6 @@
 //! Writers race on the log while the table loses, delays and drops their writes and answers.
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use fastrand::Rng;
 use fuchsiamill_model::{
@@ -17,7 +17,7 @@
 
 #[derive(Default)]
 struct Table {
-    log: Vec<Arc<LogEntry>>,
+    log: Vec<Rc<LogEntry>>,
     delayed: Vec<Write>,
 }
 
@@ -152,12 +152,12 @@
         .quickcheck(each_proposal_is_written_as_told as fn(u64) -> bool);
 }
 
-fn entries(count: u64) -> Vec<Arc<LogEntry>> {
+fn entries(count: u64) -> Vec<Rc<LogEntry>> {
     let mut rng = Rng::with_seed(3);
     let entry = |version| {
         let mut team = team(&mut rng);
         team.share = 1 + version as u32;
-        Arc::new(LogEntry {
+        Rc::new(LogEntry {
             version: Version(version),
             id: ChangeId(format!("c{version}")),
             who: "mei".try_into().expect("a valid name"),
@@ -173,7 +173,7 @@
 fn replica_follows_the_log(seed: u64) -> bool {
     let mut rng = Rng::with_seed(seed);
     let entries = entries(40);
-    let mut states = vec![Arc::new(Configuration::default())];
+    let mut states = vec![Rc::new(Configuration::default())];
     let mut reference = Replica::default();
     for entry in &entries {
         reference.offer([entry.clone()]);
