--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -78,7 +78,10 @@
     /// An exchange with a host's backend server ended.
     pub fn record(&self, cx: &Cx, pool: &PoolName, host: &HostName, report: &Report) {
         let now = cx.clock.now();
-        if let Some(said) = report.said {
+        // A server that refuses work is no witness of its own serving.
+        let said =
+            report.said.filter(|it| *it == Said::Leaving || report.ending != Ending::Refused);
+        if let Some(said) = said {
             self.change_state(cx, host, |it| it.answered(now, said));
         }
         let ending = match report.ending {
