Stand-ins of a whole site in one place

Cause: the test builder and the quick start need the same site; the test builder held its own copy of hosts, teams and threads.

standin::site starts the stand-ins on threads, makes the configuration and writes it; pools may have budgets.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -9,7 +9,6 @@
 pub mod entry;
 pub mod net;
 pub mod operator;
-pub mod standins;
 
 use std::{
     collections::BTreeMap,
@@ -19,32 +18,24 @@
 
 use fuchsiamill_http::{Request, Response};
 use fuchsiamill_model::{
-    Configuration, EntryName, Host, HostName, HostState, Key, KeyDigest, KeyId, Pool, PoolName,
-    Resources, Service, Slots, Team, Units, Version,
-    config::{Access, PoolRole},
-    team::Urgency,
+    Configuration, EntryName, KeyDigest, Pool, PoolName, Slots, Team, Units, config::PoolRole,
 };
 use fuchsiamill_standin::{
     admin::{BackendMode, PlatformFault, Route, RouteFault, SetMode, SetRouteFault},
     record::{BackendRecord, PlatformRecord},
+    site::{DATA_CENTRES, PoolPlan, Standins, team},
 };
 
 pub use entry::EntryProcess;
 use net::LoopbackNet;
-use standins::Standins;
 
 /// The longest that a test waits for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-const SLOTS: Slots = 8;
-const CONNECTIONS: u32 = 64;
-const HOSTS_PER_RACK: usize = 4;
-const DATA_CENTRES: usize = 3;
-
 /// What a site is made of, before it starts.
 pub struct SiteBuilder {
     entry_hosts: usize,
-    pools: Vec<(String, usize, PoolRole)>,
+    pools: Vec<PoolPlan>,
     teams: Vec<Team>,
     work_ms: u64,
     settings: BTreeMap<String, String>,
@@ -113,7 +104,7 @@
 
     /// Sets how the backend server of one host behaves.
     pub fn backend_mode(&self, host: &str, mode: BackendMode) {
-        let server = self.standins.server_of(host);
+        let server = self.standins.server_of(host).expect("a host of the site");
         net::post::<_, ()>(self.standins.backends, "/mode", &SetMode { server, mode });
     }
 
@@ -148,20 +139,32 @@
 
 impl SiteBuilder {
     /// Adds a pool of so many hosts that serves a service of the same name.
-    pub fn pool(mut self, name: &str, hosts: usize) -> Self {
-        self.pools.push((name.into(), hosts, PoolRole::Serving));
-        self
+    pub fn pool(self, name: &str, hosts: usize) -> Self {
+        self.pool_with_budget(name, hosts, 0, u32::MAX)
+    }
+
+    /// Adds a pool with an availability budget: the least serving slots and the most hosts out in
+    /// one data centre.
+    pub fn pool_with_budget(self, name: &str, hosts: usize, least: Slots, most_out: u32) -> Self {
+        self.add_pool(name, hosts, PoolRole::Serving, (least, most_out))
     }
 
     /// Adds a spare pool of so many hosts.
-    pub fn spare(mut self, name: &str, hosts: usize) -> Self {
-        self.pools.push((name.into(), hosts, PoolRole::Spare));
+    pub fn spare(self, name: &str, hosts: usize) -> Self {
+        self.add_pool(name, hosts, PoolRole::Spare, (0, u32::MAX))
+    }
+
+    fn add_pool(mut self, name: &str, hosts: usize, role: PoolRole, budget: (Slots, u32)) -> Self {
+        let name = PoolName::try_from(name).expect("a name");
+        let (least_serving, most_out_per_domain) = budget;
+        let pool = Pool { name, role, least_serving, most_out_per_domain };
+        self.pools.push(PoolPlan { pool, hosts });
         self
     }
 
     /// Adds a team whose key is its name followed by `-key`.
     pub fn team(mut self, name: &str, upper_limit: Units) -> Self {
-        self.teams.push(team(name, upper_limit));
+        self.teams.push(team(name, upper_limit).expect("a team"));
         self
     }
 
@@ -193,11 +196,15 @@
     /// Like [`SiteBuilder::start`], without waiting for the entry hosts to be ready.
     pub fn start_without_waiting(self) -> Site {
         let net = LoopbackNet::new();
-        let hosts: usize = self.pools.iter().map(|(_, hosts, _)| hosts).sum();
-        let mut standins = Standins::start(&net, hosts, SLOTS, self.work_ms);
+        let hosts = self.pools.iter().map(|it| it.hosts).sum();
+        let work = Duration::from_millis(self.work_ms);
+        let standins = Standins::start(net.any(), hosts, work).expect("the stand-ins start");
         let peers: Vec<SocketAddr> = (0..self.entry_hosts).map(|_| net.free()).collect();
-        let config = self.configuration(&mut standins, &peers);
-        standins.seed(&config);
+        let named: Vec<_> =
+            peers.iter().enumerate().map(|(it, peer)| (entry_id(it), *peer)).collect();
+        let config =
+            standins.configuration(&self.pools, &self.teams, &named).expect("a configuration");
+        standins.seed(&config).expect("an empty table");
         let routes = self.open_routes(&standins, &net, &peers);
         let entries = (0..self.entry_hosts)
             .map(|index| self.entry(index, &net, &standins, &peers, &routes))
@@ -205,44 +212,6 @@
         Site { entries, config, standins, routes }
     }
 
-    fn configuration(&self, standins: &mut Standins, peers: &[SocketAddr]) -> Configuration {
-        let mut config =
-            Configuration { version: Version(1), entry_version: Version(1), ..Default::default() };
-        let mut index = 0;
-        for (name, hosts, role) in &self.pools {
-            let pool = PoolName::try_from(name.as_str()).unwrap();
-            for _ in 0..*hosts {
-                let host = standins.host(index, &pool);
-                config.hosts.insert(host.name.clone(), host);
-                index += 1;
-            }
-            let budget = Pool {
-                name: pool.clone(),
-                role: *role,
-                least_serving: 0,
-                most_out_per_domain: u32::MAX,
-            };
-            config.pools.insert(pool.clone(), budget);
-            if *role == PoolRole::Serving {
-                let service = Service {
-                    name: name.as_str().try_into().unwrap(),
-                    pool,
-                    access: Access::Teams,
-                };
-                config.services.insert(service.name.clone(), service);
-            }
-        }
-        for team in &self.teams {
-            let key = key_of(team);
-            config.keys.insert(key.id.clone(), key);
-            config.teams.insert(team.name.clone(), team.clone());
-        }
-        for (index, peer) in peers.iter().enumerate() {
-            config.entry_hosts.insert(EntryName::try_from(entry_name(index)).unwrap(), *peer);
-        }
-        config
-    }
-
     fn open_routes(
         &self,
         standins: &Standins,
@@ -306,39 +275,9 @@
     format!("entry-{index}")
 }
 
-/// A team with a share of 1.
-pub fn team(name: &str, upper_limit: Units) -> Team {
-    Team {
-        name: name.try_into().unwrap(),
-        share: 1,
-        upper_limit,
-        queue: 1000,
-        urgent: Urgency::Normal,
-    }
-}
-
-/// The key of a team: its name followed by `-key`.
-pub fn key_of(team: &Team) -> Key {
-    let id = KeyId::try_from(format!("{}-1", team.name)).unwrap();
-    Key { id, team: team.name.clone(), digest: KeyDigest::of(&format!("{}-key", team.name)) }
-}
-
-/// A host of the site; four to a rack, racks in turn over three data centres.
-pub fn host(index: usize, pool: &PoolName, backend: SocketAddr, worker: SocketAddr) -> Host {
-    let rack = index / HOSTS_PER_RACK;
-    Host {
-        name: HostName::try_from(format!("host-{index}")).unwrap(),
-        pool: pool.clone(),
-        rack: format!("rack-{rack}").try_into().unwrap(),
-        data_centre: format!("dc-{}", rack % DATA_CENTRES).try_into().unwrap(),
-        region: "north".try_into().unwrap(),
-        backend,
-        worker,
-        slots: SLOTS,
-        connections: CONNECTIONS,
-        resources: Resources { millicores: 16_000, memory_mib: 32 * 1024, accelerators: 0 },
-        state: HostState::Serving,
-    }
+/// The checked name of the entry host with this index.
+pub fn entry_id(index: usize) -> EntryName {
+    EntryName::try_from(entry_name(index)).expect("a name")
 }
 
 /// Waits until `condition` holds; panics with `what` when it does not within [`PATIENCE`].
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod record;
 pub mod reply;
 pub mod run;
+pub mod site;
 pub mod worker;
