Operator calls: their types in a crate that the daemon and the command line share

The types of calls and results stood in the daemon, so the command line would have had to repeat them or depend on the whole daemon. They move to the crate api unchanged; plans get theirs there too.

--- a/crates/daemon/src/audit/record.rs
+++ b/crates/api/src/audit.rs
@@ -1,11 +1,8 @@
-//! What the audit trail records.
+//! Records of the audit trail, and which of them to list.
 
-use fuchsiamill_model::{ChangeId, LogEntry, OperatorName, PlanId, Version, WallTime};
+use fuchsiamill_model::{ChangeId, OperatorName, PlanId, Version, WallTime};
 use serde::{Deserialize, Serialize};
 
-/// The prefix of every audit row.
-pub const AUDIT_PREFIX: &str = "audit/";
-
 /// How an intent ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -57,29 +54,32 @@
     pub reason: String,
 }
 
-impl AuditRecord {
-    /// The record of an entry that is written.
-    pub fn of(entry: &LogEntry) -> Self {
-        Self {
-            at: entry.at,
-            id: entry.id.clone(),
-            who: entry.who.clone(),
-            intent: entry.intent.clone(),
-            plan: entry.plan.clone(),
-            before: Version(entry.version.0 - 1),
-            after: entry.version,
-            outcome: AuditOutcome::Written,
-            reason: String::new(),
-        }
-    }
-
-    /// The key of its row; keys sort by time.
-    pub fn key(&self) -> String {
-        format!("{}-{}", start_of(self.at), self.id.0)
-    }
+/// Which records to list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AuditFilter {
+    /// The first time.
+    pub since: WallTime,
+    /// The first time after the range; none for no end.
+    pub until: Option<WallTime>,
+    /// Only of this operator.
+    pub who: Option<OperatorName>,
+    /// Only of this plan.
+    pub plan: Option<PlanId>,
+    /// Only with this outcome.
+    pub outcome: Option<AuditOutcome>,
+    /// Only with this text in the intent.
+    pub intent: Option<String>,
+    /// The most records, the latest ones; none for all.
+    pub limit: Option<usize>,
 }
 
-/// The first key at or after a time.
-pub fn start_of(at: WallTime) -> String {
-    format!("{AUDIT_PREFIX}{:020}", at.0)
+impl AuditFilter {
+    /// Whether a record is listed.
+    pub fn takes(&self, record: &AuditRecord) -> bool {
+        self.who.as_ref().is_none_or(|who| *who == record.who)
+            && self.plan.as_ref().is_none_or(|plan| Some(plan) == record.plan.as_ref())
+            && self.outcome.is_none_or(|outcome| outcome == record.outcome)
+            && self.intent.as_ref().is_none_or(|text| record.intent.contains(text.as_str()))
+    }
 }
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,15 @@
+//! What the calls of the operator port take and give, shared by the daemon and the command line.
+
+pub mod audit;
+pub mod change;
+pub mod catalogue;
+pub mod plans;
+pub mod report;
+
+pub use audit::{AuditFilter, AuditOutcome, AuditRecord};
+pub use catalogue::{Catalogue, HostFilter};
+pub use change::{ChangeReport, ChangeRequest};
+pub use plans::{
+    Acceptance, Confirmed, PlanRef, PlanReport, PlanView, Reason, SetPlanState, Stage,
+};
+pub use report::{BudgetReport, ConfigStatus, SiteReport, SiteStatus, TeamReport};
--- a/crates/daemon/src/audit/mod.rs
+++ b/crates/daemon/src/audit/mod.rs
@@ -3,17 +3,18 @@
 //! The record of a change is written in the same commit as the change. Records of refused and
 //! cancelled intents are written on their own and tried again until the table takes them.
 
-mod record;
+mod rows;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{OperatorName, PlanId, WallTime};
+use fuchsiamill_api::{AuditFilter, AuditRecord};
 use fuchsiamill_platform::{Commit, Range, Result, Table};
 use monoio::time::sleep;
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-pub use record::{AUDIT_PREFIX, AuditOutcome, AuditRecord, start_of};
+pub use rows::{key_of, record_of};
+
+use rows::{AUDIT_PREFIX, start_of};
 
 use crate::cx::Cx;
 
@@ -21,35 +22,6 @@
 const PAGE_ROWS: usize = 500;
 const RETRY_TIME: Duration = Duration::from_millis(500);
 
-/// Which records to list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct AuditFilter {
-    /// The first time.
-    pub since: WallTime,
-    /// The first time after the range; none for no end.
-    pub until: Option<WallTime>,
-    /// Only of this operator.
-    pub who: Option<OperatorName>,
-    /// Only of this plan.
-    pub plan: Option<PlanId>,
-    /// Only with this outcome.
-    pub outcome: Option<AuditOutcome>,
-    /// Only with this text in the intent.
-    pub intent: Option<String>,
-    /// The most records, the latest ones; none for all.
-    pub limit: Option<usize>,
-}
-
-impl AuditFilter {
-    fn takes(&self, record: &AuditRecord) -> bool {
-        self.who.as_ref().is_none_or(|who| *who == record.who)
-            && self.plan.as_ref().is_none_or(|plan| Some(plan) == record.plan.as_ref())
-            && self.outcome.is_none_or(|outcome| outcome == record.outcome)
-            && self.intent.as_ref().is_none_or(|text| record.intent.contains(text.as_str()))
-    }
-}
-
 /// A handle to the task that writes records of what changed nothing.
 pub struct AuditHandle {
     tx: mpsc::Sender<AuditRecord>,
@@ -103,7 +75,7 @@
 
 async fn write_records(cx: Rc<Cx>, mut rx: mpsc::Receiver<AuditRecord>) {
     while let Some(record) = rx.recv().await {
-        let commit = Commit::default().absent(record.key()).put(record.key(), &record);
+        let commit = Commit::default().absent(key_of(&record)).put(key_of(&record), &record);
         while cx.table.commit(&commit).await.is_err() {
             cx.metrics.event("audit_write_retries");
             sleep(RETRY_TIME).await;
--- a/crates/daemon/src/config/appends.rs
+++ b/crates/daemon/src/config/appends.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
+use fuchsiamill_api::{AuditOutcome, AuditRecord};
 use fuchsiamill_model::{ChangeId, LogEntry, Moment, Version};
 use fuchsiamill_platform::Result;
 use fuchsiamill_policy::config_log::{
@@ -17,7 +18,6 @@
     task::{Message, Task},
     wire::Seen,
 };
-use crate::audit::{AuditOutcome, AuditRecord};
 
 /// What came of a step of an append.
 pub enum Stored {
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -8,13 +8,13 @@
 mod task;
 mod wire;
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use fuchsiamill_api::ConfigStatus;
 use fuchsiamill_model::{Configuration, EntryName, Version};
 use fuchsiamill_peer::{CallReceiver, NoticeReceiver, Router, call_channel, notice_channel};
 use fuchsiamill_policy::config_log::{Conflict, Proposal};
 use monoio::time::sleep;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot, watch};
 
 pub use appends::describe;
@@ -41,18 +41,6 @@
     Unavailable(String),
 }
 
-/// What this host knows of the configuration's way through the site.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ConfigStatus {
-    /// The version that this host has applied.
-    pub version: Version,
-    /// The newest accepted version that this host knows.
-    pub accepted: Version,
-    /// The version that each entry host on record has applied; none for those that do not answer.
-    pub hosts: BTreeMap<EntryName, Option<Version>>,
-}
-
 /// A handle to the configuration task.
 pub struct ConfigHandle {
     current: watch::Sender<Rc<Configuration>>,
--- a/crates/daemon/src/config/spread.rs
+++ b/crates/daemon/src/config/spread.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use fuchsiamill_api::ConfigStatus;
 use fuchsiamill_model::{Configuration, EntryName, LogEntry, Moment, Version};
 use fuchsiamill_platform::RowVersion;
 use fuchsiamill_policy::config_log::{Since, Told};
@@ -9,7 +10,6 @@
 use tokio::sync::oneshot;
 
 use super::{
-    ConfigStatus,
     store::HeadRow,
     task::{Message, Task},
     wire::{AskVersion, ENTRIES, Entries, Known, News, SEEN, Seen, VERSION},
--- a/crates/daemon/src/config/store.rs
+++ b/crates/daemon/src/config/store.rs
@@ -9,7 +9,7 @@
 };
 use serde::de::DeserializeOwned;
 
-use crate::audit::AuditRecord;
+use crate::audit::{key_of, record_of};
 
 const MOST_ENTRIES: usize = 1_000;
 const ENTRIES_PER_DELETE: usize = 500;
@@ -117,13 +117,13 @@
         HeadRow::At(version) => Some(version),
         HeadRow::Absent | HeadRow::Unknown => None,
     };
-    let record = AuditRecord::of(&write.entry);
+    let record = record_of(&write.entry);
     Commit::default()
         .at(HEAD_KEY, row)
         .absent(log_key(write.entry.version))
         .put(HEAD_KEY, &write.head)
         .put(log_key(write.entry.version), &*write.entry)
-        .put(record.key(), &record)
+        .put(key_of(&record), &record)
 }
 
 /// What the outcome of a commit means for an append, with the head's new row.
--- a/crates/daemon/src/config/task.rs
+++ b/crates/daemon/src/config/task.rs
@@ -2,13 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
+use fuchsiamill_api::ConfigStatus;
 use fuchsiamill_model::{Configuration, EntryName, Moment, Version};
 use fuchsiamill_peer::{Call, Notice};
 use fuchsiamill_policy::config_log::{Acceptance, Offer, Proposal, Replica, Told};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
-    ConfigStatus, Outcome,
+    Outcome,
     appends::{Appends, Stored},
     reads::Reads,
     spread,
--- a/crates/daemon/src/operator/methods.rs
+++ b/crates/daemon/src/operator/methods.rs
@@ -2,130 +2,22 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{
-    Change, ChangeId, EntryName, Host, HostState, Key, Pool, PoolName, RackName, Service, Team,
-    Version,
+use fuchsiamill_api::{
+    AuditFilter, Catalogue, ChangeReport, ChangeRequest, HostFilter, SiteStatus,
 };
+use fuchsiamill_model::{Change, Host};
 use fuchsiamill_peer::{Call, CallReceiver, Failure, Router, call_channel, router::Reply};
 use fuchsiamill_policy::config_log::{Basis, Proposal};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 
-use super::{
-    Asked,
-    report::{SiteReport, SiteStatus},
-};
+use super::{Asked, report::report};
 use crate::{
-    audit::AuditFilter,
     config::{Outcome, describe},
     cx::Cx,
 };
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// Which hosts to list.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct HostFilter {
-    /// Only of this pool.
-    pub pool: Option<PoolName>,
-    /// Only in this rack.
-    pub rack: Option<RackName>,
-    /// Only in this state.
-    pub state: Option<HostState>,
-}
-
-impl HostFilter {
-    fn takes(&self, host: &Host) -> bool {
-        self.pool.as_ref().is_none_or(|pool| *pool == host.pool)
-            && self.rack.as_ref().is_none_or(|rack| *rack == host.rack)
-            && self.state.is_none_or(|state| state == host.state)
-    }
-}
-
-/// Everything that is listed by name, without the hosts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Catalogue {
-    /// The version of the configuration.
-    pub version: Version,
-    /// The pools.
-    pub pools: Vec<Pool>,
-    /// The services.
-    pub services: Vec<Service>,
-    /// The teams.
-    pub teams: Vec<Team>,
-    /// The keys in force; digests only.
-    pub keys: Vec<Key>,
-    /// The entry hosts on record.
-    pub entry_hosts: BTreeMap<EntryName, std::net::SocketAddr>,
-}
-
-/// A change that moves nothing, by a program that keeps teams and keys in step with another system.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ChangeRequest {
-    /// The caller's own id; the same id acts once.
-    pub id: ChangeId,
-    /// What is wanted, in words.
-    pub intent: String,
-    /// The version since which the things changed must be untouched; none when that is all the same.
-    #[serde(default)]
-    pub basis: Option<Version>,
-    /// The changes, all in force together or not at all.
-    pub changes: Vec<Change>,
-}
-
-/// What came of a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "outcome", rename_all = "kebab-case", deny_unknown_fields)]
-pub enum ChangeReport {
-    /// It is in force.
-    Accepted {
-        /// The version.
-        version: Version,
-    },
-    /// It is in the table and will be in force; these hosts have not confirmed it.
-    Pending {
-        /// The version.
-        version: Version,
-        /// The hosts.
-        waiting: Vec<EntryName>,
-    },
-    /// The answer of the table was lost; the same id asked again tells.
-    InDoubt {
-        /// The cause and remedy.
-        detail: String,
-    },
-    /// Another change stands in the way; nothing was changed.
-    Conflict {
-        /// By whom, what, and the remedy.
-        detail: String,
-    },
-    /// It is refused; nothing was changed.
-    Refused {
-        /// The reason and remedy.
-        detail: String,
-    },
-    /// The table does not serve; nothing was changed.
-    Unavailable {
-        /// The cause and remedy.
-        detail: String,
-    },
-}
-
-impl From<Outcome> for ChangeReport {
-    fn from(outcome: Outcome) -> Self {
-        match outcome {
-            Outcome::Accepted(version) => Self::Accepted { version },
-            Outcome::Pending(version, waiting) => Self::Pending { version, waiting },
-            Outcome::InDoubt(detail) => Self::InDoubt { detail },
-            Outcome::Conflict(conflict) => Self::Conflict { detail: describe(&conflict) },
-            Outcome::Refused(detail) => Self::Refused { detail },
-            Outcome::Unavailable(detail) => Self::Unavailable { detail },
-        }
-    }
-}
-
 /// The calls of this module, before its task is started.
 pub struct Inputs {
     status: CallReceiver,
@@ -157,7 +49,7 @@
     /// Starts to answer.
     pub fn start(self, cx: &Rc<Cx>) {
         answer(self.status, cx, async |cx, _: Asked<()>| Ok(status(&cx).await));
-        answer(self.report, cx, async |cx, _: Asked<()>| Ok(SiteReport::of(&cx.config.current())));
+        answer(self.report, cx, async |cx, _: Asked<()>| Ok(report(&cx.config.current())));
         answer(self.hosts, cx, async |cx, asked: Asked<HostFilter>| Ok(hosts(&cx, &asked.params)));
         answer(self.catalogue, cx, async |cx, _: Asked<()>| Ok(catalogue(&cx)));
         answer(self.audit, cx, async |cx, asked: Asked<AuditFilter>| {
@@ -168,7 +60,8 @@
     }
 }
 
-fn answer<T, R, F>(mut rx: CallReceiver, cx: &Rc<Cx>, respond: F)
+/// Answers every call of a method with what `respond` makes of its parameters.
+pub fn answer<T, R, F>(mut rx: CallReceiver, cx: &Rc<Cx>, respond: F)
 where
     T: DeserializeOwned + 'static,
     R: Serialize + 'static,
@@ -195,6 +88,17 @@
     }
 }
 
+fn change_report(outcome: Outcome) -> ChangeReport {
+    match outcome {
+        Outcome::Accepted(version) => ChangeReport::Accepted { version },
+        Outcome::Pending(version, waiting) => ChangeReport::Pending { version, waiting },
+        Outcome::InDoubt(detail) => ChangeReport::InDoubt { detail },
+        Outcome::Conflict(conflict) => ChangeReport::Conflict { detail: describe(&conflict) },
+        Outcome::Refused(detail) => ChangeReport::Refused { detail },
+        Outcome::Unavailable(detail) => ChangeReport::Unavailable { detail },
+    }
+}
+
 async fn status(cx: &Cx) -> SiteStatus {
     let cfg = cx.config.current();
     let mut hosts = BTreeMap::new();
@@ -249,7 +153,7 @@
         basis: params.basis.map_or(Basis::Newest, Basis::At),
         changes: params.changes,
     };
-    Ok(cx.config.propose(proposal, PATIENCE).await.into())
+    Ok(change_report(cx.config.propose(proposal, PATIENCE).await))
 }
 
 fn moves_hosts(change: &Change) -> bool {
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -14,8 +14,7 @@
 
 use crate::cx::Cx;
 
-pub use methods::{Catalogue, ChangeReport, ChangeRequest, HostFilter, Inputs, route};
-pub use report::{BudgetReport, SiteReport, SiteStatus, TeamReport};
+pub use methods::{Inputs, answer, route};
 
 const PATH: &str = "/rpc";
 const BAD_REQUEST_CODE: i32 = -32600;
--- a/crates/daemon/tests/common/operator.rs
+++ b/crates/daemon/tests/common/operator.rs
@@ -2,10 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use fuchsiamill_daemon::{
-    operator::{ChangeReport, ChangeRequest, SiteStatus},
-    run::block_on,
-};
+use fuchsiamill_api::{ChangeReport, ChangeRequest, SiteStatus};
+use fuchsiamill_daemon::run::block_on;
 use fuchsiamill_http::{Bounds, JsonClient, json::CallError};
 use fuchsiamill_model::{Change, ChangeId, Version};
 use serde::{Serialize, de::DeserializeOwned};
--- a/crates/daemon/tests/config_changes.rs
+++ b/crates/daemon/tests/config_changes.rs
@@ -3,10 +3,7 @@
 mod common;
 
 use common::{Site, operator, wait_until};
-use fuchsiamill_daemon::{
-    audit::{AuditFilter, AuditOutcome, AuditRecord},
-    operator::{Catalogue, ChangeReport},
-};
+use fuchsiamill_api::{AuditFilter, AuditOutcome, AuditRecord, Catalogue, ChangeReport};
 use fuchsiamill_model::{Change, Version};
 use fuchsiamill_platform::{Range, Row};
 use fuchsiamill_standin::admin::PlatformFault;
