Policy: a late read never brings an ended job back

Cause: a read of the pool's rows that began before a job ended could put the ended job in again and start it. Change: the scheduler knows which reads are under way and skips what ended meanwhile and older versions.

--- a/crates/policy/src/jobs/queue.rs
+++ b/crates/policy/src/jobs/queue.rs
@@ -43,6 +43,12 @@
         self.waiting.is_empty()
     }
 
+    /// The teams that have waiting jobs.
+    pub fn teams(&self) -> Vec<TeamName> {
+        let waits = |jobs: &VecDeque<JobId>| jobs.iter().any(|it| self.waiting.contains(it));
+        self.teams.iter().filter(|(_, jobs)| waits(jobs)).map(|(team, _)| team.clone()).collect()
+    }
+
     /// The first `most` waiting jobs of a team.
     pub fn front(&mut self, team: &TeamName, most: usize) -> Vec<JobId> {
         let Some(jobs) = self.teams.get_mut(team) else { return Vec::new() };
--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -7,8 +7,8 @@
 mod starts;
 
 use fuchsiamill_model::{
-    FastMap, Host, HostName, HostState, JobId, JobKind, Millisecond, Moment, PoolName, Resources,
-    TeamName, Units,
+    FastMap, FastSet, Host, HostName, HostState, JobId, JobKind, Millisecond, Moment, PoolName,
+    Resources, TeamName, Units,
     task::{Fence, TaskId, Usage},
 };
 
@@ -105,6 +105,8 @@
     sizes: Sizes,
     awaiting_usage: FastMap<TaskId, (TeamName, JobKind)>,
     health: Health,
+    known_before_read: FastSet<JobId>,
+    ended_in_read: FastSet<JobId>,
 }
 
 impl Scheduler {
@@ -124,6 +126,8 @@
             sizes: Sizes::default(),
             awaiting_usage: FastMap::default(),
             health: Health::default(),
+            known_before_read: FastSet::default(),
+            ended_in_read: FastSet::default(),
         }
     }
 
@@ -173,27 +177,50 @@
         self.hosts.values()
     }
 
-    /// Puts in a row as read from the table. A row that is being written is left alone.
-    pub fn put(&mut self, row: JobRow, version: u64) {
+    /// Notes that a read of the pool's rows begins. One read is under way at a time.
+    pub fn begin_read(&mut self) {
+        self.known_before_read = self.entries.keys().cloned().collect();
+        self.ended_in_read.clear();
+    }
+
+    /// Takes in all rows of the pool, as the read gave them with their versions.
+    pub fn end_read(&mut self, rows: Vec<(JobRow, u64)>) {
+        let mut gone = std::mem::take(&mut self.known_before_read);
+        for (row, version) in rows {
+            gone.remove(&row.core.id);
+            self.put(row, version);
+        }
+        for job in gone {
+            self.drop_job(&job);
+        }
+    }
+
+    /// Takes in some rows of the pool, as the read gave them with their versions.
+    pub fn end_partial_read(&mut self, rows: Vec<(JobRow, u64)>) {
+        self.known_before_read.clear();
+        for (row, version) in rows {
+            self.put(row, version);
+        }
+    }
+
+    /// Puts in a row, unless it is older than what is known or is being written.
+    fn put(&mut self, row: JobRow, version: u64) {
         let job = row.core.id.clone();
+        if self.ended_in_read.contains(&job) {
+            return;
+        }
         match self.entries.get(&job) {
-            Some(entry) if entry.pending.is_some() || entry.version == version => (),
+            Some(entry) if entry.pending.is_some() || entry.version >= version => (),
             Some(_) => self.replace(row, version),
             None => self.insert(row, version),
         }
     }
 
-    /// The jobs known here, to be compared with the rows of the table.
-    pub fn known(&self) -> impl Iterator<Item = &JobId> {
-        self.entries.keys()
-    }
-
     /// Drops a job whose row is gone.
-    pub fn drop_job(&mut self, job: &JobId) {
-        if self.is_pending(job) {
-            return;
+    fn drop_job(&mut self, job: &JobId) {
+        if !self.is_pending(job) {
+            self.remove(job);
         }
-        self.remove(job);
     }
 
     /// The proposed row was written and has this version.
@@ -203,6 +230,7 @@
         let before = entry.row.clone();
         self.release_if_held(job, &before, &row);
         if matches!(row.stage, Stage::Ended(_)) {
+            self.ended_in_read.insert(job.clone());
             self.remove(job);
             return;
         }
@@ -218,7 +246,7 @@
 
     /// The proposed row was not written and never will be: a row that it is conditional on has a newer version.
     ///
-    /// The job's row is to be read and put in again. A write whose fate is not known stays pending.
+    /// The job's row is to be read again. A write whose fate is not known stays pending.
     pub fn rejected(&mut self, job: &JobId) {
         let Some(entry) = self.entries.get_mut(job) else { return };
         let Some(row) = entry.pending.take() else { return };
@@ -232,6 +260,23 @@
         }
     }
 
+    /// The proposed row was overtaken by someone else's write, or by the deletion of the row.
+    pub fn overtaken(&mut self, job: &JobId, now: Option<(JobRow, u64)>) {
+        self.rejected(job);
+        match now {
+            Some((row, version)) => self.put(row, version),
+            None => {
+                self.ended_in_read.insert(job.clone());
+                self.remove(job);
+            }
+        }
+    }
+
+    /// The teams that have waiting jobs.
+    pub fn waiting_teams(&self) -> Vec<TeamName> {
+        self.queue.teams()
+    }
+
     fn insert(&mut self, row: JobRow, version: u64) {
         let job = row.core.id.clone();
         let team = row.core.team.clone();
--- a/crates/policy/tests/job_cycle.rs
+++ b/crates/policy/tests/job_cycle.rs
@@ -62,6 +62,7 @@
     late_orders: Vec<(usize, WorkerSync)>,
     late_writes: Vec<(Fence, Proposal)>,
     again: Vec<Proposal>,
+    read: Option<Vec<(JobRow, u64)>>,
     boots: u64,
 }
 
@@ -88,6 +89,7 @@
             late_orders: Vec::new(),
             late_writes: Vec::new(),
             again: Vec::new(),
+            read: None,
             boots: HOSTS as u64,
         }
     }
@@ -203,17 +205,22 @@
                     self.owner.rejected(&job);
                 }
                 Resolution::Unchanged => self.again.push(proposal),
-                Resolution::Overtaken => self.owner.rejected(&job),
+                Resolution::Overtaken => {
+                    self.owner.overtaken(&job, self.rows.get(&job).cloned());
+                }
             }
         }
     }
 
+    /// Ends the read that is under way, with rows as they were when it began, and begins the next.
     fn refresh(&mut self) {
-        let gone: Vec<JobId> =
-            self.owner.known().filter(|it| !self.rows.contains_key(*it)).cloned().collect();
-        gone.iter().for_each(|it| self.owner.drop_job(it));
-        for (row, version) in self.rows.values() {
-            self.owner.put(row.clone(), *version);
+        if let Some(rows) = self.read.take() {
+            self.owner.end_read(rows);
+        }
+        self.owner.begin_read();
+        self.read = Some(self.rows.values().cloned().collect());
+        if self.faults == Faults::Off {
+            self.owner.end_read(self.read.take().unwrap());
         }
     }
 
@@ -266,11 +273,13 @@
 
     fn take_over(&mut self) {
         self.again.clear();
+        self.read = None;
         self.fence = Fence(self.fence.0 + 1);
         let pool = self.owner.pool().clone();
         self.owner = Scheduler::new(pool, self.fence, TIMING, Moment(self.now));
         self.owner.set_hosts(self.hosts.iter());
-        self.refresh();
+        self.owner.begin_read();
+        self.owner.end_read(self.rows.values().cloned().collect());
     }
 
     fn restart_worker(&mut self, n: usize) {
