Jobs: accepted in batches, scheduled by their pool's owner, run by workers

Cause: accepted jobs must be placed, finished or truthfully refused by any entry host. Change: POST, GET and DELETE of /v1/jobs; group commit of acceptances and cancellations; a lease row for each pool, taken by one conditional write, that every write of the owner is conditional on; the start of a job and its unit of the upper limit are one commit; orders to workers go on while the table is down.

--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -23,6 +23,7 @@
 use crate::{
     claims::{Claimed, Wanted},
     cx::Cx,
+    jobs,
 };
 use admit::{Call, Mark};
 use exchange::Exchange;
@@ -71,6 +72,10 @@
 
     async fn serve(&self, incoming: Incoming, arrived: Moment) -> Result<Response> {
         let cx = &self.cx;
+        if jobs::is_jobs_path(incoming.request.path()) {
+            self.check_open()?;
+            return jobs::serve(cx, &self.ring(), &incoming.request).await;
+        }
         let call = Call::admit(&self.ring(), &cx.settings.callers, incoming, arrived)?;
         // Whether an earlier request with the same idempotency key ran is not known before its claim is read.
         let ready = self.check_open().and_then(|()| self.check_standing());
--- a/crates/daemon/src/cx.rs
+++ b/crates/daemon/src/cx.rs
@@ -14,6 +14,7 @@
     cluster::ClusterHandle,
     config::ConfigHandle,
     dispatch::DispatchHandle,
+    jobs::JobsHandle,
     metrics::Metrics,
 };
 
@@ -45,6 +46,8 @@
     pub claims: Claims,
     /// What is known of the backend servers of owned pools.
     pub health: BackendHealth,
+    /// The tasks of jobs.
+    pub jobs: JobsHandle,
     /// Connections to backend servers.
     pub backends: Backends,
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,6 +22,7 @@
     cx::Cx,
     dispatch::DispatchHandle,
     health::{Health, Intake},
+    jobs::JobsHandle,
     metrics::Metrics,
     operator::{self, Operators},
 };
@@ -83,6 +84,7 @@
             config: ConfigHandle::new(&mut router),
             cluster: ClusterHandle::new(&settings, clock, incarnation, &mut router),
             dispatch: DispatchHandle::new(&mut router),
+            jobs: JobsHandle::new(&mut router),
             backends: Backends::new(&settings),
             health: BackendHealth::default(),
             settings,
@@ -91,6 +93,7 @@
         cx.config.start(&cx);
         cx.cluster.start(&cx);
         cx.dispatch.start(&cx);
+        cx.jobs.start(&cx);
         cx.health.start(&cx);
         monoio::spawn(peer.run(Rc::new(router)));
         let intake = Rc::new(Cell::new(Intake::Open));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod entry;
 pub mod health;
+pub mod jobs;
 pub mod logging;
 pub mod metrics;
 pub mod operator;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 pub mod entry;
+pub mod jobs;
 pub mod net;
 pub mod operator;
 
--- /dev/null
+++ b/crates/daemon/tests/job_faults.rs
@@ -0,0 +1,239 @@
+//! Jobs under kills, pauses, outages and failing workers; judged from the workers' record.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{
+    Site, SiteBuilder,
+    jobs::{TestJob, value},
+    wait_until,
+};
+use fuchsiamill_standin::{
+    admin::PlatformFault,
+    worker::{Access, Conduct, Run, RunEnd},
+};
+
+const ONCE: &str = "at-most-once";
+const AGAIN: &str = "idempotent";
+
+fn site() -> SiteBuilder {
+    Site::of(3)
+        .pool("post", 4)
+        .team("north", 40)
+        .team("south", 3)
+        .setting("jobs.sync-ms", 100)
+        .setting("jobs.rescan-ms", 500)
+}
+
+fn job<'a>(key: &'a str, run_ms: u64, rerun: &'a str) -> TestJob<'a> {
+    TestJob { key, run_ms, millicores: 1_000, rerun }
+}
+
+fn accept_many(site: &Site, team: &str, count: usize, run_ms: u64) -> Vec<(String, String)> {
+    (0..count)
+        .map(|n| {
+            let key = format!("{team}-{n}");
+            let rerun = if n % 2 == 0 { ONCE } else { AGAIN };
+            let id = site.accept_job(n % 3, "post", team, &job(&key, run_ms, rerun));
+            (id, rerun.to_owned())
+        })
+        .collect()
+}
+
+fn finished(run: &Run) -> bool {
+    run.ended.is_some_and(|(_, end)| end == RunEnd::Finished)
+}
+
+/// Checks what callers were told against what truly ran.
+fn check_truth(site: &Site, team: &str, jobs: &[(String, String)]) -> BTreeMap<String, usize> {
+    let entry = (0..3).find(|it| site.entries[*it].is_running()).unwrap();
+    let told: Vec<String> = jobs.iter().map(|(id, _)| site.wait_job(entry, team, id)).collect();
+    let runs = site.runs_by_job();
+    let mut states = BTreeMap::new();
+    for ((id, rerun), state) in jobs.iter().zip(told) {
+        let ran = runs.get(id).map(Vec::as_slice).unwrap_or_default();
+        assert!(rerun != ONCE || ran.len() <= 1, "{id} ran twice: {ran:?}");
+        assert!(state != "finished" || ran.iter().any(finished), "{id} is told as finished");
+        let told_not_run =
+            site.job(entry, team, id).is_some_and(|it| value(&it)["run"] == "not-run");
+        assert!(!told_not_run || ran.is_empty(), "{id} is told as not run and ran: {ran:?}");
+        *states.entry(state).or_default() += 1;
+    }
+    states
+}
+
+fn most_at_once(site: &Site, team: &str) -> usize {
+    let mark = format!("\"team\":\"{team}\"");
+    let runs = site.worker_record().into_iter().flat_map(|it| it.runs);
+    let mut steps: Vec<(u64, i32)> = Vec::new();
+    for run in runs.filter(|it| it.payload.contains(&mark)) {
+        steps.push((run.began.0, 1));
+        steps.push((run.ended.map_or(u64::MAX, |(at, _)| at.0), -1));
+    }
+    steps.sort();
+    let mut now = 0;
+    let most = steps.iter().map(|(_, step)| {
+        now += step;
+        now
+    });
+    most.max().unwrap_or(0) as usize
+}
+
+#[test]
+fn accepted_jobs_finish_within_the_upper_limit() {
+    // The schedulers of two pools race for the same units.
+    let site = site().pool("scan", 4).start();
+    let mut jobs = accept_many(&site, "south", 12, 200);
+    for n in 0..12 {
+        let key = format!("scan-{n}");
+        let id = site.accept_job(0, "scan", "south", &job(&key, 200, ONCE));
+        jobs.push((id, ONCE.to_owned()));
+    }
+    let states = check_truth(&site, "south", &jobs);
+    assert_eq!(states, BTreeMap::from([("finished".into(), 24)]));
+    assert_eq!(most_at_once(&site, "south"), 3);
+}
+
+#[test]
+fn same_key_is_the_same_job() {
+    let site = site().start();
+    let first = site.accept_job(0, "post", "north", &job("k", 50, ONCE));
+    let second = site.accept_job(0, "post", "north", &job("k", 50, ONCE));
+    assert_eq!(first, second);
+    let other = site.post_job(0, "post", "north", &job("k", 60, ONCE)).unwrap();
+    assert_eq!(other.status, 422);
+    assert_eq!(site.job(0, "south", &first).unwrap().status, 404);
+    assert_eq!(site.wait_job(0, "north", &first), "finished");
+    assert_eq!(site.accept_job(0, "post", "north", &job("k", 50, ONCE)), first);
+    assert_eq!(site.runs_by_job()[&first].len(), 1);
+}
+
+#[test]
+fn killed_owner_loses_and_repeats_nothing() {
+    let site = site().start();
+    let jobs = accept_many(&site, "north", 30, 6_000);
+    wait_until("jobs run", || site.runs_by_job().len() >= 30);
+    site.entries[site.job_owner("post")].kill();
+    let states = check_truth(&site, "north", &jobs);
+    // The next owner renews the leases in time, so that not even a job that runs at most once is lost.
+    assert_eq!(states.get("finished"), Some(&30), "{states:?}");
+}
+
+#[test]
+fn owner_paused_past_the_lease_is_told_truly() {
+    let site = site().setting("jobs.lease-ms", 1_000).start();
+    let jobs = accept_many(&site, "north", 20, 4_000);
+    wait_until("jobs run", || site.runs_by_job().len() >= 20);
+    let owner = &site.entries[site.job_owner("post")];
+    owner.signal("STOP");
+    wait_until("the leases run out", || {
+        site.runs_by_job().values().flatten().any(|it| !finished(it) && it.ended.is_some())
+    });
+    wait_until("another owner schedules", || {
+        site.entries[site.job_owner("post")].pid() != owner.pid()
+    });
+    owner.signal("CONT");
+    let states = check_truth(&site, "north", &jobs);
+    // Those that run at most once were cut; nobody can say that they finished.
+    assert_eq!(states.get("finished"), Some(&10), "{states:?}");
+    assert_eq!(states.get("unknown"), Some(&10), "{states:?}");
+}
+
+#[test]
+fn running_jobs_outlive_a_table_outage() {
+    let site = site().setting("platform.request-timeout-ms", 300).start();
+    let jobs = accept_many(&site, "north", 20, 6_000);
+    wait_until("jobs run", || site.runs_by_job().len() >= 20);
+    site.platform_fault(PlatformFault::Down);
+    wait_until("the runs end", || {
+        site.runs_by_job().values().flatten().all(|it| it.ended.is_some())
+    });
+    site.platform_fault(PlatformFault::None);
+    let states = check_truth(&site, "north", &jobs);
+    assert_eq!(states.get("finished"), Some(&20), "{states:?}");
+}
+
+#[test]
+fn lost_answers_of_the_table_repeat_nothing() {
+    let site = site().setting("platform.request-timeout-ms", 300).start();
+    site.platform_fault(PlatformFault::LoseAnswers { count: 8 });
+    let jobs = accept_many(&site, "north", 10, 200);
+    site.platform_fault(PlatformFault::LoseAnswers { count: 8 });
+    let states = check_truth(&site, "north", &jobs);
+    assert_eq!(states.get("finished"), Some(&10), "{states:?}");
+    assert!(site.platform_record().answers_lost >= 8);
+}
+
+#[test]
+fn worker_that_fails_everything_takes_few_jobs() {
+    let site = site().start();
+    site.worker_conduct(0, Conduct::FailsEverything);
+    let jobs: Vec<(String, String)> = (0..80)
+        .map(|n| {
+            let key = format!("k{n}");
+            let large = TestJob { millicores: 4_000, ..job(&key, 100, AGAIN) };
+            (site.accept_job(0, "post", "north", &large), AGAIN.to_owned())
+        })
+        .collect();
+    let states = check_truth(&site, "north", &jobs);
+    assert_eq!(states.get("finished"), Some(&80), "{states:?}");
+    let failed = site.worker_record()[0].runs.len();
+    assert!(failed <= 20, "{failed} tasks were started on the broken worker");
+}
+
+#[test]
+fn wave_of_cancellations_is_told_truly() {
+    let site = site().start();
+    let jobs = accept_many(&site, "south", 60, 300);
+    wait_until("some run", || site.runs_by_job().len() >= 3);
+    let before = site.platform_record().commits;
+    std::thread::scope(|scope| {
+        for chunk in jobs.chunks(6) {
+            let site = &site;
+            scope.spawn(move || {
+                for (id, _) in chunk {
+                    wait_until("the cancellation is answered", || {
+                        site.cancel_job(0, "south", id).is_some_and(|it| it.status.is_success())
+                    });
+                }
+            });
+        }
+    });
+    let states = check_truth(&site, "south", &jobs);
+    assert!(states.get("cancelled").is_some_and(|it| *it >= 30), "{states:?}");
+    let commits = site.platform_record().commits - before;
+    assert!(commits < 60, "{commits} commits for 60 cancellations");
+}
+
+#[test]
+fn job_that_can_never_run_is_refused_at_once() {
+    let site = site().start();
+    let huge = TestJob { key: "k", run_ms: 1, millicores: 17_000, rerun: AGAIN };
+    let refused = site.post_job(0, "post", "north", &huge).unwrap();
+    assert_eq!(value(&refused)["type"], "urn:fuchsiamill:problem:unplaceable");
+    assert_eq!(value(&refused)["run"], "not-run");
+}
+
+#[test]
+fn silent_worker_is_waited_out_before_a_second_run() {
+    let site = site().setting("jobs.lease-ms", 2_000).start();
+    let jobs = accept_many(&site, "north", 12, 3_000);
+    wait_until("jobs run", || site.runs_by_job().len() >= 12);
+    let there = |site: &Site| site.worker_record()[0].runs.len();
+    let started = there(&site);
+    site.worker_access(0, Access::CutOff);
+    let states = check_truth(&site, "north", &jobs);
+    site.worker_access(0, Access::Reachable);
+    let total: usize = states.values().sum();
+    assert_eq!(total, 12);
+    assert!(states.get("unknown").copied().unwrap_or(0) <= started, "{states:?}");
+    // No job ever runs on two workers at the same time.
+    for runs in site.runs_by_job().values() {
+        let mut sorted = runs.clone();
+        sorted.sort_by_key(|it| it.began);
+        let overlap =
+            sorted.windows(2).any(|it| it[0].ended.is_none_or(|(end, _)| end > it[1].began));
+        assert!(!overlap, "{runs:?}");
+    }
+}
--- a/crates/policy/src/jobs/scheduler/orders.rs
+++ b/crates/policy/src/jobs/scheduler/orders.rs
@@ -48,6 +48,17 @@
         WorkerSync { pool, fence, lease, ticket, orders }
     }
 
+    /// The hosts with a run that was written and not yet ordered.
+    pub fn hosts_to_order(&self) -> Vec<HostName> {
+        let fresh = |job: &JobId| {
+            self.entries.get(job).is_some_and(|it| {
+                it.seen == Seen::NotSent && it.pending.is_none() && running_of(&it.row).is_some()
+            })
+        };
+        let hosts = self.on_host.iter().filter(|(_, jobs)| jobs.iter().any(fresh));
+        hosts.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Takes in a worker's answer.
     pub fn on_answer(
         &mut self,
--- /dev/null
+++ b/crates/settings/src/jobs.rs
@@ -0,0 +1,44 @@
+//! Section `[jobs]`: time limits and bounds of jobs.
+
+use fuchsiamill_model::Millisecond;
+
+use crate::{
+    error::{Error, Result},
+    section::Section,
+};
+
+const KIB: usize = 1024;
+
+/// Time limits and bounds of jobs. All entry hosts of a site use the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Jobs {
+    /// The lease of a task, which a worker stops by itself when it is not renewed.
+    pub lease_ms: Millisecond,
+    /// The time between two batches of orders to a worker.
+    pub sync_ms: Millisecond,
+    /// The time between two reads of all jobs of a pool by its owner.
+    pub rescan_ms: Millisecond,
+    /// Jobs whose rows change in one write.
+    pub batch: usize,
+    /// The largest payload of a job, in bytes.
+    pub payload_bytes: usize,
+}
+
+impl TryFrom<Section<'_>> for Jobs {
+    type Error = Error;
+
+    fn try_from(mut section: Section<'_>) -> Result<Self> {
+        let jobs = Self {
+            lease_ms: section.number("lease-ms", 15_000, 100..=600_000)?,
+            sync_ms: section.number("sync-ms", 1_000, 10..=60_000)?,
+            rescan_ms: section.number("rescan-ms", 5_000, 50..=600_000)?,
+            batch: section.number("batch", 64, 1..=1_000)?,
+            payload_bytes: section.number("payload-bytes", 64 * KIB, 1..=1024 * KIB)?,
+        };
+        if jobs.sync_ms * 4 > jobs.lease_ms {
+            return Err(section.clash("sync-ms", "set it to at most a quarter of 'lease-ms'"));
+        }
+        section.finish()?;
+        Ok(jobs)
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod entry;
 mod error;
+mod jobs;
 mod maintenance;
 mod operators;
 mod peers;
@@ -25,6 +26,7 @@
 pub use claims::Claims;
 pub use entry::Entry;
 pub use error::{Error, Result};
+pub use jobs::Jobs;
 pub use maintenance::Maintenance;
 pub use operators::Operators;
 pub use peers::Peers;
@@ -34,12 +36,13 @@
 pub use timing::Timing;
 pub use weights::Weights;
 
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "entry",
     "peers",
     "platform",
     "callers",
     "claims",
+    "jobs",
     "operators",
     "timing",
     "retries",
@@ -61,6 +64,8 @@
     pub callers: Callers,
     /// Bounds on the claims of idempotency keys.
     pub claims: Claims,
+    /// Time limits and bounds of jobs.
+    pub jobs: Jobs,
     /// The operators and the digests of their keys.
     pub operators: Operators,
     /// Time limits of the entry hosts' protocols.
@@ -128,6 +133,7 @@
             platform: document.section("platform")?.try_into()?,
             callers: document.section("callers")?.try_into()?,
             claims: document.section("claims")?.try_into()?,
+            jobs: document.section("jobs")?.try_into()?,
             operators: document.section("operators")?.try_into()?,
             timing: document.section("timing")?.try_into()?,
             retries: document.section("retries")?.try_into()?,
--- a/crates/settings/tests/settings_file.rs
+++ b/crates/settings/tests/settings_file.rs
@@ -70,7 +70,7 @@
         assert_eq!(format!("{settings:?}"), format!("{plain:?}"), "[{section}] {line}");
         seen += 1;
     }
-    assert_eq!(seen, 45);
+    assert_eq!(seen, 50);
 }
 
 #[test]
@@ -106,7 +106,7 @@
         ),
         (
             with("timings", "standing-ms = 1"),
-            "site.ini: section 'timings' is not known; allowed are entry, peers, platform, callers, claims, operators, timing, retries, weights, maintenance, log; rename or remove it.",
+            "site.ini: section 'timings' is not known; allowed are entry, peers, platform, callers, claims, jobs, operators, timing, retries, weights, maintenance, log; rename or remove it.",
         ),
         (
             with("timing", "suspect-ms = 2000"),
