--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 
 mod plans;
 mod spare;
+mod standing;
 
 use anyhow::Result;
 use argh::FromArgs;
@@ -18,6 +19,7 @@
 enum Command {
     Plans(plans::PlansArgs),
     Spare(spare::SpareArgs),
+    Standing(standing::StandingArgs),
 }
 
 fn main() -> Result<()> {
@@ -25,5 +27,6 @@
     match args.command {
         Command::Plans(args) => plans::run(&args),
         Command::Spare(args) => spare::run(&args),
+        Command::Standing(args) => standing::run(&args),
     }
 }
