Maintenance: plans made, confirmed and carried out by any entry host

Cause: the policies of plans and waves need the daemon to keep plans, confirm them once and carry them out over losses.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -23,6 +23,7 @@
     dispatch::DispatchHandle,
     health::{Health, Intake},
     jobs::JobsHandle,
+    maintenance::{self, Maintenance},
     metrics::Metrics,
     operator::{self, Operators},
 };
@@ -110,6 +111,8 @@
         )?;
         let mut router = Router::default();
         operator::route(&mut router).start(&cx);
+        maintenance::route(&mut router).start(&cx);
+        Maintenance::new(cx.clone()).start();
         let operators = Operators::new(cx.clone(), Rc::new(router));
         let operator = serve(cx.settings.entry.operator, Bounds::default(), operators)?;
         let addresses = Addresses {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod health;
 pub mod jobs;
 pub mod logging;
+pub mod maintenance;
 pub mod metrics;
 pub mod operator;
 pub mod run;
--- /dev/null
+++ b/crates/daemon/src/maintenance/rows.rs
@@ -0,0 +1,154 @@
+//! Plans and the leases of their runners in the platform's table.
+
+use std::rc::Rc;
+
+use fuchsiamill_model::{EntryName, Incarnation, OperatorName, PlanId, Version};
+use fuchsiamill_platform::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
+use fuchsiamill_policy::planner::Plan;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use super::error::{Error, Result};
+
+const PLAN_PREFIX: &str = "plan/";
+const LEASE_PREFIX: &str = "plan-lease/";
+const MOST_PLANS: usize = 200;
+
+/// How far a plan is, apart from what the configuration tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "kebab-case")]
+pub enum RowState {
+    /// It waits to be confirmed.
+    Proposed,
+    /// An operator confirms it; its change may be in the log.
+    Confirming {
+        /// The operator.
+        who: OperatorName,
+        /// The version at which what it depends on had not changed.
+        basis: Version,
+    },
+    /// It was confirmed.
+    Confirmed {
+        /// The operator.
+        who: OperatorName,
+        /// The version that it came into force with.
+        version: Version,
+    },
+    /// It was confirmed and has ended.
+    Ended {
+        /// The operator.
+        who: OperatorName,
+        /// The version that it came into force with.
+        version: Version,
+    },
+}
+
+/// A plan in the table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlanRow {
+    /// The plan.
+    pub plan: Rc<Plan>,
+    /// How far it is.
+    pub state: RowState,
+}
+
+/// The lease of the entry host that carries out a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseRow {
+    /// The entry host.
+    pub holder: EntryName,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Why the plan does not go on, in words.
+    pub waits: Vec<String>,
+}
+
+/// A value and the version of its row.
+#[derive(Clone, Debug)]
+pub struct Stored<T> {
+    /// The value.
+    pub value: T,
+    /// The version of the row.
+    pub version: RowVersion,
+}
+
+/// The rows of plans.
+#[derive(Clone)]
+pub struct PlanRows {
+    table: Rc<TableClient>,
+}
+
+impl PlanRows {
+    /// Rows in a table.
+    pub fn new(table: Rc<TableClient>) -> Self {
+        Self { table }
+    }
+
+    /// Reads a plan.
+    pub async fn plan(&self, id: &PlanId) -> Result<Stored<PlanRow>> {
+        let found = self.get(plan_key(id)).await?;
+        found.ok_or_else(|| Error::NoPlan(id.clone()))
+    }
+
+    /// Reads the newest plans.
+    pub async fn plans(&self) -> Result<Vec<PlanRow>> {
+        let rows = self.table.range(&Range::prefix(PLAN_PREFIX, MOST_PLANS)).await?;
+        Ok(rows.into_iter().filter_map(|row| parsed(row).map(|it| it.value)).collect())
+    }
+
+    /// Writes a plan over the version that was read; `None` when another writer was first.
+    pub async fn put_plan(
+        &self,
+        row: PlanRow,
+        over: Option<RowVersion>,
+    ) -> Result<Option<Stored<PlanRow>>> {
+        let key = plan_key(&row.plan.id);
+        self.put(key, row, over).await
+    }
+
+    /// Reads the lease of a plan.
+    pub async fn lease(&self, id: &PlanId) -> Result<Option<Stored<LeaseRow>>> {
+        self.get(lease_key(id)).await
+    }
+
+    /// Writes the lease of a plan over the version that was read; `None` when another writer was first.
+    pub async fn put_lease(
+        &self,
+        id: &PlanId,
+        row: LeaseRow,
+        over: Option<RowVersion>,
+    ) -> Result<Option<Stored<LeaseRow>>> {
+        self.put(lease_key(id), row, over).await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, key: String) -> Result<Option<Stored<T>>> {
+        let rows = self.table.get(&[key]).await?;
+        Ok(rows.into_iter().flatten().next().and_then(parsed))
+    }
+
+    async fn put<T: Serialize>(
+        &self,
+        key: String,
+        value: T,
+        over: Option<RowVersion>,
+    ) -> Result<Option<Stored<T>>> {
+        let commit = Commit::default().at(key.clone(), over).put(key, &value);
+        Ok(match self.table.commit(&commit).await? {
+            CommitOutcome::Done { version } => Some(Stored { value, version }),
+            CommitOutcome::Conflict { .. } => None,
+        })
+    }
+}
+
+fn parsed<T: DeserializeOwned>(row: Row) -> Option<Stored<T>> {
+    Some(Stored { value: serde_json::from_value(row.value).ok()?, version: row.version })
+}
+
+fn plan_key(id: &PlanId) -> String {
+    format!("{PLAN_PREFIX}{id}")
+}
+
+fn lease_key(id: &PlanId) -> String {
+    format!("{LEASE_PREFIX}{id}")
+}
