--- /dev/null
+++ b/crates/cli/src/show/mod.rs
@@ -0,0 +1,7 @@
+//! Answers as text for people.
+
+pub mod lists;
+pub mod plans;
+pub mod site;
+pub mod table;
+pub mod time;
--- /dev/null
+++ b/crates/cli/src/show/site.rs
@@ -0,0 +1,92 @@
+//! The status and the report of a site.
+
+use fuchsiamill_api::{PlanView, SiteReport, SiteStatus};
+use fuchsiamill_model::config::PoolRole;
+
+use super::{
+    plans,
+    table::{most, table},
+};
+
+/// The status of a site.
+pub fn status(status: &SiteStatus) -> String {
+    let config = &status.config;
+    let mut text = format!(
+        "entry host     {} ({}, {}), {}\nconfiguration  version {}, {}\n",
+        status.entry,
+        status.region,
+        status.data_centre,
+        status.standing,
+        config.version,
+        if config.accepted >= config.version {
+            "accepted".to_owned()
+        } else {
+            format!("accepted up to {}", config.accepted)
+        },
+    );
+    let states: Vec<String> =
+        status.hosts.iter().map(|(state, count)| format!("{count} {state}")).collect();
+    text += &format!(
+        "fleet          {} pools, {} teams, {} keys, hosts: {}\nplans          {} being carried out\n\n",
+        status.pools,
+        status.teams,
+        status.keys,
+        if states.is_empty() { "none".into() } else { states.join(", ") },
+        status.plans,
+    );
+    let rows: Vec<Vec<String>> = config
+        .hosts
+        .iter()
+        .map(|(name, version)| {
+            let version = version.map_or("does not answer".into(), |it| it.to_string());
+            vec![name.to_string(), version]
+        })
+        .collect();
+    text + &table(&["ENTRY HOST", "VERSION"], &rows)
+}
+
+/// Budgets, shares and the measures of plans.
+pub fn report(report: &SiteReport, views: &[PlanView]) -> String {
+    let budgets: Vec<Vec<String>> = report
+        .budgets
+        .iter()
+        .map(|it| {
+            let out: Vec<String> = it.out.iter().map(|(dc, out)| format!("{dc}: {out}")).collect();
+            vec![
+                it.pool.to_string(),
+                if it.role == PoolRole::Spare { "spare" } else { "serving" }.into(),
+                it.hosts.to_string(),
+                it.serving.to_string(),
+                it.least_serving.to_string(),
+                it.spare.to_string(),
+                if out.is_empty() { "-".into() } else { out.join(", ") },
+                most(it.most_out_per_domain),
+            ]
+        })
+        .collect();
+    let heading =
+        ["POOL", "ROLE", "HOSTS", "SERVING SLOTS", "LEAST", "LEFT", "OUT", "MOST OUT PER DC"];
+    let teams: Vec<Vec<String>> = report
+        .teams
+        .iter()
+        .map(|it| {
+            let percent =
+                format!("{}.{:02} %", it.share_basis_points / 100, it.share_basis_points % 100);
+            vec![
+                it.team.to_string(),
+                it.share.to_string(),
+                percent,
+                it.upper_limit.to_string(),
+                it.keys.to_string(),
+            ]
+        })
+        .collect();
+    format!(
+        "configuration version {}, {} slots above the budgets\n\n{}\n{}\n{}",
+        report.version,
+        report.buffer,
+        table(&heading, &budgets),
+        table(&["TEAM", "SHARE", "OF A FULL POOL", "UPPER LIMIT", "KEYS"], &teams),
+        plans::measures(views),
+    )
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod jobs;
 pub mod net;
 pub mod operator;
+pub mod session;
 pub mod waves;
 
 use std::{
--- a/crates/daemon/tests/common/net.rs
+++ b/crates/daemon/tests/common/net.rs
@@ -1,6 +1,8 @@
 //! Loopback addresses and blocking HTTP for tests.
 
 use std::{
+    cell::RefCell,
+    collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -18,6 +20,7 @@
 /// A loopback address of one site's own.
 pub struct LoopbackNet {
     ip: Ipv4Addr,
+    given: RefCell<BTreeSet<u16>>,
 }
 
 impl LoopbackNet {
@@ -26,7 +29,7 @@
         let site = SITES.fetch_add(1, Ordering::Relaxed) + 1;
         let pid = std::process::id();
         let ip = Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, site as u8);
-        Self { ip }
+        Self { ip, given: RefCell::default() }
     }
 
     /// The address with port 0.
@@ -34,10 +37,15 @@
         SocketAddr::new(IpAddr::V4(self.ip), 0)
     }
 
-    /// The address with a port that is free now and that only this site uses.
+    /// The address with a port that is free now and that this site gets once only.
     pub fn free(&self) -> SocketAddr {
-        let listener = TcpListener::bind(self.any()).expect("a free port");
-        listener.local_addr().expect("a bound address")
+        loop {
+            let listener = TcpListener::bind(self.any()).expect("a free port");
+            let addr = listener.local_addr().expect("a bound address");
+            if self.given.borrow_mut().insert(addr.port()) {
+                return addr;
+            }
+        }
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,9 +17,8 @@
 mod timing;
 mod weights;
 
-use std::{fs, path::Path};
+use std::path::Path;
 
-use ini::{Ini, ParseOption};
 use log::LevelFilter;
 
 pub use callers::Callers;
@@ -83,22 +82,12 @@
 impl Settings {
     /// Reads and checks a file.
     pub fn load(path: &Path) -> Result<Self> {
-        let file = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|e| Error::Unreadable { file: file.clone(), cause: e.to_string() })?;
-        Self::parse(&file, &text)
+        Document::load(path)?.try_into()
     }
 
     /// Checks the text of a file; `file` is its name in error messages.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
-        let opt =
-            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
-        let ini = Ini::load_from_str_opt(text, opt).map_err(|e| Error::Syntax {
-            file: file.into(),
-            line: e.line,
-            cause: e.msg.into_owned(),
-        })?;
-        Document::new(file, ini).try_into()
+        Document::parse(file, text)?.try_into()
     }
 
     fn check_across(&self, document: &Document) -> Result<()> {
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -1,8 +1,8 @@
 //! Typed reading of INI sections that remembers which keys are known.
 
-use std::{fmt::Display, ops::RangeInclusive, str::FromStr};
+use std::{fmt::Display, fs, ops::RangeInclusive, path::Path, str::FromStr};
 
-use ini::{Ini, Properties};
+use ini::{Ini, ParseOption, Properties};
 
 use crate::error::{Error, Result};
 
@@ -13,9 +13,24 @@
 }
 
 impl Document {
-    /// A document with the name that its errors show.
-    pub fn new(file: &str, ini: Ini) -> Self {
-        Self { file: file.into(), ini }
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|e| Error::Unreadable { file: file.clone(), cause: e.to_string() })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads the text of a file; `file` is its name in error messages.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let opt =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        let ini = Ini::load_from_str_opt(text, opt).map_err(|e| Error::Syntax {
+            file: file.into(),
+            line: e.line,
+            cause: e.msg.into_owned(),
+        })?;
+        Ok(Self { file: file.into(), ini })
     }
 
     /// Refuses sections other than those given, and keys outside any section.
