Jobs: turns in one pass, a host kept for a large job that waits, and the command that measures placement

Cause: a turn with a full pool and a long queue took 31.7 ms (10 hosts, 310 teams, 9,300 waiting jobs), and small jobs could pass a large one for ever. The test of the large job fails without the kept host.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures the policies of fuchsiamill and prints tables for the design notes.
 
+mod jobs;
 mod plans;
 mod spare;
 mod standing;
@@ -17,6 +18,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Jobs(jobs::JobsArgs),
     Plans(plans::PlansArgs),
     Spare(spare::SpareArgs),
     Standing(standing::StandingArgs),
@@ -25,6 +27,7 @@
 fn main() -> Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Jobs(args) => jobs::run(&args),
         Command::Plans(args) => plans::run(&args),
         Command::Spare(args) => spare::run(&args),
         Command::Standing(args) => standing::run(&args),
--- a/crates/policy/src/jobs.rs
+++ b/crates/policy/src/jobs.rs
@@ -8,7 +8,7 @@
 mod workers;
 
 pub use health::{Health, Verdict};
-pub use queue::{Queue, Weight};
+pub use queue::{Queue, Turn, Turns, Weight};
 pub use row::{
     Begun, Cancel, JobCore, JobRow, JobSpec, PoolLease, Rerun, Resolution, Stage, WriteId, resolve,
 };
--- a/crates/policy/src/jobs/queue.rs
+++ b/crates/policy/src/jobs/queue.rs
@@ -1,9 +1,15 @@
 //! Waiting jobs by team, and whose turn it is.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, VecDeque},
+};
 
 use fuchsiamill_model::{FastMap, FastSet, JobId, TeamName, Units, team::Urgency};
 
+/// One running task over a share of 1.
+const LEVEL_SCALE: u64 = 1_000_000;
+
 /// A team's standing among the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Weight {
@@ -61,25 +67,59 @@
         jobs.iter().filter(|it| self.waiting.contains(*it)).take(most).cloned().collect()
     }
 
-    /// The team whose turn it is: urgent ones first, then the least running for its share.
-    ///
-    /// Always giving the next place to the team with the least running work for its share tends to the
-    /// weighted max-min shares of those teams that have work.
-    pub fn turn(
+    /// The turns of the teams that have waiting jobs.
+    pub fn turns(
         &self,
         running: &FastMap<TeamName, Units>,
         weight: impl Fn(&TeamName) -> Option<Weight>,
-        passed_over: &FastSet<TeamName>,
-    ) -> Option<TeamName> {
-        let teams = self.teams.iter().filter(|(team, jobs)| {
-            !passed_over.contains(*team) && jobs.iter().any(|it| self.waiting.contains(it))
-        });
-        let ranked = teams.filter_map(|(team, _)| {
-            let weight = weight(team)?;
-            let running = u64::from(running.get(team).copied().unwrap_or(0)) + 1;
-            let level = running * 1_000_000 / u64::from(weight.share.max(1));
-            Some((weight.urgency == Urgency::Normal, level, team))
-        });
-        ranked.min().map(|(_, _, team)| team.clone())
+    ) -> Turns {
+        let turn = |team: TeamName| {
+            let weight = weight(&team)?;
+            let running = running.get(&team).copied().unwrap_or(0);
+            Some(Reverse(Turn::new(team, weight, running)))
+        };
+        Turns { heap: self.teams().into_iter().filter_map(turn).collect() }
+    }
+}
+
+/// A team and how far it is from its share; urgent teams come first.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    is_normal: bool,
+    level: u64,
+    /// The team.
+    pub team: TeamName,
+    share: u32,
+    running: Units,
+}
+
+impl Turn {
+    fn new(team: TeamName, weight: Weight, running: Units) -> Self {
+        let is_normal = weight.urgency == Urgency::Normal;
+        let level = (u64::from(running) + 1) * LEVEL_SCALE / u64::from(weight.share.max(1));
+        Self { is_normal, level, team, share: weight.share, running }
+    }
+}
+
+/// The teams in the order of their turns.
+///
+/// Always giving the next place to the team with the least running work for its share tends to the
+/// weighted max-min shares of those teams that have work.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    heap: BinaryHeap<Reverse<Turn>>,
+}
+
+impl Turns {
+    /// Takes the team whose turn it is. It has no further turn until it is put back.
+    pub fn take_next(&mut self) -> Option<Turn> {
+        self.heap.pop().map(|Reverse(turn)| turn)
+    }
+
+    /// Puts a team back that has one more running.
+    pub fn put_back(&mut self, turn: Turn) {
+        let urgency = if turn.is_normal { Urgency::Normal } else { Urgency::Urgent };
+        let weight = Weight { share: turn.share, urgency };
+        self.heap.push(Reverse(Turn::new(turn.team, weight, turn.running + 1)));
     }
 }
--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -80,6 +80,7 @@
     seen: Seen,
     usage: Option<Usage>,
     peak: Resources,
+    waits_since: Option<Moment>,
 }
 
 impl Entry {
@@ -89,6 +90,13 @@
     }
 }
 
+/// A host that is kept for a job that waited long.
+#[derive(Clone, Debug)]
+struct Hold {
+    job: JobId,
+    host: HostName,
+}
+
 /// The jobs of one pool.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -105,6 +113,7 @@
     sizes: Sizes,
     awaiting_usage: FastMap<TaskId, (TeamName, JobKind)>,
     health: Health,
+    hold: Option<Hold>,
     known_before_read: FastSet<JobId>,
     ended_in_read: FastSet<JobId>,
 }
@@ -126,6 +135,7 @@
             sizes: Sizes::default(),
             awaiting_usage: FastMap::default(),
             health: Health::default(),
+            hold: None,
             known_before_read: FastSet::default(),
             ended_in_read: FastSet::default(),
         }
@@ -162,6 +172,7 @@
         let mut sorted: Vec<&Host> = self.hosts.values().collect();
         sorted.sort_by(|one, other| one.name.cmp(&other.name));
         self.placer = Placer::new(sorted.into_iter());
+        self.hold = None;
         for host in self.health.ejected() {
             self.placer.eject(host);
         }
@@ -285,8 +296,16 @@
             Stage::Running(run) => self.hold(&job, &team, run),
             Stage::Ended(_) => return,
         }
-        let (seen, usage, peak) = (Seen::Unconfirmed, None, Resources::default());
-        self.entries.insert(job, Entry { row, version, pending: None, seen, usage, peak });
+        let entry = Entry {
+            row,
+            version,
+            pending: None,
+            seen: Seen::Unconfirmed,
+            usage: None,
+            peak: Resources::default(),
+            waits_since: None,
+        };
+        self.entries.insert(job, entry);
     }
 
     fn replace(&mut self, row: JobRow, version: u64) {
@@ -306,6 +325,7 @@
     }
 
     fn remove(&mut self, job: &JobId) {
+        self.end_hold_of(job);
         self.queue.remove(job);
         let Some(entry) = self.entries.remove(job) else { return };
         if let Some(run) = entry.held() {
--- a/crates/policy/src/jobs/scheduler/starts.rs
+++ b/crates/policy/src/jobs/scheduler/starts.rs
@@ -1,24 +1,53 @@
 //! Which waiting jobs are placed next, and where.
 
 use fuchsiamill_model::{
-    FastMap, FastSet, HostName, JobId, Moment, Problem, ProblemKind, Resources, TeamName, Units,
+    FastMap, HostName, JobId, Millisecond, Moment, Problem, ProblemKind, Resources, TeamName, Units,
 };
 
-use super::{Proposal, Scheduler, UnitChange, WriteIds};
+use super::{Hold, Proposal, Scheduler, UnitChange, WriteIds};
 use crate::{
     jobs::{queue::Weight, row::JobRow, stage::Job, stage::Waiting},
-    placement::{Ask, Placement},
+    placement::{Ask, Placement, WaitReason},
 };
 
 /// Waiting jobs of a team that are tried before its turn passes on.
 const BACKFILL: usize = 8;
 
+/// The wait for a hole, in milliseconds, after which a host is kept for a job.
+const HOLD_AFTER: Millisecond = 30_000;
+/// Sizes without room that one turn remembers.
+const MOST_FULL_SIZES: usize = 16;
+
 enum Choice {
     Start(HostName, Resources),
     Refuse,
+    Full(Resources),
     Wait,
 }
 
+/// Whether a team may start one more.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Limit {
+    Room,
+    Reached,
+}
+
+/// Sizes that found no room in this turn; nothing as large will.
+#[derive(Default)]
+struct FullSizes(Vec<Resources>);
+
+impl FullSizes {
+    fn holds(&self, size: Resources) -> bool {
+        self.0.iter().any(|it| size.fits(*it) && (size.accelerators > 0) == (it.accelerators > 0))
+    }
+
+    fn add(&mut self, size: Resources) {
+        if self.0.len() < MOST_FULL_SIZES {
+            self.0.push(size);
+        }
+    }
+}
+
 impl Scheduler {
     /// Proposes the next starts, at most `most`, in the teams' turns.
     ///
@@ -32,21 +61,20 @@
         now: Moment,
     ) -> Vec<Proposal> {
         let mut proposals = Vec::new();
-        let mut passed_over = FastSet::default();
+        let mut full = FullSizes::default();
         let mut taken: FastMap<TeamName, Units> = FastMap::default();
+        let mut turns = self.queue.turns(&self.running, weight);
         while proposals.len() < most {
-            let Some(team) = self.queue.turn(&self.running, &weight, &passed_over) else { break };
-            let units = taken.entry(team.clone()).or_default();
-            let has_room = *units < room(&team);
-            match self.first_placeable(&team, has_room, ids, now) {
-                Some(proposal) => {
-                    *units += Units::from(proposal.unit == UnitChange::Take);
-                    proposals.push(proposal);
-                }
-                None => {
-                    passed_over.insert(team);
-                }
-            }
+            let Some(turn) = turns.take_next() else { break };
+            let units = taken.entry(turn.team.clone()).or_default();
+            let limit = if *units < room(&turn.team) { Limit::Room } else { Limit::Reached };
+            let Some(proposal) = self.first_placeable(&turn.team, limit, &mut full, ids, now)
+            else {
+                continue;
+            };
+            *units += Units::from(proposal.unit == UnitChange::Take);
+            proposals.push(proposal);
+            turns.put_back(turn);
         }
         proposals
     }
@@ -54,17 +82,26 @@
     fn first_placeable(
         &mut self,
         team: &TeamName,
-        has_room: bool,
+        limit: Limit,
+        full: &mut FullSizes,
         ids: &mut impl WriteIds,
         now: Moment,
     ) -> Option<Proposal> {
         for job in self.queue.front(team, BACKFILL) {
-            let proposal = match self.choose(&job) {
-                Choice::Start(host, size) if has_room => {
+            let proposal = match self.choose(&job, full) {
+                Choice::Start(host, size) if limit == Limit::Room => {
                     self.propose_start(&job, host, size, ids, now)
                 }
                 Choice::Refuse => self.propose_refusal(&job, ids),
-                Choice::Start(..) | Choice::Wait => None,
+                Choice::Full(size) if limit == Limit::Room => {
+                    self.hold_for(&job, size, now);
+                    None
+                }
+                Choice::Start(..) | Choice::Full(_) => {
+                    self.end_hold_of(&job);
+                    None
+                }
+                Choice::Wait => None,
             };
             if proposal.is_some() {
                 return proposal;
@@ -73,7 +110,33 @@
         None
     }
 
-    fn choose(&self, job: &JobId) -> Choice {
+    /// Keeps a host for a job that has waited long for a large enough hole, so that it is not passed for ever.
+    fn hold_for(&mut self, job: &JobId, size: Resources, now: Moment) {
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        let since = *entry.waits_since.get_or_insert(now);
+        if self.hold.is_some() || now.since(since) < HOLD_AFTER {
+            return;
+        }
+        if let Some(host) = self.placer.emptiest(size) {
+            self.placer.reserve(Some(host.clone()));
+            self.hold = Some(Hold { job: job.clone(), host });
+        }
+    }
+
+    pub(super) fn end_hold_of(&mut self, job: &JobId) {
+        if self.hold.as_ref().is_some_and(|it| &it.job == job) {
+            self.hold = None;
+            self.placer.reserve(None);
+        }
+    }
+
+    fn held_host(&self, job: &JobId, size: Resources) -> Option<HostName> {
+        let hold = self.hold.as_ref().filter(|it| &it.job == job)?;
+        let free = self.placer.free(&hold.host)?;
+        free.fits(size).then(|| hold.host.clone())
+    }
+
+    fn choose(&self, job: &JobId, full: &mut FullSizes) -> Choice {
         let Some(entry) = self.entries.get(job) else { return Choice::Wait };
         let core = &entry.row.core;
         let largest = self.placer.largest();
@@ -81,6 +144,13 @@
             self.sizes.expected(&core.team, &core.spec.kind, core.spec.resources, largest);
         let seen = larger(learned, entry.peak.min_of(largest));
         let size = if self.placer.can_ever_fit(seen) { seen } else { core.spec.resources };
+        if let Some(host) = self.held_host(job, size) {
+            return Choice::Start(host, size);
+        }
+        let is_remembered = size.accelerators > 0 || self.placer.has_plain_host(size);
+        if is_remembered && full.holds(size) {
+            return Choice::Full(size);
+        }
         let place = |avoid| self.placer.place(&Ask { team: &core.team, size, avoid });
         let placement = match place(core.failed_on.as_slice()) {
             Placement::Wait(_) if !self.has_other_host(&core.failed_on, size) => place(&[]),
@@ -88,7 +158,13 @@
         };
         match placement {
             Placement::On(host) => Choice::Start(host, size),
-            Placement::Wait(_) => Choice::Wait,
+            Placement::Wait(WaitReason::Full) => {
+                if is_remembered && core.failed_on.is_empty() {
+                    full.add(size);
+                }
+                Choice::Full(size)
+            }
+            Placement::Wait(WaitReason::OutOfService) => Choice::Wait,
             Placement::Unplaceable => Choice::Refuse,
         }
     }
@@ -110,8 +186,10 @@
         let waiting = Job::<Waiting>::try_from(entry.row.clone()).ok()?;
         let row: JobRow = waiting.place(host, boot, self.fence, size, ids.next_id()).into();
         entry.pending = Some(row.clone());
+        entry.waits_since = None;
         let version = entry.version;
         self.queue.remove(job);
+        self.end_hold_of(job);
         if let Some(run) = super::running_of(&row) {
             self.hold(job, &row.core.team, run);
         }
@@ -127,6 +205,7 @@
         entry.pending = Some(row.clone());
         let version = entry.version;
         self.queue.remove(job);
+        self.end_hold_of(job);
         Some(Proposal { version, row, unit: UnitChange::None })
     }
 
@@ -139,6 +218,10 @@
             self.hosts.keys().filter(|it| self.workers.ready(it, now).is_none()).cloned().collect();
         for host in silent {
             self.placer.eject(&host);
+            if self.hold.as_ref().is_some_and(|it| it.host == host) {
+                self.hold = None;
+                self.placer.reserve(None);
+            }
         }
     }
 }
--- a/crates/policy/src/placement/placer.rs
+++ b/crates/policy/src/placement/placer.rs
@@ -103,6 +103,7 @@
     grids: BTreeMap<(Class, DataCentre), Grid>,
     presence: FastMap<TeamName, Presence>,
     ejected: FastSet<HostName>,
+    reserved: Option<HostName>,
     shapes: BTreeMap<Shape, u32>,
     largest: Resources,
 }
@@ -140,11 +141,31 @@
         }
     }
 
+    /// Keeps a host for one large task; instead of an earlier one.
+    pub fn reserve(&mut self, host: Option<HostName>) {
+        let before = std::mem::replace(&mut self.reserved, host);
+        for host in before.into_iter().chain(self.reserved.clone()) {
+            self.with_reindexed(&host, |_| ());
+        }
+    }
+
+    /// The open host with the most free processors among those that are large enough when empty.
+    pub fn emptiest(&self, size: Resources) -> Option<HostName> {
+        let open = self.entries.iter().filter(|it| self.is_open(it) && it.offered.fits(size));
+        open.max_by_key(|it| it.free().millicores).map(|it| it.name.clone())
+    }
+
     /// Whether some host of the pool, in service or not, is large enough for `size` when it is empty.
     pub fn can_ever_fit(&self, size: Resources) -> bool {
         self.shapes.keys().any(|it| it.offered().fits(size))
     }
 
+    /// Whether some host without accelerators is large enough for `size` when it is empty.
+    pub fn has_plain_host(&self, size: Resources) -> bool {
+        let mut offered = self.shapes.keys().map(|it| it.offered());
+        offered.any(|it| it.accelerators == 0 && it.fits(size))
+    }
+
     /// Chooses a host.
     pub fn place(&self, ask: &Ask<'_>) -> Placement {
         let found = if ask.size.accelerators > 0 {
@@ -179,12 +200,7 @@
         if let Some(host) = self.best_of(Class::Plain, ask) {
             return Some(host);
         }
-        let plain_could = self
-            .shapes
-            .keys()
-            .map(|it| it.offered())
-            .any(|it| it.accelerators == 0 && it.fits(ask.size));
-        if plain_could { None } else { self.best_of(Class::Accelerated, ask) }
+        if self.has_plain_host(ask.size) { None } else { self.best_of(Class::Accelerated, ask) }
     }
 
     fn best_of(&self, class: Class, ask: &Ask<'_>) -> Option<HostIx> {
@@ -244,7 +260,7 @@
 
     fn index(&mut self, host: HostIx) {
         let entry = &self.entries[host as usize];
-        if !self.is_open(entry) {
+        if !self.is_open(entry) || self.reserved.as_ref() == Some(&entry.name) {
             return;
         }
         let free = entry.free();
--- a/crates/policy/tests/job_cycle.rs
+++ b/crates/policy/tests/job_cycle.rs
@@ -64,6 +64,7 @@
     again: Vec<Proposal>,
     read: Option<Vec<(JobRow, u64)>>,
     boots: u64,
+    limit: Units,
 }
 
 impl Sim {
@@ -91,6 +92,7 @@
             again: Vec::new(),
             read: None,
             boots: HOSTS as u64,
+            limit: LIMIT,
         }
     }
 
@@ -98,6 +100,18 @@
         Moment(self.now * RATES[n] / 1_000 + 7_777 * n as u64)
     }
 
+    fn submit_sized(&mut self, team: &str, millicores: u32, run_ms: u64) -> JobId {
+        self.submit();
+        let job = self.rows.iter().max_by_key(|(_, (_, version))| *version).unwrap().0.clone();
+        let core = &mut self.rows.get_mut(&job).unwrap().0.core;
+        core.team = team.parse().unwrap();
+        core.spec.resources.millicores = millicores;
+        core.spec.payload = format!(
+            r#"{{"run_ms":{run_ms},"uses":{{"millicores":{millicores},"memory_mib":500}}}}"#
+        );
+        job
+    }
+
     fn submit(&mut self) {
         let id: JobId = format!("j{}", self.rows.len() + self.ended.len()).parse().unwrap();
         let run_ms = self.rng.u64(0..8_000);
@@ -155,7 +169,7 @@
             return false;
         }
         let units = self.units.entry(proposal.row.core.team.clone()).or_default();
-        if proposal.unit == UnitChange::Take && *units >= LIMIT {
+        if proposal.unit == UnitChange::Take && *units >= self.limit {
             return false;
         }
         match proposal.unit {
@@ -175,7 +189,7 @@
 
     fn is_full(&self, proposal: &Proposal) -> bool {
         let units = self.units.get(&proposal.row.core.team).copied().unwrap_or(0);
-        proposal.unit == UnitChange::Take && units >= LIMIT
+        proposal.unit == UnitChange::Take && units >= self.limit
     }
 
     fn row_now(&self, job: &JobId) -> Option<(JobRow, u64)> {
@@ -234,7 +248,7 @@
         let mut proposals = self.owner.give_up_lapsed(&mut ids, now);
         self.owner.refresh_workers(now);
         let units = &self.units;
-        let room = |team: &TeamName| LIMIT - units.get(team).copied().unwrap_or(0);
+        let room = |team: &TeamName| self.limit - units.get(team).copied().unwrap_or(0);
         let weight = |_: &TeamName| Some(Weight { share: 1, urgency: Urgency::Normal });
         proposals.extend(self.owner.place_next(4, weight, room, &mut ids, now));
         drop(ids);
@@ -459,3 +473,29 @@
     assert_eq!(tasks[0].state, TaskState::NotStarted);
     assert!(agent.record().is_empty());
 }
+
+#[test]
+fn large_job_is_not_passed_for_ever() {
+    let mut sim = Sim::new(9);
+    sim.faults = Faults::Off;
+    sim.limit = 1_000;
+    let mut sizes = fastrand::Rng::with_seed(9);
+    let mut large: Option<JobId> = None;
+    // Small jobs of another team come faster than they end and fill every hole.
+    for round in 0..1_000 {
+        while sim.rows.len() < 120 {
+            sim.submit_sized("t0", sizes.u32(300..500), sizes.u64(500..9_000));
+        }
+        if round == 50 {
+            large = Some(sim.submit_sized("t1", 3_900, 1_000));
+        }
+        if large.as_ref().is_some_and(|it| sim.ended.contains_key(it)) {
+            return;
+        }
+        sim.now += 100;
+        sim.step_owner();
+        (0..HOSTS).for_each(|n| sim.sync_host(n));
+        sim.check();
+    }
+    panic!("the large job still waits");
+}
