--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -89,6 +89,9 @@
             Ending::Answered => outlier::Ending::Served,
             Ending::Unreachable | Ending::Failed | Ending::Lost => outlier::Ending::Failed,
         };
+        if !self.outliers.borrow().contains_key(pool) {
+            self.follow(&cx.config.current());
+        }
         let change = match self.outliers.borrow_mut().get_mut(pool) {
             Some(outliers) => outliers.record(now, host, ending),
             None => Change::None,
