Drains wait for tasks; tests of drains, faults at once and shared writes

Cause: a plan took a host for empty while its worker still ran tasks, and so would have restarted it under them. Tests with real processes: a drained host hands its tasks on from their checkpoints; a pause, a kill, lost answers, a worker's restart and a failing worker at once; many jobs share their writes.

--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -9,6 +9,8 @@
     jobs::{TestJob, value},
     wait_until,
 };
+use fuchsiamill_api::PlanReport;
+use fuchsiamill_model::Intent;
 use fuchsiamill_standin::{
     admin::PlatformFault,
     worker::{Access, Conduct, Run, RunEnd},
@@ -237,3 +239,97 @@
         assert!(!overlap, "{runs:?}");
     }
 }
+
+#[test]
+fn drained_host_hands_its_tasks_on() {
+    let site = site().start();
+    let jobs = accept_many(&site, "north", 24, 6_000);
+    wait_until("jobs run", || site.runs_by_job().len() >= 24);
+    let record = site.worker_record();
+    let busiest = (0..4).max_by_key(|it| record[*it].runs.len()).unwrap();
+    assert!(!record[busiest].runs.is_empty());
+    let host = format!("host-{busiest}").try_into().unwrap();
+    let plan = site.plan(0, "ada-key", Intent::DrainHost { host });
+    let report = site.confirm(0, "ada-key", &plan.id);
+    assert!(matches!(report, PlanReport::Done(_)), "{report:?}");
+    wait_until("the plan has ended", || site.has_ended(0, &plan.id));
+    let left = site.worker_record()[busiest].runs.iter().filter(|it| it.ended.is_none()).count();
+    assert_eq!(left, 0, "tasks still ran on the drained host");
+    let states = check_moves(&site, "north", &jobs);
+    assert_eq!(states.get("finished"), Some(&24), "{states:?}");
+    let runs = site.runs_by_job();
+    let moved = runs.values().filter(|it| it.iter().any(|run| run.checkpoint.is_some())).count();
+    assert!(moved > 0, "nothing went on from a checkpoint");
+}
+
+/// Like [`check_truth`], where a job may go on from its checkpoint on another host.
+fn check_moves(site: &Site, team: &str, jobs: &[(String, String)]) -> BTreeMap<String, usize> {
+    let mut states = BTreeMap::new();
+    for (id, rerun) in jobs {
+        *states.entry(site.wait_job(0, team, id)).or_default() += 1;
+        let runs = &site.runs_by_job()[id];
+        let begun = runs.iter().filter(|it| it.checkpoint.is_none()).count();
+        assert!(rerun != ONCE || begun == 1, "{id} began twice: {runs:?}");
+        let whole = runs.iter().filter(|it| finished(it)).count();
+        assert!(rerun != ONCE || whole <= 1, "{id} finished twice: {runs:?}");
+    }
+    states
+}
+
+#[test]
+fn faults_at_once_break_no_promise() {
+    let mut site = site().setting("jobs.lease-ms", 4_000).start();
+    let mut jobs = accept_many(&site, "south", 10, 1_000);
+    jobs.extend(accept_many(&site, "north", 40, 1_000));
+    wait_until("jobs run", || site.runs_by_job().len() >= 10);
+    site.worker_conduct(1, Conduct::FailsEverything);
+    site.platform_fault(PlatformFault::LoseAnswers { count: 6 });
+    let owner = site.job_owner("post");
+    site.entries[owner].signal("STOP");
+    site.restart_worker(0);
+    site.worker_access(2, Access::AnswersLost);
+    wait_until("another owner schedules", || site.job_owner("post") != owner);
+    let second = site.job_owner("post");
+    site.worker_access(2, Access::Reachable);
+    site.entries[owner].signal("CONT");
+    site.platform_fault(PlatformFault::LoseAnswers { count: 6 });
+    site.restart(second);
+    site.wait_ready();
+    site.worker_conduct(1, Conduct::Works);
+    let (south, north) = jobs.split_at(10);
+    let mut states = check_truth(&site, "south", south);
+    for (state, count) in check_truth(&site, "north", north) {
+        *states.entry(state).or_default() += count;
+    }
+    let idempotent = jobs.iter().filter(|(_, rerun)| rerun == AGAIN).count();
+    assert!(states.get("finished").is_some_and(|it| *it >= idempotent), "{states:?}");
+    assert!(most_at_once(&site, "south") <= 3);
+}
+
+#[test]
+fn many_jobs_share_their_writes() {
+    let site = site().start();
+    let before = site.platform_record();
+    let jobs: Vec<(String, String)> = std::thread::scope(|scope| {
+        let accept = |thread: usize| {
+            let site = &site;
+            scope.spawn(move || {
+                let accept = |n| {
+                    let key = format!("k{thread}-{n}");
+                    let id = site.accept_job(thread % 3, "post", "north", &job(&key, 300, ONCE));
+                    (id, ONCE.to_owned())
+                };
+                (0..20).map(accept).collect::<Vec<_>>()
+            })
+        };
+        let threads: Vec<_> = (0..10).map(accept).collect();
+        threads.into_iter().flat_map(|it| it.join().unwrap()).collect()
+    });
+    let states = check_truth(&site, "north", &jobs);
+    assert_eq!(states.get("finished"), Some(&200), "{states:?}");
+    let after = site.platform_record();
+    let commits = after.commits - before.commits;
+    println!("{commits} commits, {} reads for 200 jobs", after.reads - before.reads);
+    // Without sharing, each job takes three commits.
+    assert!(commits < 600, "{commits} commits for 200 jobs");
+}
--- a/crates/model/src/task.rs
+++ b/crates/model/src/task.rs
@@ -181,3 +181,11 @@
         newest: Fence,
     },
 }
+
+/// How much a worker runs, over all pools and owners.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerLoad {
+    /// The tasks that run.
+    pub running: u32,
+}
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -3,10 +3,11 @@
 use std::{future::Future, net::SocketAddr, time::Duration};
 
 use fuchsiamill_http::{Bounds, JsonClient};
-use fuchsiamill_model::task::{WorkerAnswer, WorkerSync};
+use fuchsiamill_model::task::{WorkerAnswer, WorkerLoad, WorkerSync};
 
 use crate::error::{Error, Result};
 
+const TASKS: &str = "/v1/tasks";
 const SERVICE: &str = "worker agent";
 const LARGEST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -14,6 +15,9 @@
 pub trait Worker {
     /// Gives a batch of orders. On [`Error::AnswerLost`] they may have been carried out, now or later.
     fn sync(&self, sync: &WorkerSync) -> impl Future<Output = Result<WorkerAnswer>>;
+
+    /// Asks how much it runs.
+    fn load(&self) -> impl Future<Output = Result<WorkerLoad>>;
 }
 
 /// A client of one worker's agent over HTTP.
@@ -36,6 +40,10 @@
 
 impl Worker for WorkerClient {
     async fn sync(&self, sync: &WorkerSync) -> Result<WorkerAnswer> {
-        self.client.post("/v1/tasks", sync).await.map_err(|e| Error::from_call(SERVICE, e))
+        self.client.post(TASKS, sync).await.map_err(|e| Error::from_call(SERVICE, e))
+    }
+
+    async fn load(&self) -> Result<WorkerLoad> {
+        self.client.get(TASKS).await.map_err(|e| Error::from_call(SERVICE, e))
     }
 }
--- a/crates/standin/src/worker/agent.rs
+++ b/crates/standin/src/worker/agent.rs
@@ -6,7 +6,7 @@
     FastMap, Incarnation, Millisecond, Moment, PoolName, Resources,
     task::{
         Fence, TaskId, TaskOrder, TaskReport, TaskStart, TaskState, Ticket, Usage, WorkerAnswer,
-        WorkerSync,
+        WorkerLoad, WorkerSync,
     },
 };
 use serde::{Deserialize, Serialize};
@@ -124,6 +124,13 @@
         &self.record
     }
 
+    /// How many tasks run.
+    pub fn load(&mut self, now: Moment) -> WorkerLoad {
+        self.advance(now);
+        let running = self.tasks.values().filter(|it| it.state == TaskState::Running);
+        WorkerLoad { running: running.count() as u32 }
+    }
+
     /// Ends every task: the agent's process is gone.
     pub fn restart(&mut self, now: Moment) {
         self.advance(now);
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -10,7 +10,7 @@
 
 use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
 use fuchsiamill_model::{Incarnation, Millisecond, Moment};
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use super::agent::{Agent, Conduct, Run};
@@ -154,6 +154,9 @@
         if self.access.get() == Access::CutOff {
             return reply::never(incoming).await;
         }
+        if incoming.request.method == Method::GET {
+            return reply::value(&self.agent.borrow_mut().load(self.now()));
+        }
         let response = reply::with_body(&incoming.request.body, |sync| {
             reply::value(&self.agent.borrow_mut().sync(sync, self.now()))
         });
