--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -56,6 +56,8 @@
     Pool(Pool),
     /// Hosts.
     Host(Host),
+    /// Entry hosts.
+    EntryHost(EntryHost),
     /// The audit trail.
     Audit(Audit),
     /// Budgets, shares and measures.
@@ -454,6 +456,42 @@
     pub state: Option<String>,
 }
 
+/// Entry hosts on record; one is removed by 'plan remove-entry-host'.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry-host")]
+pub struct EntryHost {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: EntryHostCommand,
+}
+
+/// What to do about entry hosts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum EntryHostCommand {
+    /// List them.
+    List(EntryHostList),
+    /// Put one on record.
+    Put(EntryHostPut),
+}
+
+/// List the entry hosts on record.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct EntryHostList {}
+
+/// Put an entry host on record, or give it a new address. It moves nothing and needs no plan.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "put")]
+pub struct EntryHostPut {
+    /// its name
+    #[argh(positional)]
+    pub entry: EntryName,
+    /// its peer port, IP:PORT
+    #[argh(positional)]
+    pub peer: SocketAddr,
+}
+
 /// List the audit trail, the latest last.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "audit")]
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -3,10 +3,10 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use fuchsiamill_api::{
-    AuditFilter, AuditOutcome, AuditRecord, Catalogue, HostFilter, PlanRef, PlanReport, PlanView,
-    Reason, SetPlanState, SiteReport, SiteStatus,
+    AuditFilter, AuditOutcome, AuditRecord, Catalogue, ChangeReport, ChangeRequest, HostFilter,
+    PlanRef, PlanReport, PlanView, Reason, SetPlanState, SiteReport, SiteStatus,
 };
-use fuchsiamill_model::{Host, HostState, PlanId, PlanState, WallTime};
+use fuchsiamill_model::{Change, ChangeId, Host, HostState, PlanId, PlanState, WallTime};
 use fuchsiamill_policy::planner::Plan;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -14,7 +14,9 @@
 use crate::{
     Outcome,
     access::Access,
-    cli::{self, Args, Command, HostCommand, KeyCommand, PoolCommand, TeamCommand},
+    cli::{
+        self, Args, Command, EntryHostCommand, HostCommand, KeyCommand, PoolCommand, TeamCommand,
+    },
     client::Client,
     error::{Error, ExitStatus, Result},
     intents, keys, progress,
@@ -43,6 +45,12 @@
         Command::Host(host) => match &host.command {
             HostCommand::List(list) => cx.hosts(list),
         },
+        Command::EntryHost(entry) => match &entry.command {
+            EntryHostCommand::List(_) => {
+                cx.catalogue(show::lists::entry_hosts, |it| json!(it.entry_hosts))
+            }
+            EntryHostCommand::Put(put) => cx.put_entry_host(put),
+        },
         Command::Audit(audit) => cx.audit(audit),
     }
 }
@@ -152,6 +160,21 @@
         }
     }
 
+    fn put_entry_host(&self, args: &cli::EntryHostPut) -> Result<Outcome> {
+        let request = ChangeRequest {
+            id: ChangeId(keys::make()?),
+            intent: format!("put entry host '{}' at {} on record", args.entry, args.peer),
+            basis: None,
+            changes: vec![Change::PutEntryHost { entry: args.entry.clone(), peer: args.peer }],
+        };
+        let report: ChangeReport = self.client()?.call("config.change", &request)?;
+        let code = change_code(&report);
+        match (self.args.json, show::site::change(&report)) {
+            (true, _) => Ok(Outcome { text: self.text(&report, |_| String::new()), code }),
+            (false, text) => Ok(Outcome { text, code }),
+        }
+    }
+
     fn hosts(&self, args: &cli::HostList) -> Result<Outcome> {
         let state = args.state.as_deref().map(|raw| word::<HostState>("state", raw)).transpose()?;
         let filter = HostFilter { pool: args.pool.clone(), rack: args.rack.clone(), state };
@@ -185,6 +208,16 @@
     })
 }
 
+fn change_code(report: &ChangeReport) -> ExitStatus {
+    match report {
+        ChangeReport::Accepted { .. } => ExitStatus::Done,
+        ChangeReport::Pending { .. } | ChangeReport::InDoubt { .. } => ExitStatus::Pending,
+        ChangeReport::Conflict { .. } => ExitStatus::Conflict,
+        ChangeReport::Refused { .. } => ExitStatus::Refused,
+        ChangeReport::Unavailable { .. } => ExitStatus::Unavailable,
+    }
+}
+
 fn error_of(reason: Reason, detail: &str) -> Error {
     let detail = detail.to_owned();
     match reason {
--- a/crates/cli/src/show/lists.rs
+++ b/crates/cli/src/show/lists.rs
@@ -63,6 +63,16 @@
     table(&["POOL", "ROLE", "LEAST SERVING", "MOST OUT PER DC", "SERVICES"], &rows)
 }
 
+/// The entry hosts on record.
+pub fn entry_hosts(listed: &Catalogue) -> String {
+    let rows: Vec<Vec<String>> = listed
+        .entry_hosts
+        .iter()
+        .map(|(name, peer)| vec![name.to_string(), peer.to_string()])
+        .collect();
+    table(&["ENTRY HOST", "PEER PORT"], &rows)
+}
+
 /// The hosts.
 pub fn hosts(hosts: &[Host]) -> String {
     let rows: Vec<Vec<String>> = hosts
--- a/crates/cli/src/show/site.rs
+++ b/crates/cli/src/show/site.rs
@@ -1,6 +1,6 @@
 //! The status and the report of a site.
 
-use fuchsiamill_api::{PlanView, SiteReport, SiteStatus};
+use fuchsiamill_api::{ChangeReport, PlanView, SiteReport, SiteStatus};
 use fuchsiamill_model::config::PoolRole;
 
 use super::{
@@ -45,6 +45,24 @@
     text + &table(&["ENTRY HOST", "VERSION"], &rows)
 }
 
+/// What came of a change that needs no plan.
+pub fn change(report: &ChangeReport) -> String {
+    match report {
+        ChangeReport::Accepted { version } => format!("version {version} is in force everywhere\n"),
+        ChangeReport::Pending { version, waiting } => {
+            let waiting: Vec<String> = waiting.iter().map(ToString::to_string).collect();
+            format!(
+                "version {version} is in the table; not yet confirmed: {}\n",
+                waiting.join(", ")
+            )
+        }
+        ChangeReport::InDoubt { detail }
+        | ChangeReport::Conflict { detail }
+        | ChangeReport::Refused { detail }
+        | ChangeReport::Unavailable { detail } => format!("{detail}\n"),
+    }
+}
+
 /// Budgets, shares and the measures of plans.
 pub fn report(report: &SiteReport, views: &[PlanView]) -> String {
     let budgets: Vec<Vec<String>> = report
--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
-use fuchsiamill_model::{Configuration, FastMap, FastSet, HostName, HostState, Moment, PoolName};
+use fuchsiamill_model::{Configuration, FastMap, HostName, HostState, Moment, PoolName};
 use fuchsiamill_platform::{HostReport, Liveness};
 use fuchsiamill_policy::{
     backend_state::{BackendState, Intake, Listed, Probe, Said},
@@ -89,6 +89,9 @@
             Ending::Answered => outlier::Ending::Served,
             Ending::Unreachable | Ending::Failed | Ending::Lost => outlier::Ending::Failed,
         };
+        if !self.outliers.borrow().contains_key(pool) {
+            self.follow(&cx.config.current());
+        }
         let change = match self.outliers.borrow_mut().get_mut(pool) {
             Some(outliers) => outliers.record(now, host, ending),
             None => Change::None,
@@ -167,13 +170,8 @@
 }
 
 async fn probe_on(cx: Rc<Cx>) {
-    let mut followed = Rc::default();
     loop {
-        let config = cx.config.current();
-        if !Rc::ptr_eq(&config, &followed) {
-            cx.health.follow(&config);
-            followed = config;
-        }
+        cx.health.follow(&cx.config.current());
         let probes = owned_hosts(&cx).into_iter().map(|(host, addr)| probe_one(&cx, host, addr));
         futures_util::future::join_all(probes).await;
         sleep(PERIOD).await;
@@ -213,14 +211,12 @@
 /// The hosts of the pools that this entry host owns, but for those that are out for maintenance.
 fn owned_hosts(cx: &Cx) -> Vec<(HostName, SocketAddr)> {
     let config = cx.config.current();
-    let is_owned =
-        |pool: &&PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
-    let owned: FastSet<&PoolName> = config.pools.keys().filter(is_owned).collect();
+    let owned = |pool: &PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
     config
         .hosts
         .values()
         .filter(|it| matches!(it.state, HostState::Serving | HostState::Checking))
-        .filter(|it| owned.contains(&it.pool))
+        .filter(|it| owned(&it.pool))
         .map(|it| (it.name.clone(), it.backend))
         .collect()
 }
--- a/crates/daemon/src/cluster/task.rs
+++ b/crates/daemon/src/cluster/task.rs
@@ -32,7 +32,6 @@
         for peer in cx.cluster.peers() {
             cx.cluster.send_heartbeat(&peer);
         }
-        cx.metrics.peer_bytes_sent.record(cx.cluster.bytes_sent(), &[]);
         sleep(period).await;
     }
 }
--- a/crates/daemon/src/config/spread.rs
+++ b/crates/daemon/src/config/spread.rs
@@ -6,8 +6,11 @@
 use fuchsiamill_model::{Configuration, EntryName, LogEntry, Moment, Version};
 use fuchsiamill_platform::RowVersion;
 use fuchsiamill_policy::config_log::{Since, Told};
-use futures_util::future::join_all;
-use tokio::sync::oneshot;
+use futures_util::{
+    future::join_all,
+    stream::{FuturesUnordered, StreamExt},
+};
+use tokio::sync::{mpsc, oneshot};
 
 use super::{
     store::HeadRow,
@@ -65,24 +68,33 @@
 }
 
 impl Task {
-    /// Pushes an entry that was just written to every peer, and asks each once more so that a
-    /// common moment is known to all.
+    /// Pushes an entry that was just written to every peer. Once a majority knows it, those that
+    /// answered are asked again, so that a moment is known at which all of them knew it.
     pub(super) fn push(&mut self, entry: &Rc<LogEntry>) {
-        for peer in peers(&self.cx) {
-            let pushed = Entries {
-                from: self.cx.settings.entry.name.clone(),
-                entries: vec![entry.clone()],
-                row: row_of(self.head),
-            };
-            let (cx, tx, version) = (self.cx.clone(), self.tx.clone(), entry.version);
-            monoio::spawn(async move {
-                let echo = cx.clock.now();
-                let answer = cx.cluster.call_within(&peer, ENTRIES, &pushed, ANSWER_TIME);
-                let Ok(known) = answer.await else { return };
-                let _ = tx.send(Message::Told(told(&peer, known, echo)));
-                ask_version(&cx, &peer, version, &tx).await;
-            });
-        }
+        let pushed = Rc::new(Entries {
+            from: self.cx.settings.entry.name.clone(),
+            entries: vec![entry.clone()],
+            row: row_of(self.head),
+        });
+        let majority = self.cx.cluster.record().len() / 2 + 1;
+        let (cx, tx, version) = (self.cx.clone(), self.tx.clone(), entry.version);
+        monoio::spawn(async move {
+            let mut answers: FuturesUnordered<_> =
+                peers(&cx).into_iter().map(|peer| push_to(&cx, peer, &pushed, &tx)).collect();
+            let mut knowing = Vec::new();
+            let mut known = 1;
+            while let Some(answer) = answers.next().await {
+                let Some(peer) = answer else { continue };
+                known += 1;
+                knowing.push(peer);
+                if known >= majority {
+                    for peer in knowing.drain(..) {
+                        let (cx, tx) = (cx.clone(), tx.clone());
+                        monoio::spawn(async move { ask_version(&cx, &peer, version, &tx).await });
+                    }
+                }
+            }
+        });
     }
 
     /// Asks every peer for its version while a change waits to be accepted. The host that wrote
@@ -132,12 +144,25 @@
     }
 }
 
+/// Pushes entries to one peer; answers its name when it has them.
+async fn push_to(
+    cx: &Cx,
+    peer: EntryName,
+    pushed: &Entries,
+    tx: &mpsc::UnboundedSender<Message>,
+) -> Option<EntryName> {
+    let echo = cx.clock.now();
+    let answer = cx.cluster.call_within::<Known>(&peer, ENTRIES, pushed, ANSWER_TIME).await;
+    let _ = tx.send(Message::Told(told(&peer, answer.ok()?, echo)));
+    Some(peer)
+}
+
 /// Asks one peer for its version; answers what it has applied.
 async fn ask_version(
     cx: &Cx,
     peer: &EntryName,
     version: Version,
-    tx: &tokio::sync::mpsc::UnboundedSender<Message>,
+    tx: &mpsc::UnboundedSender<Message>,
 ) -> Option<Version> {
     let asked = AskVersion { from: cx.settings.entry.name.clone(), version };
     let echo = cx.clock.now();
--- a/crates/daemon/src/config/task.rs
+++ b/crates/daemon/src/config/task.rs
@@ -189,7 +189,7 @@
         let now = self.cx.clock.now();
         self.acceptance.told(told, now);
         self.heard(&told.host, told.version);
-        self.publish_accepted();
+        self.tell_itself();
     }
 
     pub(super) fn heard(&mut self, from: &EntryName, version: Version) {
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -28,6 +28,11 @@
         Self { cx, intake }
     }
 
+    fn metrics(&self) -> anyhow::Result<String> {
+        self.cx.metrics.peer_bytes_sent.record(self.cx.cluster.bytes_sent(), &[]);
+        self.cx.metrics.text()
+    }
+
     fn ready(&self) -> Response {
         if self.intake.get() == Intake::Closing {
             return Response::text(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
@@ -44,7 +49,7 @@
         match incoming.request.path() {
             "/live" => Response::text(StatusCode::OK, "live"),
             "/ready" => self.ready(),
-            "/metrics" => match self.cx.metrics.text() {
+            "/metrics" => match self.metrics() {
                 Ok(text) => Response::text(StatusCode::OK, text),
                 Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             },
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -26,6 +26,11 @@
 /// The time between reads of the escrow of teams that wait, in milliseconds.
 const ESCROW_MS: u64 = 500;
 
+/// The least time between two turns of placement, in milliseconds.
+const LEAST_TURN_MS: u64 = 20;
+/// The time between two turns when nothing changed, in milliseconds.
+const IDLE_TURN_MS: u64 = 500;
+
 /// What comes back from calls of the tenure.
 #[derive(Debug)]
 pub(super) enum TenureEvent {
@@ -71,6 +76,8 @@
     scheduler: Scheduler,
     config: Rc<Configuration>,
     outbox: Vec<Proposal>,
+    next_turn: Moment,
+    last_turn: Moment,
     taking: FastMap<TeamName, Units>,
     write: Call,
     write_after: Moment,
@@ -102,6 +109,8 @@
             scheduler,
             config,
             outbox: Vec::new(),
+            next_turn: now,
+            last_turn: Moment::default(),
             taking: FastMap::default(),
             write: Call::Idle,
             write_after: now,
@@ -138,6 +147,9 @@
     /// Takes in what came back.
     pub(super) fn on_event(&mut self, event: TenureEvent) -> Standing {
         let now = self.cx.clock.now();
+        if !matches!(event, TenureEvent::Answered(..)) {
+            self.turn_soon();
+        }
         match event {
             TenureEvent::Answered(host, answer) => return self.on_answer(&host, answer, now),
             TenureEvent::Written(outcome) => return self.on_written(outcome, now),
@@ -171,9 +183,15 @@
             self.scheduler.set_hosts(config.hosts_of(pool));
         }
         self.config = config;
+        self.turn_soon();
     }
 
     fn propose(&mut self, now: Moment) {
+        if now < self.next_turn {
+            return;
+        }
+        self.last_turn = now;
+        self.next_turn = now + IDLE_TURN_MS;
         let mut ids = new_write_id;
         let mut proposals = self.scheduler.give_up_lapsed(&mut ids, now);
         self.scheduler.refresh_workers(now);
@@ -194,6 +212,11 @@
         self.post(proposals);
     }
 
+    /// Something changed that may let a job start.
+    fn turn_soon(&mut self) {
+        self.next_turn = self.last_turn + LEAST_TURN_MS;
+    }
+
     fn post(&mut self, proposals: Vec<Proposal>) {
         for proposal in &proposals {
             if proposal.unit == UnitChange::Take {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -26,7 +26,7 @@
     pub config_version: Gauge<u64>,
     /// The entry hosts in the installed view.
     pub view_members: Gauge<u64>,
-    /// Bytes sent to the other entry hosts since the start.
+    /// Bytes of calls and notifications sent to the other entry hosts since the start.
     pub peer_bytes_sent: Gauge<u64>,
     /// Whether this entry host serves: 1 or 0.
     pub serving: Gauge<u64>,
@@ -50,7 +50,7 @@
             latency: meter.f64_histogram("request_latency").with_unit("ms").build(),
             config_version: meter.u64_gauge("config_version").build(),
             view_members: meter.u64_gauge("view_members").build(),
-            peer_bytes_sent: meter.u64_gauge("peer_bytes_sent").with_unit("By").build(),
+            peer_bytes_sent: meter.u64_gauge("peer_bytes_sent").build(),
             serving: meter.u64_gauge("serving").build(),
             events: meter.u64_counter("events").build(),
             registry,
--- a/crates/daemon/tests/operator_session.rs
+++ b/crates/daemon/tests/operator_session.rs
@@ -119,6 +119,14 @@
     ada.run(&format!("confirm {withdrawn}"));
     ada.run("key list");
     ada.run("team list");
+    let peer = common::net::LoopbackNet::new().free();
+    ada.redact(peer.to_string(), "PEER");
+    for peer in site.config.entry_hosts.values() {
+        ada.redact(peer.to_string(), "PEER");
+    }
+    ada.run(&format!("entry-host put entry-3 {peer}"));
+    ada.run("entry-host list");
+    ada.run("entry-host put entry-4 127.0.0.1:1");
     assert_data_eq!(ada.text() + &ben.text(), file!["sessions/teams_and_keys.txt"]);
     assert_eq!(site.post(0, "rota", "north-key", "swap").status, 401);
 }
