--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
-use fuchsiamill_model::{Configuration, FastMap, HostName, HostState, Moment, PoolName};
+use fuchsiamill_model::{Configuration, FastMap, FastSet, HostName, HostState, Moment, PoolName};
 use fuchsiamill_platform::{HostReport, Liveness};
 use fuchsiamill_policy::{
     backend_state::{BackendState, Intake, Listed, Probe, Said},
@@ -170,8 +170,13 @@
 }
 
 async fn probe_on(cx: Rc<Cx>) {
+    let mut followed = Rc::default();
     loop {
-        cx.health.follow(&cx.config.current());
+        let config = cx.config.current();
+        if !Rc::ptr_eq(&config, &followed) {
+            cx.health.follow(&config);
+            followed = config;
+        }
         let probes = owned_hosts(&cx).into_iter().map(|(host, addr)| probe_one(&cx, host, addr));
         futures_util::future::join_all(probes).await;
         sleep(PERIOD).await;
@@ -211,12 +216,14 @@
 /// The hosts of the pools that this entry host owns, but for those that are out for maintenance.
 fn owned_hosts(cx: &Cx) -> Vec<(HostName, SocketAddr)> {
     let config = cx.config.current();
-    let owned = |pool: &PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
+    let is_owned =
+        |pool: &&PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
+    let owned: FastSet<&PoolName> = config.pools.keys().filter(is_owned).collect();
     config
         .hosts
         .values()
         .filter(|it| matches!(it.state, HostState::Serving | HostState::Checking))
-        .filter(|it| owned(&it.pool))
+        .filter(|it| owned.contains(&it.pool))
         .map(|it| (it.name.clone(), it.backend))
         .collect()
 }
--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -73,7 +73,7 @@
     async fn serve(&self, incoming: Incoming, arrived: Moment) -> Result<Response> {
         let cx = &self.cx;
         if jobs::is_jobs_path(incoming.request.path()) {
-            self.check_open()?;
+            self.check_open().map_err(jobs::before_look_up)?;
             return jobs::serve(cx, &self.ring(), &incoming.request).await;
         }
         let call = Call::admit(&self.ring(), &cx.settings.callers, incoming, arrived)?;
--- a/crates/daemon/src/jobs/api.rs
+++ b/crates/daemon/src/jobs/api.rs
@@ -64,6 +64,11 @@
     path == JOBS || path.strip_prefix(JOBS).is_some_and(|it| it.starts_with('/'))
 }
 
+/// The same refusal where it is not known whether an earlier request with the same key was accepted.
+pub fn before_look_up(problem: Problem) -> Problem {
+    Problem { run: RunState::Unknown, ..problem }
+}
+
 /// Answers a request on the path of jobs.
 pub async fn serve(cx: &Rc<Cx>, ring: &KeyRing, request: &Request) -> Result<Response> {
     let team = team(ring, request)?;
@@ -98,10 +103,7 @@
         let detail = format!("The payload is over {} bytes.", cx.settings.jobs.payload_bytes);
         return Err(Problem::not_run(ProblemKind::TooLarge, detail));
     }
-    if !config.hosts_of(&pool).any(|it| it.resources.fits(wanted.resources)) {
-        let detail = format!("No host of pool '{pool}' is large enough for the job.");
-        return Err(Problem::not_run(ProblemKind::Unplaceable, detail));
-    }
+    let refusal = unplaceable(&config, &pool, wanted.resources);
     let kind = wanted.kind.unwrap_or_else(|| "default".parse().expect("a name"));
     let spec = JobSpec {
         kind,
@@ -112,7 +114,7 @@
     };
     let digest = digest_of(&pool, &spec);
     let core = new_core(cx, job_id(&team, &key), pool, team, spec, new_write_id());
-    let row = cx.jobs.accept(JobRow::accepted(core), digest).await?;
+    let row = cx.jobs.accept(JobRow::accepted(core), digest, refusal).await?;
     let location = HeaderValue::from_str(&format!("{JOBS}/{}", row.core.id));
     let response = answer(StatusCode::ACCEPTED, &row)?;
     Ok(match location {
@@ -121,6 +123,13 @@
     })
 }
 
+/// The refusal of a job that is larger than every host of its pool.
+fn unplaceable(config: &Configuration, pool: &PoolName, size: Resources) -> Option<Problem> {
+    let fits = config.hosts_of(pool).any(|it| it.resources.fits(size));
+    let detail = || format!("No host of pool '{pool}' is large enough for the job.");
+    (!fits).then(|| Problem::not_run(ProblemKind::Unplaceable, detail()))
+}
+
 fn new_core(
     cx: &Cx,
     id: JobId,
@@ -237,7 +246,7 @@
     match cx.cluster.standing().refusal() {
         None => Ok(()),
         Some(reason) => {
-            let problem = Problem::not_run(ProblemKind::NotInStanding, reason);
+            let problem = Problem::unknown(ProblemKind::NotInStanding, reason);
             Err(problem.retry_after(RETRY_AFTER_MS))
         }
     }
--- a/crates/daemon/src/jobs/intake.rs
+++ b/crates/daemon/src/jobs/intake.rs
@@ -27,6 +27,8 @@
         row: Box<JobRow>,
         /// The digest of what was asked for.
         request: String,
+        /// Why it is refused unless it was accepted before.
+        refusal: Option<Problem>,
         /// Where the answer goes.
         reply: Reply,
     },
@@ -55,17 +57,9 @@
     }
 }
 
-/// Whether a write of the request may have taken effect unseen.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Sent {
-    No,
-    Possibly,
-}
-
 struct Pending {
     request: Request,
     until: Moment,
-    sent: Sent,
 }
 
 /// The job as the table has it.
@@ -116,7 +110,7 @@
 
     fn add(&mut self, request: Request) {
         let until = self.cx.clock.now() + self.cx.settings.callers.default_deadline_ms;
-        self.pending.push(Pending { request, until, sent: Sent::No });
+        self.pending.push(Pending { request, until });
     }
 
     fn refuse_overdue(&mut self) {
@@ -128,10 +122,7 @@
             }
             let detail = "The platform's table service did not confirm the write in time.";
             let kind = ProblemKind::StoreUnavailable;
-            let problem = match it.sent {
-                Sent::No => Problem::not_run(kind, detail),
-                Sent::Possibly => Problem::unknown(kind, detail),
-            };
+            let problem = Problem::unknown(kind, detail);
             it.request.answer(Err(problem.retry_after(RETRY_AFTER_MS)));
         }
     }
@@ -163,15 +154,7 @@
         }
         match self.cx.table.commit(&commit).await {
             Ok(CommitOutcome::Done { .. }) => self.confirm(included, written),
-            Ok(CommitOutcome::Conflict { .. }) => later.extend(included),
-            Err(e) => {
-                let sent = if e.may_have_taken_effect() { Sent::Possibly } else { Sent::No };
-                let mark = |it: Pending| match it.sent {
-                    Sent::Possibly => it,
-                    Sent::No => Pending { sent, ..it },
-                };
-                later.extend(included.into_iter().map(mark));
-            }
+            Ok(CommitOutcome::Conflict { .. }) | Err(_) => later.extend(included),
         }
         later
     }
@@ -222,16 +205,23 @@
 
 fn decide(request: &Request, found: &Found) -> Step {
     match request {
-        Request::Accept { row, request, .. } => decide_accept(row, request, found),
+        Request::Accept { row, request, refusal, .. } => {
+            decide_accept(row, request, refusal.as_ref(), found)
+        }
         Request::Cancel { team, .. } => decide_cancel(team, found),
     }
 }
 
-fn decide_accept(row: &JobRow, request: &str, found: &Found) -> Step {
-    let Some(index) = &found.index else { return Step::Write(Box::new(row.clone())) };
+fn decide_accept(row: &JobRow, request: &str, refusal: Option<&Problem>, found: &Found) -> Step {
+    let Some(index) = &found.index else {
+        return match refusal {
+            Some(problem) => Step::Answer(Box::new(Err(problem.clone()))),
+            None => Step::Write(Box::new(row.clone())),
+        };
+    };
     if index.request != request {
         let detail = "The idempotency key stands for another job.";
-        let problem = Problem::not_run(ProblemKind::IdempotencyKeyReused, detail);
+        let problem = Problem::unknown(ProblemKind::IdempotencyKeyReused, detail);
         return Step::Answer(Box::new(Err(problem)));
     }
     // A row that was deleted between the two reads belongs to a job that is over.
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -21,7 +21,7 @@
 use intake::{Intake, Request};
 use owner::{Event, PoolOwner};
 
-pub use api::{is_jobs_path, serve};
+pub use api::{before_look_up, is_jobs_path, serve};
 
 /// How often new pools are looked for.
 const POOLS_PERIOD: Duration = Duration::from_millis(500);
@@ -63,10 +63,16 @@
         });
     }
 
-    /// Keeps a job; gives it back as it is when it was accepted before.
-    async fn accept(&self, row: JobRow, request: String) -> Result<JobRow> {
+    /// Keeps a job, unless there is a refusal; gives it back as it is when it was accepted before.
+    async fn accept(
+        &self,
+        row: JobRow,
+        request: String,
+        refusal: Option<Problem>,
+    ) -> Result<JobRow> {
         let (reply, answer) = oneshot::channel();
-        self.ask(Request::Accept { row: Box::new(row), request, reply }, answer).await
+        let row = Box::new(row);
+        self.ask(Request::Accept { row, request, refusal, reply }, answer).await
     }
 
     /// Cancels a job of a team, or asks for that when it runs.
@@ -80,7 +86,7 @@
         request: Request,
         answer: oneshot::Receiver<Result<JobRow>>,
     ) -> Result<JobRow> {
-        let gone = || Problem::not_run(ProblemKind::ShuttingDown, "This entry host shuts down.");
+        let gone = || Problem::unknown(ProblemKind::ShuttingDown, "This entry host shuts down.");
         self.tx.send(request).map_err(|_| gone())?;
         answer.await.map_err(|_| gone())?
     }
--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -215,6 +215,11 @@
     let refused = site.post_job(0, "post", "north", &huge).unwrap();
     assert_eq!(value(&refused)["type"], "urn:fuchsiamill:problem:unplaceable");
     assert_eq!(value(&refused)["run"], "not-run");
+    // Before the table tells whether the key was used, "not run" could be untrue.
+    site.platform_fault(PlatformFault::Down);
+    let refused = site.post_job(0, "post", "north", &job("j", 1, ONCE)).unwrap();
+    assert_eq!(value(&refused)["type"], "urn:fuchsiamill:problem:store-unavailable");
+    assert_eq!(value(&refused)["run"], "unknown");
 }
 
 #[test]
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures the policies of fuchsiamill and prints tables for the design notes.
 
+mod capacity;
 mod jobs;
 mod plans;
 mod spare;
@@ -18,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(capacity::CapacityArgs),
     Jobs(jobs::JobsArgs),
     Plans(plans::PlansArgs),
     Spare(spare::SpareArgs),
@@ -27,6 +29,7 @@
 fn main() -> Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Capacity(args) => capacity::run(&args),
         Command::Jobs(args) => jobs::run(&args),
         Command::Plans(args) => plans::run(&args),
         Command::Spare(args) => spare::run(&args),
