--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod commit;
+mod held;
 mod intake;
 mod owner;
 mod rows;
@@ -11,7 +12,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{FastMap, JobId, PoolName, Problem, ProblemKind, TeamName};
-use fuchsiamill_peer::{NoticeReceiver, Router, notice_channel};
+use fuchsiamill_peer::{CallReceiver, NoticeReceiver, Router, call_channel, notice_channel};
 use fuchsiamill_policy::jobs::JobRow;
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
@@ -31,10 +32,16 @@
 
 type Result<T> = std::result::Result<T, Problem>;
 
+struct Inputs {
+    requests: mpsc::UnboundedReceiver<Request>,
+    notices: NoticeReceiver,
+    held: CallReceiver,
+}
+
 /// A handle to the tasks of jobs.
 pub struct JobsHandle {
     tx: mpsc::UnboundedSender<Request>,
-    rx: RefCell<Option<(mpsc::UnboundedReceiver<Request>, NoticeReceiver)>>,
+    rx: RefCell<Option<Inputs>>,
     owners: RefCell<FastMap<PoolName, mpsc::UnboundedSender<Event>>>,
 }
 
@@ -44,15 +51,18 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let (notice_tx, notice_rx) = notice_channel();
         router.route_notices(CHANGED, notice_tx);
-        let rx = RefCell::new(Some((rx, notice_rx)));
+        let (held_tx, held) = call_channel();
+        router.route(held::HELD, held_tx);
+        let rx = RefCell::new(Some(Inputs { requests: rx, notices: notice_rx, held }));
         Self { tx, rx, owners: RefCell::default() }
     }
 
     /// Starts the tasks.
     pub fn start(&self, cx: &Rc<Cx>) {
-        if let Some((rx, notices)) = self.rx.borrow_mut().take() {
-            monoio::spawn(Intake::new(cx.clone(), rx).run());
+        if let Some(Inputs { requests, notices, held }) = self.rx.borrow_mut().take() {
+            monoio::spawn(Intake::new(cx.clone(), requests).run());
             monoio::spawn(take_notices(cx.clone(), notices));
+            monoio::spawn(held::answer(cx.clone(), held));
         }
         let cx = cx.clone();
         monoio::spawn(async move {
--- a/crates/daemon/src/jobs/owner.rs
+++ b/crates/daemon/src/jobs/owner.rs
@@ -2,12 +2,12 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{JobId, Moment, PoolName, task::Fence};
+use fuchsiamill_model::{HostName, JobId, Moment, PoolName, task::Fence};
 use fuchsiamill_platform::Result;
 use fuchsiamill_policy::membership::{self as cluster, TenureId};
 use futures_util::future::{Either, select};
 use monoio::time::sleep;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::{
     takeover::{Taken, take_over},
@@ -27,6 +27,13 @@
     Changed(Vec<JobId>),
     /// A takeover ended.
     Taken(Result<Option<Taken>>),
+    /// Somebody asks how many jobs hold hosts.
+    Held {
+        /// The hosts.
+        hosts: Vec<HostName>,
+        /// Where the counts go.
+        reply: oneshot::Sender<Vec<u32>>,
+    },
     /// Something came back to the tenure with this fence.
     Tenure(Fence, TenureEvent),
 }
@@ -106,6 +113,11 @@
                     tenure.on_changed(jobs);
                 }
             }
+            Event::Held { hosts, reply } => {
+                if let State::Owning(_, tenure) = &self.state {
+                    let _ = reply.send(tenure.held(&hosts));
+                }
+            }
             Event::Taken(taken) => self.on_taken(taken),
             Event::Tenure(fence, event) => self.on_tenure_event(fence, event),
         }
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -91,6 +91,11 @@
 }
 
 impl Tenure {
+    /// How many jobs hold each host, also those whose start is being written.
+    pub(super) fn held(&self, hosts: &[HostName]) -> Vec<u32> {
+        hosts.iter().map(|host| self.scheduler.held_on(host) as u32).collect()
+    }
+
     /// The tenure that begins with a takeover.
     pub(super) fn new(cx: Rc<Cx>, tx: mpsc::UnboundedSender<Event>, taken: Taken) -> Self {
         let now = cx.clock.now();
--- a/crates/daemon/src/maintenance/task.rs
+++ b/crates/daemon/src/maintenance/task.rs
@@ -3,10 +3,12 @@
 use std::{rc::Rc, time::Duration};
 
 use fuchsiamill_model::{
-    Change, Configuration, FastMap, Host, HostName, HostState, OperatorName, PlanId,
+    Change, Configuration, FastMap, Host, HostName, HostState, OperatorName, PlanId, PoolName,
 };
 use fuchsiamill_platform::{RestartClient, RestartOrder, RestartState};
-use fuchsiamill_policy::waves::{Action, Limits, Observations, Reading, Restart, Runner, Turn};
+use fuchsiamill_policy::waves::{
+    Action, Limits, Observations, Reading, Restart, Runner, Tasks, Turn,
+};
 use monoio::time::sleep;
 
 use super::{
@@ -105,9 +107,27 @@
             let reading = self.readings.entry(host.name.clone()).or_default();
             reading.probe = probe.or(reading.probe);
         }
+        self.count_tasks(&probed).await;
         Observations { accepted, hosts: self.readings.clone() }
     }
 
+    /// Asks the owners of the pools for the tasks on draining hosts.
+    async fn count_tasks(&mut self, hosts: &[Host]) {
+        let mut pools: FastMap<&PoolName, Vec<HostName>> = FastMap::default();
+        for host in hosts.iter().filter(|host| host.state == HostState::Draining) {
+            pools.entry(&host.pool).or_default().push(host.name.clone());
+        }
+        for (pool, names) in pools {
+            let at = self.cx.clock.now();
+            let Some(counts) = self.cx.jobs.held(&self.cx, pool, names.clone()).await else {
+                continue;
+            };
+            for (name, count) in names.into_iter().zip(counts) {
+                self.readings.entry(name).or_default().tasks = Some(Tasks { at, count });
+            }
+        }
+    }
+
     async fn carry_out(&mut self, config: &Configuration, turn: Turn) {
         self.waits = turn.waits.iter().map(ToString::to_string).collect();
         for action in turn.actions {
--- a/crates/daemon/tests/wave_processes.rs
+++ b/crates/daemon/tests/wave_processes.rs
@@ -6,14 +6,23 @@
 use std::thread;
 
 use common::{
-    Site, SiteBuilder, wait_until,
+    Site, SiteBuilder,
+    jobs::TestJob,
+    wait_until,
     waves::{LoadResult, under_load},
 };
 use fuchsiamill_api::{PlanReport, Reason, Stage};
 use fuchsiamill_model::{HostState, Intent, PlanId, PlanState};
-use fuchsiamill_standin::admin::{PlatformFault, RestartMode};
+use fuchsiamill_standin::{
+    admin::{PlatformFault, RestartMode},
+    worker::Access,
+};
 
 const CLIENTS: usize = 4;
+/// Longer than a drain takes that does not wait for what is in flight.
+const LONG_WORK_MS: u64 = 5_000;
+/// Longer than the rest of a rack takes to drain.
+const LONG_TASK_MS: u64 = 12_000;
 
 /// Two pools of 6 hosts, whose racks of 4 overlap; at most half of a pool's slots may be out.
 fn site(entries: usize) -> SiteBuilder {
@@ -125,9 +134,9 @@
 
 #[test]
 fn rack_drain_lets_long_requests_finish() {
-    let site = site_with(3, (16, 4)).work_ms(1_500).start();
-    let ((), load) = under_load(&site, &["rota"], CLIENTS, || {
-        wait_until("requests run", || site.backend_record().runs.len() >= CLIENTS);
+    let site = site_with(3, (16, 4)).work_ms(LONG_WORK_MS).start();
+    let ((), load) = under_load(&site, &["rota"], 2 * CLIENTS, || {
+        wait_until("requests run", || site.backend_record().runs.len() >= 2 * CLIENTS);
         let rack = Intent::DrainRack { rack: "rack-0".try_into().unwrap() };
         let plan = site.plan(0, "ada-key", rack);
         confirmed(&site.confirm(2, "ada-key", &plan.id));
@@ -217,3 +226,34 @@
     let refused = site.set_plan(0, &plan.id, PlanState::Running);
     assert!(matches!(refused, PlanReport::NotDone { reason: Reason::NoPlan, .. }), "{refused:?}");
 }
+
+fn long_job(key: &str) -> TestJob<'_> {
+    TestJob { key, run_ms: LONG_TASK_MS, millicores: 8_000, rerun: "idempotent" }
+}
+
+#[test]
+fn tasks_leave_a_drained_rack_before_it_goes() {
+    let site = site_with(3, (16, 4)).setting("jobs.sync-ms", 100).start();
+    let keys: Vec<String> = (0..10).map(|at| format!("job-{at}")).collect();
+    let accept = |key: &String| site.accept_job(0, "rota", "north", &long_job(key));
+    let jobs: Vec<_> = keys.iter().map(accept).collect();
+    let running = |worker: &str| {
+        let record = site.worker_record().into_iter().filter(|it| it.worker == worker);
+        record.flat_map(|it| it.runs).filter(|run| run.ended.is_none()).count()
+    };
+    wait_until("the first host of the rack runs tasks", || running("worker-0") > 0);
+    site.worker_access(0, Access::CutOff);
+    let rack = Intent::DrainRack { rack: "rack-0".try_into().unwrap() };
+    let plan = site.plan(0, "ada-key", rack);
+    confirmed(&site.confirm(2, "ada-key", &plan.id));
+    wait_until("the plan waits for the first host alone", || {
+        let waits = site.view(1, &plan.id).waits;
+        waits.len() == 1 && waits[0].contains("'host-0'")
+    });
+    assert!(running("worker-0") > 0);
+    assert_eq!(site.newest().hosts["host-0"].state, HostState::Draining);
+    site.worker_access(0, Access::Reachable);
+    wait_until("the drain has ended", || site.has_ended(1, &plan.id));
+    assert!((0..4).all(|at| running(&format!("worker-{at}")) == 0));
+    assert!(jobs.iter().all(|id| site.wait_job(1, "north", id) == "finished"));
+}
--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -161,6 +161,11 @@
         self.on_host.values().map(Vec::len).sum()
     }
 
+    /// The jobs that hold one host, also those whose start is being written.
+    pub fn held_on(&self, host: &HostName) -> usize {
+        self.on_host.get(host).map_or(0, Vec::len)
+    }
+
     /// Whether a change of the job is being written.
     pub fn is_pending(&self, job: &JobId) -> bool {
         self.entries.get(job).is_some_and(|it| it.pending.is_some())
--- a/crates/policy/src/waves/evidence.rs
+++ b/crates/policy/src/waves/evidence.rs
@@ -16,7 +16,7 @@
 pub struct Probe {
     /// When the probe began.
     pub at: Moment,
-    /// Requests and tasks that the host runs.
+    /// Requests that the host runs.
     pub in_flight: u32,
     /// Whether the host says that it can serve.
     pub healthy: Health,
@@ -31,11 +31,22 @@
     Bad,
 }
 
+/// The tasks that hold a host, as the owner of its pool last told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tasks {
+    /// When the owner was asked.
+    pub at: Moment,
+    /// How many.
+    pub count: u32,
+}
+
 /// What is known of one host.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reading {
     /// The last probe that was answered.
     pub probe: Option<Probe>,
+    /// The tasks that hold it.
+    pub tasks: Option<Tasks>,
     /// What the platform last said of the restart.
     pub restart: Option<Restart>,
 }
@@ -86,6 +97,8 @@
     NotAccepted,
     /// No probe was answered since.
     Unknown,
+    /// The owner of its pool has not told its tasks since.
+    TasksUnknown,
     /// It runs work.
     Busy {
         /// Requests and tasks.
@@ -95,14 +108,22 @@
 
 impl Empty {
     /// Proves that a draining host is empty: no entry host sends to it since `settle` milliseconds after
-    /// the draining was accepted, and a probe that began later found nothing running.
+    /// the draining was accepted, a probe that began later found no request and the owner of its pool,
+    /// asked later, told of no task.
     pub fn prove(seen: &Seen, reading: &Reading, settle: Millisecond) -> Result<Empty, NotEmpty> {
         let accepted_at = seen.accepted_at.ok_or(NotEmpty::NotAccepted)?;
         let probe = reading.probe.ok_or(NotEmpty::Unknown)?;
-        if probe.in_flight > 0 {
-            return Err(NotEmpty::Busy { in_flight: probe.in_flight });
+        let Some(tasks) = reading.tasks else { return Err(NotEmpty::TasksUnknown) };
+        let in_flight = probe.in_flight + tasks.count;
+        if in_flight > 0 {
+            return Err(NotEmpty::Busy { in_flight });
+        }
+        let settled = accepted_at + settle;
+        match (probe.at >= settled, tasks.at >= settled) {
+            (true, true) => Ok(Empty(())),
+            (true, false) => Err(NotEmpty::TasksUnknown),
+            (false, _) => Err(NotEmpty::NotAccepted),
         }
-        if probe.at < accepted_at + settle { Err(NotEmpty::NotAccepted) } else { Ok(Empty(())) }
     }
 }
 
--- a/crates/policy/src/waves/host_turn.rs
+++ b/crates/policy/src/waves/host_turn.rs
@@ -39,6 +39,11 @@
         /// Requests and tasks.
         in_flight: u32,
     },
+    /// The owner of its pool does not tell its tasks.
+    Tasks {
+        /// The host.
+        host: HostName,
+    },
     /// It does not answer probes.
     Unreachable {
         /// The host.
@@ -60,6 +65,9 @@
             HostWait::InFlight { host, in_flight } => {
                 write!(f, "host '{host}' still runs {in_flight} requests or tasks")
             }
+            HostWait::Tasks { host } => {
+                write!(f, "no entry host can tell the tasks on host '{host}' yet")
+            }
             HostWait::Unreachable { host } => write!(f, "host '{host}' does not answer probes"),
             HostWait::Checks { host } => write!(f, "host '{host}' has not passed its checks"),
         }
@@ -116,6 +124,7 @@
             Err(NotEmpty::Busy { in_flight }) => {
                 HostNext::Wait(HostWait::InFlight { host, in_flight })
             }
+            Err(NotEmpty::TasksUnknown) => HostNext::Wait(HostWait::Tasks { host }),
             Err(NotEmpty::Unknown) => HostNext::Wait(HostWait::Unreachable { host }),
         }
     }
--- a/crates/policy/src/waves/mod.rs
+++ b/crates/policy/src/waves/mod.rs
@@ -9,7 +9,7 @@
 mod turn;
 
 pub use evidence::{
-    Back, Empty, Health, NotEmpty, Observations, Passed, Probe, Reading, Restart, Seen,
+    Back, Empty, Health, NotEmpty, Observations, Passed, Probe, Reading, Restart, Seen, Tasks,
 };
 pub use host_turn::{HostCx, HostNext, HostWait};
 pub use lifecycle::{AnyStage, Checking, Draining, Rebooting, Serving, SetAside, Stage};
--- a/crates/policy/tests/wave_interleaving.rs
+++ b/crates/policy/tests/wave_interleaving.rs
@@ -13,7 +13,7 @@
 };
 use fuchsiamill_policy::{
     planner::{self, Plan, Step},
-    waves::{Action, Health, Limits, Observations, Probe, Reading, Restart, Runner, Wait},
+    waves::{Action, Health, Limits, Observations, Probe, Reading, Restart, Runner, Tasks, Wait},
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -182,7 +182,7 @@
             Some(_) => Some(Restart::Running),
             None => None,
         };
-        Reading { probe, restart }
+        Reading { probe, tasks: Some(Tasks { at: now, count: 0 }), restart }
     }
 
     fn lose_host(&mut self) {
