Backend servers closed at a host that does not own the pool come back

Cause: a host closed a server at its own word, but probed only pools that it owns, so a server once closed there stayed closed. Change: every host reads the list and probes what it found closed.

--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -1,6 +1,6 @@
 //! Which backend servers may take new work: host list, probes, their own answers and outliers.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
 use fuchsiamill_model::{Configuration, FastMap, FastSet, HostName, HostState, Moment, PoolName};
@@ -39,7 +39,7 @@
     No,
 }
 
-/// What is known of the backend servers of the pools that this entry host owns.
+/// What this entry host knows of the backend servers.
 #[derive(Default)]
 pub struct BackendHealth {
     states: RefCell<FastMap<HostName, BackendState>>,
@@ -117,6 +117,10 @@
         }
     }
 
+    fn is_closed(&self, host: &HostName) -> bool {
+        self.states.borrow().get(host).is_some_and(|it| it.intake() != Intake::Open)
+    }
+
     fn follow(&self, config: &Configuration) {
         let mut outliers = self.outliers.borrow_mut();
         outliers.retain(|pool, _| config.pools.contains_key(pool));
@@ -177,7 +181,7 @@
             cx.health.follow(&config);
             followed = config;
         }
-        let probes = owned_hosts(&cx).into_iter().map(|(host, addr)| probe_one(&cx, host, addr));
+        let probes = probed_hosts(&cx).into_iter().map(|(host, addr)| probe_one(&cx, host, addr));
         futures_util::future::join_all(probes).await;
         sleep(PERIOD).await;
     }
@@ -191,19 +195,21 @@
 
 async fn read_list_on(cx: Rc<Cx>) {
     loop {
-        if !owned_hosts(&cx).is_empty()
-            && let Ok(reports) = cx.hosts.list().await
-        {
+        if let Ok(reports) = cx.hosts.list().await {
             take_list(&cx, &reports);
         }
         sleep(PERIOD).await;
     }
 }
 
+/// Live hosts that nothing is known of need no state of their own.
 fn take_list(cx: &Cx, reports: &[HostReport]) {
-    let listed: BTreeMap<&HostName, Liveness> =
+    let listed: FastMap<&HostName, Liveness> =
         reports.iter().map(|it| (&it.host, it.liveness)).collect();
-    for (host, _) in owned_hosts(cx) {
+    let leaving = reports.iter().filter(|it| it.liveness == Liveness::Leaving);
+    let mut hosts: FastSet<HostName> = cx.health.states.borrow().keys().cloned().collect();
+    hosts.extend(leaving.map(|it| it.host.clone()));
+    for host in hosts {
         let listed = match listed.get(&host) {
             Some(Liveness::Live) => Listed::Live,
             Some(Liveness::Leaving) => Listed::Leaving,
@@ -213,8 +219,8 @@
     }
 }
 
-/// The hosts of the pools that this entry host owns, but for those that are out for maintenance.
-fn owned_hosts(cx: &Cx) -> Vec<(HostName, SocketAddr)> {
+/// The hosts to probe: those of owned pools, and those that were closed here and may come back.
+fn probed_hosts(cx: &Cx) -> Vec<(HostName, SocketAddr)> {
     let config = cx.config.current();
     let is_owned =
         |pool: &&PoolName| cx.cluster.owner(pool).as_ref() == Some(&cx.settings.entry.name);
@@ -223,7 +229,7 @@
         .hosts
         .values()
         .filter(|it| matches!(it.state, HostState::Serving | HostState::Checking))
-        .filter(|it| owned.contains(&it.pool))
+        .filter(|it| owned.contains(&it.pool) || cx.health.is_closed(&it.name))
         .map(|it| (it.name.clone(), it.backend))
         .collect()
 }
