Jobs: those that are over are deleted after keep-ms; idle workers are left alone

Cause: rows of jobs that are over grew for ever, and each worker of a pool without jobs was called each second. Change: the end of a job also writes a row by time, from which the owner deletes in batches; workers without tasks are asked for tickets only while a job waits. Conclusion: the table holds what is live and what keep-ms asks for.

--- a/crates/daemon/src/jobs/commit.rs
+++ b/crates/daemon/src/jobs/commit.rs
@@ -2,14 +2,14 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use fuchsiamill_model::{Configuration, JobId, PoolName, TeamName};
+use fuchsiamill_model::{Configuration, JobId, PoolName, TeamName, WallTime};
 use fuchsiamill_platform::{Commit, CommitOutcome, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
     jobs::{JobRow, Proposal, Resolution, Stage, UnitChange, resolve},
 };
 
-use super::rows::{JobIndex, escrow_key, index_key, job_key, lease_key, value_of};
+use super::rows::{JobIndex, ended_key, escrow_key, index_key, job_key, lease_key, value_of};
 use crate::cx::Cx;
 
 /// Commits tried before what is left waits for the next turn.
@@ -185,7 +185,7 @@
             if proposal.unit != UnitChange::None {
                 touched.insert(team, version);
             }
-            commit = self.with_job(commit, &proposal);
+            commit = self.with_job(commit, &proposal, cx.clock.wall());
             included.push(proposal);
         }
         for (team, version) in touched {
@@ -205,7 +205,7 @@
         }
     }
 
-    fn with_job(&self, commit: Commit, proposal: &Proposal) -> Commit {
+    fn with_job(&self, commit: Commit, proposal: &Proposal, at: WallTime) -> Commit {
         let core = &proposal.row.core;
         let key = job_key(&core.pool, &core.id);
         let commit = commit.at(key.clone(), Some(RowVersion(proposal.version)));
@@ -220,7 +220,8 @@
             ended: None,
         });
         let index = JobIndex { ended: Some(proposal.row.clone()), ..index };
-        commit.delete(key).put(index_key(&core.id), &index)
+        let ended = ended_key(&core.pool, at, &core.id);
+        commit.delete(key).put(index_key(&core.id), &index).put(ended, &core.id)
     }
 }
 
--- a/crates/daemon/src/jobs/intake.rs
+++ b/crates/daemon/src/jobs/intake.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{JobId, Moment, PoolName, Problem, ProblemKind, TeamName};
+use fuchsiamill_model::{JobId, Moment, PoolName, Problem, ProblemKind, TeamName, WallTime};
 use fuchsiamill_platform::{Commit, CommitOutcome, RowVersion, Table};
 use fuchsiamill_policy::jobs::{Job, JobRow, Running, Stage, Waiting};
 use monoio::time::sleep;
@@ -10,7 +10,7 @@
 
 use super::{
     Result,
-    rows::{JobIndex, index_key, job_key, new_write_id, value_of},
+    rows::{JobIndex, ended_key, index_key, job_key, new_write_id, value_of},
 };
 use crate::cx::Cx;
 
@@ -143,7 +143,7 @@
             match decide(&it.request, &found[&job]) {
                 Step::Answer(answer) => it.request.answer(*answer),
                 Step::Write(row) => {
-                    commit = add_row(commit, &it.request, &row, &found[&job]);
+                    commit = add_row(commit, &it.request, &row, &found[&job], self.cx.clock.wall());
                     written.insert(job, *row);
                     included.push(it);
                 }
@@ -255,7 +255,7 @@
     }
 }
 
-fn add_row(commit: Commit, request: &Request, row: &JobRow, found: &Found) -> Commit {
+fn add_row(commit: Commit, request: &Request, row: &JobRow, found: &Found, at: WallTime) -> Commit {
     let core = &row.core;
     let key = job_key(&core.pool, &core.id);
     if let Request::Accept { request, .. } = request {
@@ -272,7 +272,8 @@
     match (&row.stage, &found.index) {
         (Stage::Ended(_), Some(index)) => {
             let index = JobIndex { ended: Some(row.clone()), ..index.clone() };
-            commit.delete(key).put(index_key(&core.id), &index)
+            let ended = ended_key(&core.pool, at, &core.id);
+            commit.delete(key).put(index_key(&core.id), &index).put(ended, &core.id)
         }
         _ => commit.put(key, row),
     }
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod held;
 mod intake;
 mod owner;
+mod purge;
 mod rows;
 mod takeover;
 mod tenure;
--- a/crates/daemon/src/jobs/rows.rs
+++ b/crates/daemon/src/jobs/rows.rs
@@ -1,6 +1,6 @@
 //! Keys and values of the rows of jobs.
 
-use fuchsiamill_model::{JobId, KeyDigest, PoolName, TeamName};
+use fuchsiamill_model::{JobId, KeyDigest, PoolName, TeamName, WallTime};
 use fuchsiamill_platform::{Row, RowVersion};
 use fuchsiamill_policy::jobs::{JobRow, WriteId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -37,6 +37,16 @@
     format!("job-index/{job}")
 }
 
+/// What the keys begin with that name a pool's jobs in the order of their ends.
+pub(super) fn ended_prefix(pool: &PoolName) -> String {
+    format!("job-ended/{pool}/")
+}
+
+/// The key that names a job by the time of its end.
+pub(super) fn ended_key(pool: &PoolName, at: WallTime, job: &JobId) -> String {
+    format!("{}{:020}-{job}", ended_prefix(pool), at.0)
+}
+
 /// The key of the lease on a pool's jobs.
 pub(super) fn lease_key(pool: &PoolName) -> String {
     format!("job-lease/{pool}")
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -16,6 +16,7 @@
 use super::{
     commit::{BatchOutcome, HeldLease, LeaseState, Written, read_escrow, write_batch},
     owner::Event,
+    purge::purge,
     rows::{job_key, new_write_id, value_of},
     takeover::{Taken, read_rows},
 };
@@ -26,6 +27,10 @@
 /// The time between reads of the escrow of teams that wait, in milliseconds.
 const ESCROW_MS: u64 = 500;
 
+/// The time between deletions of old jobs while there are none left, in milliseconds.
+const PURGE_MS: u64 = 60_000;
+/// The time between deletions while there are more, or after a failure, in milliseconds.
+const NEXT_PURGE_MS: u64 = 1_000;
 /// The least time between two turns of placement, in milliseconds.
 const LEAST_TURN_MS: u64 = 20;
 /// The time between two turns when nothing changed, in milliseconds.
@@ -42,6 +47,8 @@
     ReadAll(Result<Vec<(JobRow, u64)>>),
     /// Some rows were read.
     ReadSome(Result<Vec<(JobRow, u64)>>),
+    /// Old jobs were deleted.
+    Purged(Result<usize>),
     /// Escrow rows were read.
     Escrow(Result<Vec<(TeamName, EscrowRow)>>),
 }
@@ -65,6 +72,7 @@
 struct Sync {
     client: Rc<WorkerClient>,
     next: Moment,
+    last: Moment,
     call: Call,
 }
 
@@ -86,6 +94,8 @@
     escrow_after: Moment,
     read: Call,
     read_after: Moment,
+    purge: Call,
+    purge_after: Moment,
     changed: Vec<JobId>,
     syncs: FastMap<HostName, Sync>,
 }
@@ -124,6 +134,8 @@
             escrow_after: now,
             read: Call::Idle,
             read_after,
+            purge: Call::Idle,
+            purge_after: now + NEXT_PURGE_MS,
             changed: Vec::new(),
             syncs: FastMap::default(),
         }
@@ -146,13 +158,14 @@
         self.start_write(now);
         self.start_read(now);
         self.start_escrow_read(now);
+        self.start_purge(now);
         self.start_syncs(now);
     }
 
     /// Takes in what came back.
     pub(super) fn on_event(&mut self, event: TenureEvent) -> Standing {
         let now = self.cx.clock.now();
-        if !matches!(event, TenureEvent::Answered(..)) {
+        if !matches!(event, TenureEvent::Answered(..)) || self.scheduler.waiting() > 0 {
             self.turn_soon();
         }
         match event {
@@ -170,6 +183,11 @@
                     self.scheduler.end_partial_read(rows);
                 }
             }
+            TenureEvent::Purged(purged) => {
+                self.purge = Call::Idle;
+                let wait = if matches!(purged, Ok(0)) { PURGE_MS } else { NEXT_PURGE_MS };
+                self.purge_after = now + wait.min(self.cx.settings.jobs.keep_ms);
+            }
             TenureEvent::Escrow(rows) => {
                 self.escrow_read = Call::Idle;
                 self.escrow.extend(rows.into_iter().flatten());
@@ -318,23 +336,41 @@
         self.spawn(async move { TenureEvent::Escrow(read_escrow(&cx, teams).await) });
     }
 
+    fn start_purge(&mut self, now: Moment) {
+        if self.purge == Call::Busy || now < self.purge_after {
+            return;
+        }
+        self.purge = Call::Busy;
+        let (cx, pool) = (self.cx.clone(), self.lease.pool.clone());
+        self.spawn(async move { TenureEvent::Purged(purge(&cx, &pool).await) });
+    }
+
     fn start_syncs(&mut self, now: Moment) {
         let time = Duration::from_millis(self.cx.settings.platform.request_timeout_ms);
         let period = self.cx.settings.jobs.sync_ms;
+        // Workers without tasks are asked only for tickets, and only while a job waits for one.
+        let fresh = (self.cx.settings.jobs.lease_ms / 4).max(period);
         let hosts: Vec<_> = self.scheduler.hosts().map(|it| (it.name.clone(), it.worker)).collect();
         for (host, addr) in hosts {
             let new = || Sync {
                 client: Rc::new(WorkerClient::new(addr, time)),
                 next: now,
+                last: Moment::default(),
                 call: Call::Idle,
             };
             let sync = self.syncs.entry(host.clone()).or_insert_with(new);
             if sync.call == Call::Idle && sync.client.addr() != addr {
                 *sync = new();
             }
-            if sync.call == Call::Busy || now < sync.next {
+            let is_due = if self.scheduler.has_business(&host) {
+                now >= sync.next
+            } else {
+                self.scheduler.waiting() > 0 && now >= sync.last + fresh
+            };
+            if sync.call == Call::Busy || !is_due {
                 continue;
             }
+            sync.last = now;
             sync.call = Call::Busy;
             sync.next = now + period;
             let client = sync.client.clone();
--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -7,10 +7,11 @@
 use common::{
     Site, SiteBuilder,
     jobs::{TestJob, value},
-    wait_until,
+    net, wait_until,
 };
 use fuchsiamill_api::PlanReport;
 use fuchsiamill_model::Intent;
+use fuchsiamill_platform::{Range, Row};
 use fuchsiamill_standin::{
     admin::PlatformFault,
     worker::{Access, Conduct, Run, RunEnd},
@@ -338,3 +339,17 @@
     // Without sharing, each job takes three commits.
     assert!(commits < 600, "{commits} commits for 200 jobs");
 }
+
+#[test]
+fn old_jobs_are_deleted() {
+    let site = site().setting("jobs.keep-ms", 1_500).start();
+    let first = site.accept_job(0, "post", "north", &job("old", 50, ONCE));
+    assert_eq!(site.wait_job(0, "north", &first), "finished");
+    let long = site.accept_job(0, "post", "north", &job("long", 6_000, ONCE));
+    wait_until("the old job is deleted", || {
+        site.job(0, "north", &first).is_some_and(|it| it.status == 404)
+    });
+    assert_eq!(site.wait_job(0, "north", &long), "finished");
+    let rows: Vec<Row> = net::post(site.platform(), "/admin/rows", &Range::prefix("job", 1_000));
+    assert!(!rows.iter().any(|it| it.key.contains(&first)), "{rows:?}");
+}
--- a/crates/policy/src/jobs/scheduler/orders.rs
+++ b/crates/policy/src/jobs/scheduler/orders.rs
@@ -59,6 +59,12 @@
         hosts.map(|(host, _)| host.clone()).collect()
     }
 
+    /// Whether a worker runs something for this pool, or is still to drop the record of it.
+    pub fn has_business(&self, host: &HostName) -> bool {
+        let holds = self.on_host.get(host).is_some_and(|jobs| !jobs.is_empty());
+        holds || self.workers.has_to_forget(host)
+    }
+
     /// Takes in a worker's answer.
     pub fn on_answer(
         &mut self,
--- a/crates/policy/src/jobs/workers.rs
+++ b/crates/policy/src/jobs/workers.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether a worker may drop some task.
+    pub(super) fn has_to_forget(&self, host: &HostName) -> bool {
+        self.workers.get(host).is_some_and(|it| !it.forget.is_empty())
+    }
+
     /// The tasks that a worker may drop.
     pub(super) fn to_forget(&self, host: &HostName) -> Vec<TaskId> {
         self.workers.get(host).map(|it| it.forget.clone()).unwrap_or_default()
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -8,6 +8,7 @@
 };
 
 const KIB: usize = 1024;
+const HOUR_MS: Millisecond = 3_600_000;
 
 /// Time limits and bounds of jobs. All entry hosts of a site use the same.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     pub sync_ms: Millisecond,
     /// The time between two reads of all jobs of a pool by its owner.
     pub rescan_ms: Millisecond,
+    /// How long a job that is over is kept, and with it its idempotency key.
+    pub keep_ms: Millisecond,
     /// Jobs whose rows change in one write.
     pub batch: usize,
     /// The largest payload of a job, in bytes.
@@ -32,6 +35,7 @@
             lease_ms: section.number("lease-ms", 15_000, 100..=600_000)?,
             sync_ms: section.number("sync-ms", 1_000, 10..=60_000)?,
             rescan_ms: section.number("rescan-ms", 5_000, 50..=600_000)?,
+            keep_ms: section.number("keep-ms", 48 * HOUR_MS, 1_000..=8_760 * HOUR_MS)?,
             batch: section.number("batch", 64, 1..=1_000)?,
             payload_bytes: section.number("payload-bytes", 64 * KIB, 1..=1024 * KIB)?,
         };
