Audit outcome of cancelled plans, and a test of the folded log

Records of an entry that cancels a plan said 'written', so '--outcome cancelled' found nothing; they say 'cancelled' now. The session of looking around shows the report.

--- a/crates/api/src/audit.rs
+++ b/crates/api/src/audit.rs
@@ -13,7 +13,7 @@
     Refused,
     /// Another change stood in its way.
     Conflict,
-    /// An operator cancelled it.
+    /// It changed the configuration so that a plan ends early.
     Cancelled,
 }
 
--- a/crates/daemon/src/audit/rows.rs
+++ b/crates/daemon/src/audit/rows.rs
@@ -1,7 +1,7 @@
 //! The table rows of the audit trail.
 
 use fuchsiamill_api::{AuditOutcome, AuditRecord};
-use fuchsiamill_model::{LogEntry, Version, WallTime};
+use fuchsiamill_model::{Change, LogEntry, PlanState, Version, WallTime};
 
 /// The prefix of every audit row.
 pub const AUDIT_PREFIX: &str = "audit/";
@@ -16,11 +16,18 @@
         plan: entry.plan.clone(),
         before: Version(entry.version.0 - 1),
         after: entry.version,
-        outcome: AuditOutcome::Written,
+        outcome: outcome_of(&entry.changes),
         reason: String::new(),
     }
 }
 
+fn outcome_of(changes: &[Change]) -> AuditOutcome {
+    let cancels = |change: &Change| {
+        matches!(change, Change::SetPlanState { state: PlanState::Cancelling, .. })
+    };
+    if changes.iter().any(cancels) { AuditOutcome::Cancelled } else { AuditOutcome::Written }
+}
+
 /// The key of a record's row; keys sort by time.
 pub fn key_of(record: &AuditRecord) -> String {
     format!("{}-{}", start_of(record.at), record.id.0)
--- a/crates/daemon/tests/config_changes.rs
+++ b/crates/daemon/tests/config_changes.rs
@@ -172,3 +172,41 @@
     let answer = operator::try_call(addr, "ada-key", "config.change", request).unwrap();
     assert!(answer["error"]["message"].as_str().unwrap().contains("fuchsiamill plan"), "{answer}");
 }
+
+#[test]
+fn folded_log_serves_a_host_that_starts() {
+    let mut site = Site::of(3).pool("rota", 1).team("north", 8).start();
+    let addr = site.entries[0].operator;
+    let changes = 530;
+    std::thread::scope(|scope| {
+        for writer in 0..10 {
+            scope.spawn(move || {
+                for turn in 0..changes / 10 {
+                    let id = format!("c{writer}-{turn}");
+                    let change = vec![share("north", 1 + turn)];
+                    operator::change(addr, "ada-key", &id, None, change);
+                }
+            });
+        }
+    });
+    let snapshot = || -> u64 {
+        let range = Range::prefix("config/snapshot", 1);
+        let rows: Vec<Row> = common::net::post(site.platform(), "/table/range", &range);
+        rows[0].value["version"].as_u64().unwrap()
+    };
+    wait_until("the log is folded", || snapshot() > 500);
+    wait_until("the old entries are gone", || {
+        let range = Range::prefix("config/log/", 1_000);
+        let rows: Vec<Row> = common::net::post(site.platform(), "/table/range", &range);
+        rows.len() < 300
+    });
+    let version = operator::status(addr).config.version;
+    assert_eq!(version.0, 1 + u64::from(changes));
+    site.restart(2);
+    let entry = &site.entries[2];
+    wait_until("it is ready", || entry.is_ready());
+    assert_eq!(operator::status(entry.operator).config.version, version);
+    let later = operator::change(entry.operator, "ada-key", "later", None, vec![share("north", 2)]);
+    assert_eq!(version_of(&later), version.next());
+    assert_eq!(share_at(&site, 0, "north"), 2);
+}
--- a/crates/daemon/tests/operator_session.rs
+++ b/crates/daemon/tests/operator_session.rs
@@ -27,6 +27,7 @@
     for line in [
         "status",
         "pool list",
+        "report",
         "host list --rack rack-1",
         "host list --pool rota --state serving --json",
         "team list",
