--- a/crates/daemon/src/caller/exchange.rs
+++ b/crates/daemon/src/caller/exchange.rs
@@ -145,6 +145,10 @@
         let callers = self.callers;
         callers.check_standing()?;
         callers.ring().recheck(&self.call.admitted)?;
+        if !callers.cx.dispatch.is_valid(&callers.cx, grant) {
+            let detail = "The grant of a slot is void since a change; the request was not sent.";
+            return Err(Problem::not_run(ProblemKind::Overloaded, detail).retry_after(1_000));
+        }
         let now = callers.cx.clock.now();
         if now >= self.call.deadline || now >= grant.deadline {
             return Err(deadline_passed());
--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -119,6 +119,11 @@
         self.membership.borrow_mut().tenure(self.clock.now(), pool)
     }
 
+    /// The unbroken time of majority support that this host is in; `None` when it has none.
+    pub fn majority_term(&self) -> Option<u64> {
+        self.membership.borrow_mut().majority_term(self.clock.now())
+    }
+
     /// The owner of a pool in the installed view; whether it may grant now only it can say.
     pub fn owner(&self, pool: &PoolName) -> Option<EntryName> {
         self.view.borrow().owner(pool).cloned()
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,15 +1,33 @@
-//! Which backend server runs a request, and when.
+//! Which backend server runs a request, and when: asks the owner of the pool, and answers for the
+//! pools that this host owns.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+mod acquire;
+mod rows;
+mod rpc;
+mod task;
+mod tenures;
 
-use fuchsiamill_model::{
-    Host, HostName, HostState, Moment, PoolName, Problem, ProblemKind, Slots, TeamName,
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
 };
+
+use fuchsiamill_model::{FastMap, HostName, Moment, PoolName, Slots, TeamName, Units};
 use fuchsiamill_peer::Router;
-use fuchsiamill_policy::backend_state::Said;
+use fuchsiamill_policy::{
+    backend_state::Said,
+    dispatch::{GrantRef, InFlight, Release},
+    shares::Lane,
+};
 use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use crate::cx::Cx;
+use rpc::{Inbox, RELEASE, Released};
+use task::Command;
 
-use crate::{backend::Take, cx::Cx};
+pub use fuchsiamill_policy::dispatch::Ending;
 
 /// What a request asks for.
 #[derive(Clone, Debug)]
@@ -25,6 +43,8 @@
 /// Leave to run one request.
 #[derive(Debug)]
 pub struct Grant {
+    /// Its name.
+    pub grant: GrantRef,
     /// The pool that serves it.
     pub pool: PoolName,
     /// The host whose backend server runs it.
@@ -35,24 +55,8 @@
     pub start_by: Moment,
     /// When it must have ended, on this host's clock.
     pub deadline: Moment,
-}
-
-/// How a granted request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Ending {
-    /// It was never sent.
-    Unsent,
-    /// No connection could be opened, so it was never sent.
-    Unreachable,
-    /// The backend server refused it before it ran.
-    Refused,
-    /// The whole answer came.
-    Answered,
-    /// The backend server failed it.
-    Failed,
-    /// The answer was lost; it may still run until its deadline.
-    Lost,
+    /// The team and its upper limit under which the grant was given.
+    pub limit: Option<(TeamName, Units)>,
 }
 
 /// What a granted request's end tells of its backend server.
@@ -73,55 +77,85 @@
     }
 }
 
+#[derive(Clone, Debug)]
+struct Used {
+    pool: PoolName,
+    lane: Lane,
+    host: HostName,
+    deadline: Moment,
+}
+
 /// A handle to the dispatch task.
 pub struct DispatchHandle {
-    next: Cell<usize>,
+    tx: UnboundedSender<Command>,
+    start: RefCell<Option<(UnboundedReceiver<Command>, Inbox)>>,
+    next_ticket: Cell<u64>,
+    used: RefCell<FastMap<GrantRef, Used>>,
+    has_asked_table: Cell<bool>,
 }
 
 impl DispatchHandle {
     /// A handle whose task is not started yet.
-    pub fn new(_router: &mut Router) -> Self {
-        Self { next: Cell::new(0) }
+    pub fn new(router: &mut Router) -> Self {
+        let (tx, rx) = unbounded_channel();
+        let start = RefCell::new(Some((rx, Inbox::routed(router))));
+        // Another process of the same name must not use the same tickets.
+        let next_ticket = Cell::new(fastrand::u64(..1 << 60));
+        Self { tx, start, next_ticket, used: RefCell::default(), has_asked_table: Cell::new(false) }
     }
 
     /// Starts the task.
-    pub fn start(&self, _cx: &Rc<Cx>) {}
+    pub fn start(&self, cx: &Rc<Cx>) {
+        let (rx, inbox) = self.start.borrow_mut().take().expect("the task starts once");
+        inbox.forward(&self.tx);
+        task::start(cx, self.tx.clone(), rx);
+    }
 
-    /// Waits for leave to run a request.
-    pub async fn acquire(&self, cx: &Cx, ask: Ask) -> Result<Grant, Problem> {
-        let config = cx.config.current();
-        let now = cx.clock.now();
-        let take = |host: &Host| cx.health.may_take(now, &ask.pool, &host.name);
-        let serving: Vec<(&Host, Take)> = config
-            .hosts_of(&ask.pool)
-            .filter(|it| it.state == HostState::Serving)
-            .map(|it| (it, take(it)))
-            .filter(|(_, take)| *take != Take::No)
-            .collect();
-        if serving.is_empty() {
-            let detail = format!("No host of pool '{}' serves.", ask.pool);
-            return Err(Problem::not_run(ProblemKind::NoCapacity, detail).retry_after(1000));
+    /// Whether requests can be granted: there is a view, and the table was asked for units once.
+    pub fn is_ready(&self, cx: &Cx) -> bool {
+        let has_teams = !cx.config.current().teams.is_empty();
+        !cx.cluster.view().members.is_empty() && (self.has_asked_table.get() || !has_teams)
+    }
+
+    /// Whether a grant may still be used: its owner still owns the pool and no limit was lowered.
+    pub fn is_valid(&self, cx: &Cx, grant: &Grant) -> bool {
+        if cx.cluster.owner(&grant.pool).as_ref() != Some(&grant.grant.owner) {
+            return false;
         }
-        let turn = self.next.replace(self.next.get().wrapping_add(1));
-        let trial = serving.iter().find(|(_, take)| *take == Take::Trial);
-        let host = match trial {
-            Some((host, _)) => {
-                cx.health.begin_trial(now, &ask.pool, &host.name);
-                host
-            }
-            None => serving[turn % serving.len()].0,
-        };
-        Ok(Grant {
-            pool: host.pool.clone(),
-            host: host.name.clone(),
-            backend: host.backend,
-            start_by: now + cx.settings.timing.start_by_ms,
-            deadline: ask.deadline,
-        })
+        let Some((team, granted)) = &grant.limit else { return true };
+        let config = cx.config.current();
+        config.teams.get(team).is_some_and(|it| it.upper_limit >= *granted)
     }
 
     /// Gives a grant back.
     pub fn release(&self, cx: &Cx, grant: Grant, report: Report) {
-        cx.health.record(cx, &grant.pool, &grant.host, &report);
+        if report.ending != Ending::Lost {
+            self.used.borrow_mut().remove(&grant.grant);
+        }
+        let issuer = grant.grant.owner.clone();
+        let release = Release { grant: grant.grant, pool: grant.pool, ending: report.ending };
+        let owner = cx.cluster.owner(&release.pool);
+        let released = Released { release, host: grant.host, report };
+        for to in [Some(issuer.clone()), owner.filter(|it| *it != issuer)].into_iter().flatten() {
+            if &to == cx.cluster.me() {
+                let _ = self.tx.send(Command::Release(released.clone()));
+            } else {
+                cx.cluster.notify(&to, RELEASE, &released);
+            }
+        }
+    }
+
+    /// The grants of a pool that are in use here, or whose work may still run.
+    fn in_flight(&self, now: Moment, pool: &PoolName) -> Vec<InFlight> {
+        let mut used = self.used.borrow_mut();
+        used.retain(|_, it| it.deadline > now);
+        let of_pool = used.iter().filter(|(_, it)| &it.pool == pool);
+        let in_flight = of_pool.map(|(grant, it)| InFlight {
+            grant: grant.clone(),
+            lane: it.lane.clone(),
+            host: it.host.clone(),
+            left: it.deadline.since(now),
+        });
+        in_flight.collect()
     }
 }
--- /dev/null
+++ b/crates/daemon/src/dispatch/tenures.rs
@@ -0,0 +1,118 @@
+//! Keeps the dispatch's idea of what it owns in step with the cluster's.
+
+use fuchsiamill_model::{FastMap, PoolName};
+use fuchsiamill_policy::{dispatch::Hold, membership::View, slots::Intake};
+
+use super::{
+    rpc::{IN_FLIGHT, InFlightOf},
+    task::{Command, Task},
+};
+use crate::{
+    backend::Take,
+    cluster::{Tenure, TenureId},
+};
+
+/// What the dispatch was told last.
+#[derive(Default)]
+pub struct Known {
+    term: Option<u64>,
+    view: View,
+    pub(super) tenures: FastMap<PoolName, TenureId>,
+}
+
+impl Task {
+    /// Whether this host has the majority support that owning and lending need.
+    ///
+    /// Called before every step, since a process may have been paused just before it.
+    pub(super) fn sync(&mut self) -> bool {
+        let term = self.cx.cluster.majority_term();
+        if self.known.term != term {
+            if self.known.term.is_some() {
+                let actions = self.dispatch.lose_standing();
+                self.known.tenures.clear();
+                self.carry_out(actions);
+            }
+            self.known.term = term;
+        }
+        if term.is_none() {
+            return false;
+        }
+        self.sync_members();
+        for pool in self.cx.config.current().pools.keys() {
+            self.sync_pool(pool);
+        }
+        true
+    }
+
+    fn sync_members(&mut self) {
+        let view = self.cx.cluster.view();
+        let incarnation = |name| match name == self.cx.cluster.me() {
+            true => Some(self.cx.incarnation.clone()),
+            false => self.cx.cluster.incarnation_of(name),
+        };
+        let members: Option<FastMap<_, _>> =
+            view.members.iter().map(|name| Some((name.clone(), incarnation(name)?))).collect();
+        // A member whose process is not known yet must not be taken for gone.
+        if let Some(members) = members {
+            self.dispatch.set_members(members);
+        }
+        self.known.view = view;
+    }
+
+    fn sync_pool(&mut self, pool: &PoolName) {
+        let now = self.cx.clock.now();
+        let actions = match self.cx.cluster.tenure(pool) {
+            Tenure::Mine(id) if self.known.tenures.get(pool) == Some(&id) => {
+                self.dispatch.hold(now, pool, Hold::Held)
+            }
+            Tenure::Mine(id) => {
+                self.known.tenures.insert(pool.clone(), id.clone());
+                let actions = self.dispatch.own(now, pool);
+                self.ask_in_flight(pool, &id);
+                actions
+            }
+            Tenure::Suspended => self.dispatch.hold(now, pool, Hold::Suspended),
+            Tenure::Other(_) | Tenure::Nobody => {
+                if self.known.tenures.remove(pool).is_none() {
+                    return;
+                }
+                self.dispatch.drop_pool(pool)
+            }
+        };
+        self.carry_out(actions);
+    }
+
+    /// Asks every member of the view, this host included, what it still runs in the pool.
+    fn ask_in_flight(&self, pool: &PoolName, tenure: &TenureId) {
+        let of = InFlightOf { pool: pool.clone(), view: self.known.view.id.clone() };
+        for entry in self.known.view.members.clone() {
+            let (cx, tx) = (self.cx.clone(), self.tx.clone());
+            let (of, tenure) = (of.clone(), tenure.clone());
+            monoio::spawn(async move {
+                let in_flight = if &entry == cx.cluster.me() {
+                    Ok(cx.dispatch.in_flight(cx.clock.now(), &of.pool))
+                } else {
+                    cx.cluster.call(&entry, IN_FLIGHT, &of).await
+                };
+                if let Ok(in_flight) = in_flight {
+                    let pool = of.pool;
+                    let _ = tx.send(Command::Reported { pool, tenure, entry, in_flight });
+                }
+            });
+        }
+    }
+
+    /// Passes on which backend servers may take new work.
+    pub(super) fn sync_intake(&mut self) {
+        let now = self.cx.clock.now();
+        let config = self.cx.config.current();
+        for host in config.hosts.values().filter(|it| self.known.tenures.contains_key(&it.pool)) {
+            let intake = match self.cx.health.may_take(now, &host.pool, &host.name) {
+                Take::Yes => Intake::Open,
+                Take::Trial => Intake::Trial,
+                Take::No => Intake::Closed,
+            };
+            self.dispatch.signal(&host.pool, &host.name, intake);
+        }
+    }
+}
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -38,6 +38,9 @@
             return Response::text(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
         }
         match self.cx.cluster.standing().refusal() {
+            None if !self.cx.dispatch.is_ready(&self.cx) => {
+                Response::text(StatusCode::SERVICE_UNAVAILABLE, "no view of the entry hosts yet")
+            }
             None => Response::text(StatusCode::OK, "ready"),
             Some(reason) => Response::text(StatusCode::SERVICE_UNAVAILABLE, reason),
         }
--- a/crates/daemon/tests/every_refusal.rs
+++ b/crates/daemon/tests/every_refusal.rs
@@ -254,7 +254,7 @@
 
 #[test]
 fn while_the_table_is_away() {
-    let site = small().setting("timing.standing-ms", 60_000).start();
+    let site = Site::of(3).pool("rota", 2).team("north", 40).start();
     site.platform_fault(PlatformFault::Down);
     let away = row(503, "store-unavailable", "unknown");
     assert_eq!(refusal(&send(&site, keyed("new"))), away);
--- /dev/null
+++ b/crates/daemon/tests/limits_hold.rs
@@ -0,0 +1,200 @@
+//! Upper limits, slots and shares over real entry hosts, judged by what ran at the backend servers.
+
+mod common;
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    thread,
+};
+
+use common::{Site, operator, wait_until};
+use fuchsiamill_api::ChangeReport;
+use fuchsiamill_model::{Change, EntryName, Units};
+use fuchsiamill_policy::membership::View;
+use fuchsiamill_standin::{
+    admin::PlatformFault,
+    record::{BackendRecord, Run},
+};
+
+const LIMIT: Units = 12;
+const SLOTS: u32 = 8;
+const CALLERS: usize = 24;
+const NOBODY: usize = usize::MAX;
+
+fn site(entry_hosts: usize) -> Site {
+    let site = Site::of(entry_hosts)
+        .pool("rota", 2)
+        .pool("post", 2)
+        .team("north", LIMIT)
+        .team("south", 100)
+        .work_ms(60)
+        .setting("callers.longest-deadline-ms", 4_000)
+        .setting("callers.default-deadline-ms", 3_000)
+        .setting("timing.loan-ms", 1_000)
+        .setting("timing.start-by-ms", 500)
+        .start();
+    wait_until("work is taken", || site.post(0, "rota", "north-key", "first").status == 200);
+    wait_until("work is taken", || site.post(0, "post", "north-key", "first").status == 200);
+    site
+}
+
+/// What the callers are told; they stop when it is dropped.
+struct Control {
+    stop: AtomicBool,
+    /// The entry host that the balancer leaves out.
+    left_out: AtomicUsize,
+}
+
+struct StopOnDrop<'a>(&'a Control);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// One caller: sends requests through one entry host after another until told to stop.
+fn call_on(site: &Site, key: &str, caller: usize, control: &Control) {
+    let service = ["rota", "post"][caller % 2];
+    for turn in caller.. {
+        if control.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let entry = turn % site.entries.len();
+        if entry != control.left_out.load(Ordering::Relaxed) {
+            site.try_post(entry, service, key, "work");
+        }
+    }
+}
+
+fn of<'a>(record: &'a BackendRecord, team: &'a str) -> impl Iterator<Item = &'a Run> {
+    record.runs.iter().filter(move |run| run.team == team)
+}
+
+fn most_running(record: &BackendRecord, team: &str) -> Units {
+    of(record, team).map(|run| run.team_running).max().unwrap_or(0)
+}
+
+fn ran(site: &Site, team: &str) -> usize {
+    of(&site.backend_record(), team).count()
+}
+
+/// Runs `fault` while both teams ask for more than there is, and returns the record.
+fn under_load(site: &Site, fault: impl FnOnce(&Control)) -> BackendRecord {
+    let control = Control { stop: AtomicBool::new(false), left_out: AtomicUsize::new(NOBODY) };
+    thread::scope(|scope| {
+        let _stop = StopOnDrop(&control);
+        for caller in 0..CALLERS {
+            for key in ["north-key", "south-key"] {
+                let control = &control;
+                scope.spawn(move || call_on(site, key, caller, control));
+            }
+        }
+        let before = ran(site, "north");
+        wait_until("the load runs", || ran(site, "north") > before + 40);
+        fault(&control);
+    });
+    site.backend_record()
+}
+
+fn check(record: &BackendRecord) {
+    let most = most_running(record, "north");
+    assert!(most <= LIMIT, "{most} of team north ran with a limit of {LIMIT}");
+    let slots = record.runs.iter().map(|run| run.server_running).max().unwrap_or(0);
+    assert!(slots <= SLOTS, "{slots} ran on one backend server");
+}
+
+/// The owner of a pool while every entry host is in the view.
+fn owner_of(site: &Site, pool: &str) -> usize {
+    let mut members: Vec<EntryName> =
+        site.entries.iter().map(|it| it.name.as_str().try_into().unwrap()).collect();
+    members.sort();
+    let view = View { members, ..View::default() };
+    let owner = view.owner(&pool.try_into().unwrap()).expect("an owner").clone();
+    site.entries.iter().position(|it| it.name == owner.as_str()).expect("an entry host")
+}
+
+fn more_run(site: &Site, count: usize) {
+    let (north, south) = (ran(site, "north"), ran(site, "south"));
+    wait_until("both teams run on", || {
+        ran(site, "north") > north + count && ran(site, "south") > south + count
+    });
+}
+
+#[test]
+fn limit_is_reached_and_never_passed() {
+    let site = site(3);
+    let record = under_load(&site, |_| more_run(&site, 100));
+    check(&record);
+    assert_eq!(most_running(&record, "north"), LIMIT, "the whole limit is used");
+    assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
+}
+
+#[test]
+fn killed_owner_takes_no_limit_along() {
+    let mut site = site(3);
+    let owner = owner_of(&site, "rota");
+    let record = under_load(&site, |control| {
+        site.entries[owner].kill();
+        control.left_out.store(owner, Ordering::Relaxed);
+        more_run(&site, 60);
+    });
+    check(&record);
+    site.restart(owner);
+    site.wait_ready();
+    check(&under_load(&site, |_| more_run(&site, 20)));
+}
+
+#[test]
+fn paused_owner_overruns_nothing_when_it_resumes() {
+    let site = site(3);
+    let owner = owner_of(&site, "rota");
+    let record = under_load(&site, |control| {
+        for _ in 0..2 {
+            site.entries[owner].signal("STOP");
+            control.left_out.store(owner, Ordering::Relaxed);
+            let (north, south) = (ran(&site, "north"), ran(&site, "south"));
+            wait_until("others run on", || {
+                ran(&site, "north") + ran(&site, "south") > north + south + 60
+            });
+            site.entries[owner].signal("CONT");
+            control.left_out.store(NOBODY, Ordering::Relaxed);
+            more_run(&site, 20);
+        }
+    });
+    check(&record);
+}
+
+#[test]
+fn table_outage_keeps_limit_and_work() {
+    let site = site(3);
+    let record = under_load(&site, |_| {
+        site.platform_fault(PlatformFault::Down);
+        more_run(&site, 60);
+        site.platform_fault(PlatformFault::LoseAnswers { count: 5 });
+        more_run(&site, 20);
+        site.platform_fault(PlatformFault::None);
+        more_run(&site, 20);
+    });
+    check(&record);
+}
+
+#[test]
+fn lowered_limit_starts_nothing_above_it() {
+    const LOWERED: Units = 4;
+    let site = site(3);
+    let mut accepted_ms = 0;
+    let record = under_load(&site, |_| {
+        let team = "north".try_into().unwrap();
+        let change = Change::SetUpperLimit { team, upper_limit: LOWERED };
+        let addr = site.entries[1].operator;
+        let report = operator::change(addr, "ada-key", "lower", None, vec![change]);
+        assert!(matches!(report, ChangeReport::Accepted { .. }), "{report:?}");
+        accepted_ms = site.backend_record().now_ms;
+        more_run(&site, 30);
+    });
+    check(&record);
+    let later = of(&record, "north").filter(|run| run.began_ms > accepted_ms);
+    let most = later.map(|run| run.team_running).max().expect("work went on");
+    assert!(most <= LOWERED, "{most} ran with a lowered limit of {LOWERED}");
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,7 +11,7 @@
 pub use error::{Error, Result};
 pub use link::Link;
 pub use router::{
-    Call, CallReceiver, CallSender, Failure, Notice, NoticeReceiver, NoticeSender, Router,
+    Call, CallReceiver, CallSender, Failure, Notice, NoticeReceiver, NoticeSender, Reply, Router,
     call_channel, notice_channel,
 };
 pub use server::PeerServer;
--- a/crates/peer/src/router.rs
+++ b/crates/peer/src/router.rs
@@ -89,6 +89,11 @@
     mpsc::unbounded_channel()
 }
 
+#[derive(Deserialize)]
+struct Head {
+    id: Option<serde::de::IgnoredAny>,
+}
+
 /// Knows which task answers which method.
 pub struct Router {
     module: RpcModule<()>,
@@ -126,7 +131,8 @@
     }
 
     fn notice(&self, text: &str) -> Option<Option<String>> {
-        if text.contains("\"id\"") {
+        let head: Head = serde_json::from_str(text).ok()?;
+        if head.id.is_some() {
             return None;
         }
         let notice: Notification<Value> = serde_json::from_str(text).ok()?;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -10,3 +10,4 @@
 
 pub use machine::{Action, Bounds, Dispatch};
 pub use messages::{Acquire, Answer, Ending, GrantRef, Granted, InFlight, Release};
+pub use pool::Hold;
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -4,16 +4,15 @@
 
 use fuchsiamill_model::{
     Configuration, EntryName, FastMap, HostName, Incarnation, Millisecond, Moment, PoolName,
-    Problem, ProblemKind, TeamName, Version,
+    Problem, ProblemKind, TeamName,
 };
 
-use super::{Acquire, Answer, Ending, InFlight, Release, pool::OwnedPool, units::Teams};
+use super::{Acquire, Answer, Ending, Hold, InFlight, Release, pool::OwnedPool, units::Teams};
 use crate::{
     escrow::{
         EscrowRow, GrantId, Holder, HolderId, LoanAnswer, LoanAsk, LoanReturn, Revision, Terms,
         WriteOutcome,
     },
-    outlier,
     shares::{Lane, LaneSettings, Nearness, Ticket},
     slots::Intake,
 };
@@ -34,8 +33,6 @@
     pub take_over: Millisecond,
     /// What services open to all were promised.
     pub open: LaneSettings,
-    /// When a backend server that fails is taken out.
-    pub outliers: outlier::Bounds,
 }
 
 /// What to do next.
@@ -133,48 +130,54 @@
         let before = std::mem::replace(&mut self.config, config);
         self.teams.configure(&before, &self.config);
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
-            self.configure_pool(now, &pool);
+            self.configure_pool(&pool);
         }
         self.tick(now)
     }
 
-    /// Takes a view: its members with their processes, and the pools that this host owns in it.
-    ///
-    /// Returns the pools that it newly owns. Each member's grants in them are to be reported with
-    /// [`Dispatch::report`].
-    pub fn set_view(
-        &mut self,
-        now: Moment,
-        members: FastMap<EntryName, Incarnation>,
-        owned: Vec<PoolName>,
-    ) -> (Vec<PoolName>, Vec<Action>) {
+    /// Takes the processes of the installed view.
+    pub fn set_members(&mut self, members: FastMap<EntryName, Incarnation>) {
         self.peers = members.keys().filter(|it| **it != self.me).cloned().collect();
         self.peers.sort();
         self.live = members;
+    }
+
+    /// Begins a tenure of a pool. Each member's grants in it are to be reported with
+    /// [`Dispatch::report`] before anything is granted.
+    pub fn own(&mut self, now: Moment, pool: &PoolName) -> Vec<Action> {
         let mut actions = Vec::new();
-        let lost = self.pools.keys().filter(|it| !owned.contains(it)).cloned().collect::<Vec<_>>();
-        for pool in lost {
-            self.drop_pool(&pool, &mut actions);
-        }
-        let fresh: Vec<PoolName> =
-            owned.into_iter().filter(|it| !self.pools.contains_key(it)).collect();
-        for pool in &fresh {
-            let until = now + self.bounds.take_over;
-            let members = self.live.keys().cloned();
-            let owned = OwnedPool::new(members, until, self.bounds.outliers);
-            self.pools.insert(pool.clone(), owned);
-            self.configure_pool(now, pool);
+        self.disown(pool, &mut actions);
+        let until = now + self.bounds.take_over;
+        let owned = OwnedPool::new(self.live.keys().cloned(), until);
+        self.pools.insert(pool.clone(), owned);
+        self.configure_pool(pool);
+        actions
+    }
+
+    /// Ends a tenure: the queue is sent to the new owner; what is granted stays charged.
+    pub fn drop_pool(&mut self, pool: &PoolName) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.disown(pool, &mut actions);
+        actions
+    }
+
+    /// Sets whether the owner of a pool may grant at present.
+    pub fn hold(&mut self, now: Moment, pool: &PoolName, hold: Hold) -> Vec<Action> {
+        let Some(owned) = self.pools.get_mut(pool) else { return Vec::new() };
+        match owned.set_hold(hold) {
+            Hold::Suspended if hold == Hold::Held => self.pump(now, pool),
+            _ => Vec::new(),
         }
-        (fresh, actions)
     }
 
     /// Drops every pool, and begins a new term of holding units.
     pub fn lose_standing(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
-            self.drop_pool(&pool, &mut actions);
+            self.disown(&pool, &mut actions);
         }
         self.teams.lose_standing();
+        self.live.clear();
         actions
     }
 
@@ -187,14 +190,14 @@
         in_flight: Vec<InFlight>,
     ) -> Vec<Action> {
         let Some(owned) = self.pools.get_mut(pool) else { return Vec::new() };
-        owned.report(now, entry, in_flight);
+        owned.report(now, entry, in_flight, &self.bounds.terms);
         self.pump(now, pool)
     }
 
     /// Takes what signals and probes say of a backend server of a pool.
-    pub fn signal(&mut self, now: Moment, pool: &PoolName, host: &HostName, intake: Intake) {
+    pub fn signal(&mut self, pool: &PoolName, host: &HostName, intake: Intake) {
         if let Some(owned) = self.pools.get_mut(pool) {
-            owned.signal(now, host, intake);
+            owned.slots.set_intake(host, intake);
         }
     }
 
@@ -214,11 +217,15 @@
         }
     }
 
-    /// Takes a request out of its queue that its entry host has given up.
-    pub fn cancel(&mut self, pool: &PoolName, ticket: &Ticket) {
+    /// Takes a request out of its queue that its entry host has given up, with an unused grant.
+    pub fn cancel(&mut self, now: Moment, pool: &PoolName, ticket: &Ticket) -> Vec<Action> {
         if let Some(owned) = self.pools.get_mut(pool) {
             owned.queues.remove_where(|it| &it.ticket == ticket);
         }
+        if let Some(number) = self.by_ticket.get(ticket).copied() {
+            self.end(now, number, Ending::Unsent);
+        }
+        self.pump(now, pool)
     }
 
     /// Takes a grant back, also one that an earlier owner of the pool gave.
@@ -303,11 +310,6 @@
         actions
     }
 
-    /// Whether a grant of `version` for `team` still stands under the configuration applied here.
-    pub fn is_current(&self, team: &TeamName, version: Version) -> bool {
-        self.teams.is_current(team, version)
-    }
-
     /// Whether this host owns a pool.
     pub fn owns(&self, pool: &PoolName) -> bool {
         self.pools.contains_key(pool)
--- a/crates/policy/src/dispatch/machine/grants.rs
+++ b/crates/policy/src/dispatch/machine/grants.rs
@@ -1,6 +1,6 @@
 //! Giving and ending grants.
 
-use fuchsiamill_model::{Moment, PoolName, TeamName};
+use fuchsiamill_model::{Moment, PoolName, TeamName, Units};
 
 use super::{Action, Dispatch, Given, answer};
 use crate::{
@@ -64,12 +64,13 @@
         let ticket = waiting.ticket;
         let grant =
             GrantRef { owner: self.me.clone(), incarnation: self.incarnation.clone(), number };
-        owned.begin(now, grant.clone(), Use { lane: lane.clone(), host: host.clone(), until });
+        owned.begin(grant.clone(), Use { lane: lane.clone(), host: host.clone(), until });
+        let upper_limit = self.upper_limit(&lane);
         let given =
             Given { pool: pool.clone(), lane, ticket: ticket.clone(), ask: waiting.ask, until };
         self.grants.insert(number, given);
         self.by_ticket.insert(ticket.clone(), number);
-        let granted = Granted { grant, host, version: self.config.version };
+        let granted = Granted { grant, host, version: self.config.version, upper_limit };
         actions.push(answer(ticket, Answer::Granted { grant: granted }));
         true
     }
@@ -98,6 +99,24 @@
         }
     }
 
+    /// Each member of the view keeps an even part of half of each limit, which it lends while
+    /// others need it. The other half is left for jobs and for demand.
+    fn set_base(&mut self, team: &TeamName) {
+        let limit = self.config.teams.get(team).map_or(0, |it| it.upper_limit);
+        let base = match self.live.is_empty() {
+            true => 0,
+            false => limit / (2 * (self.peers.len() as Units + 1)),
+        };
+        if let Some(holder) = self.teams.get_mut(team) {
+            holder.set_base(base);
+        }
+    }
+
+    fn upper_limit(&self, lane: &Lane) -> Option<Units> {
+        let Lane::Team(team) = lane else { return None };
+        self.config.teams.get(team).map(|it| it.upper_limit)
+    }
+
     fn grant_ref(&self, number: GrantId) -> GrantRef {
         GrantRef { owner: self.me.clone(), incarnation: self.incarnation.clone(), number }
     }
@@ -117,6 +136,7 @@
     pub(super) fn step(&mut self, now: Moment, team: &TeamName, actions: &mut Vec<Action>) {
         let lane = Lane::Team(team.clone());
         let wanted = self.pools.values().map(|it| it.units_wanted(now, &lane)).sum();
+        self.set_base(team);
         let steps = self.teams.steps(now, team, wanted, &self.peers);
         let team = || team.clone();
         actions.extend(steps.into_iter().map(|step| match step {
--- a/crates/policy/src/dispatch/machine/upkeep.rs
+++ b/crates/policy/src/dispatch/machine/upkeep.rs
@@ -1,29 +1,24 @@
 //! The pools' upkeep: configuration, queues, deadlines and measures.
 
-use fuchsiamill_model::{HostName, Millisecond, Moment, PoolName, ProblemKind};
+use fuchsiamill_model::{Millisecond, Moment, PoolName, ProblemKind};
 
 use super::{Action, Dispatch, answer, refused};
 use crate::{
     dispatch::{Acquire, Answer},
-    escrow::with_drift,
     shares::{Lane, Waiting},
 };
 
 impl Dispatch {
-    pub(super) fn configure_pool(&mut self, now: Moment, pool: &PoolName) {
+    pub(super) fn configure_pool(&mut self, pool: &PoolName) {
         let Some(owned) = self.pools.get_mut(pool) else { return };
-        let hosts: Vec<HostName> =
-            self.config.hosts_of(pool).map(|host| host.name.clone()).collect();
         owned.slots.set_hosts(self.config.hosts_of(pool));
-        owned.set_members(&hosts);
-        owned.refresh(now, &hosts);
         owned.queues.set_lane(Lane::Open, self.bounds.open);
         for team in self.config.teams.values() {
             owned.queues.set_lane(Lane::Team(team.name.clone()), team.into());
         }
     }
 
-    pub(super) fn drop_pool(&mut self, pool: &PoolName, actions: &mut Vec<Action>) {
+    pub(super) fn disown(&mut self, pool: &PoolName, actions: &mut Vec<Action>) {
         let Some(mut owned) = self.pools.remove(pool) else { return };
         let waiting = owned.queues.remove_where(|_| true);
         let asking = waiting.into_iter().filter(|it| it.is_asking);
@@ -40,7 +35,7 @@
             ticket: req.ticket.clone(),
             ask: req.ask,
             data_centre: req.data_centre.clone(),
-            until: now + with_drift(req.left),
+            until: now + self.bounds.terms.with_drift(req.left),
             asked_at: now,
             is_asking: true,
         };
@@ -59,10 +54,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(owned) = self.pools.get_mut(pool) else { return };
-        let hosts: Vec<HostName> =
-            self.config.hosts_of(pool).map(|host| host.name.clone()).collect();
         owned.expire(now);
-        owned.refresh(now, &hosts);
         owned.measure(now, span);
         let start_by = self.bounds.terms.start_by;
         let overdue = owned.queues.remove_where(|it| it.until <= now);
--- a/crates/policy/src/dispatch/messages.rs
+++ b/crates/policy/src/dispatch/messages.rs
@@ -1,7 +1,7 @@
 //! What entry hosts and the owner of a pool tell each other.
 
 use fuchsiamill_model::{
-    DataCentre, EntryName, HostName, Incarnation, Millisecond, PoolName, Problem, Version,
+    DataCentre, EntryName, HostName, Incarnation, Millisecond, PoolName, Problem, Units, Version,
 };
 use serde::{Deserialize, Serialize};
 
@@ -68,9 +68,11 @@
     pub grant: GrantRef,
     /// The host whose backend server runs it.
     pub host: HostName,
-    /// The configuration that the owner had applied. A grant is void where a newer configuration
-    /// that lowers the team's limit is applied.
+    /// The configuration that the owner had applied.
     pub version: Version,
+    /// The team's upper limit in that configuration. The grant is void where a newer configuration
+    /// with a lower limit is applied.
+    pub upper_limit: Option<Units>,
 }
 
 /// How a granted request ended.
@@ -79,10 +81,10 @@
 pub enum Ending {
     /// It was never sent.
     Unsent,
-    /// The backend server could not be reached, so it was never sent.
+    /// No connection could be opened, so it was never sent.
     Unreachable,
-    /// The backend server refused it because all its slots are in use.
-    Busy,
+    /// The backend server refused it before it ran.
+    Refused,
     /// The whole answer came.
     Answered,
     /// The backend server failed it.
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -4,10 +4,9 @@
 
 use super::{Ending, GrantRef, InFlight};
 use crate::{
-    escrow::with_drift,
-    outlier::{self, Outliers, Standing},
+    escrow::Terms,
     shares::{Lane, Nearness, Queues},
-    slots::{Intake, SlotTable},
+    slots::SlotTable,
 };
 
 /// How long a backend server that answered busy gets no new work.
@@ -30,31 +29,34 @@
     Granting,
 }
 
+/// Whether the owner of a pool may grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// It may.
+    Held,
+    /// It may again soon; until then nothing is granted.
+    Suspended,
+}
+
 /// One pool at its owner.
 #[derive(Debug)]
 pub(super) struct OwnedPool {
     pub(super) queues: Queues,
     pub(super) slots: SlotTable,
     pub(super) nearness: Nearness,
-    outliers: Outliers<HostName>,
-    signals: FastMap<HostName, Intake>,
+    hold: Hold,
     uses: FastMap<GrantRef, Use>,
     stage: Stage,
 }
 
 impl OwnedPool {
     /// A pool that `members` have yet to report on, until `until` at the longest.
-    pub(super) fn new(
-        members: impl Iterator<Item = EntryName>,
-        until: Moment,
-        bounds: outlier::Bounds,
-    ) -> Self {
+    pub(super) fn new(members: impl Iterator<Item = EntryName>, until: Moment) -> Self {
         Self {
             queues: Queues::default(),
             slots: SlotTable::default(),
             nearness: Nearness::default(),
-            outliers: Outliers::new(bounds),
-            signals: FastMap::default(),
+            hold: Hold::Held,
             uses: FastMap::default(),
             stage: Stage::TakingOver {
                 missing: members.collect(),
@@ -65,7 +67,13 @@
     }
 
     /// Takes what an entry host still runs in the pool.
-    pub(super) fn report(&mut self, now: Moment, entry: &EntryName, in_flight: Vec<InFlight>) {
+    pub(super) fn report(
+        &mut self,
+        now: Moment,
+        entry: &EntryName,
+        in_flight: Vec<InFlight>,
+        terms: &Terms,
+    ) {
         let Stage::TakingOver { missing, released, .. } = &mut self.stage else { return };
         if !missing.remove(entry) {
             return;
@@ -78,7 +86,7 @@
         for InFlight { grant, lane, host, left } in fresh {
             self.slots.adopt(&host);
             self.queues.started(&lane);
-            self.uses.insert(grant, Use { lane, host, until: now + with_drift(left) });
+            self.uses.insert(grant, Use { lane, host, until: now + terms.with_drift(left) });
         }
     }
 
@@ -89,25 +97,16 @@
         {
             self.stage = Stage::Granting;
         }
-        matches!(self.stage, Stage::Granting)
-    }
-
-    /// Takes what signals and probes say of a backend server.
-    pub(super) fn signal(&mut self, now: Moment, host: &HostName, intake: Intake) {
-        self.signals.insert(host.clone(), intake);
-        self.refresh_intake(now, host);
+        self.hold == Hold::Held && matches!(self.stage, Stage::Granting)
     }
 
     /// Counts a slot of a picked host as in use.
-    pub(super) fn begin(&mut self, now: Moment, grant: GrantRef, used: Use) {
-        if self.outliers.standing(now, &used.host) == Standing::Trial {
-            self.outliers.begin_trial(now, &used.host);
-        }
+    pub(super) fn begin(&mut self, grant: GrantRef, used: Use) {
         self.queues.started(&used.lane);
         self.uses.insert(grant, used);
     }
 
-    /// Frees the slot of a grant and learns from its ending.
+    /// Frees the slot of a grant.
     ///
     /// Work whose answer was lost keeps its slot until its deadline.
     pub(super) fn end(&mut self, now: Moment, grant: &GrantRef, ending: Ending) {
@@ -115,23 +114,13 @@
             released.insert(grant.clone());
         }
         if ending == Ending::Lost {
-            if let Some(used) = self.uses.get(grant) {
-                self.outliers.record(now, &used.host, outlier::Ending::Failed);
-            }
             return;
         }
         let Some(used) = self.uses.remove(grant) else { return };
         self.slots.release(&used.host);
         self.queues.ended(&used.lane);
-        match ending {
-            Ending::Unsent | Ending::Lost => {}
-            Ending::Busy => self.slots.set_busy(&used.host, now + BUSY_PAUSE),
-            Ending::Answered => {
-                self.outliers.record(now, &used.host, outlier::Ending::Served);
-            }
-            Ending::Unreachable | Ending::Failed => {
-                self.outliers.record(now, &used.host, outlier::Ending::Failed);
-            }
+        if ending == Ending::Refused {
+            self.slots.set_busy(&used.host, now + BUSY_PAUSE);
         }
     }
 
@@ -144,17 +133,9 @@
         }
     }
 
-    /// Brings what outlier detection says of each host into the slots.
-    pub(super) fn refresh(&mut self, now: Moment, hosts: &[HostName]) {
-        for host in hosts {
-            self.refresh_intake(now, host);
-        }
-    }
-
-    /// The pool's members for outlier detection.
-    pub(super) fn set_members(&mut self, hosts: &[HostName]) {
-        self.outliers.set_members(hosts);
-        self.signals.retain(|host, _| hosts.contains(host));
+    /// Sets whether the owner may grant at present; returns what was set before.
+    pub(super) fn set_hold(&mut self, hold: Hold) -> Hold {
+        std::mem::replace(&mut self.hold, hold)
     }
 
     /// Adds a span of time to nearness to share, if the pool is full.
@@ -178,16 +159,6 @@
         let below = part.map_or(0, |(_, part, running)| below_part(*part, *running));
         queued.min(below.max(self.slots.free(now)).max(1))
     }
-
-    fn refresh_intake(&mut self, now: Moment, host: &HostName) {
-        let signal = self.signals.get(host).copied().unwrap_or_default();
-        let intake = match (signal, self.outliers.standing(now, host)) {
-            (Intake::Closed, _) | (_, Standing::OutUntil(_)) => Intake::Closed,
-            (Intake::Trial, _) | (_, Standing::Trial) => Intake::Trial,
-            (Intake::Open, Standing::In) => Intake::Open,
-        };
-        self.slots.set_intake(host, intake);
-    }
 }
 
 fn below_part(part: f64, running: Slots) -> u32 {
--- a/crates/policy/src/dispatch/units.rs
+++ b/crates/policy/src/dispatch/units.rs
@@ -11,7 +11,6 @@
 pub(super) struct TeamUnits {
     pub(super) holder: Holder,
     reclaimer: Reclaimer,
-    lowered_at: Version,
 }
 
 /// All teams' units at this entry host.
@@ -39,11 +38,6 @@
         self.teams.keys().cloned().collect()
     }
 
-    /// Whether no limit of the team was lowered after `version`, as far as this host knows.
-    pub(super) fn is_current(&self, team: &TeamName, version: Version) -> bool {
-        self.teams.get(team).is_some_and(|it| it.lowered_at <= version)
-    }
-
     /// Takes a new configuration.
     pub(super) fn configure(&mut self, before: &Configuration, after: &Configuration) {
         for (name, team) in &after.teams {
@@ -58,11 +52,11 @@
                 Some(old) if is_next && old < team.upper_limit => LimitChange::Raised,
                 _ => LimitChange::Lowered,
             };
-            if change == LimitChange::Lowered {
-                units.lowered_at = after.version;
-            }
             units.holder.limit_changed(change, after.version);
         }
+        for units in self.teams.values_mut() {
+            units.holder.applied(after.version);
+        }
         self.teams.retain(|name, units| {
             after.teams.contains_key(name) || units.holder.running() > 0 || units.holder.out() > 0
         });
@@ -99,7 +93,7 @@
 
     fn add(&mut self, name: &TeamName, version: Version) {
         let holder = Holder::new(self.id.clone(), self.terms, version);
-        let units = TeamUnits { holder, reclaimer: Reclaimer::default(), lowered_at: version };
+        let units = TeamUnits { holder, reclaimer: Reclaimer::default() };
         self.teams.insert(name.clone(), units);
     }
 }
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -16,4 +16,4 @@
 pub use loan::{LoanAnswer, LoanAsk, LoanId, LoanReturn};
 pub use reclaim::Reclaimer;
 pub use row::{EscrowRow, HolderId};
-pub use terms::{Terms, with_drift};
+pub use terms::Terms;
--- a/crates/policy/src/escrow/holder.rs
+++ b/crates/policy/src/escrow/holder.rs
@@ -101,6 +101,7 @@
     id: HolderId,
     terms: Terms,
     seen: Option<Seen>,
+    applied: Version,
     lowered_at: Version,
     settled_at: Option<Version>,
     held: Units,
@@ -113,6 +114,7 @@
     table: TableHealth,
     surplus_since: Option<Moment>,
     queued: Units,
+    base: Units,
     account: Account,
     lent: FastMap<LoanId, Lent>,
     reserved: FastMap<EntryName, Reserve>,
@@ -129,6 +131,7 @@
             id,
             terms,
             seen: None,
+            applied: lowered_at,
             lowered_at,
             settled_at: None,
             held: 0,
@@ -141,6 +144,7 @@
             table: TableHealth::Answers,
             surplus_since: None,
             queued: 0,
+            base: 0,
             account: Account::default(),
             lent: FastMap::default(),
             reserved: FastMap::default(),
@@ -226,6 +230,11 @@
         self.reserved.clear();
     }
 
+    /// Tells that every entry up to `version` is applied; changes of this limit were told before.
+    pub fn applied(&mut self, version: Version) {
+        self.applied = self.applied.max(version);
+    }
+
     /// Tells that the applied configuration changed the team's limit at `version`.
     pub fn limit_changed(&mut self, change: LimitChange, version: Version) {
         self.must_read = true;
@@ -239,6 +248,12 @@
         self.ended = ended;
     }
 
+    /// Sets the units that this holder takes and keeps without demand, so that they can be lent
+    /// while the table does not answer.
+    pub fn set_base(&mut self, base: Units) {
+        self.base = base;
+    }
+
     /// What to do next, when `queued` requests wait and `peers` are the other hosts of the view.
     pub fn next(&mut self, now: Moment, queued: Units, peers: &[EntryName]) -> Vec<Step> {
         self.queued = queued;
@@ -268,6 +283,15 @@
         self.settled_at.is_some_and(|version| version >= self.lowered_at)
     }
 
+    /// The newest version for which the sum of holdings is known to keep the limit: no limit was
+    /// lowered between that at which it was seen and the one that is applied.
+    fn settled_as_of(&self) -> Option<Version> {
+        match self.is_settled() {
+            true => self.settled_at.max(Some(self.applied)),
+            false => self.settled_at,
+        }
+    }
+
     fn in_use(&self) -> Units {
         self.account.own() + self.out()
     }
--- a/crates/policy/src/escrow/holder/lend.rs
+++ b/crates/policy/src/escrow/holder/lend.rs
@@ -15,7 +15,7 @@
     pub fn lend(&mut self, now: Moment, ask: &LoanAsk) -> LoanAnswer {
         self.expire(now);
         let units = self.lend_units(now, ask);
-        LoanAnswer { id: ask.id.clone(), ask: ask.ask, units, settled_at: self.settled_at }
+        LoanAnswer { id: ask.id.clone(), ask: ask.ask, units, settled_at: self.settled_as_of() }
     }
 
     /// Takes returned units back.
--- a/crates/policy/src/escrow/holder/table.rs
+++ b/crates/policy/src/escrow/holder/table.rs
@@ -108,7 +108,7 @@
     /// A holder that has nothing and wants nothing leaves the table alone.
     fn needs_table(&self) -> bool {
         let has_row = self.row().is_some_and(|row| row.held.keys().any(|id| self.is_mine(id)));
-        self.queued > 0 || self.held > 0 || self.in_use() > 0 || has_row
+        self.queued > 0 || self.base > 0 || self.held > 0 || self.in_use() > 0 || has_row
     }
 
     fn is_mine(&self, id: &HolderId) -> bool {
@@ -127,16 +127,18 @@
         for holder in self.ended.drain(..) {
             row.reclaim(&holder);
         }
-        let wanted = self.in_use() + self.queued + self.reserved();
+        let demand = self.in_use() + self.queued + self.reserved();
         let held = row.held_by(&self.id);
         if !row.is_settled() {
             row.shrink(&self.id, self.in_use());
-        } else if wanted > held {
-            let target = with_headroom(wanted, row.limit);
+        } else if demand > held {
+            let target = with_headroom(demand, row.limit).max(self.base);
             row.grow(&self.id, target - held);
-        } else if self.has_lasting_surplus(now, held, wanted, row.limit) {
-            let keep = if wanted == 0 { 0 } else { with_headroom(wanted, row.limit) };
-            row.shrink(&self.id, keep);
+        } else if self.base > held {
+            row.grow(&self.id, self.base - held);
+        } else if self.has_lasting_surplus(now, held, demand, row.limit) {
+            let keep = if demand == 0 { 0 } else { with_headroom(demand, row.limit) };
+            row.shrink(&self.id, keep.max(self.base));
         }
         let is_changed = row != seen.row;
         let in_row = row.held_by(&self.id);
@@ -147,7 +149,7 @@
         if is_changed || is_unconfirmed {
             return Some((seen.revision, row));
         }
-        if !row.is_settled() || wanted > held {
+        if !row.is_settled() || demand > held {
             self.must_read = true;
         }
         None
@@ -158,11 +160,11 @@
         &mut self,
         now: Moment,
         held: Units,
-        wanted: Units,
+        demand: Units,
         limit: Units,
     ) -> bool {
-        let enough = with_headroom(with_headroom(wanted, limit), limit);
-        if held == 0 || (wanted > 0 && held <= enough) {
+        let enough = with_headroom(with_headroom(demand, limit), limit);
+        if held <= self.base || (demand > 0 && held <= enough) {
             self.surplus_since = None;
             return false;
         }
--- a/crates/policy/src/escrow/reclaim.rs
+++ b/crates/policy/src/escrow/reclaim.rs
@@ -14,7 +14,7 @@
     /// The holders of `row` that may be reclaimed, when `live` names the processes of the view.
     ///
     /// A holder is gone once a view without its process is installed. What it granted or lent may
-    /// be in use for [`Terms::outstanding`] after that.
+    /// be in use for [`Terms::reclaim_after`] after that.
     pub fn observe(
         &mut self,
         now: Moment,
@@ -28,7 +28,7 @@
         let mut ended = Vec::new();
         for id in gone {
             let since = *self.gone_since.entry(id.clone()).or_insert(now);
-            if now.since(since) > terms.outstanding() {
+            if now.since(since) > terms.reclaim_after() {
                 ended.push(id.clone());
             }
         }
--- a/crates/policy/src/escrow/terms.rs
+++ b/crates/policy/src/escrow/terms.rs
@@ -2,13 +2,6 @@
 
 use fuchsiamill_model::Millisecond;
 
-const DRIFT_PERCENT: Millisecond = 2;
-
-/// A wait on another host's clock: `span` with the margin for drift, in milliseconds.
-pub fn with_drift(span: Millisecond) -> Millisecond {
-    span + (span * DRIFT_PERCENT).div_ceil(100)
-}
-
 /// The time limits that every entry host of a site shares, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
@@ -22,17 +15,39 @@
     pub write_period: Millisecond,
     /// How long units stay unused before they are given back.
     pub idle: Millisecond,
+    /// How long a process may think that it has standing after it lost it.
+    pub standing: Millisecond,
+    /// The margin on waits by another host's clock, in percent.
+    pub drift_percent: u32,
 }
 
 impl Terms {
+    /// A wait on another host's clock: `span` with the margin for drift, in milliseconds.
+    pub fn with_drift(&self, span: Millisecond) -> Millisecond {
+        span + (span * Millisecond::from(self.drift_percent)).div_ceil(100)
+    }
+
     /// How long units may still be in use after their holder gave its last grant or loan.
     pub fn outstanding(&self) -> Millisecond {
-        with_drift(self.loan + self.start_by + self.deadline)
+        self.with_drift(self.loan + self.start_by + self.deadline)
+    }
+
+    /// How long after its process was seen to be gone a holding is reclaimed.
+    pub fn reclaim_after(&self) -> Millisecond {
+        self.with_drift(self.standing + self.loan + self.start_by + self.deadline)
     }
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Self { loan: 5_000, start_by: 1_000, deadline: 30_000, write_period: 250, idle: 3_000 }
+        Self {
+            loan: 5_000,
+            start_by: 1_000,
+            deadline: 30_000,
+            write_period: 250,
+            idle: 3_000,
+            standing: 2_000,
+            drift_percent: 2,
+        }
     }
 }
--- a/crates/policy/src/membership/view.rs
+++ b/crates/policy/src/membership/view.rs
@@ -176,6 +176,14 @@
         Tenure::Mine(TenureId { lapses: views.lapses, since: start.id.clone() })
     }
 
+    /// Names the unbroken time of majority support that this host is in, by the number of lapses
+    /// before it; `None` without a majority, and for a host that is leaving.
+    pub fn majority_term(&mut self, now: Moment) -> Option<u64> {
+        self.observe(now);
+        let may_hold = self.mode(now) == Mode::Counting && self.has_majority(now);
+        may_hold.then_some(self.views.lapses)
+    }
+
     fn others_tenure(&self, pool: &PoolName) -> Tenure {
         match self.views.installed.owner(pool) {
             Some(owner) if owner != &self.me => Tenure::Other(owner.clone()),
--- a/crates/policy/tests/dispatch_owner.rs
+++ b/crates/policy/tests/dispatch_owner.rs
@@ -7,9 +7,10 @@
     ProblemKind, Resources, Team, Version, config::PoolRole, team::Urgency,
 };
 use fuchsiamill_policy::{
-    dispatch::{Acquire, Action, Answer, Bounds, Dispatch, Ending, Granted, InFlight, Release},
+    dispatch::{
+        Acquire, Action, Answer, Bounds, Dispatch, Ending, Granted, Hold, InFlight, Release,
+    },
     escrow::{EscrowRow, Revision, Terms, WriteOutcome},
-    outlier,
     shares::{Lane, LaneSettings, Ticket},
 };
 use quickcheck::{Gen, QuickCheck};
@@ -69,13 +70,6 @@
         ask: 400,
         take_over: 1_000,
         open: LaneSettings { share: 1, longest: 2, urgency: Urgency::Normal },
-        outliers: outlier::Bounds {
-            failures: 3,
-            first_ejection: 1_000,
-            longest_ejection: 10_000,
-            most_out_percent: 50,
-            trial: 500,
-        },
     }
 }
 
@@ -96,11 +90,11 @@
         site
     }
 
-    fn own(&mut self, now: Moment, members: usize) -> Vec<PoolName> {
+    fn own(&mut self, now: Moment, members: usize) {
         let members = (0..members).map(|at| (entry(at), incarnation())).collect();
-        let (fresh, actions) = self.dispatch.set_view(now, members, vec![pool()]);
+        self.dispatch.set_members(members);
+        let actions = self.dispatch.own(now, &pool());
         self.carry_out(now, actions);
-        fresh
     }
 
     fn report(&mut self, now: Moment, at: usize, in_flight: Vec<InFlight>) {
@@ -261,7 +255,7 @@
     let mut old = Site::owning(10);
     let kept = granted(old.acquire(Moment(0), 1, lane("b"), 5_000));
     let mut site = Site::new(10);
-    assert_eq!(site.own(Moment(0), 2), [pool()]);
+    site.own(Moment(0), 2);
     assert_eq!(site.acquire(Moment(1), 1, lane("b"), 5_000), None, "it is taking over");
     let in_flight = |number: u64| InFlight {
         grant: fuchsiamill_policy::dispatch::GrantRef {
@@ -290,20 +284,34 @@
 fn lost_pool_sends_its_queue_away() {
     let mut site = Site::owning(0);
     assert_eq!(site.acquire(Moment(0), 1, lane("a"), 9_000), None);
-    let (_, actions) = site.dispatch.set_view(Moment(1), FastMap::default(), Vec::new());
+    let actions = site.dispatch.drop_pool(&pool());
     site.carry_out(Moment(1), actions);
     assert_eq!(site.answers.pop().map(|it| it.1), Some(Answer::NotOwner));
     assert_eq!(site.acquire(Moment(2), 1, lane("a"), 9_000), Some(Answer::NotOwner));
 }
 
 #[test]
-fn lowered_limit_voids_older_grants() {
+fn suspended_owner_grants_nothing() {
     let mut site = Site::owning(2);
-    let first = granted(site.acquire(Moment(0), 1, lane("a"), 5_000));
-    site.dispatch.configure(Moment(1), configuration(2, 1));
-    let team = "a".parse().expect("a valid name");
-    assert!(!site.dispatch.is_current(&team, first.version));
-    assert!(site.dispatch.is_current(&team, Version(2)));
+    site.dispatch.hold(Moment(0), &pool(), Hold::Suspended);
+    assert_eq!(site.acquire(Moment(1), 1, lane("a"), 5_000), None);
+    let actions = site.dispatch.hold(Moment(2), &pool(), Hold::Held);
+    site.carry_out(Moment(2), actions);
+    let first = granted(site.answers.pop().map(|it| it.1));
+    assert_eq!((first.version, first.upper_limit), (Version(1), Some(2)));
+}
+
+#[test]
+fn cancelled_request_leaves_nothing_behind() {
+    let mut site = Site::owning(1);
+    granted(site.acquire(Moment(0), 1, lane("a"), 5_000));
+    assert_eq!(site.acquire(Moment(0), 2, lane("a"), 5_000), None);
+    assert_eq!(site.acquire(Moment(0), 3, lane("a"), 5_000), None);
+    let ticket = |number| Ticket { entry: entry(1), number };
+    site.dispatch.cancel(Moment(1), &pool(), &ticket(2));
+    let actions = site.dispatch.cancel(Moment(1), &pool(), &ticket(1));
+    site.carry_out(Moment(1), actions);
+    assert_eq!(site.answers.pop().map(|it| it.0.number), Some(3));
 }
 
 /// Random asks, endings and times: slots and limits hold and every grant is of one open ask.
--- a/crates/policy/tests/escrow_limit.rs
+++ b/crates/policy/tests/escrow_limit.rs
@@ -5,13 +5,21 @@
 use fuchsiamill_model::{EntryName, FastMap, Incarnation, Millisecond, Moment, Units, Version};
 use fuchsiamill_policy::escrow::{
     EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, LoanReturn, Reclaimer,
-    Revision, Step, Terms, WriteOutcome, with_drift,
+    Revision, Step, Terms, WriteOutcome,
 };
 use quickcheck::{Gen, QuickCheck};
 
 const HOSTS: usize = 4;
 const STEPS: usize = 1_500;
-const TERMS: Terms = Terms { loan: 60, start_by: 15, deadline: 120, write_period: 8, idle: 40 };
+const TERMS: Terms = Terms {
+    loan: 60,
+    start_by: 15,
+    deadline: 120,
+    write_period: 8,
+    idle: 40,
+    standing: 0,
+    drift_percent: 2,
+};
 const MICROSECONDS: u64 = 1_000;
 
 #[derive(Clone)]
@@ -75,6 +83,7 @@
     revision: u64,
     table_down: bool,
     fault_one_in: u32,
+    base: Units,
     loss_percent: u8,
     run_length: RunLength,
     demand: Demand,
@@ -102,6 +111,7 @@
     fn new(seed: u64) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let limit = rng.u32(1..20);
+        let base = if rng.bool() { limit / HOSTS as Units } else { 0 };
         let loss_percent = [0, 2, 12][rng.usize(0..3)];
         let run_length = [RunLength::Longest, RunLength::Mixed][rng.usize(0..2)];
         let demand = [Demand::Full, Demand::Peaks, Demand::Bursts][rng.usize(0..3)];
@@ -128,6 +138,7 @@
             revision: 1,
             table_down: false,
             fault_one_in,
+            base,
             loss_percent,
             run_length,
             demand,
@@ -257,6 +268,7 @@
         };
         entry.applied = version;
         entry.holder.limit_changed(change, version);
+        entry.holder.applied(version);
     }
 
     /// The largest limit that is in force at some host, once every host with standing was told.
@@ -413,11 +425,13 @@
             Demand::Bursts if self.rng.u8(0..20) == 0 => 20,
             Demand::Bursts => 0,
         };
+        let base = self.base;
         let entry = &mut self.entries[at];
         if let Some(row) = entry.holder.row().cloned() {
             let ended = entry.reclaimer.observe(now, &row, &live, &TERMS);
             entry.holder.reclaim(ended);
         }
+        entry.holder.set_base(base);
         let steps = entry.holder.next(now, queued, &peers);
         for step in steps {
             self.step(at, step);
@@ -466,7 +480,7 @@
         let number = entry.incarnation * 1_000_000 + entry.next_grant * HOSTS as u64 + at as u64;
         entry.next_grant += 1;
         let grant = GrantId(number);
-        let until = now + with_drift(TERMS.deadline);
+        let until = now + TERMS.with_drift(TERMS.deadline);
         if entry.holder.charge(now, grant, until).is_none() {
             return;
         }
--- a/crates/policy/tests/escrow_races.rs
+++ b/crates/policy/tests/escrow_races.rs
@@ -95,7 +95,7 @@
     row.grow(&id("a", 0), 8);
     let live: FastMap<EntryName, Incarnation> = FastMap::default();
     let mut reclaimer = Reclaimer::default();
-    let later = Moment(terms.outstanding() + 1);
+    let later = Moment(terms.reclaim_after() + 1);
     assert!(reclaimer.observe(Moment(0), &row, &live, &terms).is_empty());
     assert_eq!(reclaimer.clone().observe(later, &row, &live, &terms), [id("a", 0)]);
     reclaimer.lose_standing();
