Waves: faults together in one test; an operator whose hosts are all held is told by whom

Cause: a drain of hosts that another plan holds was answered with 'no host is left' and named nobody. Change: the refusal names the plan, its operator and intent; a test with the runner killed, the table down, a host that never returns and a second operator in one wave under load. Conclusion: no request lost or cut, budgets held, 11 of 12 hosts serve after.

--- a/crates/daemon/tests/wave_processes.rs
+++ b/crates/daemon/tests/wave_processes.rs
@@ -8,7 +8,7 @@
 use common::{
     Site, SiteBuilder,
     jobs::TestJob,
-    wait_until,
+    operator, wait_until,
     waves::{LoadResult, under_load},
 };
 use fuchsiamill_api::{PlanReport, Reason, Stage};
@@ -257,3 +257,36 @@
     assert!((0..4).all(|at| running(&format!("worker-{at}")) == 0));
     assert!(jobs.iter().all(|id| site.wait_job(1, "north", id) == "finished"));
 }
+
+#[test]
+fn faults_come_together_in_one_wave() {
+    let site = site(3).start();
+    site.restart_mode("host-3", RestartMode::Never);
+    let ((), load) = under_load(&site, &["rota", "desk"], CLIENTS, || {
+        let plan = site.plan(0, "ada-key", wave());
+        confirmed(&site.confirm(0, "ada-key", &plan.id));
+        wait_until("some hosts are done", || done_hosts(&site, 0, &plan.id) >= 2);
+        let rack = Intent::DrainRack { rack: "rack-2".try_into().unwrap() };
+        let late = operator::try_call(site.entries[1].operator, "ben-key", "plan.make", &rack);
+        let refused = late.expect("the port answers").to_string();
+        assert!(refused.contains("held by plan") && refused.contains("of ada"), "{refused}");
+        let runner = site.runner(&plan.id).expect("the plan has a runner");
+        site.platform_fault(PlatformFault::Down);
+        site.entries[runner].kill();
+        let before = site.platform_record().refused;
+        wait_until("the table is asked in vain", || site.platform_record().refused > before + 20);
+        site.platform_fault(PlatformFault::None);
+        let other = (runner + 1) % 3;
+        wait_until("another entry host carries it out", || site.runner(&plan.id) != Some(runner));
+        wait_until("most hosts are done", || done_hosts(&site, other, &plan.id) >= 8);
+        wait_until("the wave has ended", || site.has_ended(other, &plan.id));
+    });
+    check_load(&load);
+    site.check_runs();
+    site.check_empty();
+    site.check_budgets(&["host-3"]);
+    let newest = site.newest();
+    let serving = newest.hosts.values().filter(|it| it.state == HostState::Serving).count();
+    assert_eq!(serving, 11);
+    assert!(site.restarts().values().all(|it| *it == 1));
+}
--- a/crates/policy/src/planner/scope.rs
+++ b/crates/policy/src/planner/scope.rs
@@ -25,6 +25,8 @@
     hosts: Vec<(&'a Host, PoolIndex)>,
     /// Hosts that the intent covers and that are left as they are.
     pub left_out: Vec<LeftOut>,
+    /// Why the first of them is.
+    unfit: Option<Error>,
 }
 
 enum Kind {
@@ -40,7 +42,7 @@
     pub fn of(fleet: &Fleet<'a>, intent: &Intent) -> Result<Self> {
         if let Some(changes) = direct::changes(intent) {
             let kind = Kind::Direct(Step::Apply { changes });
-            return Ok(Self { kind, hosts: Vec::new(), left_out: Vec::new() });
+            return Ok(Self { kind, hosts: Vec::new(), left_out: Vec::new(), unfit: None });
         }
         let scope = match intent {
             Intent::Wave { pool } => {
@@ -64,7 +66,11 @@
             Intent::MoveNamed { hosts, to } => Self::move_named(fleet, hosts, to)?,
             _ => return Err(Error::NothingToDo),
         };
-        if scope.hosts.is_empty() { Err(Error::NothingToDo) } else { Ok(scope) }
+        match scope.unfit {
+            Some(unfit) if scope.hosts.is_empty() => Err(unfit),
+            None if scope.hosts.is_empty() => Err(Error::NothingToDo),
+            _ => Ok(scope),
+        }
     }
 
     /// The hosts that it is about.
@@ -101,12 +107,13 @@
     }
 
     fn serving(fleet: &Fleet<'a>, kind: Kind, chosen: impl Fn(&Host) -> bool) -> Self {
-        let mut scope = Self { kind, hosts: Vec::new(), left_out: Vec::new() };
+        let mut scope = Self { kind, hosts: Vec::new(), left_out: Vec::new(), unfit: None };
         for host in fleet.config.hosts.values().filter(|host| chosen(host)) {
             match unfit(fleet, host, HostState::Serving) {
                 None => scope.hosts.push((host, fleet.pool_of(host))),
                 Some(e) => {
                     scope.left_out.push(LeftOut { host: host.name.clone(), why: e.to_string() });
+                    scope.unfit.get_or_insert(e);
                 }
             }
         }
@@ -119,7 +126,7 @@
     }
 
     fn named(fleet: &Fleet<'a>, kind: Kind, names: &[HostName], needed: HostState) -> Result<Self> {
-        let mut scope = Self { kind, hosts: Vec::new(), left_out: Vec::new() };
+        let mut scope = Self { kind, hosts: Vec::new(), left_out: Vec::new(), unfit: None };
         let once: BTreeSet<_> = names.iter().collect();
         for name in once {
             let host = fleet.host(name).ok_or_else(|| ModelError::NoHost(name.clone()))?;
@@ -154,7 +161,7 @@
         }
         let chosen = move_plans::choose(free, wanted);
         let hosts = chosen.into_iter().map(|host| (host, from)).collect();
-        Ok(Self { kind: Kind::Move(to.clone()), hosts, left_out: Vec::new() })
+        Ok(Self { kind: Kind::Move(to.clone()), hosts, left_out: Vec::new(), unfit: None })
     }
 }
 
