--- a/crates/daemon/tests/claim_table.rs
+++ b/crates/daemon/tests/claim_table.rs
@@ -8,7 +8,7 @@
 };
 use fuchsiamill_http::{Bounds as HttpBounds, JsonClient, Response};
 use fuchsiamill_model::{Incarnation, ProblemKind, RunState, ServiceName, TeamName, WallTime};
-use fuchsiamill_platform::{ObjectClient, Row, TableClient};
+use fuchsiamill_platform::{Commit, ObjectClient, Row, Table, TableClient};
 use fuchsiamill_policy::claims::{
     Bounds, Claim, ClaimKey, Held, IdempotencyKey, RETENTION, RequestDigest, Scope,
 };
@@ -186,9 +186,19 @@
     block_on(async {
         let site = Site::start();
         let (a, b) = (site.claims("a-1"), site.claims("b-1"));
-        site.fault(PlatformFault::Silent).await;
+        // The first write takes effect and its answer is lost; then the table falls silent.
+        site.fault(PlatformFault::LoseAnswers { count: 1 }).await;
+        let silence = async {
+            while site.record().await.answers_lost == 0 {
+                monoio::time::sleep(Duration::from_millis(2)).await;
+            }
+            site.fault(PlatformFault::Silent).await;
+        };
+        let claim = site.claim(&a, "k", "x");
+        let (claimed, ()) = futures_util::future::join(claim, silence).await;
         let unavailable = (ProblemKind::StoreUnavailable, RunState::Unknown);
-        assert_eq!(refused(site.claim(&a, "k", "x").await), unavailable);
+        assert_eq!(refused(claimed), unavailable);
+        assert_eq!(site.rows("claim/").await.len(), 1, "the first write took effect");
         site.fault(PlatformFault::None).await;
         a.settle().await;
         held(site.claim(&b, "k", "x").await);
@@ -234,7 +244,12 @@
         held(site.claim(&site.claims("c-1"), "other", "x").await);
         let table = TableClient::new(site.platform, CALL_TIME);
         let sweep = fuchsiamill_daemon::claims::sweep;
+        let old_key = &site.rows("claim/").await[0].key;
+        let stale = json!({"claims": [[old_key, "an-earlier-claim"]]});
+        let commit = Commit::default().put("claim-index/0000000001/x/1", &stale);
+        table.commit(&commit).await.unwrap();
         assert_eq!(sweep(&table, site.clock.wall()).await.unwrap(), 0);
+        assert!(site.rows("claim-index/0000000001").await.is_empty(), "the stale index row went");
         assert_eq!(site.rows("claim/").await.len(), 2);
         let later = WallTime(site.clock.wall().0 + RETENTION + 2 * 3_600_000);
         assert_eq!(sweep(&table, later).await.unwrap(), 2);
