Heartbeats by position: fewer bytes a second; catching up counts only answers

And a host that catches up by hearing its peers counted what was told before its start. Change: a heartbeat is a list, the installed view is left out when it is the promised one, random numbers are shorter. Only peers that echo a heartbeat of this incarnation count for catching up.

--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -66,7 +66,7 @@
             drift_percent: settings.timing.drift_percent,
         };
         let me = settings.entry.name.clone();
-        let first_seq = fastrand::u64(..1 << 48);
+        let first_seq = fastrand::u64(..1 << 32);
         let membership = Membership::new(me.clone(), incarnation, timing, clock.now(), first_seq);
         let settled_peers =
             settings.peers.0.iter().map(|(name, addr)| (name.clone(), *addr)).collect();
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -177,6 +177,6 @@
 }
 
 fn new_incarnation() -> Incarnation {
-    let raw = format!("{:016x}", fastrand::u64(..));
+    let raw = format!("{:012x}", fastrand::u64(..1 << 48));
     Incarnation::try_from(raw.as_str()).expect("hexadecimal digits are a name")
 }
--- a/crates/policy/src/membership/heartbeat.rs
+++ b/crates/policy/src/membership/heartbeat.rs
@@ -27,49 +27,79 @@
 }
 
 /// A read of the table as its reader tells others of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableRead {
     /// How long ago it began when the heartbeat was sent.
-    #[serde(rename = "a")]
     pub age: Millisecond,
     /// The version that it showed.
-    #[serde(rename = "v")]
     pub version: Version,
 }
 
-/// One heartbeat. Its member names are short because it is most of the bytes between idle hosts.
+/// One heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(from = "Wire", into = "Wire")]
 pub struct Heartbeat {
     /// The sender.
-    #[serde(rename = "f")]
     pub from: EntryName,
     /// The sender's incarnation.
-    #[serde(rename = "i")]
     pub incarnation: Incarnation,
     /// Its number, growing with every round.
-    #[serde(rename = "s")]
     pub seq: u64,
     /// The number of the last heartbeat that the sender had from the addressee.
-    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub echo: Option<u64>,
     /// How the sender counts.
-    #[serde(rename = "m")]
     pub mode: Mode,
     /// The newest configuration version that the sender has applied.
-    #[serde(rename = "v")]
     pub version: Version,
     /// The newest view that the sender has promised.
-    #[serde(rename = "p")]
     pub promised: ViewId,
     /// The newest view that the sender knows to be installed.
-    #[serde(rename = "n")]
     pub installed: ViewId,
     /// The freshest read of the table by the sender itself.
-    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub table_read: Option<TableRead>,
 }
 
+/// A heartbeat as it is sent: by position, because member names would be most of its bytes. The
+/// installed view is left out when it is the promised one.
+type Wire = (
+    EntryName,
+    Incarnation,
+    u64,
+    Option<u64>,
+    Mode,
+    Version,
+    ViewId,
+    Option<ViewId>,
+    Option<(Millisecond, Version)>,
+);
+
+impl From<Heartbeat> for Wire {
+    fn from(it: Heartbeat) -> Wire {
+        let installed = Some(it.installed).filter(|id| *id != it.promised);
+        let read = it.table_read.map(|read| (read.age, read.version));
+        (
+            it.from,
+            it.incarnation,
+            it.seq,
+            it.echo,
+            it.mode,
+            it.version,
+            it.promised,
+            installed,
+            read,
+        )
+    }
+}
+
+impl From<Wire> for Heartbeat {
+    fn from(wire: Wire) -> Heartbeat {
+        let (from, incarnation, seq, echo, mode, version, promised, installed, read) = wire;
+        let installed = installed.unwrap_or_else(|| promised.clone());
+        let table_read = read.map(|(age, version)| TableRead { age, version });
+        Heartbeat { from, incarnation, seq, echo, mode, version, promised, installed, table_read }
+    }
+}
+
 /// What a heartbeat asks its receiver to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Heard {
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -205,10 +205,11 @@
         if self.read_since_start.is_some_and(|version| self.version >= version) {
             return true;
         }
-        let counting = |(name, mode, _): &(&EntryName, Mode, Version)| {
-            mode.counts() && self.record.contains(*name)
-        };
-        let heard = self.live_peers(now).filter(counting).count();
+        // Support echoes a heartbeat of this incarnation, so what told it was sent after the start.
+        let supports =
+            |name: &EntryName| self.peers.get(name).is_some_and(|it| it.support.is_some());
+        let live = self.live_peers(now).map(|(name, ..)| name);
+        let heard = live.filter(|it| self.record.contains(*it) && supports(it)).count();
         heard > self.record.len() - self.majority() && self.version >= self.heard_version
     }
 }
--- a/crates/policy/tests/pool_tenure.rs
+++ b/crates/policy/tests/pool_tenure.rs
@@ -5,7 +5,8 @@
 
 use fuchsiamill_model::{EntryName, Incarnation, Moment, PoolName, Version};
 use fuchsiamill_policy::membership::{
-    Ack, Heard, Heartbeat, Membership, Standing, Tenure, TenureId, Timing, View, ViewAction, ViewId,
+    Ack, Heard, Heartbeat, Membership, Mode, Standing, TableRead, Tenure, TenureId, Timing, View,
+    ViewAction, ViewId,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
@@ -373,3 +374,24 @@
     assert_eq!(tenure_in(11, 10), first);
     assert_ne!(tenure_in(13, 12), first);
 }
+
+#[test]
+fn heartbeat_keeps_its_meaning_on_the_wire() {
+    let name = |raw: &str| EntryName::try_from(raw).unwrap();
+    let mut heartbeat = Heartbeat {
+        from: name("entry-0"),
+        incarnation: Incarnation::try_from("0a1b2c3d4e5f").unwrap(),
+        seq: 7,
+        echo: None,
+        mode: Mode::Counting,
+        version: Version(3),
+        promised: ViewId(2, Some(name("entry-1"))),
+        installed: ViewId(2, Some(name("entry-1"))),
+        table_read: Some(TableRead { age: 40, version: Version(3) }),
+    };
+    for installed in [2, 1] {
+        heartbeat.installed.0 = installed;
+        let wire = serde_json::to_string(&heartbeat).unwrap();
+        assert_eq!(serde_json::from_str::<Heartbeat>(&wire).unwrap(), heartbeat, "{wire}");
+    }
+}
