Views: a host that was let in counts until its next heartbeats say so

Cause: after a restart of entry-0 five views followed within 0.3 s. entry-0 was let in by the view that it proposed itself; another host had not yet had a heartbeat that says it counts, thought itself the first of those alive and proposed a view without it, and so on. Each view cost every owner its grants for a moment.

--- a/crates/policy/src/membership/view.rs
+++ b/crates/policy/src/membership/view.rs
@@ -107,6 +107,7 @@
     /// Installed views, each the basis of the next, since the last lapse; the newest last.
     chain: VecDeque<View>,
     installed: View,
+    installed_at: Moment,
     lapses: u64,
     support: Support,
     proposal: Option<Proposal>,
@@ -135,7 +136,7 @@
         std::mem::replace(&mut self.promised, id.clone())
     }
 
-    fn install(&mut self, view: View) {
+    fn install(&mut self, now: Moment, view: View) {
         if view.basis != self.installed.id {
             self.chain.clear();
         }
@@ -144,6 +145,7 @@
             self.chain.pop_front();
         }
         self.installed = view;
+        self.installed_at = now;
     }
 
     fn lapse(&mut self) {
@@ -220,7 +222,7 @@
             self.views.promise(now, &view.id);
         }
         if view.id > self.views.installed.id {
-            self.views.install(view);
+            self.views.install(now, view);
         }
     }
 
@@ -318,10 +320,15 @@
         ViewAction::Propose(view)
     }
 
-    /// The hosts on record that count, do not leave and were heard within the suspicion time.
+    /// The hosts on record that count, do not leave and were heard within the suspicion time. A host
+    /// that a new view lets in counts from then on: its first heartbeat that says so may come later.
     fn alive(&self, now: Moment) -> Vec<EntryName> {
-        let counting =
-            |(name, mode, _): (&EntryName, Mode, _)| (mode == Mode::Counting).then(|| name.clone());
+        let is_new = now.since(self.views.installed_at) < self.timing.suspect;
+        let let_in = |name: &EntryName| is_new && self.views.installed.members.contains(name);
+        let counting = |(name, mode, _): (&EntryName, Mode, _)| {
+            let counts = mode == Mode::Counting || mode == Mode::Starting && let_in(name);
+            counts.then(|| name.clone())
+        };
         let mut alive: Vec<EntryName> = self
             .live_peers(now)
             .filter_map(counting)
