Stand-ins serve through one function; peer calls through one path

Cause: four stand-ins each wrote the same bind-and-serve, and ClusterHandle::call was call_within again with another time. Change: reply::serve, and call goes through call_within. No behaviour changes. Seen and left: with_drift stands three times with different margins (membership twice the drift, escrow and jobs once).

--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -178,11 +178,7 @@
         method: &str,
         params: &impl Serialize,
     ) -> fuchsiamill_peer::Result<R> {
-        let Some(link) = self.link(peer) else {
-            let cause = format!("no peer address of '{peer}' is known");
-            return Err(fuchsiamill_peer::Error::Unreachable(cause));
-        };
-        link.call(method, params, CALL_TIME).await
+        self.call_within(peer, method, params, CALL_TIME).await
     }
 
     /// Calls a method of a peer and waits at most `time`.
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use fuchsiamill_http::{Bounds, Handler, Incoming, Request, Response, Server, shutdown_pair};
+use fuchsiamill_http::{Bounds, Handler, Incoming, Request, Response};
 use http::{HeaderName, HeaderValue, StatusCode};
 use monoio::time::sleep;
 
@@ -65,22 +65,12 @@
             fleet: fleet.clone(),
             running: Cell::new(0),
         };
-        servers.push((name, spawn(plan.listen, Rc::new(backend))?));
+        servers.push((name, reply::serve(plan.listen, Bounds::default(), Rc::new(backend))?));
     }
-    let admin = spawn(plan.listen, Rc::new(Admin { fleet }))?;
+    let admin = reply::serve(plan.listen, Bounds::default(), Rc::new(Admin { fleet }))?;
     Ok(Started { servers, admin })
 }
 
-fn spawn<H: Handler + 'static>(listen: SocketAddr, handler: Rc<H>) -> io::Result<SocketAddr> {
-    let server = Server::bind(listen, Bounds::default(), handler)?;
-    let addr = server.local_addr()?;
-    monoio::spawn(async move {
-        let (_handle, shutdown) = shutdown_pair();
-        server.run(shutdown).await;
-    });
-    Ok(addr)
-}
-
 struct Fleet {
     began: Instant,
     modes: RefCell<BTreeMap<String, BackendMode>>,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
+use fuchsiamill_http::{Bounds, Handler, Incoming, Response};
 use fuchsiamill_platform::{Commit, CommitOutcome, Range, RestartOrder};
 use http::{Method, StatusCode};
 use monoio::time::sleep;
@@ -24,13 +24,7 @@
 /// Starts the platform on the current runtime.
 pub fn start(listen: SocketAddr) -> io::Result<SocketAddr> {
     let bounds = Bounds { body_bytes: LARGEST_BODY_BYTES, ..Bounds::default() };
-    let server = Server::bind(listen, bounds, Rc::new(Platform::new()))?;
-    let addr = server.local_addr()?;
-    monoio::spawn(async move {
-        let (_handle, shutdown) = shutdown_pair();
-        server.run(shutdown).await;
-    });
-    Ok(addr)
+    reply::serve(listen, bounds, Rc::new(Platform::new()))
 }
 
 struct Platform {
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
+use fuchsiamill_http::{Bounds, Handler, Incoming, Response};
 use http::StatusCode;
 use monoio::{
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, Splitable},
@@ -20,13 +20,7 @@
 
 /// Starts the proxy's admin port on the current runtime.
 pub fn start(listen: SocketAddr) -> io::Result<SocketAddr> {
-    let server = Server::bind(listen, Bounds::default(), Rc::<Proxy>::default())?;
-    let addr = server.local_addr()?;
-    monoio::spawn(async move {
-        let (_handle, shutdown) = shutdown_pair();
-        server.run(shutdown).await;
-    });
-    Ok(addr)
+    reply::serve(listen, Bounds::default(), Rc::<Proxy>::default())
 }
 
 #[derive(Default)]
--- a/crates/standin/src/reply.rs
+++ b/crates/standin/src/reply.rs
@@ -1,9 +1,26 @@
-//! Answers with JSON bodies.
+//! Ports that serve for ever, and answers with JSON bodies.
 
-use fuchsiamill_http::{Incoming, Response};
+use std::{io, net::SocketAddr, rc::Rc};
+
+use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
 use http::StatusCode;
 use serde::{Serialize, de::DeserializeOwned};
 
+/// Serves on a port of `listen` for as long as the runtime lives; gives the bound address.
+pub fn serve<H: Handler + 'static>(
+    listen: SocketAddr,
+    bounds: Bounds,
+    handler: Rc<H>,
+) -> io::Result<SocketAddr> {
+    let server = Server::bind(listen, bounds, handler)?;
+    let addr = server.local_addr()?;
+    monoio::spawn(async move {
+        let (_handle, shutdown) = shutdown_pair();
+        server.run(shutdown).await;
+    });
+    Ok(addr)
+}
+
 /// An answer with a value.
 pub fn value<T: Serialize>(value: &T) -> Response {
     match serde_json::to_vec(value) {
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -8,7 +8,7 @@
     time::Instant,
 };
 
-use fuchsiamill_http::{Bounds, Handler, Incoming, Response, Server, shutdown_pair};
+use fuchsiamill_http::{Bounds, Handler, Incoming, Response};
 use fuchsiamill_model::{Incarnation, Millisecond, Moment};
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -89,23 +89,16 @@
     let mut workers = Vec::with_capacity(plan.count);
     for index in 0..plan.count {
         let worker = Rc::new(Worker::new(format!("worker-{index}"), plan.usage_lag, began));
-        workers.push((worker.name.clone(), spawn(plan.listen, worker.clone())?));
+        workers.push((
+            worker.name.clone(),
+            reply::serve(plan.listen, Bounds::default(), worker.clone())?,
+        ));
         agents.push(worker);
     }
-    let admin = spawn(plan.listen, Rc::new(Admin { workers: agents }))?;
+    let admin = reply::serve(plan.listen, Bounds::default(), Rc::new(Admin { workers: agents }))?;
     Ok(Started { workers, admin })
 }
 
-fn spawn<H: Handler + 'static>(listen: SocketAddr, handler: Rc<H>) -> io::Result<SocketAddr> {
-    let server = Server::bind(listen, Bounds::default(), handler)?;
-    let addr = server.local_addr()?;
-    monoio::spawn(async move {
-        let (_handle, shutdown) = shutdown_pair();
-        server.run(shutdown).await;
-    });
-    Ok(addr)
-}
-
 struct Worker {
     name: String,
     usage_lag: Millisecond,
