Job tests judge from the workers' record, whatever the machine's speed

Cause: owner_paused_past_the_lease_is_told_truly expected 10 jobs finished and 10 unknown. That holds only if no run of 4 s has ended before the owner is paused. Change: the runs are of 10 s and the pause begins once all 20 run at the same time; the table is down from then until the leases have run out, so that no other host renews any of them. Judged job by job from the workers' record: at-most-once and cut is told unknown, all others finished, and a run of each kind was cut. Others that went by the machine's speed: the wave of cancellations expected 30 of 60 cancelled before they ended (now no job ends by itself, all 60 are cancelled and nothing runs on); the silent worker bounded the unknown jobs by a count taken before the cut (now each job told unknown was cut or ran on that worker); the drain needed its plan within the jobs' 6 s (12 s); a job was to be seen within 1.5 s of its end (5 s); the upper limit was to be reached with runs of 200 ms (800 ms). Seen failing: cut at-most-once runs put back into the queue (owner_paused, silent_worker), stops not ordered (wave_of_cancellations).

--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -87,10 +87,10 @@
 fn accepted_jobs_finish_within_the_upper_limit() {
     // The schedulers of two pools race for the same units.
     let site = site().pool("scan", 4).start();
-    let mut jobs = accept_many(&site, "south", 12, 200);
+    let mut jobs = accept_many(&site, "south", 12, 800);
     for n in 0..12 {
         let key = format!("scan-{n}");
-        let id = site.accept_job(0, "scan", "south", &job(&key, 200, ONCE));
+        let id = site.accept_job(0, "scan", "south", &job(&key, 800, ONCE));
         jobs.push((id, ONCE.to_owned()));
     }
     let states = check_truth(&site, "south", &jobs);
@@ -125,22 +125,45 @@
 
 #[test]
 fn owner_paused_past_the_lease_is_told_truly() {
-    let site = site().setting("jobs.lease-ms", 1_000).start();
-    let jobs = accept_many(&site, "north", 20, 4_000);
-    wait_until("jobs run", || site.runs_by_job().len() >= 20);
-    let owner = &site.entries[site.job_owner("post")];
-    owner.signal("STOP");
-    wait_until("the leases run out", || {
-        site.runs_by_job().values().flatten().any(|it| !finished(it) && it.ended.is_some())
-    });
-    wait_until("another owner schedules", || {
-        site.entries[site.job_owner("post")].pid() != owner.pid()
-    });
-    owner.signal("CONT");
-    let states = check_truth(&site, "north", &jobs);
-    // Those that run at most once were cut; nobody can say that they finished.
-    assert_eq!(states.get("finished"), Some(&10), "{states:?}");
-    assert_eq!(states.get("unknown"), Some(&10), "{states:?}");
+    let site =
+        site().setting("jobs.lease-ms", 1_000).setting("platform.request-timeout-ms", 300).start();
+    let jobs = accept_many(&site, "north", 20, 10_000);
+    wait_until("all run at once", || runs_open(&site) == 20);
+    let owner = site.job_owner("post");
+    // No other host can take over and renew before the leases run out.
+    site.platform_fault(PlatformFault::Down);
+    site.entries[owner].signal("STOP");
+    wait_until("the leases run out", || runs_open(&site) == 0);
+    let at_pause = site.runs_by_job();
+    site.platform_fault(PlatformFault::None);
+    wait_until("another owner schedules", || site.job_owner("post") != owner);
+    site.entries[owner].signal("CONT");
+    check_truth(&site, "north", &jobs);
+    check_cut_runs(&site, "north", &jobs, &at_pause);
+}
+
+/// How many runs have begun and not ended.
+fn runs_open(site: &Site) -> usize {
+    site.runs_by_job().values().flatten().filter(|it| it.ended.is_none()).count()
+}
+
+/// Checks that an at-most-once job is told `unknown` if its run was cut, and `finished` if not; that every
+/// idempotent job is told `finished`; and that a job of either kind was cut.
+fn check_cut_runs(
+    site: &Site,
+    team: &str,
+    jobs: &[(String, String)],
+    at_pause: &BTreeMap<String, Vec<Run>>,
+) {
+    let mut cut = BTreeMap::from([(ONCE, 0), (AGAIN, 0)]);
+    for (id, rerun) in jobs {
+        let runs = &at_pause[id];
+        let whole = runs.iter().any(finished);
+        *cut.get_mut(rerun.as_str()).unwrap() += usize::from(!whole);
+        let expected = if rerun == ONCE && !whole { "unknown" } else { "finished" };
+        assert_eq!(site.job_state(0, team, id), expected, "{id} {rerun}: {runs:?}");
+    }
+    assert!(cut.values().all(|it| *it > 0), "no run was cut: {at_pause:?}");
 }
 
 #[test]
@@ -188,8 +211,9 @@
 #[test]
 fn wave_of_cancellations_is_told_truly() {
     let site = site().start();
-    let jobs = accept_many(&site, "south", 60, 300);
-    wait_until("some run", || site.runs_by_job().len() >= 3);
+    // No job ends by itself before it is cancelled.
+    let jobs = accept_many(&site, "south", 60, 600_000);
+    wait_until("some run", || runs_open(&site) == 3);
     let before = site.platform_record().commits;
     std::thread::scope(|scope| {
         for chunk in jobs.chunks(6) {
@@ -204,7 +228,8 @@
         }
     });
     let states = check_truth(&site, "south", &jobs);
-    assert!(states.get("cancelled").is_some_and(|it| *it >= 30), "{states:?}");
+    assert_eq!(states.get("cancelled"), Some(&60), "{states:?}");
+    assert_eq!(runs_open(&site), 0, "a cancelled task still ran");
     let commits = site.platform_record().commits - before;
     assert!(commits < 60, "{commits} commits for 60 cancellations");
 }
@@ -228,16 +253,20 @@
     let site = site().setting("jobs.lease-ms", 2_000).start();
     let jobs = accept_many(&site, "north", 12, 3_000);
     wait_until("jobs run", || site.runs_by_job().len() >= 12);
-    let there = |site: &Site| site.worker_record()[0].runs.len();
-    let started = there(&site);
     site.worker_access(0, Access::CutOff);
     let states = check_truth(&site, "north", &jobs);
     site.worker_access(0, Access::Reachable);
     let total: usize = states.values().sum();
     assert_eq!(total, 12);
-    assert!(states.get("unknown").copied().unwrap_or(0) <= started, "{states:?}");
+    // Only a run that was cut, or whose worker did not tell of its end, may be told as unknown.
+    let silent = &site.worker_record()[0].runs;
+    let runs = site.runs_by_job();
+    for (id, _) in jobs.iter().filter(|(id, _)| site.job_state(0, "north", id) == "unknown") {
+        let was_silent = silent.iter().any(|it| it.task.job.to_string() == *id);
+        assert!(was_silent || !runs[id].iter().any(finished), "{id}: {:?}", runs[id]);
+    }
     // No job ever runs on two workers at the same time.
-    for runs in site.runs_by_job().values() {
+    for runs in runs.values() {
         let mut sorted = runs.clone();
         sorted.sort_by_key(|it| it.began);
         let overlap =
@@ -250,7 +279,7 @@
 fn drained_host_hands_its_tasks_on() {
     // Entry hosts keep up to half of a limit for an outage of the table; all 24 jobs must run at once.
     let site = site().team("north", 60).start();
-    let jobs = accept_many(&site, "north", 24, 6_000);
+    let jobs = accept_many(&site, "north", 24, 12_000);
     wait_until("jobs run", || site.runs_by_job().len() >= 24);
     let record = site.worker_record();
     let busiest = (0..4).max_by_key(|it| record[*it].runs.len()).unwrap();
@@ -343,10 +372,10 @@
 
 #[test]
 fn old_jobs_are_deleted() {
-    let site = site().setting("jobs.keep-ms", 1_500).start();
+    let site = site().setting("jobs.keep-ms", 5_000).start();
     let first = site.accept_job(0, "post", "north", &job("old", 50, ONCE));
     assert_eq!(site.wait_job(0, "north", &first), "finished");
-    let long = site.accept_job(0, "post", "north", &job("long", 6_000, ONCE));
+    let long = site.accept_job(0, "post", "north", &job("long", 10_000, ONCE));
     wait_until("the old job is deleted", || {
         site.job(0, "north", &first).is_some_and(|it| it.status == 404)
     });
