Queued work: tests of every refusal; a withdrawn key empties its queue at once

Cause: `queue-full`, `shutting-down`, `deadline-passed` while queued and `overloaded` for claims had no test with processes. The new ones found that the key of a queued request was checked only when its grant came: with every slot busy, requests of a withdrawn key waited for a slot before they were refused.

Change: a queued request follows the configuration and is refused `key-refused`, `not-run`, once the change is applied. Tests in `queued_work.rs`: a team's full queue refuses that team alone, deadlines that pass in the queue, SIGTERM, withdrawn keys, callers that hang up, too many claims; nothing refused as `not-run` is in the backend server's record.

With the message of a given-up request left out, the test of hang-ups still passes: the owner drops what is not asked for again within `start-by-ms`.

--- a/crates/daemon/src/caller/exchange.rs
+++ b/crates/daemon/src/caller/exchange.rs
@@ -52,8 +52,9 @@
         }
     }
 
-    /// Waits for a grant; a caller that hangs up and a shutdown give the place in the queue back.
-    async fn granted(&mut self) -> Result<Grant> {
+    /// Waits for a grant; a caller that hangs up, a withdrawn key and a shutdown give the place in
+    /// the queue back.
+    async fn granted(&self) -> Result<Grant> {
         let cx = &self.callers.cx;
         let ask = Ask {
             pool: self.call.admitted.pool.clone(),
@@ -65,6 +66,7 @@
         let acquire = pin!(cx.dispatch.acquire(cx, ask));
         let closed = pin!(queueing.wait_for(|it| *it == Queueing::Closed));
         let gone = pin!(hangup.wait());
+        let withdrawn = pin!(self.withdrawn());
         let late = pin!(monoio::time::sleep_until(cx.clock.instant(self.call.deadline)));
         monoio::select! {
             granted = acquire => granted,
@@ -73,10 +75,24 @@
                 cx.metrics.event("caller_gone");
                 Err(Problem::not_run(ProblemKind::DeadlinePassed, "The caller hung up."))
             }
+            problem = withdrawn => Err(problem),
             _ = late => Err(deadline_passed()),
         }
     }
 
+    /// Waits until a change of the configuration leaves the request without its key or service.
+    async fn withdrawn(&self) -> Problem {
+        let mut config = self.callers.cx.config.subscribe();
+        loop {
+            if let Err(problem) = self.callers.ring().recheck(&self.call.admitted) {
+                return problem;
+            }
+            if config.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     async fn attempt(&mut self, grant: Grant) -> Tried {
         let callers = self.callers;
         let cx = &callers.cx;
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -172,6 +172,12 @@
         self
     }
 
+    /// Adds a team like [`SiteBuilder::team`] with so many places in its queue of each pool.
+    pub fn team_with_queue(mut self, name: &str, upper_limit: Units, queue: u32) -> Self {
+        self.teams.push(Team { queue, ..team(name, upper_limit).expect("a team") });
+        self
+    }
+
     /// Sets how long a request runs at a backend server, in milliseconds.
     pub fn work_ms(mut self, ms: u64) -> Self {
         self.work_ms = ms;
