Operators list, show and cancel the jobs of every team, and see what they wait for

Cause: jobs were to be seen only on the caller port with a team's key, and nobody was told why a job waits. Change: job.list, job.show and job.cancel on the operator port of any entry host, and 'fuchsiamill job list|show|cancel' as text and JSON. Why a job waits is asked of the pool's owner by one call for each pool: its team's turn, the upper limit, room, hosts out of service, or no owner. An operator's cancel and its audit record are one commit; a cancel that was asked for before writes nothing more.

--- a/crates/api/src/audit.rs
+++ b/crates/api/src/audit.rs
@@ -13,7 +13,7 @@
     Refused,
     /// Another change stood in its way.
     Conflict,
-    /// It changed the configuration so that a plan ends early.
+    /// It ended a plan early, or cancelled a job.
     Cancelled,
 }
 
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -3,12 +3,14 @@
 pub mod audit;
 pub mod change;
 pub mod catalogue;
+pub mod jobs;
 pub mod plans;
 pub mod report;
 
 pub use audit::{AuditFilter, AuditOutcome, AuditRecord};
 pub use catalogue::{Catalogue, HostFilter};
 pub use change::{ChangeReport, ChangeRequest};
+pub use jobs::{JobFilter, JobRef, JobReport, JobState, JobView};
 pub use plans::{
     Acceptance, Confirmed, PlanRef, PlanReport, PlanView, Reason, SetPlanState, Stage,
 };
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -8,7 +8,7 @@
     ServiceName, TeamName, Units,
 };
 
-use crate::show::time::Span;
+use crate::{jobs::Job, show::time::Span};
 
 /// Drives a fuchsiamill site: state an intent, look at the plan, confirm it.
 #[derive(Debug, FromArgs)]
@@ -56,6 +56,8 @@
     Pool(Pool),
     /// Hosts.
     Host(Host),
+    /// Jobs.
+    Job(Job),
     /// Entry hosts.
     EntryHost(EntryHost),
     /// The audit trail.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod error;
 mod intents;
+mod jobs;
 mod keys;
 mod progress;
 mod run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -4,9 +4,10 @@
 
 use fuchsiamill_api::{
     AuditFilter, AuditOutcome, AuditRecord, Catalogue, ChangeReport, ChangeRequest, HostFilter,
-    PlanRef, PlanReport, PlanView, Reason, SetPlanState, SiteReport, SiteStatus,
+    JobFilter, JobRef, JobReport, JobState, JobView, PlanRef, PlanReport, PlanView, Reason,
+    SetPlanState, SiteReport, SiteStatus,
 };
-use fuchsiamill_model::{Change, ChangeId, Host, HostState, PlanId, PlanState, WallTime};
+use fuchsiamill_model::{Change, ChangeId, Host, HostState, JobId, PlanId, PlanState, WallTime};
 use fuchsiamill_policy::planner::Plan;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -19,7 +20,9 @@
     },
     client::Client,
     error::{Error, ExitStatus, Result},
-    intents, keys, progress,
+    intents,
+    jobs::{JobCommand, JobList},
+    keys, progress,
     show::{self, plans::Detail},
 };
 
@@ -45,6 +48,11 @@
         Command::Host(host) => match &host.command {
             HostCommand::List(list) => cx.hosts(list),
         },
+        Command::Job(job) => match &job.command {
+            JobCommand::List(list) => cx.jobs(list),
+            JobCommand::Show(it) => cx.job("job.show", &it.job),
+            JobCommand::Cancel(it) => cx.job("job.cancel", &it.job),
+        },
         Command::EntryHost(entry) => match &entry.command {
             EntryHostCommand::List(_) => {
                 cx.catalogue(show::lists::entry_hosts, |it| json!(it.entry_hosts))
@@ -181,6 +189,32 @@
         self.ask::<Vec<Host>>("host.list", &filter, |it| show::lists::hosts(it))
     }
 
+    fn jobs(&self, args: &JobList) -> Result<Outcome> {
+        let state = args.state.as_deref().map(|raw| word::<JobState>("state", raw)).transpose()?;
+        let filter = JobFilter {
+            pool: args.pool.clone(),
+            team: args.team.clone(),
+            state,
+            ended_since: Some(WallTime(now().0.saturating_sub(args.since.ms()))),
+            limit: Some(args.limit),
+        };
+        self.ask::<Vec<JobView>>("job.list", &filter, |it| show::jobs::list(it))
+    }
+
+    fn job(&self, method: &str, job: &JobId) -> Result<Outcome> {
+        let report: JobReport = self.client()?.call(method, &JobRef { job: job.clone() })?;
+        match &report {
+            JobReport::Job(view) => {
+                Ok(Outcome::done(self.text(&report, |_| show::jobs::job(view))))
+            }
+            JobReport::NotDone { reason, detail } if self.args.json => {
+                let code = error_of(*reason, detail).code();
+                Ok(Outcome { text: self.text(&report, |_| String::new()), code })
+            }
+            JobReport::NotDone { reason, detail } => Err(error_of(*reason, detail)),
+        }
+    }
+
     fn audit(&self, args: &cli::Audit) -> Result<Outcome> {
         let outcome = args.outcome.as_deref();
         let outcome = outcome.map(|raw| word::<AuditOutcome>("outcome", raw)).transpose()?;
--- a/crates/cli/src/show/mod.rs
+++ b/crates/cli/src/show/mod.rs
@@ -1,5 +1,6 @@
 //! Answers as text for people.
 
+pub mod jobs;
 pub mod lists;
 pub mod plans;
 pub mod site;
--- a/crates/cli/src/show/time.rs
+++ b/crates/cli/src/show/time.rs
@@ -14,6 +14,8 @@
 pub struct Span(Millisecond);
 
 impl Span {
+    /// One hour.
+    pub const HOUR: Span = Span(HOUR);
     /// One day.
     pub const DAY: Span = Span(DAY);
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,7 +22,7 @@
     cx::Cx,
     dispatch::DispatchHandle,
     health::{Health, Intake},
-    jobs::JobsHandle,
+    jobs::{self, JobsHandle},
     maintenance::{self, Maintenance},
     metrics::Metrics,
     operator::{self, Operators},
@@ -112,6 +112,7 @@
         let mut router = Router::default();
         operator::route(&mut router).start(&cx);
         maintenance::route(&mut router).start(&cx);
+        jobs::rpc::route(&mut router).start(&cx);
         Maintenance::new(cx.clone()).start();
         let operators = Operators::new(cx.clone(), Rc::new(router));
         let operator = serve(cx.settings.entry.operator, Bounds::default(), operators)?;
--- a/crates/daemon/src/jobs/api.rs
+++ b/crates/daemon/src/jobs/api.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use fuchsiamill_api::{JobState, JobView};
 use fuchsiamill_http::{Request, Response};
 use fuchsiamill_model::{
     Configuration, JobId, JobKind, KeyDigest, Millisecond, PoolName, Problem, ProblemKind,
@@ -17,6 +18,7 @@
 
 use super::{
     Result,
+    intake::Canceller,
     rows::{JobIndex, index_key, job_id, job_key, new_write_id, value_of},
 };
 use crate::cx::Cx;
@@ -45,18 +47,18 @@
 
 /// What a caller is told of a job.
 #[derive(Debug, Serialize)]
-struct View<'a> {
-    id: &'a JobId,
-    pool: &'a PoolName,
-    state: &'static str,
+struct View {
+    id: JobId,
+    pool: PoolName,
+    state: JobState,
     attempt: u32,
     cancel: Cancel,
     #[serde(skip_serializing_if = "Option::is_none")]
     run: Option<RunState>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    output: Option<&'a str>,
+    output: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    detail: Option<&'a str>,
+    detail: Option<String>,
 }
 
 /// Whether a path is one of jobs.
@@ -83,9 +85,9 @@
     let id = path.strip_prefix(JOBS).and_then(|it| it.strip_prefix('/'));
     let job = id.and_then(|it| JobId::try_from(it).ok()).ok_or_else(no_job)?;
     match request.method {
-        Method::GET => answer(StatusCode::OK, &look_up(cx, &job, &team).await?),
+        Method::GET => answer(StatusCode::OK, &look_up(cx, &job, Some(&team)).await?),
         Method::DELETE => {
-            let row = cx.jobs.cancel(job, team).await?;
+            let row = cx.jobs.cancel(job, Canceller::Team(team)).await?;
             let over = matches!(row.stage, Stage::Ended(_));
             answer(if over { StatusCode::OK } else { StatusCode::ACCEPTED }, &row)
         }
@@ -174,10 +176,12 @@
     })
 }
 
-async fn look_up(cx: &Cx, job: &JobId, team: &TeamName) -> Result<JobRow> {
+/// Reads a job; only one of `team`, if a team is given.
+pub(super) async fn look_up(cx: &Cx, job: &JobId, team: Option<&TeamName>) -> Result<JobRow> {
     for _ in 0..READS {
         let index = read::<JobIndex>(cx, index_key(job)).await?;
-        let index = index.filter(|it| &it.team == team).ok_or_else(no_job)?;
+        let index =
+            index.filter(|it| team.is_none_or(|team| &it.team == team)).ok_or_else(no_job)?;
         if let Some(ended) = index.ended {
             return Ok(ended);
         }
@@ -199,37 +203,13 @@
     Ok(Response::json(status, body))
 }
 
-fn view(row: &JobRow) -> View<'_> {
-    let core = &row.core;
-    let (mut run, mut output, mut detail) = (None, None, None);
-    let state = match &row.stage {
-        Stage::Waiting(_) => "waiting",
-        Stage::Running(_) => "running",
-        Stage::Ended(Ended::Finished { output: it }) => {
-            output = Some(it.as_str());
-            "finished"
-        }
-        Stage::Ended(Ended::Failed { reason }) => {
-            detail = Some(reason.as_str());
-            "failed"
-        }
-        Stage::Ended(Ended::Refused { problem }) => {
-            run = Some(problem.run);
-            detail = Some(problem.detail.as_str());
-            "refused"
-        }
-        Stage::Ended(Ended::Cancelled { run: it }) => {
-            run = Some(*it);
-            "cancelled"
-        }
-        Stage::Ended(Ended::Unknown { reason }) => {
-            run = Some(RunState::Unknown);
-            detail = Some(reason.as_str());
-            "unknown"
-        }
+fn view(row: &JobRow) -> View {
+    let output = match &row.stage {
+        Stage::Ended(Ended::Finished { output }) => Some(output.clone()),
+        _ => None,
     };
-    let (attempt, cancel) = (core.attempt, core.cancel);
-    View { id: &core.id, pool: &core.pool, state, attempt, cancel, run, output, detail }
+    let JobView { id, pool, state, attempt, cancel, run, detail, .. } = JobView::from(row);
+    View { id, pool, state, attempt, cancel, run, output, detail }
 }
 
 fn team(ring: &KeyRing, request: &Request) -> Result<TeamName> {
--- a/crates/daemon/src/jobs/intake.rs
+++ b/crates/daemon/src/jobs/intake.rs
@@ -2,9 +2,12 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{JobId, Moment, PoolName, Problem, ProblemKind, TeamName, WallTime};
+use fuchsiamill_api::{AuditOutcome, AuditRecord};
+use fuchsiamill_model::{
+    ChangeId, JobId, Moment, OperatorName, PoolName, Problem, ProblemKind, TeamName, WallTime,
+};
 use fuchsiamill_platform::{Commit, CommitOutcome, RowVersion, Table};
-use fuchsiamill_policy::jobs::{Job, JobRow, Running, Stage, Waiting};
+use fuchsiamill_policy::jobs::{Cancel, Job, JobRow, Running, Stage, Waiting};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
 
@@ -12,7 +15,7 @@
     Result,
     rows::{JobIndex, ended_key, index_key, job_key, new_write_id, value_of},
 };
-use crate::cx::Cx;
+use crate::{audit::key_of, cx::Cx};
 
 const RETRY_PERIOD: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MS: u64 = 2_000;
@@ -36,13 +39,31 @@
     Cancel {
         /// The job.
         job: JobId,
-        /// The team that asks.
-        team: TeamName,
+        /// Who asks.
+        by: Canceller,
         /// Where the answer goes.
         reply: Reply,
     },
 }
 
+/// Who cancels a job.
+#[derive(Clone, Debug)]
+pub(super) enum Canceller {
+    /// A team, one of its own jobs.
+    Team(TeamName),
+    /// An operator, a job of any team; the audit trail tells.
+    Operator(OperatorName),
+}
+
+impl Canceller {
+    fn may_cancel(&self, index: &JobIndex) -> bool {
+        match self {
+            Canceller::Team(team) => team == &index.team,
+            Canceller::Operator(_) => true,
+        }
+    }
+}
+
 impl Request {
     fn job(&self) -> &JobId {
         match self {
@@ -144,6 +165,7 @@
                 Step::Answer(answer) => it.request.answer(*answer),
                 Step::Write(row) => {
                     commit = add_row(commit, &it.request, &row, &found[&job], self.cx.clock.wall());
+                    commit = self.add_record(commit, &it.request, &row);
                     written.insert(job, *row);
                     included.push(it);
                 }
@@ -159,6 +181,25 @@
         later
     }
 
+    /// Adds the audit trail's record of an operator's cancel.
+    fn add_record(&self, commit: Commit, request: &Request, row: &JobRow) -> Commit {
+        let Request::Cancel { by: Canceller::Operator(who), .. } = request else { return commit };
+        let (core, version) = (&row.core, self.cx.config.current().version);
+        let write = core.writes.last().expect("every row names its write");
+        let record = AuditRecord {
+            at: self.cx.clock.wall(),
+            id: ChangeId(write.0.clone()),
+            who: who.clone(),
+            intent: format!("cancel job '{}' of team '{}'", core.id, core.team),
+            plan: None,
+            before: version,
+            after: version,
+            outcome: AuditOutcome::Cancelled,
+            reason: String::new(),
+        };
+        commit.absent(key_of(&record)).put(key_of(&record), &record)
+    }
+
     fn confirm(&self, included: Vec<Pending>, written: BTreeMap<JobId, JobRow>) {
         let mut changed: BTreeMap<PoolName, Vec<JobId>> = BTreeMap::new();
         for it in included {
@@ -208,7 +249,7 @@
         Request::Accept { row, request, refusal, .. } => {
             decide_accept(row, request, refusal.as_ref(), found)
         }
-        Request::Cancel { team, .. } => decide_cancel(team, found),
+        Request::Cancel { by, .. } => decide_cancel(by, found),
     }
 }
 
@@ -229,8 +270,8 @@
     Step::Answer(Box::new(Ok(known.unwrap_or_else(|| row.clone()))))
 }
 
-fn decide_cancel(team: &TeamName, found: &Found) -> Step {
-    let index = found.index.as_ref().filter(|it| &it.team == team);
+fn decide_cancel(by: &Canceller, found: &Found) -> Step {
+    let index = found.index.as_ref().filter(|it| by.may_cancel(it));
     let Some(index) = index else {
         let problem = Problem::not_run(ProblemKind::NotFound, "The team has no such job.");
         return Step::Answer(Box::new(Err(problem)));
@@ -245,6 +286,9 @@
             detail,
         ))));
     };
+    if row.core.cancel == Cancel::Asked {
+        return Step::Answer(Box::new(Ok(row.clone())));
+    }
     let write = new_write_id();
     if let Ok(waiting) = Job::<Waiting>::try_from(row.clone()) {
         return Step::Write(Box::new(waiting.cancel(write).into()));
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -6,13 +6,15 @@
 mod intake;
 mod owner;
 mod purge;
+pub mod rpc;
 mod rows;
 mod takeover;
 mod tenure;
+mod waits;
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use fuchsiamill_model::{FastMap, JobId, PoolName, Problem, ProblemKind, TeamName};
+use fuchsiamill_model::{FastMap, JobId, PoolName, Problem, ProblemKind};
 use fuchsiamill_peer::{CallReceiver, NoticeReceiver, Router, call_channel, notice_channel};
 use fuchsiamill_policy::jobs::JobRow;
 use monoio::time::sleep;
@@ -20,7 +22,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::cx::Cx;
-use intake::{Intake, Request};
+use intake::{Canceller, Intake, Request};
 use owner::{Event, PoolOwner};
 
 pub use api::{before_look_up, is_jobs_path, serve};
@@ -37,6 +39,7 @@
     requests: mpsc::UnboundedReceiver<Request>,
     notices: NoticeReceiver,
     held: CallReceiver,
+    waits: CallReceiver,
 }
 
 /// A handle to the tasks of jobs.
@@ -54,16 +57,20 @@
         router.route_notices(CHANGED, notice_tx);
         let (held_tx, held) = call_channel();
         router.route(held::HELD, held_tx);
-        let rx = RefCell::new(Some(Inputs { requests: rx, notices: notice_rx, held }));
+        let (waits_tx, waits) = call_channel();
+        router.route(waits::WAITS, waits_tx);
+        let inputs = Inputs { requests: rx, notices: notice_rx, held, waits };
+        let rx = RefCell::new(Some(inputs));
         Self { tx, rx, owners: RefCell::default() }
     }
 
     /// Starts the tasks.
     pub fn start(&self, cx: &Rc<Cx>) {
-        if let Some(Inputs { requests, notices, held }) = self.rx.borrow_mut().take() {
+        if let Some(Inputs { requests, notices, held, waits }) = self.rx.borrow_mut().take() {
             monoio::spawn(Intake::new(cx.clone(), requests).run());
             monoio::spawn(take_notices(cx.clone(), notices));
             monoio::spawn(held::answer(cx.clone(), held));
+            monoio::spawn(waits::answer(cx.clone(), waits));
         }
         let cx = cx.clone();
         monoio::spawn(async move {
@@ -86,10 +93,10 @@
         self.ask(Request::Accept { row, request, refusal, reply }, answer).await
     }
 
-    /// Cancels a job of a team, or asks for that when it runs.
-    async fn cancel(&self, job: JobId, team: TeamName) -> Result<JobRow> {
+    /// Cancels a job, or asks for that when it runs.
+    async fn cancel(&self, job: JobId, by: Canceller) -> Result<JobRow> {
         let (reply, answer) = oneshot::channel();
-        self.ask(Request::Cancel { job, team, reply }, answer).await
+        self.ask(Request::Cancel { job, by, reply }, answer).await
     }
 
     async fn ask(
--- a/crates/daemon/src/jobs/owner.rs
+++ b/crates/daemon/src/jobs/owner.rs
@@ -4,7 +4,10 @@
 
 use fuchsiamill_model::{HostName, JobId, Moment, PoolName, task::Fence};
 use fuchsiamill_platform::Result;
-use fuchsiamill_policy::membership::{self as cluster, TenureId};
+use fuchsiamill_policy::{
+    jobs::WaitCause,
+    membership::{self as cluster, TenureId},
+};
 use futures_util::future::{Either, select};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
@@ -34,6 +37,13 @@
         /// Where the counts go.
         reply: oneshot::Sender<Vec<u32>>,
     },
+    /// Somebody asks why jobs wait.
+    Waits {
+        /// The jobs.
+        jobs: Vec<JobId>,
+        /// Where the causes go.
+        reply: oneshot::Sender<Vec<Option<WaitCause>>>,
+    },
     /// Something came back to the tenure with this fence.
     Tenure(Fence, TenureEvent),
 }
@@ -118,6 +128,11 @@
                     let _ = reply.send(tenure.held(&hosts));
                 }
             }
+            Event::Waits { jobs, reply } => {
+                if let State::Owning(_, tenure) = &self.state {
+                    let _ = reply.send(tenure.waits(&jobs));
+                }
+            }
             Event::Taken(taken) => self.on_taken(taken),
             Event::Tenure(fence, event) => self.on_tenure_event(fence, event),
         }
--- a/crates/daemon/src/jobs/rows.rs
+++ b/crates/daemon/src/jobs/rows.rs
@@ -44,7 +44,12 @@
 
 /// The key that names a job by the time of its end.
 pub(super) fn ended_key(pool: &PoolName, at: WallTime, job: &JobId) -> String {
-    format!("{}{:020}-{job}", ended_prefix(pool), at.0)
+    format!("{}-{job}", ended_start(pool, at))
+}
+
+/// The first key of a pool's jobs that ended at or after a time.
+pub(super) fn ended_start(pool: &PoolName, at: WallTime) -> String {
+    format!("{}{:020}", ended_prefix(pool), at.0)
 }
 
 /// The key of the lease on a pool's jobs.
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -9,7 +9,7 @@
 use fuchsiamill_platform::{Result, Table, Worker, WorkerClient};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
-    jobs::{AnswerOutcome, JobRow, Proposal, Scheduler, Timing, UnitChange, Weight},
+    jobs::{AnswerOutcome, JobRow, Proposal, Scheduler, Timing, UnitChange, WaitCause, Weight},
 };
 use tokio::sync::mpsc;
 
@@ -106,6 +106,12 @@
         hosts.iter().map(|host| self.scheduler.held_on(host) as u32).collect()
     }
 
+    /// Why each of some jobs waits.
+    pub(super) fn waits(&self, jobs: &[JobId]) -> Vec<Option<WaitCause>> {
+        let room = |team: &TeamName| room_of(&self.config, &self.escrow, &self.taking, team);
+        jobs.iter().map(|job| self.scheduler.why_waits(job, room)).collect()
+    }
+
     /// The tenure that begins with a takeover.
     pub(super) fn new(cx: Rc<Cx>, tx: mpsc::UnboundedSender<Event>, taken: Taken) -> Self {
         let now = cx.clock.now();
@@ -225,12 +231,7 @@
             Some(Weight { share: team.share, urgency: team.urgent })
         };
         let (escrow, taking) = (&self.escrow, &self.taking);
-        let room = |team: &TeamName| {
-            let limit = config.teams.get(team).map_or(0, |it| it.upper_limit);
-            let row = escrow.get(team);
-            let room = row.map_or(limit, |it| it.room().min(limit.saturating_sub(it.sum())));
-            room.saturating_sub(taking.get(team).copied().unwrap_or(0))
-        };
+        let room = |team: &TeamName| room_of(&config, escrow, taking, team);
         proposals.extend(self.scheduler.place_next(most, weight, room, &mut ids, now));
         self.post(proposals);
     }
@@ -408,3 +409,16 @@
         });
     }
 }
+
+/// The units that a team may take for jobs, as far as is known here.
+fn room_of(
+    config: &Configuration,
+    escrow: &FastMap<TeamName, EscrowRow>,
+    taking: &FastMap<TeamName, Units>,
+    team: &TeamName,
+) -> Units {
+    let limit = config.teams.get(team).map_or(0, |it| it.upper_limit);
+    let row = escrow.get(team);
+    let room = row.map_or(limit, |it| it.room().min(limit.saturating_sub(it.sum())));
+    room.saturating_sub(taking.get(team).copied().unwrap_or(0))
+}
--- a/crates/policy/src/jobs.rs
+++ b/crates/policy/src/jobs.rs
@@ -12,5 +12,5 @@
 pub use row::{
     Begun, Cancel, JobCore, JobRow, JobSpec, PoolLease, Rerun, Resolution, Stage, WriteId, resolve,
 };
-pub use scheduler::{AnswerOutcome, Proposal, Scheduler, Timing, UnitChange, WriteIds};
+pub use scheduler::{AnswerOutcome, Proposal, Scheduler, Timing, UnitChange, WaitCause, WriteIds};
 pub use stage::{AfterRun, Ended, Job, Running, TaskEnd, Waiting, WrongStage};
--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -5,6 +5,7 @@
 
 mod orders;
 mod starts;
+mod waits;
 
 use fuchsiamill_model::{
     FastMap, FastSet, Host, HostName, HostState, JobId, JobKind, Millisecond, Moment, PoolName,
@@ -22,6 +23,7 @@
 use crate::placement::{Placer, Sizes};
 
 pub use orders::AnswerOutcome;
+pub use waits::WaitCause;
 
 /// Spans that the owner and the workers go by.
 #[derive(Clone, Copy, Debug)]
--- a/crates/policy/src/jobs/scheduler/starts.rs
+++ b/crates/policy/src/jobs/scheduler/starts.rs
@@ -18,7 +18,7 @@
 /// Sizes without room that one turn remembers.
 const MOST_FULL_SIZES: usize = 16;
 
-enum Choice {
+pub(super) enum Choice {
     Start(HostName, Resources),
     Refuse,
     Full(Resources),
@@ -34,7 +34,7 @@
 
 /// Sizes that found no room in this turn; nothing as large will.
 #[derive(Default)]
-struct FullSizes(Vec<Resources>);
+pub(super) struct FullSizes(Vec<Resources>);
 
 impl FullSizes {
     fn holds(&self, size: Resources) -> bool {
@@ -136,7 +136,7 @@
         free.fits(size).then(|| hold.host.clone())
     }
 
-    fn choose(&self, job: &JobId, full: &mut FullSizes) -> Choice {
+    pub(super) fn choose(&self, job: &JobId, full: &mut FullSizes) -> Choice {
         let Some(entry) = self.entries.get(job) else { return Choice::Wait };
         let core = &entry.row.core;
         let largest = self.placer.largest();
