Connections: all entry hosts together stay within what a backend server accepts

Cause: each of 8 entry hosts kept up to 8 idle connections, 64 alone; new connections for non-idempotent requests and probes came on top.

Change: an entry host keeps an even part of what is left after twice the slots and one probe of each entry host: 5 of 64 at 8 entry hosts. The stand-in records the most connections that were open at once at each backend server (the record had the field and nothing filled it).

--- a/crates/daemon/src/backend/mod.rs
+++ b/crates/daemon/src/backend/mod.rs
@@ -12,10 +12,18 @@
 pub use health::{BackendHealth, Take, said};
 
 const CONNECT_TIME: Duration = Duration::from_secs(1);
-const MOST_IDLE: usize = 8;
 /// Below the time after which backend servers usually close an idle connection.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
+/// A host's backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// The idle connections that may be kept to it.
+    pub most_idle: usize,
+}
+
 type Result<T> = std::result::Result<T, ExchangeError>;
 
 /// Which connection a request may use.
@@ -51,16 +59,16 @@
     }
 
     /// Opens a connection, or takes a kept one. Nothing is sent yet.
-    pub async fn open(&self, backend: SocketAddr, freshness: Freshness) -> Result<Open<'_>> {
+    pub async fn open(&self, server: Server, freshness: Freshness) -> Result<Open<'_>> {
         let kept = match freshness {
-            Freshness::Kept => self.kept(backend),
+            Freshness::Kept => self.kept(server.addr),
             Freshness::New => None,
         };
         let connection = match kept {
             Some(connection) => connection,
-            None => Connection::connect(backend, self.bounds, CONNECT_TIME).await?,
+            None => Connection::connect(server.addr, self.bounds, CONNECT_TIME).await?,
         };
-        Ok(Open { backends: self, backend, connection })
+        Ok(Open { backends: self, server, connection })
     }
 
     fn kept(&self, backend: SocketAddr) -> Option<Connection> {
@@ -70,14 +78,14 @@
         idle.pop().map(|it| it.connection)
     }
 
-    fn keep(&self, backend: SocketAddr, connection: Connection) {
+    fn keep(&self, server: Server, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, idle| {
             idle.retain(|it| it.since.elapsed() < IDLE_TIME);
             !idle.is_empty()
         });
-        let idle = idle.entry(backend).or_default();
-        if connection.is_reusable() && idle.len() < MOST_IDLE {
+        let idle = idle.entry(server.addr).or_default();
+        if connection.is_reusable() && idle.len() < server.most_idle {
             idle.push(Idle { connection, since: Instant::now() });
         }
     }
@@ -86,7 +94,7 @@
 /// An open connection on which nothing of the request was sent.
 pub struct Open<'a> {
     backends: &'a Backends,
-    backend: SocketAddr,
+    server: Server,
     connection: Connection,
 }
 
@@ -94,7 +102,7 @@
     /// Sends `request` and reads the whole answer before `deadline`.
     pub async fn exchange(mut self, request: Request, deadline: Instant) -> Result<Response> {
         let response = self.connection.exchange(request, deadline).await?;
-        self.backends.keep(self.backend, self.connection);
+        self.backends.keep(self.server, self.connection);
         Ok(response)
     }
 }
--- a/crates/daemon/src/caller/exchange.rs
+++ b/crates/daemon/src/caller/exchange.rs
@@ -96,9 +96,9 @@
     async fn attempt(&mut self, grant: Grant) -> Tried {
         let callers = self.callers;
         let cx = &callers.cx;
-        let backend = grant.backend;
+        let server = grant.server;
         let opened = match self.check_before_send(&grant) {
-            Ok(()) => cx.backends.open(backend, freshness(&self.call)).await,
+            Ok(()) => cx.backends.open(server, freshness(&self.call)).await,
             Err(problem) => return self.turn_back(grant, problem),
         };
         let open = match opened {
--- a/crates/daemon/src/dispatch/acquire.rs
+++ b/crates/daemon/src/dispatch/acquire.rs
@@ -4,6 +4,7 @@
 
 use fuchsiamill_model::{EntryName, Moment, PoolName, Problem, ProblemKind};
 use fuchsiamill_policy::{
+    connections::most_idle,
     dispatch::{Acquire, Answer, Granted},
     shares::{Lane, Ticket},
 };
@@ -15,7 +16,7 @@
     rpc::{ACQUIRE, CANCEL, Cancelled},
     task::{AnswerTo, Command},
 };
-use crate::cx::Cx;
+use crate::{backend::Server, cx::Cx};
 
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -108,7 +109,10 @@
             grant: granted.grant,
             pool: ask.pool.clone(),
             host: granted.host,
-            backend: host.backend,
+            server: Server {
+                addr: host.backend,
+                most_idle: most_idle(host, config.entry_hosts.len()),
+            },
             start_by: asked_at + cx.settings.timing.start_by_ms,
             deadline: ask.deadline,
             limit: ask.team.clone().zip(granted.upper_limit),
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -9,7 +9,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
 };
 
@@ -23,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use crate::cx::Cx;
+use crate::{backend::Server, cx::Cx};
 use rpc::{Inbox, RELEASE, Released};
 use task::Command;
 
@@ -49,8 +48,8 @@
     pub pool: PoolName,
     /// The host whose backend server runs it.
     pub host: HostName,
-    /// Where that backend server listens.
-    pub backend: SocketAddr,
+    /// That backend server.
+    pub server: Server,
     /// When it must have been sent, on this host's clock.
     pub start_by: Moment,
     /// When it must have ended, on this host's clock.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -45,6 +45,9 @@
     /// Answers one request.
     fn handle(&self, incoming: Incoming) -> impl Future<Output = Response>;
 
+    /// A connection was accepted; `open` counts it and the others that are still open.
+    fn accepted(&self, _open: usize) {}
+
     /// The answer to what could not be understood as a request.
     fn refuse(&self, malformed: Malformed) -> Response {
         let status = match malformed {
@@ -174,6 +177,7 @@
     fn spawn(&self, stream: TcpStream, peer: SocketAddr, shutdown: Shutdown) {
         let _ = stream.set_nodelay(true);
         let open = Open::new(self.open.clone());
+        self.handler.accepted(open.count());
         let connection = ServerConnection::new(stream, peer, self.bounds, self.handler.clone());
         if open.count() > self.bounds.connections {
             monoio::spawn(async move {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backend_state;
 pub mod claims;
 pub mod config_log;
+pub mod connections;
 pub mod dispatch;
 pub mod escrow;
 pub mod jobs;
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -139,6 +139,12 @@
 }
 
 impl Handler for Backend {
+    fn accepted(&self, open: usize) {
+        let mut record = self.fleet.record.borrow_mut();
+        let most = record.connections.entry(self.name.clone()).or_default();
+        *most = (*most).max(open as u32);
+    }
+
     async fn handle(&self, incoming: Incoming) -> Response {
         let mode = self.fleet.mode(&self.name);
         if incoming.request.path() == "/health" {
