Claims: a repeat waits for the end of the first request and gets its answer

Cause: the end of a claim reaches the table with a later batch, so a repeat sent right after the first answer through another entry host was refused `duplicate-request`, as was every repeat while the first request ran.

Change: such a repeat asks the holder of the claim (`claims.ended`, left open for 0.6 s), and reads the row with others at most twice a second when the holder does not answer, until its own deadline or the first request's. A claim that was released is claimed anew by the same conditional write, so the repeat of a request that did not run runs. Nothing is sent on what a peer says; only a claim held in the table may be sent.

--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -6,7 +6,7 @@
 mod exchange;
 mod problem;
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, pin::pin, rc::Rc};
 
 use fuchsiamill_http::{Handler, Incoming, Malformed, Response};
 use fuchsiamill_model::{Moment, Problem, ProblemKind, Version};
@@ -17,11 +17,12 @@
 };
 use fuchsiamill_settings::Retries;
 use http::Method;
+use monoio::time::sleep_until;
 use opentelemetry::KeyValue;
 use tokio::sync::watch;
 
 use crate::{
-    claims::{Claimed, Wanted},
+    claims::{self, Claimed, Wanted},
     cx::Cx,
     jobs,
 };
@@ -101,13 +102,27 @@
             deadline: fuchsiamill_model::WallTime(wall.0 + call.deadline.since(now)),
             give_up: patience.min(call.deadline),
         };
-        match self.cx.claims.claim(wanted, wall).await {
+        match claims::claim(&self.cx, wanted, self.stop_waiting(call)).await {
             Claimed::Held(claim) => Ok(Ready::Held(claim)),
             Claimed::Replay(response) => Ok(Ready::Replay(response)),
             Claimed::Refused(problem) => Err(problem),
         }
     }
 
+    /// Ends when a request has to stop waiting: at its deadline, at a shutdown, without its caller.
+    async fn stop_waiting(&self, call: &Call) {
+        let mut queueing = self.queueing.clone();
+        let mut hangup = call.hangup.clone();
+        let closed = pin!(queueing.wait_for(|it| *it == Queueing::Closed));
+        let gone = pin!(hangup.wait());
+        let late = pin!(sleep_until(self.cx.clock.instant(call.deadline)));
+        monoio::select! {
+            _ = closed => {}
+            _ = gone => {}
+            _ = late => {}
+        }
+    }
+
     fn check_open(&self) -> Result<()> {
         match *self.queueing.borrow() {
             Queueing::Open => Ok(()),
--- a/crates/daemon/src/claims/mod.rs
+++ b/crates/daemon/src/claims/mod.rs
@@ -2,16 +2,25 @@
 
 mod answer;
 mod commit;
+mod reader;
+mod repeat;
+mod rpc;
 mod sweep;
 mod task;
+mod watchers;
 
 use fuchsiamill_http::Response;
 use fuchsiamill_model::{Millisecond, Moment, Problem, ProblemKind, WallTime};
 use fuchsiamill_policy::claims::{
-    Claim, ClaimKey, ClaimRow, Held, RequestDigest, Sent, Verdict, Work,
+    Claim, ClaimId, ClaimKey, ClaimRow, Held, RequestDigest, Sent, Verdict, Work,
 };
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use reader::Question;
+use watchers::Watcher;
+
+pub use repeat::claim;
 pub use sweep::sweep;
 pub use task::{Config, start};
 
@@ -23,9 +32,25 @@
     End { key: ClaimKey, work: Work },
     Keep { claim: Box<Claim<Sent>>, response: Box<Response> },
     Kept { key: ClaimKey, work: Work },
+    Watch(Watcher),
     Settle { tx: oneshot::Sender<Settled> },
 }
 
+/// What is seen of a claim that another request made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "seen", rename_all = "kebab-case", deny_unknown_fields)]
+enum Seen {
+    /// Its request may still run.
+    Running,
+    /// Its row.
+    Row {
+        /// The row.
+        row: ClaimRow,
+    },
+    /// There is none any more.
+    Gone,
+}
+
 /// A claim that is asked for.
 #[derive(Clone, Debug)]
 pub struct Wanted {
@@ -58,10 +83,16 @@
     Refused(Problem),
 }
 
+enum Asked {
+    Taken(ClaimRow),
+    Ended(Claimed),
+}
+
 /// A handle of the task.
 #[derive(Clone)]
 pub struct Claims {
     tx: mpsc::UnboundedSender<Command>,
+    questions: mpsc::UnboundedSender<Question>,
     answers: answer::Answers,
 }
 
@@ -72,16 +103,37 @@
     /// Claims an idempotency key before its request may be sent.
     pub async fn claim(&self, wanted: Wanted, now: WallTime) -> Claimed {
         let request = wanted.request;
+        match self.ask(wanted).await {
+            Asked::Taken(row) => self.taken(&row, request, now).await,
+            Asked::Ended(claimed) => claimed,
+        }
+    }
+
+    async fn ask(&self, wanted: Wanted) -> Asked {
         let (tx, rx) = oneshot::channel();
         let _ = self.tx.send(Command::Claim { wanted, tx });
         match rx.await {
-            Ok(Answered::Held(claim)) => Claimed::Held(claim),
-            Ok(Answered::Taken(row)) => self.taken(&row, request, now).await,
-            Ok(Answered::Full) => Claimed::Refused(overloaded()),
-            Ok(Answered::Unavailable) | Err(_) => Claimed::Refused(unavailable()),
+            Ok(Answered::Held(claim)) => Asked::Ended(Claimed::Held(claim)),
+            Ok(Answered::Taken(row)) => Asked::Taken(row),
+            Ok(Answered::Full) => Asked::Ended(Claimed::Refused(overloaded())),
+            Ok(Answered::Unavailable) | Err(_) => Asked::Ended(Claimed::Refused(unavailable())),
         }
     }
 
+    /// Waits for the end of a claim of this process; `None` when too many wait.
+    async fn ended(&self, key: ClaimKey, id: ClaimId) -> Option<Seen> {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.tx.send(Command::Watch(Watcher { key, id, tx }));
+        rx.await.ok()
+    }
+
+    /// Reads a claim's row, together with others.
+    async fn read(&self, key: ClaimKey) -> Seen {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.questions.send(Question { key, tx });
+        rx.await.unwrap_or(Seen::Running)
+    }
+
     /// The request was not sent and never will be: a repeat may run.
     pub fn release(&self, claim: Claim<Held>) {
         let (key, work) = claim.release();
--- a/crates/daemon/src/claims/task.rs
+++ b/crates/daemon/src/claims/task.rs
@@ -22,7 +22,9 @@
     Answered, Claims, Command, Settled, Wanted,
     answer::{Answers, Kept, LargeAnswer, keep},
     commit::{index_key, write},
+    reader,
     sweep::sweep,
+    watchers::Watchers,
 };
 use crate::clock::Clock;
 
@@ -59,10 +61,13 @@
 /// Starts the task on the current runtime.
 pub fn start<T: Table + 'static>(cfg: Config, table: Rc<T>, objects: Rc<ObjectClient>) -> Claims {
     let (tx, rx) = mpsc::unbounded_channel();
+    let (questions, questions_rx) = mpsc::unbounded_channel();
+    monoio::spawn(reader::run(table.clone(), questions_rx));
     let answers = Answers::new(objects);
     monoio::spawn(sweep_on(table.clone(), cfg.clock, cfg.rng.clone()));
     let task = Task {
         batcher: Batcher::new(cfg.bounds),
+        watchers: Watchers::new(cfg.bounds.waiting),
         waiting: FastMap::default(),
         claims: 0,
         keeping: 0,
@@ -73,7 +78,7 @@
         table,
     };
     monoio::spawn(task.run(rx));
-    Claims { tx, answers }
+    Claims { tx, questions, answers }
 }
 
 async fn sweep_on<T: Table>(table: Rc<T>, clock: Clock, mut rng: fastrand::Rng) {
@@ -90,6 +95,7 @@
     cfg: Config,
     table: Rc<T>,
     batcher: Batcher,
+    watchers: Watchers,
     waiting: FastMap<OpId, oneshot::Sender<Answered>>,
     claims: u64,
     keeping: usize,
@@ -172,6 +178,7 @@
                 self.keeping -= 1;
                 self.batcher.work(key, work);
             }
+            Command::Watch(watcher) => self.watchers.add(watcher),
             Command::Settle { tx } => self.settling.push(tx),
         }
     }
@@ -232,6 +239,7 @@
                 self.batcher.work(key, work);
             }
         }
+        self.watchers.tell(&self.batcher);
         if self.batcher.is_settled() && self.keeping == 0 {
             self.settling.drain(..).for_each(|tx| drop(tx.send(Settled)));
         }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -73,8 +73,10 @@
         let table = Rc::new(TableClient::new(platform.table, time));
         let objects = Rc::new(ObjectClient::new(platform.objects, time));
         let claims = claims::Config::new(&settings.claims, clock, incarnation.clone());
+        let claims = claims::start(claims, table.clone(), objects.clone());
+        claims.route(&mut router);
         let cx = Rc::new(Cx {
-            claims: claims::start(claims, table.clone(), objects.clone()),
+            claims,
             clock,
             incarnation: incarnation.clone(),
             metrics: Metrics::new()?,
--- a/crates/policy/src/claims/batch.rs
+++ b/crates/policy/src/claims/batch.rs
@@ -143,6 +143,11 @@
         self.enqueue(key, task);
     }
 
+    /// What is known of a claim of this process that is under way or was kept in memory.
+    pub fn known(&self, key: &ClaimKey, id: &ClaimId) -> Option<&ClaimRow> {
+        self.known.get(key).map(|it| &it.row).filter(|row| &row.id == id)
+    }
+
     /// Whether every claim, end and release has reached the table.
     pub fn is_settled(&self) -> bool {
         self.waiting.is_empty() && self.in_flight.is_empty()
--- a/crates/policy/src/claims/row.rs
+++ b/crates/policy/src/claims/row.rs
@@ -78,6 +78,11 @@
 }
 
 impl ClaimRow {
+    /// Whether a repeat of the request may still learn its end by waiting.
+    pub fn may_end(&self, request: RequestDigest, now: WallTime) -> bool {
+        self.request == request && self.progress == Progress::Claimed && now.0 <= self.deadline.0
+    }
+
     /// What a request that finds this row, written by another, is told.
     pub fn verdict(&self, request: RequestDigest, now: WallTime) -> Verdict {
         if self.request != request {
