Nearness to share is reported: gauge and operators' report

Cause: owners worked out nearness to share, and nothing showed it. Change: `Dispatch::lanes` tells running, queued and nearness of each lane; the metrics port shows the gauge `nearness_to_share` by pool and team for the pools that the entry host owns; `site.report` asks every owner, and `fuchsiamill report` shows a table and names pools whose owner is silent.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -14,4 +14,4 @@
 pub use plans::{
     Acceptance, Confirmed, PlanRef, PlanReport, PlanView, Reason, SetPlanState, Stage,
 };
-pub use report::{BudgetReport, ConfigStatus, SiteReport, SiteStatus, TeamReport};
+pub use report::{BudgetReport, ConfigStatus, ShareReport, SiteReport, SiteStatus, TeamReport};
--- a/crates/api/src/report.rs
+++ b/crates/api/src/report.rs
@@ -83,6 +83,23 @@
     pub keys: u32,
 }
 
+/// A lane of a pool: what it uses and how near it comes to its share.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShareReport {
+    /// The pool.
+    pub pool: PoolName,
+    /// The team; none for callers without a key.
+    pub team: Option<TeamName>,
+    /// The slots that its work uses.
+    pub running: Slots,
+    /// Its requests that wait for a slot.
+    pub queued: u32,
+    /// Its nearness to share in hundredths of a percent, since the pool's owner took the pool; none
+    /// when the pool was never full while the team wanted slots.
+    pub nearness_basis_points: Option<u32>,
+}
+
 /// Budgets and shares of a site.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -93,6 +110,10 @@
     pub budgets: Vec<BudgetReport>,
     /// Each team's share.
     pub teams: Vec<TeamReport>,
+    /// What teams use of each pool now, and their nearness to share.
+    pub shares: Vec<ShareReport>,
+    /// Pools whose owner did not answer, so that their shares are not told.
+    pub unheard: Vec<PoolName>,
     /// Slots of serving hosts over the least that must serve, and all slots of spare pools: what is
     /// held back.
     pub buffer: Slots,
--- a/crates/cli/src/show/site.rs
+++ b/crates/cli/src/show/site.rs
@@ -88,23 +88,43 @@
         .teams
         .iter()
         .map(|it| {
-            let percent =
-                format!("{}.{:02} %", it.share_basis_points / 100, it.share_basis_points % 100);
             vec![
                 it.team.to_string(),
                 it.share.to_string(),
-                percent,
+                percent(it.share_basis_points),
                 it.upper_limit.to_string(),
                 it.keys.to_string(),
             ]
         })
         .collect();
     format!(
-        "configuration version {}, {} slots above the budgets\n\n{}\n{}\n{}",
+        "configuration version {}, {} slots above the budgets\n\n{}\n{}\n{}\n{}",
         report.version,
         report.buffer,
         table(&heading, &budgets),
         table(&["TEAM", "SHARE", "OF A FULL POOL", "UPPER LIMIT", "KEYS"], &teams),
+        shares(report),
         plans::measures(views),
     )
 }
+
+fn shares(report: &SiteReport) -> String {
+    let rows: Vec<Vec<String>> = report
+        .shares
+        .iter()
+        .map(|it| {
+            let nearness = it.nearness_basis_points.map_or("-".into(), percent);
+            let team = it.team.as_ref().map_or("without a key".into(), ToString::to_string);
+            vec![it.pool.to_string(), team, it.running.to_string(), it.queued.to_string(), nearness]
+        })
+        .collect();
+    let mut text = table(&["POOL", "TEAM", "RUNNING", "QUEUED", "NEARNESS TO SHARE"], &rows);
+    for pool in &report.unheard {
+        text += &format!("the owner of pool '{pool}' does not answer\n");
+    }
+    text
+}
+
+fn percent(basis_points: u32) -> String {
+    format!("{}.{:02} %", basis_points / 100, basis_points % 100)
+}
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! pools that this host owns.
 
 mod acquire;
+mod lanes;
 mod rows;
 mod rpc;
 mod task;
@@ -27,6 +28,7 @@
 use task::Command;
 
 pub use fuchsiamill_policy::dispatch::Ending;
+pub use lanes::SiteLanes;
 
 /// What a request asks for.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/dispatch/rpc.rs
+++ b/crates/daemon/src/dispatch/rpc.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::{Report, task::Command};
+use super::{Report, lanes::LanesTo, task::Command};
 
 /// Asks a pool's owner for a grant.
 pub const ACQUIRE: &str = "dispatch.acquire";
@@ -26,6 +26,9 @@
 /// Gives units back to their lender; a notification.
 pub const TAKE_BACK: &str = "dispatch.take-back";
 
+/// Asks an entry host for the lanes of the pools that it owns.
+pub const LANES: &str = "dispatch.lanes";
+
 /// A request that was given up.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -83,6 +86,7 @@
     acquires: CallReceiver,
     in_flights: CallReceiver,
     lends: CallReceiver,
+    lanes: CallReceiver,
     cancels: NoticeReceiver,
     releases: NoticeReceiver,
     returns: NoticeReceiver,
@@ -105,6 +109,7 @@
             acquires: calls(router, ACQUIRE),
             in_flights: calls(router, IN_FLIGHT),
             lends: calls(router, LEND),
+            lanes: calls(router, LANES),
             cancels: notices(router, CANCEL),
             releases: notices(router, RELEASE),
             returns: notices(router, TAKE_BACK),
@@ -123,6 +128,9 @@
             lend,
             reply,
         }));
+        monoio::spawn(forward_calls(self.lanes, tx.clone(), |(), reply| Command::Lanes {
+            to: LanesTo::Peer(reply),
+        }));
         monoio::spawn(forward_notices(self.cancels, tx.clone(), Command::Cancel));
         monoio::spawn(forward_notices(self.releases, tx.clone(), Command::Release));
         monoio::spawn(forward_notices(self.returns, tx.clone(), Command::TakeBack));
--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -19,6 +19,7 @@
 };
 
 use super::{
+    lanes::LanesTo,
     rows::{self, RowRead, RowWrite},
     rpc::{Cancelled, InFlightOf, LEND, LendTo, Released, Returned, TAKE_BACK},
     tenures::Known,
@@ -68,6 +69,8 @@
     Lent { team: TeamName, answer: LoanAnswer },
     /// A borrower gives units back.
     TakeBack(Returned),
+    /// The lanes of the owned pools are asked for.
+    Lanes { to: LanesTo },
     /// Rows were read.
     RowsRead(Vec<RowRead>),
     /// Rows were written.
@@ -180,6 +183,10 @@
                 self.tell_in_flight(now, &of, reply);
                 Vec::new()
             }
+            Command::Lanes { to } => {
+                to.send(self.dispatch.lanes());
+                Vec::new()
+            }
             Command::Tick => Vec::new(),
             Command::Cancel(it) => self.dispatch.cancel(now, &it.pool, &it.ticket),
             Command::Release(released) => self.release(now, &released),
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -28,7 +28,8 @@
         Self { cx, intake }
     }
 
-    fn metrics(&self) -> anyhow::Result<String> {
+    async fn metrics(&self) -> anyhow::Result<String> {
+        self.cx.metrics.set_lanes(self.cx.dispatch.own_lanes().await);
         self.cx.metrics.peer_bytes_sent.record(self.cx.cluster.bytes_sent(), &[]);
         self.cx.metrics.text()
     }
@@ -52,7 +53,7 @@
         match incoming.request.path() {
             "/live" => Response::text(StatusCode::OK, "live"),
             "/ready" => self.ready(),
-            "/metrics" => match self.metrics() {
+            "/metrics" => match self.metrics().await {
                 Ok(text) => Response::text(StatusCode::OK, text),
                 Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             },
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,9 +1,12 @@
 //! Counters and gauges, through opentelemetry, shown as Prometheus text.
 
+use std::sync::{Arc, Mutex};
+
 use anyhow::Result;
+use fuchsiamill_policy::{dispatch::LaneUse, shares::Lane};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{AsyncInstrument, Counter, Gauge, Histogram, MeterProvider, ObservableGauge},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -32,6 +35,8 @@
     pub serving: Gauge<u64>,
     /// A counter for everything else, by event.
     pub events: Counter<u64>,
+    _nearness: ObservableGauge<f64>,
+    lanes: Arc<Mutex<Vec<LaneUse>>>,
 }
 
 impl Metrics {
@@ -42,7 +47,17 @@
             opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("fuchsiamill");
+        let lanes = Arc::<Mutex<Vec<LaneUse>>>::default();
+        let shown = lanes.clone();
+        let nearness = meter.f64_observable_gauge("nearness_to_share");
+        let nearness = nearness.with_callback(move |observer| {
+            for lane in shown.lock().iter().flat_map(|it| it.iter()) {
+                observe_nearness(observer, lane);
+            }
+        });
         Ok(Self {
+            _nearness: nearness.build(),
+            lanes,
             requests: meter.u64_counter("requests").build(),
             refusals: meter.u64_counter("refusals").build(),
             exchanges: meter.u64_counter("exchanges").build(),
@@ -63,8 +78,25 @@
         self.events.add(1, &[KeyValue::new("event", name)]);
     }
 
+    /// Sets the lanes of the pools that this host owns; others are shown no more.
+    pub fn set_lanes(&self, lanes: Vec<LaneUse>) {
+        if let Ok(mut shown) = self.lanes.lock() {
+            *shown = lanes;
+        }
+    }
+
     /// All instruments as Prometheus text.
     pub fn text(&self) -> Result<String> {
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
 }
+
+fn observe_nearness(observer: &dyn AsyncInstrument<f64>, lane: &LaneUse) {
+    let Some(nearness) = lane.nearness else { return };
+    let team = match &lane.lane {
+        Lane::Team(team) => team.to_string(),
+        Lane::Open => String::new(),
+    };
+    let pool = KeyValue::new("pool", lane.pool.to_string());
+    observer.observe(nearness, &[pool, KeyValue::new("team", team)]);
+}
--- a/crates/daemon/src/operator/methods.rs
+++ b/crates/daemon/src/operator/methods.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use fuchsiamill_api::{
-    AuditFilter, Catalogue, ChangeReport, ChangeRequest, HostFilter, SiteStatus,
+    AuditFilter, Catalogue, ChangeReport, ChangeRequest, HostFilter, SiteReport, SiteStatus,
 };
 use fuchsiamill_model::{Change, Host};
 use fuchsiamill_peer::{Call, CallReceiver, Failure, Router, call_channel, router::Reply};
@@ -49,7 +49,7 @@
     /// Starts to answer.
     pub fn start(self, cx: &Rc<Cx>) {
         answer(self.status, cx, async |cx, _: Asked<()>| Ok(status(&cx).await));
-        answer(self.report, cx, async |cx, _: Asked<()>| Ok(report(&cx.config.current())));
+        answer(self.report, cx, async |cx, _: Asked<()>| Ok(site_report(&cx).await));
         answer(self.hosts, cx, async |cx, asked: Asked<HostFilter>| Ok(hosts(&cx, &asked.params)));
         answer(self.catalogue, cx, async |cx, _: Asked<()>| Ok(catalogue(&cx)));
         answer(self.audit, cx, async |cx, asked: Asked<AuditFilter>| {
@@ -99,6 +99,10 @@
     }
 }
 
+async fn site_report(cx: &Cx) -> SiteReport {
+    report(&cx.config.current(), cx.dispatch.site_lanes(cx).await)
+}
+
 async fn status(cx: &Cx) -> SiteStatus {
     let cfg = cx.config.current();
     let mut hosts = BTreeMap::new();
--- a/crates/daemon/src/operator/report.rs
+++ b/crates/daemon/src/operator/report.rs
@@ -2,11 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use fuchsiamill_api::{BudgetReport, SiteReport, TeamReport};
+use fuchsiamill_api::{BudgetReport, ShareReport, SiteReport, TeamReport};
 use fuchsiamill_model::{Configuration, HostState, Pool, PoolName};
+use fuchsiamill_policy::{dispatch::LaneUse, shares::Lane};
 
-/// The report of a configuration.
-pub fn report(cfg: &Configuration) -> SiteReport {
+use crate::dispatch::SiteLanes;
+
+const BASIS_POINTS: f64 = 10_000.0;
+
+/// The report of a configuration and of what the pools' owners told.
+pub fn report(cfg: &Configuration, used: SiteLanes) -> SiteReport {
     let mut pools: BTreeMap<&PoolName, BudgetReport> =
         cfg.pools.values().map(|pool| (&pool.name, empty_budget(pool))).collect();
     for host in cfg.hosts.values() {
@@ -20,7 +25,19 @@
     }
     let budgets: Vec<_> = pools.into_values().map(with_spare).collect();
     let buffer = budgets.iter().map(|budget| budget.spare).sum();
-    SiteReport { version: cfg.version, budgets, teams: teams(cfg), buffer }
+    let shares = used.lanes.into_iter().map(share).collect();
+    let version = cfg.version;
+    SiteReport { version, budgets, teams: teams(cfg), shares, unheard: used.unheard, buffer }
+}
+
+fn share(used: LaneUse) -> ShareReport {
+    let LaneUse { pool, lane, running, queued, nearness } = used;
+    let team = match lane {
+        Lane::Team(team) => Some(team),
+        Lane::Open => None,
+    };
+    let nearness_basis_points = nearness.map(|it| (it * BASIS_POINTS).round() as u32);
+    ShareReport { pool, team, running, queued, nearness_basis_points }
 }
 
 fn empty_budget(pool: &Pool) -> BudgetReport {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -9,5 +9,5 @@
 mod units;
 
 pub use machine::{Action, Bounds, Dispatch};
-pub use messages::{Acquire, Answer, Ending, GrantRef, Granted, InFlight, Release};
+pub use messages::{Acquire, Answer, Ending, GrantRef, Granted, InFlight, LaneUse, Release};
 pub use pool::Hold;
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -7,7 +7,9 @@
     Problem, ProblemKind, TeamName,
 };
 
-use super::{Acquire, Answer, Ending, Hold, InFlight, Release, pool::OwnedPool, units::Teams};
+use super::{
+    Acquire, Answer, Ending, Hold, InFlight, LaneUse, Release, pool::OwnedPool, units::Teams,
+};
 use crate::{
     escrow::{
         EscrowRow, GrantId, Holder, HolderId, LoanAnswer, LoanAsk, LoanReturn, Revision, Terms,
@@ -322,6 +324,11 @@
         })
     }
 
+    /// Every lane of the owned pools that has work or had its share measured.
+    pub fn lanes(&self) -> Vec<LaneUse> {
+        self.pools.iter().flat_map(|(name, owned)| owned.lanes(name)).collect()
+    }
+
     /// Each team's holder.
     pub fn holders(&self) -> impl Iterator<Item = (&TeamName, &Holder)> {
         self.teams.iter()
--- a/crates/policy/src/dispatch/messages.rs
+++ b/crates/policy/src/dispatch/messages.rs
@@ -1,7 +1,8 @@
 //! What entry hosts and the owner of a pool tell each other.
 
 use fuchsiamill_model::{
-    DataCentre, EntryName, HostName, Incarnation, Millisecond, PoolName, Problem, Units, Version,
+    DataCentre, EntryName, HostName, Incarnation, Millisecond, PoolName, Problem, Slots, Units,
+    Version,
 };
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +106,23 @@
     pub ending: Ending,
 }
 
+/// A lane of a pool as its owner sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LaneUse {
+    /// The pool.
+    pub pool: PoolName,
+    /// Whose work it is.
+    pub lane: Lane,
+    /// The slots that its work uses.
+    pub running: Slots,
+    /// Its requests that wait for a slot.
+    pub queued: u32,
+    /// Its nearness to share from 0 to 1 since the owner took the pool; none when the pool was
+    /// never full while the lane wanted slots.
+    pub nearness: Option<f64>,
+}
+
 /// A grant that an entry host still uses, as it tells a new owner of the pool.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -1,8 +1,10 @@
 //! One pool at its owner.
 
-use fuchsiamill_model::{EntryName, FastMap, FastSet, HostName, Millisecond, Moment, Slots};
+use fuchsiamill_model::{
+    EntryName, FastMap, FastSet, HostName, Millisecond, Moment, PoolName, Slots,
+};
 
-use super::{Ending, GrantRef, InFlight};
+use super::{Ending, GrantRef, InFlight, LaneUse};
 use crate::{
     escrow::Terms,
     shares::{Lane, Nearness, Queues},
@@ -148,6 +150,19 @@
         }
     }
 
+    /// The lanes that have work or had their share measured.
+    pub(super) fn lanes(&self, pool: &PoolName) -> Vec<LaneUse> {
+        let lane_use = |lane: &Lane| LaneUse {
+            pool: pool.clone(),
+            lane: lane.clone(),
+            running: self.queues.running(lane),
+            queued: self.queues.queued(lane),
+            nearness: self.nearness.of(lane),
+        };
+        let is_used = |it: &LaneUse| it.running > 0 || it.queued > 0 || it.nearness.is_some();
+        self.queues.lanes().map(lane_use).filter(is_used).collect()
+    }
+
     /// The units that a lane could use more than it has running.
     pub(super) fn units_wanted(&self, now: Moment, lane: &Lane) -> u32 {
         let queued = self.queues.queued(lane);
--- a/crates/policy/src/shares/queues.rs
+++ b/crates/policy/src/shares/queues.rs
@@ -173,6 +173,11 @@
         self.lanes.get(lane).map_or(0, |state| state.queue.len() as u32)
     }
 
+    /// Every lane.
+    pub fn lanes(&self) -> impl Iterator<Item = &Lane> {
+        self.lanes.keys()
+    }
+
     /// The lanes that have something queued.
     pub fn waiting_lanes(&self) -> impl Iterator<Item = &Lane> {
         self.lanes.iter().filter(|(_, state)| !state.queue.is_empty()).map(|(lane, _)| lane)
--- a/crates/policy/tests/dispatch_owner.rs
+++ b/crates/policy/tests/dispatch_owner.rs
@@ -358,3 +358,21 @@
     let rng = Gen::from_size_and_seed(8, 20_261_204);
     QuickCheck::new().rng(rng).tests(200).quickcheck(keeps_bounds as fn(u64) -> bool);
 }
+
+#[test]
+fn an_owner_tells_what_its_lanes_use() {
+    let mut site = Site::owning(64);
+    assert!(site.dispatch.lanes().is_empty(), "nothing was asked for");
+    let slots = SLOTS as usize * HOSTS;
+    for number in 0..slots as u64 + 2 {
+        site.acquire(Moment(1), number, lane("b"), 5_000);
+    }
+    let lanes = site.dispatch.lanes();
+    let [used] = &lanes[..] else { panic!("one lane: {lanes:?}") };
+    assert_eq!((used.lane.clone(), used.running, used.queued), (lane("b"), slots as u32, 2));
+    assert_eq!(used.nearness, None, "no time has passed");
+    site.tick(Moment(100));
+    assert_eq!(site.dispatch.lanes()[0].nearness, Some(1.0), "it has the whole pool");
+    let _ = site.dispatch.drop_pool(&pool());
+    assert!(site.dispatch.lanes().is_empty(), "another host tells them now");
+}
