Slots: three ways and two baselines measured; entry threads in one place

Cause: the choice of an owner per pool stood on argument alone; the loop that starts entry hosts on threads stood twice. Change: `fuchsiamill-measure slots` drives the policy's queues, slot tables and shares over in-memory servers: owner with a hop, held and lent slots, two random choices, static split, round robin. `daemon::embedded` starts an entry host on a thread for the quick start and for measurements.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod cx;
 pub mod dispatch;
+pub mod embedded;
 pub mod entry;
 pub mod health;
 pub mod jobs;
--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -2,34 +2,31 @@
 //! reads of the table. Entry hosts run on threads of this process, against a stand-in platform.
 
 use std::{
-    collections::BTreeMap,
-    fs,
     future::pending,
-    net::{SocketAddr, TcpListener},
-    rc::Rc,
+    net::SocketAddr,
     sync::mpsc,
     thread::{self, sleep},
     time::{Duration, Instant},
 };
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Result, ensure};
 use argh::FromArgs;
 use fuchsiamill_api::{ChangeReport, ChangeRequest};
-use fuchsiamill_daemon::{Addresses, Entry, run::block_on};
-use fuchsiamill_http::{Bounds, Connection, JsonClient, Request};
+use fuchsiamill_daemon::{embedded::EntryThread, run::block_on};
+use fuchsiamill_http::{Bounds, JsonClient};
 use fuchsiamill_model::{
-    Change, ChangeId, Configuration, EntryName, Host, HostName, HostState, KeyDigest, Pool,
-    PoolName, Resources, Version, config::PoolRole,
+    Change, ChangeId, Configuration, EntryName, Host, HostName, HostState, Pool, PoolName,
+    Resources, Version, config::PoolRole,
 };
 use fuchsiamill_platform::{Commit, CommitOutcome};
-use fuchsiamill_settings::Settings;
-use fuchsiamill_standin::{record::PlatformRecord, site};
+use fuchsiamill_standin::site;
 use serde_json::{Value, json};
 
-const OPERATOR_KEY: &str = "measure";
-const TICKS_PER_SECOND: f64 = 100.0;
-const PAGE_BYTES: u64 = 4096;
-const MIB: f64 = 1024.0 * 1024.0;
+use crate::entry_hosts::{
+    MIB, OPERATOR_KEY, TICKS_PER_SECOND, gauge, peers, record, rss_bytes, settings, ticks,
+    wait_ready,
+};
+
 const CHANGES: u32 = 20;
 const TIME: Duration = Duration::from_secs(120);
 
@@ -58,11 +55,6 @@
     Size { hosts: 22_000, pools: 72, teams: 310 },
 ];
 
-struct RunningEntry {
-    addresses: Addresses,
-    thread: u32,
-}
-
 /// Prints the table.
 pub fn run(args: &CapacityArgs) -> Result<()> {
     println!(
@@ -82,8 +74,8 @@
     let rss_before = rss_bytes()?;
     let began = Instant::now();
     let mut entries = Vec::new();
-    for (name, peer) in &peers {
-        entries.push(start_entry(settings(name, *peer, platform)?)?);
+    for (index, (name, peer)) in peers.iter().enumerate() {
+        entries.push(EntryThread::start(settings(index, name, *peer, platform)?)?);
     }
     wait_ready(&entries)?;
     let started = began.elapsed();
@@ -116,18 +108,18 @@
     reads: u64,
 }
 
-fn sample(platform: SocketAddr, entries: &[RunningEntry]) -> Result<Sample> {
+fn sample(platform: SocketAddr, entries: &[EntryThread]) -> Result<Sample> {
     let mut sample = Sample { ticks: 0, peer_bytes: 0, reads: record(platform)?.reads };
     for entry in entries {
-        sample.ticks += thread_ticks(entry.thread)?;
-        sample.peer_bytes += gauge(entry.addresses.metrics, "peer_bytes_sent")?;
+        sample.ticks += ticks(entry)?;
+        sample.peer_bytes += gauge(entry.addresses().metrics, "peer_bytes_sent")?;
     }
     Ok(sample)
 }
 
 /// The mean time from a change's proposal to its acceptance, by when every entry host has it.
-fn change_time(entries: &[RunningEntry]) -> Result<Duration> {
-    let client = JsonClient::new(entries[0].addresses.operator, Bounds::default(), TIME);
+fn change_time(entries: &[EntryThread]) -> Result<Duration> {
+    let client = JsonClient::new(entries[0].addresses().operator, Bounds::default(), TIME);
     let client = client.bearer(OPERATOR_KEY);
     let began = Instant::now();
     block_on(async {
@@ -191,38 +183,6 @@
     Ok(config)
 }
 
-fn peers(entries: usize) -> Result<Vec<(EntryName, SocketAddr)>> {
-    (0..entries)
-        .map(|index| {
-            let addr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-            Ok((EntryName::try_from(format!("entry-{index}"))?, addr))
-        })
-        .collect()
-}
-
-fn settings(name: &EntryName, peer: SocketAddr, platform: SocketAddr) -> Result<Settings> {
-    let mut sections: BTreeMap<&str, Vec<String>> = BTreeMap::new();
-    let any = "127.0.0.1:0";
-    sections.insert(
-        "entry",
-        vec![
-            format!("name = {name}"),
-            "region = region-0".into(),
-            "data-centre = dc-0".into(),
-            format!("caller = {any}"),
-            format!("operator = {any}"),
-            format!("metrics = {any}"),
-            format!("peer = {peer}"),
-        ],
-    );
-    let services = ["table", "objects", "hosts"].map(|it| format!("{it} = {platform}")).to_vec();
-    sections.insert("platform", services);
-    sections.insert("operators", vec![format!("measure = {}", KeyDigest::of(OPERATOR_KEY))]);
-    let text: String =
-        sections.iter().map(|(name, lines)| format!("[{name}]\n{}\n", lines.join("\n"))).collect();
-    Ok(Settings::parse("measure.ini", &text)?)
-}
-
 fn start_platform() -> Result<SocketAddr> {
     let (tx, rx) = mpsc::channel();
     thread::spawn(move || {
@@ -236,23 +196,6 @@
     Ok(rx.recv()??)
 }
 
-fn start_entry(settings: Settings) -> Result<RunningEntry> {
-    let (tx, rx) = mpsc::channel();
-    thread::spawn(move || {
-        let thread = thread_id();
-        block_on(async move {
-            let entry = Entry::start(Rc::new(settings)).await;
-            let started = entry.as_ref().map(Entry::addresses);
-            let _ = tx.send((thread, started.map_err(|e| format!("{e:#}"))));
-            if entry.is_ok() {
-                pending::<()>().await;
-            }
-        });
-    });
-    let (thread, addresses) = rx.recv()?;
-    Ok(RunningEntry { thread: thread?, addresses: addresses.map_err(anyhow::Error::msg)? })
-}
-
 fn seed(platform: SocketAddr, config: &Configuration) -> Result<()> {
     let commit = Commit::default().absent("config/snapshot").put("config/snapshot", config);
     let client =
@@ -261,55 +204,3 @@
     ensure!(matches!(outcome, CommitOutcome::Done { .. }), "The table is not empty.");
     Ok(())
 }
-
-fn record(platform: SocketAddr) -> Result<PlatformRecord> {
-    let client = JsonClient::new(platform, Bounds::default(), TIME);
-    Ok(block_on(async { client.post("/admin/record", &()).await })?)
-}
-
-fn wait_ready(entries: &[RunningEntry]) -> Result<()> {
-    let end = Instant::now() + TIME;
-    while !entries.iter().all(|it| get(it.addresses.metrics, "/ready").is_ok_and(|(ok, _)| ok)) {
-        ensure!(Instant::now() < end, "An entry host was not ready within {TIME:?}.");
-        sleep(Duration::from_millis(50));
-    }
-    Ok(())
-}
-
-fn get(addr: SocketAddr, target: &str) -> Result<(bool, String)> {
-    block_on(async {
-        let mut connection = Connection::connect(addr, Bounds::default(), TIME).await?;
-        let deadline = monoio::time::Instant::now() + TIME;
-        let response = connection.exchange(Request::get(target), deadline).await?;
-        Ok((response.status.is_success(), String::from_utf8_lossy(&response.body).into_owned()))
-    })
-}
-
-fn gauge(metrics: SocketAddr, name: &str) -> Result<u64> {
-    let (_, text) = get(metrics, "/metrics")?;
-    let line = text.lines().find(|it| it.starts_with(name)).context("The gauge is not shown.")?;
-    let value = line.rsplit(' ').next().context("The gauge has no value.")?;
-    Ok(value.parse::<f64>()? as u64)
-}
-
-fn thread_id() -> Result<u32> {
-    let link = fs::read_link("/proc/thread-self")?;
-    let id = link.file_name().and_then(|it| it.to_str()).context("No thread id.")?;
-    Ok(id.parse()?)
-}
-
-/// User and system time of a thread, in clock ticks.
-fn thread_ticks(thread: u32) -> Result<u64> {
-    let stat = fs::read_to_string(format!("/proc/self/task/{thread}/stat"))?;
-    let fields: Vec<&str> =
-        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-    let field =
-        |at: usize| fields.get(at).and_then(|it| it.parse::<u64>().ok()).unwrap_or_default();
-    Ok(field(11) + field(12))
-}
-
-fn rss_bytes() -> Result<u64> {
-    let statm = fs::read_to_string("/proc/self/statm")?;
-    let pages: u64 = statm.split_whitespace().nth(1).context("No resident pages.")?.parse()?;
-    Ok(pages * PAGE_BYTES)
-}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,8 +1,11 @@
 //! Measures the policies of fuchsiamill and prints tables for the design notes.
 
 mod capacity;
+mod entry_hosts;
 mod jobs;
 mod plans;
+mod share_meter;
+mod slots;
 mod spare;
 mod standing;
 
@@ -22,6 +25,7 @@
     Capacity(capacity::CapacityArgs),
     Jobs(jobs::JobsArgs),
     Plans(plans::PlansArgs),
+    Slots(slots::SlotsArgs),
     Spare(spare::SpareArgs),
     Standing(standing::StandingArgs),
 }
@@ -32,6 +36,7 @@
         Command::Capacity(args) => capacity::run(&args),
         Command::Jobs(args) => jobs::run(&args),
         Command::Plans(args) => plans::run(&args),
+        Command::Slots(args) => slots::run(&args),
         Command::Spare(args) => spare::run(&args),
         Command::Standing(args) => standing::run(&args),
     }
--- a/crates/quickstart/src/site.rs
+++ b/crates/quickstart/src/site.rs
@@ -1,16 +1,12 @@
 //! The site: stand-ins and entry hosts on threads of this process.
 
 use std::{
-    future::pending,
     net::{SocketAddr, TcpListener},
-    rc::Rc,
-    sync::mpsc,
-    thread,
     time::Duration,
 };
 
-use anyhow::{Context, Result};
-use fuchsiamill_daemon::{Addresses, Entry, run::block_on};
+use anyhow::Result;
+use fuchsiamill_daemon::{Addresses, embedded::EntryThread};
 use fuchsiamill_model::{EntryName, KeyDigest, Pool, PoolName, Slots, config::PoolRole};
 use fuchsiamill_settings::Settings;
 use fuchsiamill_standin::site::{DATA_CENTRES, PoolPlan, Standins, team};
@@ -55,7 +51,7 @@
         let mut entries = Vec::new();
         for (index, (name, peer)) in peers.iter().enumerate() {
             let text = settings(index, name, *peer, standins.platform);
-            entries.push(start_entry(Settings::parse("entry.ini", &text)?)?);
+            entries.push(EntryThread::start(Settings::parse("entry.ini", &text)?)?.addresses());
         }
         Ok(Self { entries, standins })
     }
@@ -89,20 +85,3 @@
 fn free_port() -> Result<SocketAddr> {
     Ok(TcpListener::bind(ANY_PORT)?.local_addr()?)
 }
-
-/// Starts an entry host on a thread of its own that runs as long as the process.
-fn start_entry(settings: Settings) -> Result<Addresses> {
-    let (tx, rx) = mpsc::channel();
-    thread::spawn(move || {
-        block_on(async move {
-            let entry = Entry::start(Rc::new(settings)).await;
-            let addresses = entry.as_ref().map(Entry::addresses);
-            let _ = tx.send(addresses.map_err(|e| format!("{e:#}")));
-            if entry.is_ok() {
-                pending::<()>().await;
-            }
-        });
-    });
-    let started = rx.recv().context("The entry host's thread ended.")?;
-    started.map_err(anyhow::Error::msg)
-}
