Both sites measured beside a plain baseline, with and without faults

Cause: no one command showed what the product does at today's sizes. Figures come from the stand-ins' records and from what callers were told; the plan of a wave comes from the planner.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod plans;
 mod share_meter;
+mod sites;
 mod slots;
 mod spare;
 mod standing;
@@ -25,6 +26,7 @@
     Capacity(capacity::CapacityArgs),
     Jobs(jobs::JobsArgs),
     Plans(plans::PlansArgs),
+    Sites(sites::SitesArgs),
     Slots(slots::SlotsArgs),
     Spare(spare::SpareArgs),
     Standing(standing::StandingArgs),
@@ -36,6 +38,7 @@
         Command::Capacity(args) => capacity::run(&args),
         Command::Jobs(args) => jobs::run(&args),
         Command::Plans(args) => plans::run(&args),
+        Command::Sites(args) => sites::run(&args),
         Command::Slots(args) => slots::run(&args),
         Command::Spare(args) => spare::run(&args),
         Command::Standing(args) => standing::run(&args),
--- a/crates/measure/src/plans.rs
+++ b/crates/measure/src/plans.rs
@@ -14,8 +14,10 @@
 const HOSTS_PER_RACK: usize = 4;
 const TIMING: Timing = Timing { drain: 30_000, reboot: 180_000, check: 10_000 };
 const VALID_MS: u64 = 600_000;
-const RUIYUAN: Weights = Weights { buffer: 1, rollout: 4, moves: 1, share: 4 };
-const SATHORN: Weights = Weights { buffer: 4, rollout: 1, moves: 4, share: 1 };
+/// What Ruiyuan weighs.
+pub const RUIYUAN: Weights = Weights { buffer: 1, rollout: 4, moves: 1, share: 4 };
+/// What Sathorn weighs.
+pub const SATHORN: Weights = Weights { buffer: 4, rollout: 1, moves: 4, share: 1 };
 const ROUNDS: u32 = 5;
 
 /// measure plans against the baseline and the lower bound
@@ -86,11 +88,9 @@
     (title, intent): (&str, &Intent),
     (site, weights): (&str, Weights),
 ) -> Result<()> {
-    let all = planner::candidates(config, &TIMING, intent)?;
-    let baseline =
-        all.first().map(|(candidate, measures)| (candidate.blocked.is_empty(), measures));
-    let plan = planner::plan(config, &request(weights)?, intent)?;
-    if let Some((feasible, measures)) = baseline {
+    let (baseline, plan) = baseline_and_plan(config, weights, intent)?;
+    if let Some((feasible, measures)) = &baseline {
+        let all = planner::candidates(config, &TIMING, intent)?;
         let hosts = plan.facts.hosts.len();
         let cost = match feasible {
             true => format!("{:.2}", cost_of(&weights, hosts, &all)),
@@ -107,6 +107,18 @@
     Ok(())
 }
 
+/// The measures of the baseline, whether it is feasible, and the plan that is chosen.
+pub fn baseline_and_plan(
+    config: &Configuration,
+    weights: Weights,
+    intent: &Intent,
+) -> Result<(Option<(bool, Measures)>, Plan)> {
+    let all = planner::candidates(config, &TIMING, intent)?;
+    let baseline =
+        all.first().map(|(candidate, measures)| (candidate.blocked.is_empty(), *measures));
+    Ok((baseline, planner::plan(config, &request(weights)?, intent)?))
+}
+
 fn cost_of(weights: &Weights, hosts: usize, all: &[(planner::Candidate, Measures)]) -> f64 {
     let feasible = all.iter().filter(|(candidate, _)| candidate.blocked.is_empty());
     let measures: Vec<_> = feasible.map(|(_, measures)| *measures).collect();
