--- a/crates/measure/src/sites/callers.rs
+++ b/crates/measure/src/sites/callers.rs
@@ -198,7 +198,7 @@
         return Told::Answer;
     }
     let document: Value = serde_json::from_slice(&response.body).unwrap_or_default();
-    let reason = document["title"].as_str().unwrap_or("without a title").to_owned();
+    let reason = document["title"].as_str().unwrap_or("backend server's own error").to_owned();
     match document["run"].as_str() {
         Some("not-run") => Told::NotRun(reason),
         _ => Told::Unknown(reason),
