A throttled task is released once its host has room

Cause: the owner throttled a task while its host was over what it offers, and nothing ever ended that; a task held to 1,000 of 4,000 millicores stayed so alone on its host. Change: relieve() releases one throttled task when what it used before fits within 90 % of the host, or when it is alone. A new owner releases what an earlier one may have throttled.

--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -74,6 +74,32 @@
     Running,
 }
 
+/// Whether a task is held to what it was placed for, and what it used before, in millicores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Throttle {
+    /// It is not.
+    No,
+    /// An earlier owner may have throttled it.
+    NotKnown,
+    /// It was ordered; no answer came yet.
+    Ordered(u32),
+    /// It is.
+    Held(u32),
+    /// Its end was ordered; no answer came yet.
+    Releasing(u32),
+}
+
+impl Throttle {
+    /// The state once an answer to the last orders came.
+    fn confirmed(self) -> Self {
+        match self {
+            Throttle::Ordered(before) => Throttle::Held(before),
+            Throttle::Releasing(_) => Throttle::No,
+            Throttle::No | Throttle::NotKnown | Throttle::Held(_) => self,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     row: JobRow,
@@ -81,11 +107,21 @@
     pending: Option<JobRow>,
     seen: Seen,
     usage: Option<Usage>,
+    throttle: Throttle,
     peak: Resources,
     waits_since: Option<Moment>,
 }
 
 impl Entry {
+    /// What the task may use once released, if it is throttled or may be.
+    fn throttled_from(&self) -> Option<u32> {
+        match self.throttle {
+            Throttle::Held(before) | Throttle::Releasing(before) => Some(before),
+            Throttle::NotKnown => Some(self.usage?.peak.millicores),
+            Throttle::No | Throttle::Ordered(_) => None,
+        }
+    }
+
     /// The run that holds room on a host: written, or about to be.
     fn held(&self) -> Option<&Running> {
         running_of(&self.row).or_else(|| self.pending.as_ref().and_then(running_of))
@@ -260,6 +296,7 @@
         entry.version = version;
         entry.seen = Seen::NotSent;
         entry.usage = None;
+        entry.throttle = Throttle::No;
     }
 
     /// The proposed row was not written and never will be: a row that it is conditional on has a newer version.
@@ -309,6 +346,7 @@
             pending: None,
             seen: Seen::Unconfirmed,
             usage: None,
+            throttle: Throttle::NotKnown,
             peak: Resources::default(),
             waits_since: None,
         };
--- a/crates/policy/src/jobs/scheduler/orders.rs
+++ b/crates/policy/src/jobs/scheduler/orders.rs
@@ -1,14 +1,14 @@
 //! Orders to workers, and what follows from their answers and their silence.
 
 use fuchsiamill_model::{
-    FastMap, HostName, JobId, Moment,
+    FastMap, HostName, JobId, Moment, Resources,
     task::{
         Fence, TaskId, TaskOrder, TaskReport, TaskStart, TaskState, Ticket, Usage, WorkerAnswer,
         WorkerSync,
     },
 };
 
-use super::{Entry, Proposal, Scheduler, Seen, UnitChange, WriteIds, running_of};
+use super::{Entry, Proposal, Scheduler, Seen, Throttle, UnitChange, WriteIds, running_of};
 use crate::{
     jobs::{
         health::Verdict,
@@ -132,18 +132,26 @@
         }
     }
 
-    fn relief_order(&self, host: &HostName) -> Option<TaskOrder> {
+    fn relief_order(&mut self, host: &HostName) -> Option<TaskOrder> {
         let offered = self.hosts.get(host)?.resources;
         let entries = self.on_host.get(host)?.iter().filter_map(|job| self.entries.get(job));
         let load = |entry: &Entry| {
-            let run = running_of(&entry.row)?;
-            let used = entry.usage?.peak;
-            Some(TaskLoad { task: entry.row.core.task(), reserved: run.size, used })
+            let reserved = running_of(&entry.row)?.size;
+            Some(task_load(entry, reserved, entry.usage?.peak))
         };
         let loads: Vec<TaskLoad> = entries.filter_map(load).collect();
         match relieve(offered, &loads) {
             Relief::None => None,
-            Relief::Throttle(task, to) => Some(TaskOrder::Throttle { task, to }),
+            Relief::Throttle(task, to) => {
+                let entry = self.entries.get_mut(&task.job)?;
+                entry.throttle = Throttle::Ordered(entry.usage?.peak.millicores);
+                Some(TaskOrder::Throttle { task, to })
+            }
+            Relief::Release(task, to) => {
+                let entry = self.entries.get_mut(&task.job)?;
+                entry.throttle = Throttle::Releasing(entry.throttled_from().unwrap_or(0));
+                Some(TaskOrder::Throttle { task, to })
+            }
             Relief::Checkpoint(task) => Some(TaskOrder::Checkpoint { task }),
         }
     }
@@ -217,6 +225,7 @@
         let end = match report.state {
             TaskState::Running => {
                 entry.seen = Seen::Running;
+                entry.throttle = entry.throttle.confirmed();
                 return None;
             }
             TaskState::Finished { output } => TaskEnd::Finished(output),
@@ -278,6 +287,15 @@
     }
 }
 
+fn task_load(entry: &Entry, reserved: Resources, mut used: Resources) -> TaskLoad {
+    // The peak of a throttled task may date from before it was throttled.
+    if matches!(entry.throttle, Throttle::Held(_)) {
+        used.millicores = used.millicores.min(reserved.millicores);
+    }
+    let throttled_from = entry.throttled_from();
+    TaskLoad { task: entry.row.core.task(), reserved, used, throttled_from }
+}
+
 fn start_order(entry: &Entry, run: &Running) -> TaskOrder {
     TaskOrder::Start(TaskStart {
         task: entry.row.core.task(),
--- a/crates/policy/tests/task_placement.rs
+++ b/crates/policy/tests/task_placement.rs
@@ -207,7 +207,7 @@
 #[test]
 fn overload_is_relieved_without_a_kill() {
     let task = |n: u32| TaskId { job: format!("j{n}").parse().unwrap(), attempt: 1 };
-    let load = |n, reserved, used| TaskLoad { task: task(n), reserved, used };
+    let load = |n, reserved, used| TaskLoad { task: task(n), reserved, used, throttled_from: None };
     let offered = resources(4_000, 10_000, 0);
     let fair = load(1, resources(2_000, 5_000, 0), resources(2_000, 2_000, 0));
     let greedy = load(2, resources(1_000, 3_000, 0), resources(3_000, 3_000, 0));
@@ -215,7 +215,13 @@
     assert_eq!(relieve(offered, &[fair.clone(), greedy]), throttled);
     let swollen = load(3, resources(1_000, 3_000, 0), resources(1_000, 8_000, 0));
     assert_eq!(relieve(offered, &[fair.clone(), swollen]), Relief::Checkpoint(task(3)));
-    assert_eq!(relieve(offered, &[fair]), Relief::None);
+    assert_eq!(relieve(offered, std::slice::from_ref(&fair)), Relief::None);
+    // Released only where what it used before fits with a margin, or where it is alone.
+    let held = load(2, resources(1_000, 3_000, 0), resources(1_000, 3_000, 0));
+    let held = |before| TaskLoad { throttled_from: Some(before), ..held.clone() };
+    assert_eq!(relieve(offered, &[fair.clone(), held(3_000)]), Relief::None);
+    assert_eq!(relieve(offered, &[fair, held(1_500)]), Relief::Release(task(2), offered));
+    assert_eq!(relieve(offered, &[held(9_000)]), Relief::Release(task(2), offered));
 }
 
 #[test]
