Claims: answers in the object store go with their claims

Cause: the object of an answer over 4 KiB was never removed.

A claim whose row holds no answer may have left an object (its host died in between), so that name is removed too. The object client and the stand-in know DELETE.

Test in `claim_table.rs`: nothing goes before its time, rows stay while the object store is away, a lost answer of the commit, an orphan object.

--- a/crates/daemon/src/claims/answer.rs
+++ b/crates/daemon/src/claims/answer.rs
@@ -41,7 +41,7 @@
     if response.body.len() <= LARGEST_IN_ROW_BYTES {
         return Kept::InRow(answer(in_row(&response.body)));
     }
-    let name = format!("claim-answer-{}", id.0);
+    let name = id.answer_object();
     let answer = answer(Body::Object(name.clone()));
     Kept::InObject(LargeAnswer { answer, name, digits: digits(&response.body) })
 }
--- a/crates/daemon/src/claims/task.rs
+++ b/crates/daemon/src/claims/task.rs
@@ -63,8 +63,8 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let (questions, questions_rx) = mpsc::unbounded_channel();
     monoio::spawn(reader::run(table.clone(), questions_rx));
-    let answers = Answers::new(objects);
-    monoio::spawn(sweep_on(table.clone(), cfg.clock, cfg.rng.clone()));
+    let answers = Answers::new(objects.clone());
+    monoio::spawn(sweep_on(table.clone(), objects, cfg.clock, cfg.rng.clone()));
     let task = Task {
         batcher: Batcher::new(cfg.bounds),
         watchers: Watchers::new(cfg.bounds.waiting),
@@ -81,11 +81,16 @@
     Claims { tx, questions, answers }
 }
 
-async fn sweep_on<T: Table>(table: Rc<T>, clock: Clock, mut rng: fastrand::Rng) {
+async fn sweep_on<T: Table>(
+    table: Rc<T>,
+    objects: Rc<ObjectClient>,
+    clock: Clock,
+    mut rng: fastrand::Rng,
+) {
     loop {
         // Jitter spreads the sweeps of the entry hosts.
         sleep(Duration::from_millis(SWEEP_EVERY / 2 + rng.u64(..SWEEP_EVERY))).await;
-        if let Err(e) = sweep(&*table, clock.wall()).await {
+        if let Err(e) = sweep(&*table, &objects, clock.wall()).await {
             log::debug!("Expired claims stay for now: {e}");
         }
     }
--- a/crates/daemon/tests/claim_table.rs
+++ b/crates/daemon/tests/claim_table.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_daemon::{
     Clock,
-    claims::{Claimed, Claims, Config, Wanted, start},
+    claims::{Claimed, Claims, Config, Wanted, start, sweep},
 };
 use fuchsiamill_http::{Bounds as HttpBounds, JsonClient, Response};
 use fuchsiamill_model::{Incarnation, ProblemKind, RunState, ServiceName, TeamName, WallTime};
@@ -243,16 +243,47 @@
         held(site.claim(&site.claims("b-1"), "old", "x").await);
         held(site.claim(&site.claims("c-1"), "other", "x").await);
         let table = TableClient::new(site.platform, CALL_TIME);
-        let sweep = fuchsiamill_daemon::claims::sweep;
+        let objects = ObjectClient::new(site.platform, CALL_TIME);
         let old_key = &site.rows("claim/").await[0].key;
         let stale = json!({"claims": [[old_key, "an-earlier-claim"]]});
         let commit = Commit::default().put("claim-index/0000000001/x/1", &stale);
         table.commit(&commit).await.unwrap();
-        assert_eq!(sweep(&table, site.clock.wall()).await.unwrap(), 0);
+        assert_eq!(sweep(&table, &objects, site.clock.wall()).await.unwrap(), 0);
         assert!(site.rows("claim-index/0000000001").await.is_empty(), "the stale index row went");
         assert_eq!(site.rows("claim/").await.len(), 2);
         let later = WallTime(site.clock.wall().0 + RETENTION + 2 * 3_600_000);
-        assert_eq!(sweep(&table, later).await.unwrap(), 2);
+        assert_eq!(sweep(&table, &objects, later).await.unwrap(), 2);
         assert_eq!(site.rows("claim").await.len(), 0);
     });
 }
+
+#[test]
+fn answers_in_the_object_store_go_with_their_claims() {
+    block_on(async {
+        let site = Site::start();
+        let a = site.claims("a-1");
+        let answered = held(site.claim(&a, "answered", "x").await).send();
+        let name = answered.id().answer_object();
+        a.answered(answered, &Response::text(StatusCode::OK, "y".repeat(100_000)));
+        a.settle().await;
+        let died = held(site.claim(&a, "died", "x").await).send();
+        let orphan = died.id().answer_object();
+        let objects = ObjectClient::new(site.platform, CALL_TIME);
+        objects.put(&orphan, &"written before its host died").await.unwrap();
+        let kept = async |name: &str| objects.get::<String>(name).await.unwrap().is_some();
+        assert!(kept(&name).await && kept(&orphan).await);
+        drop((a, died));
+        let table = TableClient::new(site.platform, CALL_TIME);
+        assert_eq!(sweep(&table, &objects, site.clock.wall()).await.unwrap(), 0);
+        assert!(kept(&name).await && kept(&orphan).await);
+        let later = WallTime(site.clock.wall().0 + RETENTION + 2 * 3_600_000);
+        let away = ObjectClient::new("127.0.0.1:1".parse().unwrap(), CALL_TIME);
+        assert!(sweep(&table, &away, later).await.is_err());
+        assert_eq!(site.rows("claim/").await.len(), 2, "rows stay until their objects are gone");
+        site.fault(PlatformFault::LoseAnswers { count: 1 }).await;
+        assert!(sweep(&table, &objects, later).await.is_err());
+        while sweep(&table, &objects, later).await.unwrap() > 0 {}
+        assert!(!kept(&name).await && !kept(&orphan).await);
+        assert!(site.rows("claim").await.is_empty());
+    });
+}
--- a/crates/http/src/json.rs
+++ b/crates/http/src/json.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use monoio::time::Instant;
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -81,6 +81,11 @@
         self.call(Request::get(target)).await
     }
 
+    /// Deletes what is at `target`.
+    pub async fn delete(&self, target: &str) -> Result<()> {
+        self.call(Request { method: Method::DELETE, ..Request::get(target) }).await
+    }
+
     async fn call<R: DeserializeOwned>(&self, mut request: Request) -> Result<R> {
         request.headers.extend(self.headers.clone());
         let deadline = Instant::now() + self.time;
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -31,4 +31,10 @@
         let target = format!("/objects/{name}");
         self.client.get(&target).await.map_err(|e| Error::from_call(SERVICE, e))
     }
+
+    /// Removes an object; one that is not there counts as removed.
+    pub async fn delete(&self, name: &str) -> Result<()> {
+        let target = format!("/objects/{name}");
+        self.client.delete(&target).await.map_err(|e| Error::from_call(SERVICE, e))
+    }
 }
--- a/crates/policy/src/claims/row.rs
+++ b/crates/policy/src/claims/row.rs
@@ -13,6 +13,13 @@
 #[serde(transparent)]
 pub struct ClaimId(pub String);
 
+impl ClaimId {
+    /// The object that holds the body of this claim's answer, when it does not fit into the row.
+    pub fn answer_object(&self) -> String {
+        format!("claim-answer-{}", self.0)
+    }
+}
+
 /// The body of a kept answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -83,6 +90,18 @@
         self.request == request && self.progress == Progress::Claimed && now.0 <= self.deadline.0
     }
 
+    /// The object that the claim may have left in the object store.
+    ///
+    /// The body is written before the row names it, so any row but one with its body may have one.
+    pub fn possible_object(&self) -> Option<String> {
+        match &self.progress {
+            Progress::Answered { answer: Answer { body: Body::Text(_) | Body::Binary(_), .. } } => {
+                None
+            }
+            _ => Some(self.id.answer_object()),
+        }
+    }
+
     /// What a request that finds this row, written by another, is told.
     pub fn verdict(&self, request: RequestDigest, now: WallTime) -> Verdict {
         if self.request != request {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -150,6 +150,10 @@
                 self.store.borrow_mut().put_object(name, value);
                 reply::value(&())
             }),
+            Method::DELETE => {
+                self.store.borrow_mut().delete_object(name);
+                reply::value(&())
+            }
             _ => Response::empty(StatusCode::METHOD_NOT_ALLOWED),
         }
     }
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -58,6 +58,11 @@
         self.objects.insert(name.into(), value);
     }
 
+    /// Removes an object.
+    pub fn delete_object(&mut self, name: &str) {
+        self.objects.remove(name);
+    }
+
     fn broken(&self, condition: &Condition) -> Option<(String, Option<RowVersion>)> {
         let (key, wanted) = match condition {
             Condition::Absent { key } => (key, None),
