Dispatch ticks slower while nothing is queued, granted or being taken over

Cause: at 22,000 hosts the rest of the idle processor time stood in the tick of the dispatch, which asks every pool's tenure and every team's holder 50 times a second, also when nothing can change by time.

Change: 100 ms between ticks while idle, 20 ms otherwise; an ask still acts at once.

--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -1,6 +1,6 @@
 //! The dispatch task: owns queues, slots and units of the pools that this host owns.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{
     Configuration, EntryName, FastMap, HostName, Millisecond, Moment, PoolName, TeamName,
@@ -27,6 +27,7 @@
 use crate::{backend::Take, cluster::TenureId, cx::Cx};
 
 const TICK: Duration = Duration::from_millis(20);
+const IDLE_TICK: Duration = Duration::from_millis(100);
 const ROWS_PERIOD: Millisecond = 250;
 const IDLE_UNITS: Millisecond = 3_000;
 /// How long after its first majority a host counts as having asked for all that it wants.
@@ -84,6 +85,7 @@
     pub(super) dispatch: Dispatch,
     pub(super) known: Known,
     config: watch::Receiver<Rc<Configuration>>,
+    pace: Rc<Cell<Duration>>,
     asks: FastMap<Ticket, AnswerTo>,
     reads: Vec<TeamName>,
     writes: Vec<RowWrite>,
@@ -110,25 +112,27 @@
     };
     let bounds = Bounds { terms, ask: timing.start_by_ms * 2 / 5, take_over: TAKE_OVER, open };
     let me = cx.settings.entry.name.clone();
+    let pace = Rc::new(Cell::new(TICK));
     let task = Task {
         cx: cx.clone(),
         tx: tx.clone(),
         dispatch: Dispatch::new(me, cx.incarnation.clone(), bounds),
         known: Known::default(),
         config: cx.config.subscribe(),
+        pace: pace.clone(),
         asks: FastMap::default(),
         reads: Vec::new(),
         writes: Vec::new(),
         rows_at: None,
         owning_since: None,
     };
-    monoio::spawn(tick(tx));
+    monoio::spawn(tick(tx, pace));
     monoio::spawn(task.run(rx));
 }
 
-async fn tick(tx: UnboundedSender<Command>) {
+async fn tick(tx: UnboundedSender<Command>, pace: Rc<Cell<Duration>>) {
     while tx.send(Command::Tick).is_ok() {
-        sleep(TICK).await;
+        sleep(pace.get()).await;
     }
 }
 
@@ -142,6 +146,7 @@
             let may_own = self.sync();
             self.take(command, may_own);
             self.flush_rows();
+            self.pace.set(if self.dispatch.is_idle() { IDLE_TICK } else { TICK });
         }
     }
 
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -312,6 +312,11 @@
         actions
     }
 
+    /// Whether nothing is queued, granted or being taken over.
+    pub fn is_idle(&self) -> bool {
+        self.grants.is_empty() && self.pools.values().all(OwnedPool::is_idle)
+    }
+
     /// Whether this host owns a pool.
     pub fn owns(&self, pool: &PoolName) -> bool {
         self.pools.contains_key(pool)
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Whether nothing is queued, running or being taken over.
+    pub(super) fn is_idle(&self) -> bool {
+        self.queues.is_empty() && self.uses.is_empty() && matches!(self.stage, Stage::Granting)
+    }
+
     /// Whether grants may be given.
     pub(super) fn is_granting(&mut self, now: Moment) -> bool {
         if let Stage::TakingOver { until, .. } = &self.stage
