The record of a serving host cannot be replaced past the budget check

PutHost replaced the slots, data centre or state of a known host whatever it was doing: a serving host could lose slots, or become set aside, and no budget was asked. Now the record of a known host is replaced only while it is set aside, and leaves it so; the refusal names the way, a drain. Putting the same record again stays allowed.

Test: plan_holds a_serving_host_is_not_replaced; seen failing with the check taken out.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -263,15 +263,30 @@
 
     fn put_host(&mut self, host: &Host) -> Result<()> {
         self.need_pool(&host.pool)?;
-        if let Some(known) = self.hosts.get(&host.name)
-            && known.pool != host.pool
-        {
-            return Err(Error::AlreadyThere { kind: "host", name: host.name.to_string() });
-        }
+        self.check_replaceable(host)?;
         self.hosts.put(host.clone());
         Ok(())
     }
 
+    /// Refuses to replace the record of a known host that the budgets count on.
+    fn check_replaceable(&self, host: &Host) -> Result<()> {
+        let Some(known) = self.hosts.get(&host.name).filter(|known| *known != host) else {
+            return Ok(());
+        };
+        if known.pool != host.pool {
+            return Err(Error::AlreadyThere { kind: "host", name: host.name.to_string() });
+        }
+        if known.state == HostState::SetAside && host.state == HostState::SetAside {
+            return Ok(());
+        }
+        Err(Error::HostState {
+            host: host.name.clone(),
+            found: known.state.as_str(),
+            wanted: "replaced",
+            needed: "set-aside, for instance after 'fuchsiamill plan drain-host', and leave it so",
+        })
+    }
+
     fn set_host_state(&mut self, name: &HostName, state: HostState) -> Result<()> {
         use HostState::*;
         let (needed, from): (&'static str, &[HostState]) = match state {
--- a/crates/model/tests/plan_holds.rs
+++ b/crates/model/tests/plan_holds.rs
@@ -141,3 +141,26 @@
     let refused = apply(&mut cfg, "ann", Some("x"), drain("b"));
     assert!(refused.is_err(), "a failure counts against the budget");
 }
+
+#[test]
+fn a_serving_host_is_not_replaced() {
+    let mut cfg = fleet();
+    let put = |change: fn(&mut Host)| {
+        let mut host = host("a");
+        change(&mut host);
+        vec![Change::PutHost { host }]
+    };
+    apply(&mut cfg, "ben", None, put(|_| {})).expect("the same record again");
+    let fewer_slots: fn(&mut Host) = |it| it.slots = 1;
+    let changed: [fn(&mut Host); 3] =
+        [fewer_slots, |it| it.state = HostState::SetAside, |it| it.data_centre = name("e")];
+    for change in changed {
+        let refused = apply(&mut cfg, "ben", None, put(change)).expect_err("a serving host");
+        assert!(refused.to_string().contains("drain-host"), "{refused}");
+    }
+    apply(&mut cfg, "ben", None, vec![set("a", HostState::SetAside)]).expect("a failure");
+    assert!(apply(&mut cfg, "ben", None, put(fewer_slots)).is_err(), "it would serve at once");
+    let aside = put(|it| (it.slots, it.state) = (1, HostState::SetAside));
+    apply(&mut cfg, "ben", None, aside).expect("a host that is set aside");
+    assert_eq!(cfg.hosts[&name::<HostName>("a")].slots, 1);
+}
