Hosts that leave or fail without a plan count in their pool's budget

A host that the platform's list calls leaving or gone got no new work but counted as serving, so waves spent a budget that was gone; a backend server that failed everything stayed in its pool for ever. Now the owner of a pool records them: `absent` by the list for absent-ms, back after back-ms live and a probe; set aside after a failed trial. No budget and no plan refuses what happened; at most absent-percent of a pool, and never all of it, goes this way, so that a list that is wrong or empty empties no pool. Each change is a conditional write, and so an entry of the audit trail. Outlier detection forgets what it knew of a host that went out of service, which lets a repaired host be judged anew.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -453,7 +453,7 @@
     /// only in this rack
     #[argh(option)]
     pub rack: Option<RackName>,
-    /// only in this state: serving, draining, rebooting, checking or set-aside
+    /// only in this state: serving, draining, rebooting, checking, set-aside or absent
     #[argh(option)]
     pub state: Option<String>,
 }
--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -39,9 +39,19 @@
     No,
 }
 
+/// The last reading of the host list.
+#[derive(Clone)]
+pub struct ListReading {
+    /// When it came.
+    pub at: Moment,
+    /// What it says of the hosts that it names.
+    pub hosts: Rc<FastMap<HostName, Liveness>>,
+}
+
 /// What this entry host knows of the backend servers.
 #[derive(Default)]
 pub struct BackendHealth {
+    list: RefCell<Option<ListReading>>,
     states: RefCell<FastMap<HostName, BackendState>>,
     closed: RefCell<FastSet<HostName>>,
     outliers: RefCell<FastMap<PoolName, Outliers<HostName>>>,
@@ -107,6 +117,16 @@
         tell(cx, host, change);
     }
 
+    /// The last reading of the host list.
+    pub fn list(&self) -> Option<ListReading> {
+        self.list.borrow().clone()
+    }
+
+    /// Whether a host fails everything, its trials included.
+    pub fn is_failing(&self, pool: &PoolName, host: &HostName) -> bool {
+        self.outliers.borrow().get(pool).is_some_and(|it| it.is_failing(host))
+    }
+
     fn change_state(&self, cx: &Cx, host: &HostName, change: impl FnOnce(&mut BackendState)) {
         let mut states = self.states.borrow_mut();
         let state = states.entry(host.clone()).or_default();
@@ -136,8 +156,11 @@
         outliers.retain(|pool, _| config.pools.contains_key(pool));
         for pool in config.pools.keys() {
             let members: Vec<HostName> = config.hosts_of(pool).map(|it| it.name.clone()).collect();
-            let pool = outliers.entry(pool.clone()).or_insert_with(|| Outliers::new(OUTLIERS));
-            pool.set_members(&members);
+            let known = outliers.entry(pool.clone()).or_insert_with(|| Outliers::new(OUTLIERS));
+            known.set_members(&members);
+            // A host that comes back into service is judged anew.
+            let out = config.hosts_of(pool).filter(|it| it.state != HostState::Serving);
+            out.for_each(|it| known.forget(&it.name));
         }
         self.states.borrow_mut().retain(|host, _| config.hosts.contains_key(host));
         self.closed.borrow_mut().retain(|host| config.hosts.contains_key(host));
@@ -210,6 +233,9 @@
     loop {
         if let Ok(reports) = cx.hosts.list().await {
             take_list(&cx, &reports);
+            let hosts = reports.into_iter().map(|it| (it.host, it.liveness)).collect();
+            let reading = ListReading { at: cx.clock.now(), hosts: Rc::new(hosts) };
+            cx.health.list.replace(Some(reading));
         }
         sleep(PERIOD).await;
     }
--- a/crates/daemon/src/backend/mod.rs
+++ b/crates/daemon/src/backend/mod.rs
@@ -9,7 +9,7 @@
 use fuchsiamill_settings::Settings;
 use monoio::time::Instant;
 
-pub use health::{BackendHealth, Take, said};
+pub use health::{BackendHealth, ListReading, Take, said};
 
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Below the time after which backend servers usually close an idle connection.
--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -1,5 +1,6 @@
 //! Plans and waves: made, confirmed and carried out by any entry host.
 
+mod absence;
 mod confirm;
 mod error;
 mod lease;
@@ -43,6 +44,7 @@
     /// Starts carrying out the confirmed plans that this entry host gets hold of.
     pub fn start(&self) {
         monoio::spawn(watch::run(self.cx.clone()));
+        monoio::spawn(absence::run(self.cx.clone()));
     }
 
     /// Makes a plan for an intent and keeps it to be confirmed.
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -24,9 +24,19 @@
     Checking,
     /// It failed, did not come back or did not pass its checks.
     SetAside,
+    /// The platform's host list calls it leaving or gone; it serves again by itself once it is back.
+    Absent,
 }
 
 impl HostState {
+    /// Whether a change to `next` records what happened to a host instead of planning it.
+    ///
+    /// Such a change is refused neither for a budget nor for a plan that holds the host.
+    pub fn is_unplanned(self, next: HostState) -> bool {
+        use HostState::*;
+        matches!((self, next), (_, SetAside | Absent) | (Absent, Serving))
+    }
+
     /// The state in words, as logs and the command line show it.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -35,6 +45,7 @@
             HostState::Rebooting => "rebooting",
             HostState::Checking => "checking",
             HostState::SetAside => "set-aside",
+            HostState::Absent => "absent",
         }
     }
 }
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -48,11 +48,16 @@
 
 impl Progress {
     /// The progress that a change of the host's state stands for.
-    pub fn after(state: HostState) -> Progress {
-        match state {
-            HostState::Serving => Progress::Done,
-            HostState::Draining | HostState::Rebooting | HostState::Checking => Progress::Out,
-            HostState::SetAside => Progress::SetAside,
+    ///
+    /// A host that is absent and comes back stays as far as it was: the plan has not touched it.
+    pub fn after(before: HostState, state: HostState) -> Option<Progress> {
+        match (before, state) {
+            (_, HostState::Absent) | (HostState::Absent, HostState::Serving) => None,
+            (_, HostState::Serving) => Some(Progress::Done),
+            (_, HostState::Draining | HostState::Rebooting | HostState::Checking) => {
+                Some(Progress::Out)
+            }
+            (_, HostState::SetAside) => Some(Progress::SetAside),
         }
     }
 }
--- a/crates/model/tests/plan_holds.rs
+++ b/crates/model/tests/plan_holds.rs
@@ -164,3 +164,16 @@
     apply(&mut cfg, "ben", None, aside).expect("a host that is set aside");
     assert_eq!(cfg.hosts[&name::<HostName>("a")].slots, 1);
 }
+
+#[test]
+fn absence_is_recorded_beside_the_plan_that_holds_the_host() {
+    let mut cfg = fleet();
+    apply(&mut cfg, "ann", Some("x"), vec![start("x", &["a"])]).expect("the plan");
+    for state in [HostState::Absent, HostState::Serving] {
+        apply(&mut cfg, "monitor", None, vec![set("a", state)]).expect("absence and return");
+        assert_eq!(progress(&cfg, "x", "a"), Progress::Pending);
+    }
+    let draining = vec![set("a", HostState::Draining)];
+    apply(&mut cfg, "ann", Some("x"), draining).expect("its own change");
+    assert!(apply(&mut cfg, "monitor", None, vec![set("a", HostState::Absent)]).is_err());
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here opens a socket, reads a clock or runs a task: time is passed in, and each step
 //! returns what to do next.
 
+pub mod absence;
 pub mod backend_state;
 pub mod claims;
 pub mod config_log;
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -7,6 +7,9 @@
 
 use fuchsiamill_model::{FastMap, FastSet, Millisecond, Moment};
 
+/// Failed trials after the first ejection that show a lasting failure.
+const FAILED_TRIALS: u32 = 1;
+
 /// Bounds of outlier detection.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -90,8 +93,15 @@
     {
         let mut old = std::mem::take(&mut self.members);
         for key in members {
-            let fresh = Member { failures: 0, ejections: 0, state: State::In };
-            self.members.insert(key.clone(), old.remove(key).unwrap_or(fresh));
+            let member = old.remove(key).unwrap_or_else(Member::fresh);
+            self.members.insert(key.clone(), member);
+        }
+    }
+
+    /// A member's failures no longer tell of it, for instance since it was restarted.
+    pub fn forget(&mut self, key: &K) {
+        if let Some(member) = self.members.get_mut(key) {
+            *member = Member::fresh();
         }
         self.out.retain(|key| self.members.contains_key(key));
     }
@@ -107,6 +117,13 @@
         }
     }
 
+    /// Whether a member is out and has failed its trials as well: it does not recover by itself.
+    pub fn is_failing(&self, key: &K) -> bool {
+        self.members.get(key).is_some_and(|member| {
+            member.ejections > FAILED_TRIALS && !matches!(member.state, State::In)
+        })
+    }
+
     /// A trial begins: `standing` allowed it.
     pub fn begin_trial(&mut self, now: Moment, key: &K) {
         let until = now + self.bounds.trial;
@@ -163,6 +180,10 @@
 }
 
 impl Member {
+    fn fresh() -> Self {
+        Self { failures: 0, ejections: 0, state: State::In }
+    }
+
     fn eject(&mut self, now: Moment, bounds: Bounds) {
         let span = bounds.first_ejection << self.ejections.min(16);
         self.ejections = self.ejections.saturating_add(1);
--- a/crates/policy/src/waves/host_turn.rs
+++ b/crates/policy/src/waves/host_turn.rs
@@ -105,7 +105,7 @@
     /// What a host that is out for the plan needs next.
     pub fn next(&self, host: &Host) -> HostNext {
         match AnyStage::from(host) {
-            AnyStage::Serving(_) | AnyStage::SetAside(_) => HostNext::Rest,
+            AnyStage::Serving(_) | AnyStage::SetAside(_) | AnyStage::Absent(_) => HostNext::Rest,
             AnyStage::Draining(stage) => self.draining(stage),
             AnyStage::Rebooting(stage) => self.rebooting(stage),
             AnyStage::Checking(stage) => self.checking(stage),
--- a/crates/policy/src/waves/lifecycle.rs
+++ b/crates/policy/src/waves/lifecycle.rs
@@ -22,6 +22,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SetAside;
 
+/// The platform's host list calls the host leaving or gone.
+#[derive(Clone, Copy, Debug)]
+pub struct Absent;
+
 /// A host in the state `S`.
 #[derive(Clone, Copy, Debug)]
 pub struct Stage<'a, S> {
@@ -42,6 +46,8 @@
     Checking(Stage<'a, Checking>),
     /// It is out of service.
     SetAside(Stage<'a, SetAside>),
+    /// It is leaving or gone.
+    Absent(Stage<'a, Absent>),
 }
 
 impl<'a> From<&'a Host> for AnyStage<'a> {
@@ -52,6 +58,7 @@
             HostState::Rebooting => AnyStage::Rebooting(Stage::new(host)),
             HostState::Checking => AnyStage::Checking(Stage::new(host)),
             HostState::SetAside => AnyStage::SetAside(Stage::new(host)),
+            HostState::Absent => AnyStage::Absent(Stage::new(host)),
         }
     }
 }
@@ -76,6 +83,16 @@
     pub fn drain(self) -> Change {
         self.to(HostState::Draining)
     }
+
+    /// Records that the host is leaving or gone.
+    pub fn leave(self) -> Change {
+        self.to(HostState::Absent)
+    }
+
+    /// Gives up a host that fails all its work.
+    pub fn fail(self) -> Change {
+        self.to(HostState::SetAside)
+    }
 }
 
 impl Stage<'_, Draining> {
@@ -135,6 +152,13 @@
     }
 }
 
+impl Stage<'_, Absent> {
+    /// Serves again in its pool.
+    pub fn serve(self, _: Passed) -> Change {
+        self.to(HostState::Serving)
+    }
+}
+
 impl Stage<'_, SetAside> {
     /// Restarts a host to bring it back.
     pub fn reboot(self) -> Change {
--- a/crates/policy/src/waves/mod.rs
+++ b/crates/policy/src/waves/mod.rs
@@ -12,7 +12,7 @@
     Back, Empty, Health, NotEmpty, Observations, Passed, Probe, Reading, Restart, Seen, Tasks,
 };
 pub use host_turn::{HostCx, HostNext, HostWait};
-pub use lifecycle::{AnyStage, Checking, Draining, Rebooting, Serving, SetAside, Stage};
+pub use lifecycle::{Absent, AnyStage, Checking, Draining, Rebooting, Serving, SetAside, Stage};
 pub use limits::Limits;
 pub use progress::{Stand, StepStand, stand};
 pub use turn::{Action, Runner, Turn, Wait};
--- a/crates/policy/src/waves/progress.rs
+++ b/crates/policy/src/waves/progress.rs
@@ -19,11 +19,15 @@
 pub fn stand(active: &ActivePlan, host: &Host, task: &Task) -> Stand {
     let progress = active.hosts.get(&host.name).copied().unwrap_or(Progress::Done);
     match (task, progress, host.state) {
-        (Task::Move { .. }, _, HostState::SetAside) => Stand::Done,
+        (Task::Move { .. }, _, HostState::SetAside | HostState::Absent) => Stand::Done,
         (Task::Move { to }, _, HostState::Serving) if &host.pool == to => Stand::Done,
         (Task::Move { .. }, _, HostState::Serving) => Stand::Pending,
         (Task::Move { .. }, ..) => Stand::Out,
-        (Task::Cycle | Task::TakeOut, Progress::Pending, HostState::SetAside) => Stand::Done,
+        (
+            Task::Cycle | Task::TakeOut,
+            Progress::Pending,
+            HostState::SetAside | HostState::Absent,
+        ) => Stand::Done,
         (_, Progress::Pending, _) => Stand::Pending,
         (_, Progress::Out, _) => Stand::Out,
         (_, Progress::Done | Progress::SetAside, _) => Stand::Done,
--- a/crates/policy/src/waves/seen.rs
+++ b/crates/policy/src/waves/seen.rs
@@ -23,7 +23,7 @@
         let mut next = FastMap::default();
         for name in hosts {
             let Some(host) = config.hosts.get(name) else { continue };
-            if matches!(host.state, HostState::Serving | HostState::SetAside) {
+            if matches!(host.state, HostState::Serving | HostState::SetAside | HostState::Absent) {
                 continue;
             }
             let fresh = Seen { at: now, version: config.version, accepted_at: None };
--- a/crates/policy/src/waves/turn.rs
+++ b/crates/policy/src/waves/turn.rs
@@ -77,7 +77,9 @@
     /// The hosts of the plan that are out, and so are to be observed.
     pub fn out<'a>(&'a self, config: &'a Configuration) -> impl Iterator<Item = &'a Host> {
         let held = config.plans.get(&self.id).into_iter().flat_map(|active| active.hosts.keys());
-        let out = |host: &&Host| !matches!(host.state, HostState::Serving | HostState::SetAside);
+        let out = |host: &&Host| {
+            !matches!(host.state, HostState::Serving | HostState::SetAside | HostState::Absent)
+        };
         held.filter_map(|name| config.hosts.get(name)).filter(out)
     }
 
--- a/crates/settings/src/maintenance.rs
+++ b/crates/settings/src/maintenance.rs
@@ -26,6 +26,12 @@
     pub check_ms: Millisecond,
     /// The hosts that a plan may lose to failures before it stops.
     pub most_failures: u32,
+    /// How long the host list must call a host leaving or gone before it counts as absent.
+    pub absent_ms: Millisecond,
+    /// How long the host list must call an absent host live before it serves again.
+    pub back_ms: Millisecond,
+    /// The most hosts of a pool that are taken out of service without a plan, in percent; 0 for none.
+    pub absent_percent: u32,
     /// The time that draining a host is expected to take.
     pub expected_drain_ms: Millisecond,
     /// The time that a restart is expected to take.
@@ -47,6 +53,9 @@
             restart_ms: section.number("restart-ms", 600_000, 100..=86_400_000)?,
             check_ms: section.number("check-ms", 60_000, 100..=3_600_000)?,
             most_failures: section.number("most-failures", 2, 0..=10_000)?,
+            absent_ms: section.number("absent-ms", 15_000, 100..=3_600_000)?,
+            back_ms: section.number("back-ms", 30_000, 100..=3_600_000)?,
+            absent_percent: section.number("absent-percent", 30, 0..=100)?,
             expected_drain_ms: section.number("expected-drain-ms", 30_000, 0..=3_600_000)?,
             expected_restart_ms: section.number("expected-restart-ms", 180_000, 0..=3_600_000)?,
             expected_check_ms: section.number("expected-check-ms", 10_000, 0..=3_600_000)?,
