Refused confirmations of plans stand in the audit trail

A confirmation, pause, resumption or cancellation that was refused before anything was proposed (expired, stale, blocked, not running, not known) left no record.

--- a/crates/daemon/src/maintenance/confirm.rs
+++ b/crates/daemon/src/maintenance/confirm.rs
@@ -119,7 +119,8 @@
     Ok(Confirmed { plan: id.clone(), who: who.clone(), version, accepted })
 }
 
-fn verb(state: PlanState) -> &'static str {
+/// What an operator does to bring a plan into a state.
+pub fn verb(state: PlanState) -> &'static str {
     match state {
         PlanState::Running => "resume",
         PlanState::Paused => "pause",
--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod probes;
 mod proposals;
+mod refusals;
 mod rows;
 mod rpc;
 mod task;
--- a/crates/daemon/src/maintenance/rpc.rs
+++ b/crates/daemon/src/maintenance/rpc.rs
@@ -9,7 +9,9 @@
 
 use super::{
     Maintenance,
+    confirm::verb,
     error::{Error, Result},
+    refusals,
 };
 use crate::{
     cx::Cx,
@@ -70,13 +72,16 @@
     pub fn start(self, cx: &Rc<Cx>) {
         answer(self.make, cx, async |cx, asked| make(cx, asked).await);
         answer(self.confirm, cx, async |cx, asked: Asked<PlanRef>| {
-            let confirmed = Maintenance::new(cx).confirm(&asked.who, &asked.params.plan).await;
+            let plan = &asked.params.plan;
+            let confirmed = Maintenance::new(cx.clone()).confirm(&asked.who, plan).await;
+            refusals::record(&cx, &asked.who, (plan, "confirm"), &confirmed);
             Ok(report(confirmed))
         });
         answer(self.list, cx, async |cx, _: Asked<()>| list(cx).await);
         answer(self.set_state, cx, async |cx, asked: Asked<SetPlanState>| {
             let SetPlanState { plan, state } = asked.params;
-            let done = Maintenance::new(cx).set_state(&asked.who, &plan, state).await;
+            let done = Maintenance::new(cx.clone()).set_state(&asked.who, &plan, state).await;
+            refusals::record(&cx, &asked.who, (&plan, verb(state)), &done);
             Ok(report(done))
         });
     }
