Plans that are over are deleted, and the list shows the newest

Rows of plans were never deleted, and the list read the first 200 in the order of random ids, so that a running plan could be missing. An index row by time, newest first, is written with each plan: the list reads the 200 newest and every running one; any entry host deletes up to 20 plans each purge-ms that are older than plan-keep-ms and not being carried out, on condition that nobody changed them.

Tests: plan_rows. 202 plans made, the 200 newest and the running one listed; seen failing without the running ones.

--- a/crates/daemon/src/maintenance/mod.rs
+++ b/crates/daemon/src/maintenance/mod.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod probes;
 mod proposals;
+mod purge;
 mod refusals;
 mod rows;
 mod rpc;
@@ -46,13 +47,14 @@
     pub fn start(&self) {
         monoio::spawn(watch::run(self.cx.clone()));
         monoio::spawn(absence::run(self.cx.clone()));
+        monoio::spawn(purge::run(self.cx.clone()));
     }
 
     /// Makes a plan for an intent and keeps it to be confirmed.
     pub async fn plan(&self, who: &OperatorName, intent: &Intent) -> Result<Plan> {
         let plan = Rc::new(planner::plan(&self.cx.config.current(), &self.request(who), intent)?);
         let row = PlanRow { plan: plan.clone(), state: RowState::Proposed };
-        self.rows.put_plan(row, None).await?;
+        self.rows.add_plan(row).await?;
         Ok(Plan::clone(&plan))
     }
 
--- a/crates/daemon/src/maintenance/rows.rs
+++ b/crates/daemon/src/maintenance/rows.rs
@@ -1,8 +1,8 @@
 //! Plans and the leases of their runners in the platform's table.
 
-use std::rc::Rc;
+use std::{collections::BTreeSet, rc::Rc};
 
-use fuchsiamill_model::{EntryName, Incarnation, OperatorName, PlanId, Version};
+use fuchsiamill_model::{EntryName, Incarnation, OperatorName, PlanId, Version, WallTime};
 use fuchsiamill_platform::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
 use fuchsiamill_policy::planner::Plan;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -10,6 +10,8 @@
 use super::error::{Error, Result};
 
 const PLAN_PREFIX: &str = "plan/";
+/// Rows that name each plan by the time it was made, the newest first.
+pub const INDEX_PREFIX: &str = "plan-index/";
 const LEASE_PREFIX: &str = "plan-lease/";
 const MOST_PLANS: usize = 200;
 
@@ -91,10 +93,23 @@
         found.ok_or_else(|| Error::NoPlan(id.clone()))
     }
 
-    /// Reads the newest plans.
-    pub async fn plans(&self) -> Result<Vec<PlanRow>> {
-        let rows = self.table.range(&Range::prefix(PLAN_PREFIX, MOST_PLANS)).await?;
-        Ok(rows.into_iter().filter_map(|row| parsed(row).map(|it| it.value)).collect())
+    /// Reads the newest plans, and those of `running` in any case.
+    pub async fn plans(&self, running: impl Iterator<Item = &PlanId>) -> Result<Vec<PlanRow>> {
+        let index = self.table.range(&Range::prefix(INDEX_PREFIX, MOST_PLANS)).await?;
+        let newest = index.into_iter().filter_map(|row| serde_json::from_value(row.value).ok());
+        let ids: BTreeSet<PlanId> = newest.chain(running.cloned()).collect();
+        let keys: Vec<String> = ids.iter().map(plan_key).collect();
+        let rows = self.table.get(&keys).await?.into_iter().flatten();
+        Ok(rows.filter_map(|row| parsed(row).map(|it| it.value)).collect())
+    }
+
+    /// Writes a new plan and names it in the index.
+    pub async fn add_plan(&self, row: PlanRow) -> Result<()> {
+        let (id, key) = (row.plan.id.clone(), plan_key(&row.plan.id));
+        let index = format!("{}-{id}", index_start(row.plan.made_at));
+        let commit = Commit::default().absent(key.clone()).put(key, &row).put(index, &id);
+        self.table.commit(&commit).await?;
+        Ok(())
     }
 
     /// Writes a plan over the version that was read; `None` when another writer was first.
@@ -145,10 +160,17 @@
     Some(Stored { value: serde_json::from_value(row.value).ok()?, version: row.version })
 }
 
-fn plan_key(id: &PlanId) -> String {
+/// The first index key of the plans made at a time; those made before come after it.
+pub fn index_start(made_at: WallTime) -> String {
+    format!("{INDEX_PREFIX}{:020}", u64::MAX - made_at.0)
+}
+
+/// The key of a plan's row.
+pub fn plan_key(id: &PlanId) -> String {
     format!("{PLAN_PREFIX}{id}")
 }
 
-fn lease_key(id: &PlanId) -> String {
+/// The key of the lease of a plan.
+pub fn lease_key(id: &PlanId) -> String {
     format!("{LEASE_PREFIX}{id}")
 }
--- a/crates/daemon/src/maintenance/view.rs
+++ b/crates/daemon/src/maintenance/view.rs
@@ -21,10 +21,11 @@
     }
 }
 
-/// Every plan of the table, the newest first.
+/// The newest plans and every running one, the newest first.
 pub async fn all(on: &Maintenance) -> Result<Vec<PlanView>> {
     let mut views = Vec::new();
-    for row in on.rows.plans().await? {
+    let config = on.cx.config.current();
+    for row in on.rows.plans(config.plans.keys()).await? {
         views.push(view(on, row).await?);
     }
     views.sort_by_key(|it| std::cmp::Reverse(it.plan.made_at));
--- a/crates/daemon/tests/common/waves.rs
+++ b/crates/daemon/tests/common/waves.rs
@@ -56,10 +56,14 @@
         self.plan_call(entry, "ben-key", "plan.set-state", params)
     }
 
+    /// The plans that one entry host lists.
+    pub fn views(&self, entry: usize) -> Vec<PlanView> {
+        self.plan_call(entry, "ada-key", "plan.list", ())
+    }
+
     /// A plan as one entry host lists it.
     pub fn view(&self, entry: usize, plan: &PlanId) -> PlanView {
-        let listed: Vec<PlanView> = self.plan_call(entry, "ada-key", "plan.list", ());
-        listed.into_iter().find(|it| &it.plan.id == plan).expect("the plan is listed")
+        self.views(entry).into_iter().find(|it| &it.plan.id == plan).expect("the plan is listed")
     }
 
     /// Whether a plan has ended, as one entry host lists it; the table must serve.
@@ -82,7 +86,8 @@
         net::post::<_, ()>(self.platform(), "/admin/restart", &set);
     }
 
-    fn rows(&self, range: &Range) -> Vec<Row> {
+    /// Rows of the table.
+    pub fn rows(&self, range: &Range) -> Vec<Row> {
         net::post(self.platform(), "/admin/rows", range)
     }
 
--- a/crates/settings/src/maintenance.rs
+++ b/crates/settings/src/maintenance.rs
@@ -12,6 +12,10 @@
 pub struct Maintenance {
     /// How long a plan can be confirmed.
     pub plan_valid_ms: Millisecond,
+    /// How long a plan that is not being carried out is kept.
+    pub plan_keep_ms: Millisecond,
+    /// The time between two deletions of such plans, up to 20 each.
+    pub purge_ms: Millisecond,
     /// The time between looks at a running plan.
     pub look_ms: Millisecond,
     /// How long the lease of a plan's runner lasts without renewal.
@@ -46,6 +50,8 @@
     fn try_from(mut section: Section<'_>) -> Result<Self> {
         let maintenance = Self {
             plan_valid_ms: section.number("plan-valid-ms", 600_000, 1_000..=86_400_000)?,
+            plan_keep_ms: section.number("plan-keep-ms", 604_800_000, 1_000..=31_536_000_000)?,
+            purge_ms: section.number("purge-ms", 60_000, 10..=3_600_000)?,
             look_ms: section.number("look-ms", 500, 10..=60_000)?,
             lease_ms: section.number("lease-ms", 5_000, 100..=600_000)?,
             probe_ms: section.number("probe-ms", 1_000, 10..=60_000)?,
