--- a/crates/daemon/src/maintenance/absence.rs
+++ b/crates/daemon/src/maintenance/absence.rs
@@ -35,7 +35,10 @@
     };
     let look = Duration::from_millis(settings.look_ms);
     let mut watches = FastMap::<PoolName, PoolWatch>::default();
-    while limits.most_percent > 0 {
+    if limits.most_percent == 0 {
+        return;
+    }
+    loop {
         let config = cx.config.current();
         let me = Some(&cx.settings.entry.name);
         watches.retain(|pool, _| cx.cluster.owner(pool).as_ref() == me);
