An entry host that stops gracefully gives its units of upper limits back

Cause: after SIGTERM the holdings of the stopped process stayed in the escrow row until their reclaim time (38 s by default). A trace of the row of team south (limit 40) in the rolling replacement showed 32 of 40 units at four stopped processes and no room, so that the rest of the fleet refused 'deadline-passed'; work granted just before its deadline was told 'answer-lost'.

Change: a stopping process starts and lends nothing, gives loans back at once and cuts its holding in the row to what is in use until nothing is left, at most 5 s after its last request. A borrower gives the loan of a lender that left the view back as its work ends.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -21,7 +21,10 @@
     shares::Lane,
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{
+    mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    oneshot,
+};
 
 use crate::{backend::Server, cx::Cx};
 use rpc::{Inbox, RELEASE, Released};
@@ -112,6 +115,14 @@
         task::start(cx, self.tx.clone(), rx);
     }
 
+    /// Gives back the units that this host holds, as the work on them ends, and waits until none is left.
+    pub async fn leave(&self) {
+        let (done, left) = oneshot::channel();
+        if self.tx.send(Command::Leave { done }).is_ok() {
+            let _ = left.await;
+        }
+    }
+
     /// Whether requests can be granted: there is a view, and the table was asked for units once.
     pub fn is_ready(&self, cx: &Cx) -> bool {
         let has_teams = !cx.config.current().teams.is_empty();
--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -72,6 +72,8 @@
     TakeBack(Returned),
     /// The lanes of the owned pools are asked for.
     Lanes { to: LanesTo },
+    /// This host stops: units are given back, and `done` is told once none is left.
+    Leave { done: oneshot::Sender<()> },
     /// Rows were read.
     RowsRead(Vec<RowRead>),
     /// Rows were written.
@@ -91,6 +93,7 @@
     writes: Vec<RowWrite>,
     rows_at: Option<Moment>,
     owning_since: Option<Moment>,
+    leaving: Option<oneshot::Sender<()>>,
 }
 
 /// Starts the task.
@@ -125,6 +128,7 @@
         writes: Vec::new(),
         rows_at: None,
         owning_since: None,
+        leaving: None,
     };
     monoio::spawn(tick(tx, pace));
     monoio::spawn(task.run(rx));
@@ -147,6 +151,9 @@
             self.take(command, may_own);
             self.flush_rows();
             self.pace.set(if self.dispatch.is_idle() { IDLE_TICK } else { TICK });
+            if self.leaving.is_some() && self.dispatch.has_left() {
+                self.leaving.take().map(|done| done.send(()));
+            }
         }
     }
 
@@ -192,7 +199,12 @@
                 to.send(self.dispatch.lanes());
                 Vec::new()
             }
+            Command::Tick if self.leaving.is_some() => self.dispatch.tick_leaving(now),
             Command::Tick => Vec::new(),
+            Command::Leave { done } => {
+                self.leaving = Some(done);
+                self.dispatch.leave()
+            }
             Command::Cancel(it) => self.dispatch.cancel(now, &it.pool, &it.ticket),
             Command::Release(released) => self.release(now, &released),
             Command::Reported { pool, tenure, entry, in_flight } => {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -31,6 +31,9 @@
 /// How long a shutdown waits for the table to take the last claims.
 const CLAIMS_TIME: Duration = Duration::from_secs(5);
 
+/// How long a shutdown waits, after its last request, for units that work elsewhere still uses.
+const UNITS_TIME: Duration = Duration::from_secs(5);
+
 /// Where an entry host listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -139,6 +142,7 @@
         log::info!("shutting down");
         self.intake.set(Intake::Closing);
         self.cx.cluster.leave();
+        let units = self.give_units_back();
         sleep(Duration::from_millis(timing.shutdown_notice_ms)).await;
         self.queueing.send_replace(Queueing::Closed);
         self.callers.shutdown.stop();
@@ -150,8 +154,17 @@
         if monoio::time::timeout(CLAIMS_TIME, self.cx.claims.settle()).await.is_err() {
             log::warn!("the table did not take the last claims; repeats are told 'unknown'");
         }
+        if monoio::time::timeout(UNITS_TIME, units).await.is_err() {
+            log::warn!("units of upper limits are still in use; they come back later by reclaim");
+        }
         log::info!("stopped");
     }
+
+    /// Begins to give back the units of upper limits; ends when none is left.
+    fn give_units_back(&self) -> JoinHandle<()> {
+        let cx = self.cx.clone();
+        monoio::spawn(async move { cx.dispatch.leave().await })
+    }
 }
 
 fn serve<H: fuchsiamill_http::Handler + 'static>(
--- a/crates/daemon/tests/limits_hold.rs
+++ b/crates/daemon/tests/limits_hold.rs
@@ -10,7 +10,8 @@
 use common::{Site, operator, wait_until};
 use fuchsiamill_api::ChangeReport;
 use fuchsiamill_model::{Change, EntryName, Units};
-use fuchsiamill_policy::membership::View;
+use fuchsiamill_platform::{Range, Row};
+use fuchsiamill_policy::{escrow::EscrowRow, membership::View};
 use fuchsiamill_standin::{
     admin::PlatformFault,
     record::{BackendRecord, Run},
@@ -114,6 +115,12 @@
     site.entries.iter().position(|it| it.name == owner.as_str()).expect("an entry host")
 }
 
+fn escrow_row(site: &Site) -> EscrowRow {
+    let range = Range::prefix("escrow/north", 1);
+    let rows: Vec<Row> = common::net::post(site.platform(), "/table/range", &range);
+    serde_json::from_value(rows[0].value.clone()).expect("an escrow row")
+}
+
 fn more_run(site: &Site, count: usize) {
     let (north, south) = (ran(site, "north"), ran(site, "south"));
     wait_until("both teams run on", || {
@@ -145,6 +152,22 @@
     check(&under_load(&site, |_| more_run(&site, 20)));
 }
 
+#[test]
+fn stopped_owner_gives_its_units_back() {
+    let site = site(3);
+    let owner = owner_of(&site, "rota");
+    let before = escrow_row(&site);
+    let held_by = |row: &EscrowRow| -> Units {
+        let name = site.entries[owner].name.as_str();
+        row.held.iter().filter(|(id, _)| id.entry.as_str() == name).map(|(_, units)| *units).sum()
+    };
+    assert!(held_by(&before) > 0, "{before:?}");
+    site.entries[owner].signal("TERM");
+    assert!(site.entries[owner].wait_end().success());
+    let after = escrow_row(&site);
+    assert_eq!(held_by(&after), 0, "{after:?}");
+}
+
 #[test]
 fn paused_owner_overruns_nothing_when_it_resumes() {
     let site = site(3);
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -183,6 +183,28 @@
         actions
     }
 
+    /// Stops for good: drops every pool and gives units back as the work on them ends.
+    pub fn leave(&mut self) -> Vec<Action> {
+        let actions = self.lose_standing();
+        self.teams.leave();
+        actions
+    }
+
+    /// What is due by time alone after [`Dispatch::leave`]; needs no standing.
+    pub fn tick_leaving(&mut self, now: Moment) -> Vec<Action> {
+        self.end_overdue(now);
+        let mut actions = Vec::new();
+        for team in self.teams.names() {
+            self.step(now, &team, &mut actions);
+        }
+        actions
+    }
+
+    /// Whether every unit that this host held or borrowed was given back.
+    pub fn has_left(&self) -> bool {
+        self.teams.have_left()
+    }
+
     /// Takes what an entry host still runs in a pool that this host newly owns.
     pub fn report(
         &mut self,
--- a/crates/policy/src/dispatch/units.rs
+++ b/crates/policy/src/dispatch/units.rs
@@ -70,6 +70,18 @@
         }
     }
 
+    /// Stops taking and lending units for good.
+    pub(super) fn leave(&mut self) {
+        for units in self.teams.values_mut() {
+            units.holder.leave();
+        }
+    }
+
+    /// Whether every unit that this host held or borrowed was given back.
+    pub(super) fn have_left(&self) -> bool {
+        self.teams.values().all(|units| units.holder.has_left())
+    }
+
     /// The next steps of one team, of which `wanted` units could be used at once.
     pub(super) fn steps(
         &mut self,
--- a/crates/policy/src/escrow/holder.rs
+++ b/crates/policy/src/escrow/holder.rs
@@ -65,6 +65,15 @@
     Unconfirmed,
 }
 
+/// Where a holder is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It starts work, lends and borrows.
+    Serving,
+    /// Its process stops: it gives back what is not in use.
+    Leaving,
+}
+
 /// The table exchange that is under way; at most one at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Exchange {
@@ -100,6 +109,7 @@
 pub struct Holder {
     id: HolderId,
     terms: Terms,
+    stage: Stage,
     seen: Option<Seen>,
     applied: Version,
     lowered_at: Version,
@@ -130,6 +140,7 @@
         Self {
             id,
             terms,
+            stage: Stage::Serving,
             seen: None,
             applied: lowered_at,
             lowered_at,
@@ -162,7 +173,7 @@
 
     /// The units on which work may start now.
     pub fn free(&self, now: Moment) -> Units {
-        if !self.is_settled() {
+        if !self.may_start() {
             return 0;
         }
         self.own_free().saturating_add(self.borrowed_free(now))
@@ -199,7 +210,7 @@
     ///
     /// Returns `None`, and charges nothing, when no unit is free.
     pub fn charge(&mut self, now: Moment, grant: GrantId, until: Moment) -> Option<Provenance> {
-        if !self.is_settled() {
+        if !self.may_start() {
             return None;
         }
         let provenance = if self.own_free() > 0 {
@@ -230,6 +241,25 @@
         self.reserved.clear();
     }
 
+    /// Stops for good: no work starts and nothing is lent any more. [`Holder::next`] goes on giving
+    /// units back as the work on them ends; it needs no standing from now on.
+    pub fn leave(&mut self) {
+        if self.stage == Stage::Serving {
+            self.lose_standing();
+        }
+        self.stage = Stage::Leaving;
+        self.base = 0;
+        self.ended.clear();
+    }
+
+    /// Whether the row names no units of this process any more and every loan was given back.
+    pub fn has_left(&self) -> bool {
+        let is_known = self.seen.is_none() || !self.must_read;
+        let has_loans = !self.asked.is_empty() || !self.borrowed.is_empty();
+        let is_idle = self.exchange == Exchange::Idle && !has_loans;
+        is_idle && is_known && !self.is_in_row()
+    }
+
     /// Tells that every entry up to `version` is applied; changes of this limit were told before.
     pub fn applied(&mut self, version: Version) {
         self.applied = self.applied.max(version);
@@ -251,13 +281,20 @@
     /// Sets the units that this holder takes and keeps without demand, so that they can be lent
     /// while the table does not answer.
     pub fn set_base(&mut self, base: Units) {
-        self.base = base;
+        if self.stage == Stage::Serving {
+            self.base = base;
+        }
     }
 
     /// What to do next, when `queued` requests wait and `peers` are the other hosts of the view.
     pub fn next(&mut self, now: Moment, queued: Units, peers: &[EntryName]) -> Vec<Step> {
         self.queued = queued;
         self.expire(now);
+        let peers = match self.stage {
+            Stage::Serving => peers,
+            Stage::Leaving => &[],
+        };
+        self.recall_of_leaving(now, peers);
         let mut steps = Vec::new();
         steps.extend(self.table_step(now));
         self.return_steps(now, &mut steps);
@@ -278,6 +315,10 @@
         self.refused.retain(|_, until| *until > now);
     }
 
+    fn may_start(&self) -> bool {
+        self.stage == Stage::Serving && self.is_settled()
+    }
+
     /// Whether the sum of holdings was seen to keep the newest limit that is known.
     fn is_settled(&self) -> bool {
         self.settled_at.is_some_and(|version| version >= self.lowered_at)
--- a/crates/policy/src/escrow/holder/borrow.rs
+++ b/crates/policy/src/escrow/holder/borrow.rs
@@ -30,29 +30,37 @@
     }
 
     pub(super) fn borrowed_free(&self, now: Moment) -> Units {
-        let live = self.borrowed.values().filter(|it| it.state.expires > now);
-        live.map(Borrowed::free).sum()
+        self.borrowed.values().map(|it| it.free(now)).sum()
     }
 
     /// Takes a unit of the loan that lasts longest.
     pub(super) fn use_loan(&mut self, now: Moment) -> Option<LoanId> {
-        let usable = |it: &Borrowed<Active>| it.state.expires > now && it.free() > 0;
         let (id, borrowed) = self
             .borrowed
             .iter_mut()
-            .filter(|(_, it)| usable(it))
+            .filter(|(_, it)| it.free(now) > 0)
             .max_by_key(|(_, it)| it.state.expires)?;
         borrowed.state.in_use += 1;
         Some(id.clone())
     }
 
+    /// Gives the loans back whose lender is not among `peers` any more: it stops or is gone.
+    pub(super) fn recall_of_leaving(&mut self, now: Moment, peers: &[EntryName]) {
+        for borrowed in self.borrowed.values_mut() {
+            if !peers.contains(&borrowed.lender) {
+                borrowed.recall(now);
+            }
+        }
+    }
+
     pub(super) fn return_steps(&mut self, now: Moment, steps: &mut Vec<Step>) {
         let idle = self.terms.idle;
         let mut needed = self.queued.saturating_sub(self.own_free());
         for (id, borrowed) in &mut self.borrowed {
-            let kept = borrowed.free().min(needed);
+            let kept = borrowed.free(now).min(needed);
             needed -= kept;
-            let unused = borrowed.free() - kept;
+            let unused = borrowed.unused() - kept;
+            let idle = if borrowed.is_recalled(now) { 0 } else { idle };
             let Some(since) = idle_since(&mut borrowed.state, unused, now) else { continue };
             if now.since(since) < idle {
                 continue;
@@ -71,7 +79,7 @@
         let half = self.terms.loan / 2;
         for (id, borrowed) in &mut self.borrowed {
             let state = &mut borrowed.state;
-            let is_used = state.returned < state.units;
+            let is_used = state.returned < state.units && state.recalled.is_none();
             let is_asked = state.renewal.is_some_and(|it| now.since(it.at) < half / 2);
             if !is_used || is_asked || now + half < state.expires {
                 continue;
--- a/crates/policy/src/escrow/holder/lend.rs
+++ b/crates/policy/src/escrow/holder/lend.rs
@@ -26,7 +26,7 @@
     }
 
     fn lend_units(&mut self, now: Moment, ask: &LoanAsk) -> Units {
-        if self.title == Title::Unconfirmed || !self.is_settled() {
+        if self.title == Title::Unconfirmed || !self.may_start() {
             return 0;
         }
         let until = now + self.terms.outstanding();
--- a/crates/policy/src/escrow/holder/table.rs
+++ b/crates/policy/src/escrow/holder/table.rs
@@ -3,7 +3,8 @@
 use fuchsiamill_model::{Millisecond, Moment, Units, Version};
 
 use super::{
-    EscrowRow, Exchange, Holder, HolderId, Revision, Seen, Step, TableHealth, Title, WriteOutcome,
+    EscrowRow, Exchange, Holder, HolderId, Revision, Seen, Stage, Step, TableHealth, Title,
+    WriteOutcome,
 };
 
 const TABLE_WAIT: Millisecond = 100;
@@ -107,8 +108,18 @@
 
     /// A holder that has nothing and wants nothing leaves the table alone.
     fn needs_table(&self) -> bool {
-        let has_row = self.row().is_some_and(|row| row.held.keys().any(|id| self.is_mine(id)));
-        self.queued > 0 || self.base > 0 || self.held > 0 || self.in_use() > 0 || has_row
+        let in_row = self.is_in_row();
+        match self.stage {
+            Stage::Serving => {
+                self.queued > 0 || self.base > 0 || self.held > 0 || self.in_use() > 0 || in_row
+            }
+            Stage::Leaving => self.seen.is_some() && self.must_read || in_row,
+        }
+    }
+
+    /// Whether the row as it was last seen names units of this process.
+    pub(super) fn is_in_row(&self) -> bool {
+        self.row().is_some_and(|row| row.held.keys().any(|id| self.is_mine(id)))
     }
 
     fn is_mine(&self, id: &HolderId) -> bool {
@@ -129,7 +140,7 @@
         }
         let demand = self.in_use() + self.queued + self.reserved();
         let held = row.held_by(&self.id);
-        if !row.is_settled() {
+        if self.stage == Stage::Leaving || !row.is_settled() {
             row.shrink(&self.id, self.in_use());
         } else if demand > held {
             let target = with_headroom(demand, row.limit).max(self.base);
--- a/crates/policy/src/escrow/loan.rs
+++ b/crates/policy/src/escrow/loan.rs
@@ -72,6 +72,8 @@
     pub(super) in_use: Units,
     pub(super) expires: Moment,
     pub(super) idle_since: Option<Moment>,
+    /// From when on no work may start on it, because its lender wants it back.
+    pub(super) recalled: Option<Moment>,
     pub(super) renewal: Option<Asked>,
 }
 
@@ -86,16 +88,43 @@
     /// Takes the lender's answer; the loan's time began before the borrower asked.
     pub(super) fn granted(self, units: Units, loan: Millisecond) -> Borrowed<Active> {
         let expires = self.state.at + loan;
-        let state =
-            Active { units, returned: 0, in_use: 0, expires, idle_since: None, renewal: None };
+        let state = Active {
+            units,
+            returned: 0,
+            in_use: 0,
+            expires,
+            idle_since: None,
+            recalled: None,
+            renewal: None,
+        };
         Borrowed { lender: self.lender, state }
     }
 }
 
 impl Borrowed<Active> {
-    pub(super) fn free(&self) -> Units {
+    /// The units that are not in use.
+    pub(super) fn unused(&self) -> Units {
         self.state.units.saturating_sub(self.state.returned + self.state.in_use)
     }
+
+    /// The units on which work may start.
+    pub(super) fn free(&self, now: Moment) -> Units {
+        match self.state.expires <= now || self.is_recalled(now) {
+            true => 0,
+            false => self.unused(),
+        }
+    }
+
+    /// Whether the lender has the units that are not in use back.
+    pub(super) fn is_recalled(&self, now: Moment) -> bool {
+        self.state.recalled.is_some_and(|from| from <= now)
+    }
+
+    /// Lets no work start on the loan from `from` on.
+    pub(super) fn recall(&mut self, from: Moment) {
+        let earlier = self.state.recalled.unwrap_or(from).min(from);
+        self.state.recalled = Some(earlier);
+    }
 }
 
 /// A loan at its lender.
--- a/crates/policy/tests/escrow_limit.rs
+++ b/crates/policy/tests/escrow_limit.rs
@@ -40,6 +40,7 @@
 enum Life {
     Up,
     Paused,
+    Stopping,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -92,6 +93,7 @@
     runs: Vec<Run>,
     starts: u64,
     loans: u64,
+    left: u64,
 }
 
 fn name(at: usize) -> EntryName {
@@ -147,6 +149,7 @@
             runs: Vec::new(),
             starts: 0,
             loans: 0,
+            left: 0,
         }
     }
 
@@ -200,10 +203,10 @@
         let at = self.rng.usize(0..HOSTS);
         match self.rng.u32(0..400) {
             0..4 => self.entries[at].life = Life::Paused,
-            4..12 => self.entries[at].life = Life::Up,
+            4..12 => self.wake(at),
             12..14 => self.restart(at),
             14..18 => self.leave(at),
-            18..30 => self.rejoin(at),
+            18..30 if self.entries[at].life != Life::Stopping => self.rejoin(at),
             30..32 => self.table_down = true,
             32..40 => self.table_down = false,
             40..44 => self.change_limit(),
@@ -217,6 +220,7 @@
                 self.row.end_jobs(2);
                 self.revision += 1;
             }
+            54..58 => self.stop(at),
             _ => {}
         }
     }
@@ -226,6 +230,36 @@
         self.entries[at].lost_standing = true;
     }
 
+    fn wake(&mut self, at: usize) {
+        if self.entries[at].life == Life::Paused {
+            self.entries[at].life = Life::Up;
+        }
+    }
+
+    /// Stops a host gracefully; it goes on giving back what it holds.
+    fn stop(&mut self, at: usize) {
+        if self.entries[at].life != Life::Up {
+            return;
+        }
+        self.leave(at);
+        let entry = &mut self.entries[at];
+        entry.life = Life::Stopping;
+        entry.holder.leave();
+    }
+
+    /// The next step of a host that stops; once it has left its process starts anew.
+    fn act_stopping(&mut self, at: usize) {
+        let now = self.clock(at);
+        let steps = self.entries[at].holder.next(now, 0, &[]);
+        for step in steps {
+            self.step(at, step);
+        }
+        if self.entries[at].holder.has_left() {
+            self.left += 1;
+            self.restart(at);
+        }
+    }
+
     fn rejoin(&mut self, at: usize) {
         let newest = *self.limits.keys().next_back().expect("the first limit");
         self.entries[at].in_view = true;
@@ -390,6 +424,10 @@
     fn act(&mut self) {
         self.release_ended();
         for at in 0..HOSTS {
+            if self.entries[at].life == Life::Stopping {
+                self.act_stopping(at);
+                continue;
+            }
             let entry = &self.entries[at];
             if entry.life == Life::Paused || !entry.in_view {
                 continue;
@@ -512,13 +550,15 @@
 
 #[test]
 fn units_are_used_and_lent() {
-    let (mut starts, mut loans) = (0, 0);
+    let (mut starts, mut loans, mut left) = (0, 0, 0);
     for seed in 0..20 {
         let mut world = World::new(seed);
         world.run().expect("the limit is kept");
         starts += world.starts;
         loans += world.loans;
+        left += world.left;
     }
     assert!(starts > 1_000, "only {starts} requests started");
     assert!(loans > 100, "only {loans} units were lent");
+    assert!(left > 20, "only {left} stopped hosts gave everything back");
 }
--- a/crates/policy/tests/escrow_races.rs
+++ b/crates/policy/tests/escrow_races.rs
@@ -34,6 +34,13 @@
     ask.expect("a loan is asked for")
 }
 
+fn returned_in(steps: &[Step]) -> Option<Units> {
+    steps.iter().find_map(|step| match step {
+        Step::Return(ret) => Some(ret.returned),
+        _ => None,
+    })
+}
+
 /// A holder with `units` acknowledged at time 1,000, of a row with that limit.
 fn holding(units: Units) -> (Holder, EscrowRow) {
     let mut holder = Holder::new(id("a", 0), Terms::default(), Version(0));
@@ -141,3 +148,39 @@
     assert_eq!(lender.free(now), 2, "four of six are reserved");
     assert_eq!(lender.lend(now, &ask(2)).units, 4);
 }
+
+#[test]
+fn leaving_holder_gives_idle_units_back_at_once_and_a_used_one_when_its_work_ends() {
+    let (mut holder, row) = holding(8);
+    holder.charge(Moment(1_000), GrantId(1), Moment(60_000)).expect("a free unit");
+    holder.leave();
+    assert!(holder.charge(Moment(2_000), GrantId(2), Moment(60_000)).is_none());
+    assert_eq!(holder.next(Moment(2_000), 0, &[]), [Step::Read]);
+    holder.read(row, Revision(2));
+    let idle_given_back = write_in(&holder.next(Moment(2_000), 0, &[]));
+    assert_eq!(idle_given_back.sum(), 1);
+    holder.wrote(idle_given_back, WriteOutcome::Applied(Revision(3)));
+    assert_eq!(holder.next(Moment(3_000), 0, &[]), []);
+    assert!(!holder.has_left());
+    holder.release(GrantId(1));
+    let all_given_back = write_in(&holder.next(Moment(3_100), 0, &[]));
+    assert_eq!(all_given_back.sum(), 0);
+    holder.wrote(all_given_back, WriteOutcome::Applied(Revision(4)));
+    assert!(holder.has_left());
+}
+
+#[test]
+fn loan_goes_back_when_its_lender_leaves() {
+    let mut holder = Holder::new(id("b", 0), Terms::default(), Version(0));
+    holder.next(Moment(0), 2, &[]);
+    holder.read_failed();
+    let ask = ask_in(&holder.next(Moment(1_000), 2, &[entry("a")]));
+    let answer = LoanAnswer { id: ask.id, ask: ask.ask, units: 2, settled_at: Some(Version(0)) };
+    holder.lent(Moment(1_000), &answer);
+    holder.charge(Moment(1_000), GrantId(1), Moment(60_000)).expect("a lent unit");
+    assert_eq!(returned_in(&holder.next(Moment(1_100), 2, &[entry("a")])), None);
+    assert_eq!(returned_in(&holder.next(Moment(1_200), 2, &[entry("c")])), Some(1));
+    assert!(holder.charge(Moment(1_200), GrantId(2), Moment(60_000)).is_none());
+    holder.release(GrantId(1));
+    assert_eq!(returned_in(&holder.next(Moment(1_300), 2, &[entry("c")])), Some(2));
+}
