Units of small upper limits go round the owners that wait; the reserve is a setting

Cause: with a limit below the number of owners each unit sat with an owner that used it now and then (a loan is renewed while it is used, and given back after 3 s without use), and two borrowers that waited for the same freed unit were refused because of each other's reservation.

Change: those who wait have an order, the holder's own queue among them. While more wait than units are unused the lender tells the borrowers of its oldest loans that it wants them back; a borrower uses such a loan for 100 ms more and gives unused units back at once. A lost message costs time only: the sum of holdings and loans is as before. The half of each limit that jobs cannot use is `jobs.reserve-percent`; one entry host keeps the reserve of a limit that is too small to be divided, so that an outage of the table finds a unit to lend.

--- a/crates/daemon/src/dispatch/rpc.rs
+++ b/crates/daemon/src/dispatch/rpc.rs
@@ -4,7 +4,7 @@
 use fuchsiamill_peer::{CallReceiver, NoticeReceiver, Router, call_channel, notice_channel};
 use fuchsiamill_policy::{
     dispatch::{Acquire, Release},
-    escrow::{LoanAsk, LoanReturn},
+    escrow::{LoanAsk, LoanRecall, LoanReturn},
     membership::ViewId,
     shares::Ticket,
 };
@@ -25,6 +25,8 @@
 pub const LEND: &str = "dispatch.lend";
 /// Gives units back to their lender; a notification.
 pub const TAKE_BACK: &str = "dispatch.take-back";
+/// Tells a borrower that its loan is wanted back; a notification.
+pub const RECALL: &str = "dispatch.recall";
 
 /// Asks an entry host for the lanes of the pools that it owns.
 pub const LANES: &str = "dispatch.lanes";
@@ -81,6 +83,16 @@
     pub ret: LoanReturn,
 }
 
+/// A loan of a team's units that is wanted back.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recalled {
+    /// The team.
+    pub team: TeamName,
+    /// The message.
+    pub recall: LoanRecall,
+}
+
 /// The calls and notifications that the dispatch task answers.
 pub struct Inbox {
     acquires: CallReceiver,
@@ -90,6 +102,7 @@
     cancels: NoticeReceiver,
     releases: NoticeReceiver,
     returns: NoticeReceiver,
+    recalls: NoticeReceiver,
 }
 
 impl Inbox {
@@ -113,6 +126,7 @@
             cancels: notices(router, CANCEL),
             releases: notices(router, RELEASE),
             returns: notices(router, TAKE_BACK),
+            recalls: notices(router, RECALL),
         }
     }
 
@@ -134,6 +148,7 @@
         monoio::spawn(forward_notices(self.cancels, tx.clone(), Command::Cancel));
         monoio::spawn(forward_notices(self.releases, tx.clone(), Command::Release));
         monoio::spawn(forward_notices(self.returns, tx.clone(), Command::TakeBack));
+        monoio::spawn(forward_notices(self.recalls, tx.clone(), Command::Recalled));
     }
 }
 
--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -21,7 +21,7 @@
 use super::{
     lanes::LanesTo,
     rows::{self, RowRead, RowWrite},
-    rpc::{Cancelled, InFlightOf, LEND, LendTo, Released, Returned, TAKE_BACK},
+    rpc::{Cancelled, InFlightOf, LEND, LendTo, RECALL, Recalled, Released, Returned, TAKE_BACK},
     tenures::Known,
 };
 use crate::{backend::Take, cluster::TenureId, cx::Cx};
@@ -72,6 +72,8 @@
     TakeBack(Returned),
     /// The lanes of the owned pools are asked for.
     Lanes { to: LanesTo },
+    /// A lender wants a loan back.
+    Recalled(Recalled),
     /// This host stops: units are given back, and `done` is told once none is left.
     Leave { done: oneshot::Sender<()> },
     /// Rows were read.
@@ -113,7 +115,13 @@
         longest: cx.settings.callers.open_queue,
         urgency: Urgency::Normal,
     };
-    let bounds = Bounds { terms, ask: timing.start_by_ms * 2 / 5, take_over: TAKE_OVER, open };
+    let bounds = Bounds {
+        terms,
+        ask: timing.start_by_ms * 2 / 5,
+        take_over: TAKE_OVER,
+        reserve_percent: cx.settings.jobs.reserve_percent,
+        open,
+    };
     let me = cx.settings.entry.name.clone();
     let pace = Rc::new(Cell::new(TICK));
     let task = Task {
@@ -183,8 +191,9 @@
                 Vec::new()
             }
             Command::Lend { lend, reply } if may_own => {
-                reply.send(Ok(self.dispatch.lend(now, &lend.team, &lend.ask)));
-                Vec::new()
+                let (answer, actions) = self.dispatch.lend(now, &lend.team, &lend.ask);
+                reply.send(Ok(answer));
+                actions
             }
             Command::Lend { reply, .. } => {
                 let reason = "This entry host has no majority; ask another one.";
@@ -217,6 +226,7 @@
             }
             Command::Lent { team, answer } => self.dispatch.lent(now, &team, &answer),
             Command::TakeBack(it) => self.dispatch.take_back(now, &it.team, &it.ret),
+            Command::Recalled(it) => self.dispatch.recalled(now, &it.team, &it.recall),
             Command::RowsRead(rows) => self.rows_read(now, rows),
             Command::RowsWritten(writes) => self.rows_written(now, writes),
         };
@@ -273,6 +283,10 @@
                     let lender = ret.lender.clone();
                     self.cx.cluster.notify(&lender, TAKE_BACK, &Returned { team, ret });
                 }
+                Action::RecallLoan { team, recall } => {
+                    let borrower = recall.id.borrower.entry.clone();
+                    self.cx.cluster.notify(&borrower, RECALL, &Recalled { team, recall });
+                }
             }
         }
     }
--- a/crates/policy/examples/dispatch_cost.rs
+++ b/crates/policy/examples/dispatch_cost.rs
@@ -101,7 +101,7 @@
 fn owner(size: &Size) -> Dispatch {
     let terms = Terms::default();
     let open = LaneSettings { share: 1, longest: 100, urgency: Urgency::Normal };
-    let bounds = Bounds { terms, ask: 400, take_over: 1_000, open };
+    let bounds = Bounds { terms, ask: 400, take_over: 1_000, reserve_percent: 50, open };
     let incarnation: Incarnation = "i0".parse().expect("a valid name");
     let mut dispatch = Dispatch::new(me(), incarnation.clone(), bounds);
     let now = Moment(0);
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -12,8 +12,8 @@
 };
 use crate::{
     escrow::{
-        EscrowRow, GrantId, Holder, HolderId, LoanAnswer, LoanAsk, LoanReturn, Revision, Terms,
-        WriteOutcome,
+        EscrowRow, GrantId, Holder, HolderId, LoanAnswer, LoanAsk, LoanRecall, LoanReturn,
+        Revision, Terms, WriteOutcome,
     },
     shares::{Lane, LaneSettings, Nearness, Ticket},
     slots::Intake,
@@ -33,6 +33,8 @@
     pub ask: Millisecond,
     /// How long a new owner waits for reports at the longest, in milliseconds.
     pub take_over: Millisecond,
+    /// How much of each upper limit the entry hosts keep to lend while the table is down, in percent.
+    pub reserve_percent: u32,
     /// What services open to all were promised.
     pub open: LaneSettings,
 }
@@ -75,6 +77,13 @@
         /// The message.
         ret: LoanReturn,
     },
+    /// Tell a borrower that its loan is wanted back.
+    RecallLoan {
+        /// The team.
+        team: TeamName,
+        /// The message.
+        recall: LoanRecall,
+    },
 }
 
 /// A grant that this host gave and that is not released.
@@ -297,10 +306,27 @@
     }
 
     /// Answers another entry host's ask for units.
-    pub fn lend(&mut self, now: Moment, team: &TeamName, ask: &LoanAsk) -> LoanAnswer {
-        let refusal =
-            || LoanAnswer { id: ask.id.clone(), ask: ask.ask, units: 0, settled_at: None };
-        self.teams.get_mut(team).map_or_else(refusal, |holder| holder.lend(now, ask))
+    pub fn lend(
+        &mut self,
+        now: Moment,
+        team: &TeamName,
+        ask: &LoanAsk,
+    ) -> (LoanAnswer, Vec<Action>) {
+        let Some(holder) = self.teams.get_mut(team) else {
+            let id = ask.id.clone();
+            return (LoanAnswer { id, ask: ask.ask, units: 0, settled_at: None }, Vec::new());
+        };
+        let answer = holder.lend(now, ask);
+        let mut actions = Vec::new();
+        self.step(now, team, &mut actions);
+        (answer, actions)
+    }
+
+    /// Takes a lender's wish to have a loan back.
+    pub fn recalled(&mut self, now: Moment, team: &TeamName, recall: &LoanRecall) -> Vec<Action> {
+        let Some(holder) = self.teams.get_mut(team) else { return Vec::new() };
+        holder.recalled(now, recall);
+        self.pump_team(now, team)
     }
 
     /// Takes a lender's answer.
--- a/crates/policy/src/dispatch/machine/grants.rs
+++ b/crates/policy/src/dispatch/machine/grants.rs
@@ -6,9 +6,12 @@
 use crate::{
     dispatch::{Answer, Ending, GrantRef, Granted, pool::Use},
     escrow::{GrantId, Step},
+    membership::first,
     shares::Lane,
 };
 
+const PERCENT: u64 = 100;
+
 impl Dispatch {
     /// Grants as long as slots, units and requests are there.
     pub(super) fn pump(&mut self, now: Moment, pool: &PoolName) -> Vec<Action> {
@@ -99,19 +102,28 @@
         }
     }
 
-    /// Each member of the view keeps an even part of half of each limit, which it lends while
-    /// others need it. The other half is left for jobs and for demand.
     fn set_base(&mut self, team: &TeamName) {
-        let limit = self.config.teams.get(team).map_or(0, |it| it.upper_limit);
-        let base = match self.live.is_empty() {
-            true => 0,
-            false => limit / (2 * (self.peers.len() as Units + 1)),
-        };
+        let base = self.base(team);
         if let Some(holder) = self.teams.get_mut(team) {
             holder.set_base(base);
         }
     }
 
+    /// Each member of the view keeps an even part of the reserve of each limit, which it lends while
+    /// others need it. One member keeps the reserve that is too small to be divided.
+    fn base(&self, team: &TeamName) -> Units {
+        if self.live.is_empty() {
+            return 0;
+        }
+        let limit = self.config.teams.get(team).map_or(0, |it| it.upper_limit);
+        let reserve = u64::from(limit) * u64::from(self.bounds.reserve_percent) / PERCENT;
+        let reserve = Units::try_from(reserve).unwrap_or(limit);
+        match reserve / self.live.len() as Units {
+            0 if first(team.as_str(), self.live.keys()) == Some(&self.me) => reserve,
+            even_part => even_part,
+        }
+    }
+
     fn upper_limit(&self, lane: &Lane) -> Option<Units> {
         let Lane::Team(team) = lane else { return None };
         self.config.teams.get(team).map(|it| it.upper_limit)
@@ -144,6 +156,7 @@
             Step::Write { expected, row } => Action::WriteRow { team: team(), expected, row },
             Step::Ask(ask) => Action::AskLoan { team: team(), ask },
             Step::Return(ret) => Action::ReturnLoan { team: team(), ret },
+            Step::Recall(recall) => Action::RecallLoan { team: team(), recall },
         }));
     }
 }
--- a/crates/policy/src/escrow.rs
+++ b/crates/policy/src/escrow.rs
@@ -13,7 +13,7 @@
 
 pub use account::{GrantId, Provenance};
 pub use holder::{Holder, LimitChange, Revision, Step, WriteOutcome};
-pub use loan::{LoanAnswer, LoanAsk, LoanId, LoanReturn};
+pub use loan::{LoanAnswer, LoanAsk, LoanId, LoanRecall, LoanReturn};
 pub use reclaim::Reclaimer;
 pub use row::{EscrowRow, HolderId};
 pub use terms::Terms;
--- a/crates/policy/src/escrow/holder.rs
+++ b/crates/policy/src/escrow/holder.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    EscrowRow, GrantId, HolderId, LoanAsk, LoanId, LoanReturn, Provenance, Terms,
+    EscrowRow, GrantId, HolderId, LoanAsk, LoanId, LoanRecall, LoanReturn, Provenance, Terms,
     account::Account,
     loan::{Active, Asked, Borrowed, Lent},
 };
@@ -54,6 +54,8 @@
     Ask(LoanAsk),
     /// Tell a lender of returned units.
     Return(LoanReturn),
+    /// Tell a borrower that its loan is wanted back.
+    Recall(LoanRecall),
 }
 
 /// Whether the units held in the row may be used.
@@ -95,9 +97,14 @@
     revision: Revision,
 }
 
+/// The place in the order of those who wait for a unit of this holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn(u64);
+
 #[derive(Clone, Copy, Debug)]
 struct Reserve {
     units: Units,
+    turn: Turn,
     until: Moment,
 }
 
@@ -128,6 +135,9 @@
     account: Account,
     lent: FastMap<LoanId, Lent>,
     reserved: FastMap<EntryName, Reserve>,
+    /// The turn of this holder's own queue, while it waits and has nothing.
+    own_turn: Option<Turn>,
+    next_turn: u64,
     asked: FastMap<LoanId, Borrowed<Asked>>,
     borrowed: FastMap<LoanId, Borrowed<Active>>,
     refused: FastMap<EntryName, Moment>,
@@ -159,6 +169,8 @@
             account: Account::default(),
             lent: FastMap::default(),
             reserved: FastMap::default(),
+            own_turn: None,
+            next_turn: 0,
             asked: FastMap::default(),
             borrowed: FastMap::default(),
             refused: FastMap::default(),
@@ -219,6 +231,7 @@
             Provenance::Loan(self.use_loan(now)?)
         };
         self.account.charge(grant, provenance.clone(), until);
+        self.own_turn = None;
         Some(provenance)
     }
 
@@ -239,6 +252,7 @@
         self.title = Title::Unconfirmed;
         self.must_read = true;
         self.reserved.clear();
+        self.own_turn = None;
     }
 
     /// Stops for good: no work starts and nothing is lent any more. [`Holder::next`] goes on giving
@@ -300,6 +314,8 @@
         self.return_steps(now, &mut steps);
         self.renew_steps(now, &mut steps);
         self.ask_steps(now, peers, &mut steps);
+        self.take_turn(now);
+        self.recall_steps(now, &mut steps);
         steps
     }
 
@@ -341,9 +357,24 @@
         self.reserved.values().map(|reserve| reserve.units).sum()
     }
 
+    fn unused(&self) -> Units {
+        self.held.saturating_sub(self.in_use())
+    }
+
+    /// The units reserved for those whose turn comes before `turn`, or for all without one.
+    fn reserved_before(&self, turn: Option<Turn>) -> Units {
+        let is_before = |it: &&Reserve| turn.is_none_or(|turn| it.turn < turn);
+        self.reserved.values().filter(is_before).map(|reserve| reserve.units).sum()
+    }
+
+    fn next_turn(&mut self) -> Turn {
+        self.next_turn += 1;
+        Turn(self.next_turn)
+    }
+
     fn own_free(&self) -> Units {
         match self.title {
-            Title::Confirmed => self.held.saturating_sub(self.in_use() + self.reserved()),
+            Title::Confirmed => self.unused().saturating_sub(self.reserved_before(self.own_turn)),
             Title::Unconfirmed => 0,
         }
     }
--- a/crates/policy/src/escrow/holder/borrow.rs
+++ b/crates/policy/src/escrow/holder/borrow.rs
@@ -3,10 +3,14 @@
 use fuchsiamill_model::{EntryName, Millisecond, Moment, Units};
 
 use super::{Active, Asked, Borrowed, Holder, Step};
-use crate::escrow::{LoanAnswer, LoanAsk, LoanId, LoanReturn};
+use crate::escrow::{LoanAnswer, LoanAsk, LoanId, LoanRecall, LoanReturn};
 
 const ASKS_AT_ONCE: usize = 2;
 const REFUSED_PAUSE: Millisecond = 200;
+/// The pause after a refusal of a lender that has units, and so has reserved the next one.
+const PROMISED_PAUSE: Millisecond = 50;
+/// How long work may still start on a loan that its lender wants back.
+const RECALL_TIME: Millisecond = 100;
 
 impl Holder {
     /// Takes a lender's answer. Late, repeated and unasked answers change nothing.
@@ -22,13 +26,24 @@
         }
         let Some(asked) = self.asked.remove(&answer.id) else { return };
         if answer.units == 0 {
-            self.refused.insert(asked.lender, now + REFUSED_PAUSE);
+            let pause = match self.held_by_entry(&asked.lender) {
+                0 => REFUSED_PAUSE,
+                _ => PROMISED_PAUSE,
+            };
+            self.refused.insert(asked.lender, now + pause);
             return;
         }
         let granted = asked.granted(answer.units, self.terms.loan);
         self.borrowed.insert(answer.id.clone(), granted);
     }
 
+    /// Takes a lender's wish to have a loan back.
+    pub fn recalled(&mut self, now: Moment, recall: &LoanRecall) {
+        if let Some(borrowed) = self.borrowed.get_mut(&recall.id) {
+            borrowed.recall(now + RECALL_TIME);
+        }
+    }
+
     pub(super) fn borrowed_free(&self, now: Moment) -> Units {
         self.borrowed.values().map(|it| it.free(now)).sum()
     }
@@ -60,7 +75,7 @@
             let kept = borrowed.free(now).min(needed);
             needed -= kept;
             let unused = borrowed.unused() - kept;
-            let idle = if borrowed.is_recalled(now) { 0 } else { idle };
+            let idle = if borrowed.state.recalled.is_some() { 0 } else { idle };
             let Some(since) = idle_since(&mut borrowed.state, unused, now) else { continue };
             if now.since(since) < idle {
                 continue;
--- a/crates/policy/src/escrow/loan.rs
+++ b/crates/policy/src/escrow/loan.rs
@@ -57,6 +57,14 @@
     pub returned: Units,
 }
 
+/// A lender's message that it wants a loan back, because somebody waits who has nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoanRecall {
+    /// The loan.
+    pub id: LoanId,
+}
+
 /// The state of a loan that was asked for and not answered.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Asked {
@@ -132,7 +140,10 @@
 pub(super) struct Lent {
     pub(super) units: Units,
     pub(super) returned: Units,
+    pub(super) since: Moment,
     pub(super) until: Moment,
+    /// When the borrower was last told that the loan is wanted back.
+    pub(super) recalled: Option<Moment>,
 }
 
 impl Lent {
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -15,7 +15,7 @@
 use fuchsiamill_model::{EntryName, Incarnation, Moment, Version};
 
 pub use heartbeat::{Heard, Heartbeat, Mode, TableRead};
-pub use rendezvous::owner;
+pub use rendezvous::{first, owner};
 pub use standing::Standing;
 pub use timing::Timing;
 pub use view::{Ack, Proposal, Tenure, TenureId, View, ViewAction, ViewId};
--- a/crates/policy/src/membership/rendezvous.rs
+++ b/crates/policy/src/membership/rendezvous.rs
@@ -10,12 +10,20 @@
     pool: &PoolName,
     members: impl IntoIterator<Item = &'a EntryName>,
 ) -> Option<&'a EntryName> {
-    members.into_iter().max_by_key(|member| (weight(pool, member), *member))
+    first(pool.as_str(), members)
 }
 
-fn weight(pool: &PoolName, member: &EntryName) -> u64 {
+/// The member of `members` that comes first for `key`, or `None` when there are none.
+pub fn first<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a EntryName>,
+) -> Option<&'a EntryName> {
+    members.into_iter().max_by_key(|member| (weight(key, member), *member))
+}
+
+fn weight(key: &str, member: &EntryName) -> u64 {
     let mut hasher = Fnv::default();
-    pool.as_str().hash(&mut hasher);
+    key.hash(&mut hasher);
     member.as_str().hash(&mut hasher);
     mix(hasher.finish())
 }
--- a/crates/policy/tests/dispatch_owner.rs
+++ b/crates/policy/tests/dispatch_owner.rs
@@ -69,6 +69,7 @@
         terms: Terms::default(),
         ask: 400,
         take_over: 1_000,
+        reserve_percent: 50,
         open: LaneSettings { share: 1, longest: 2, urgency: Urgency::Normal },
     }
 }
@@ -83,7 +84,11 @@
 
 impl Site {
     fn new(limit: u32) -> Self {
-        let dispatch = Dispatch::new(entry(0), incarnation(), bounds());
+        Self::at(0, limit)
+    }
+
+    fn at(me: usize, limit: u32) -> Self {
+        let dispatch = Dispatch::new(entry(me), incarnation(), bounds());
         let mut site = Self { dispatch, rows: FastMap::default(), limit, answers: Vec::new() };
         let actions = site.dispatch.configure(Moment(0), configuration(1, limit));
         site.carry_out(Moment(0), actions);
@@ -161,7 +166,9 @@
                     let outcome = WriteOutcome::Applied(Revision(expected.0 + 1));
                     self.dispatch.row_written(now, &team, row, outcome)
                 }
-                Action::AskLoan { .. } | Action::ReturnLoan { .. } => Vec::new(),
+                Action::AskLoan { .. } | Action::ReturnLoan { .. } | Action::RecallLoan { .. } => {
+                    Vec::new()
+                }
             };
             self.carry_out(now, more);
         }
@@ -376,3 +383,14 @@
     let _ = site.dispatch.drop_pool(&pool());
     assert!(site.dispatch.lanes().is_empty(), "another host tells them now");
 }
+
+#[test]
+fn reserve_of_a_small_limit_has_one_keeper() {
+    let kept = |at| {
+        let mut site = Site::at(at, 3);
+        site.own(Moment(0), 4);
+        (1..5).for_each(|at| site.tick(Moment(at * 1_000)));
+        site.rows.get("a").map_or(0, |(row, _)| row.sum())
+    };
+    assert_eq!((0..4).map(kept).sum::<u32>(), 1, "half of 3 units");
+}
--- a/crates/policy/tests/escrow_limit.rs
+++ b/crates/policy/tests/escrow_limit.rs
@@ -4,8 +4,8 @@
 
 use fuchsiamill_model::{EntryName, FastMap, Incarnation, Millisecond, Moment, Units, Version};
 use fuchsiamill_policy::escrow::{
-    EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, LoanReturn, Reclaimer,
-    Revision, Step, Terms, WriteOutcome,
+    EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, LoanRecall, LoanReturn,
+    Reclaimer, Revision, Step, Terms, WriteOutcome,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -27,6 +27,7 @@
     Ask(LoanAsk),
     Answer(LoanAnswer),
     Return(LoanReturn),
+    Recall(LoanRecall),
     Release(GrantId),
     Read(EscrowRow, Revision),
     ReadFailed,
@@ -376,6 +377,7 @@
             }
             Msg::Answer(answer) => holder.lent(now, &answer),
             Msg::Return(ret) => holder.take_back(&ret),
+            Msg::Recall(recall) => holder.recalled(now, &recall),
             Msg::Release(grant) => holder.release(grant),
             Msg::Read(row, revision) => holder.read(row, revision),
             Msg::ReadFailed => holder.read_failed(),
@@ -497,6 +499,10 @@
                 let lender = self.index(&ret.lender);
                 self.send(lender, Msg::Return(ret));
             }
+            Step::Recall(recall) => {
+                let borrower = self.index(&recall.id.borrower.entry);
+                self.send(borrower, Msg::Recall(recall));
+            }
         }
     }
 
--- a/crates/policy/tests/escrow_races.rs
+++ b/crates/policy/tests/escrow_races.rs
@@ -2,8 +2,8 @@
 
 use fuchsiamill_model::{EntryName, FastMap, Incarnation, Moment, Units, Version};
 use fuchsiamill_policy::escrow::{
-    EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, Reclaimer, Revision,
-    Step, Terms, WriteOutcome,
+    EscrowRow, GrantId, Holder, HolderId, LimitChange, LoanAnswer, LoanAsk, LoanId, LoanRecall,
+    LoanReturn, Reclaimer, Revision, Step, Terms, WriteOutcome,
 };
 
 fn entry(raw: &str) -> EntryName {
@@ -41,6 +41,19 @@
     })
 }
 
+fn ask(borrower: &str, number: u64, want: Units) -> LoanAsk {
+    let id = LoanId { borrower: id(borrower, 0), number };
+    LoanAsk { id, lender: entry("a"), ask: number, want, has: 0 }
+}
+
+fn recalled_in(steps: &[Step]) -> Vec<LoanId> {
+    let recalls = steps.iter().filter_map(|step| match step {
+        Step::Recall(recall) => Some(recall.id.clone()),
+        _ => None,
+    });
+    recalls.collect()
+}
+
 /// A holder with `units` acknowledged at time 1,000, of a row with that limit.
 fn holding(units: Units) -> (Holder, EscrowRow) {
     let mut holder = Holder::new(id("a", 0), Terms::default(), Version(0));
@@ -135,18 +148,10 @@
         lender.charge(now, GrantId(grant), Moment(60_000)).expect("a free unit");
     }
     lender.next(now, 20, &[]);
-    let borrower = id("b", 0);
-    let ask = |number| LoanAsk {
-        id: fuchsiamill_policy::escrow::LoanId { borrower: borrower.clone(), number },
-        lender: entry("a"),
-        ask: number,
-        want: 6,
-        has: 0,
-    };
-    assert_eq!(lender.lend(now, &ask(1)).units, 0);
+    assert_eq!(lender.lend(now, &ask("b", 1, 6)).units, 0);
     (0..6).for_each(|grant| lender.release(GrantId(grant)));
     assert_eq!(lender.free(now), 2, "four of six are reserved");
-    assert_eq!(lender.lend(now, &ask(2)).units, 4);
+    assert_eq!(lender.lend(now, &ask("b", 2, 6)).units, 4);
 }
 
 #[test]
@@ -184,3 +189,46 @@
     holder.release(GrantId(1));
     assert_eq!(returned_in(&holder.next(Moment(1_300), 2, &[entry("c")])), Some(2));
 }
+
+#[test]
+fn unit_goes_round_those_who_wait() {
+    let (mut lender, _) = holding(1);
+    let now = Moment(1_000);
+    lender.next(now, 0, &[]);
+    let to_b = lender.lend(now, &ask("b", 1, 1));
+    assert_eq!(to_b.units, 1);
+    assert_eq!(lender.lend(now, &ask("c", 1, 1)).units, 0);
+    assert_eq!(lender.lend(now, &ask("d", 1, 1)).units, 0);
+    assert_eq!(lender.lend(now, &ask("c", 2, 1)).units, 0);
+    assert_eq!(recalled_in(&lender.next(now, 1, &[])), std::slice::from_ref(&to_b.id));
+    lender.take_back(&LoanReturn { id: to_b.id, lender: entry("a"), returned: 1 });
+    assert_eq!(lender.free(now), 0, "its own queue began to wait after c and d");
+    assert_eq!(lender.lend(now, &ask("d", 2, 1)).units, 0, "c asked before d");
+    let to_c = lender.lend(now, &ask("c", 3, 1));
+    assert_eq!(to_c.units, 1);
+    lender.take_back(&LoanReturn { id: to_c.id, lender: entry("a"), returned: 1 });
+    let to_d = lender.lend(now, &ask("d", 3, 1));
+    assert_eq!(to_d.units, 1);
+    assert_eq!(lender.lend(now, &ask("b", 2, 1)).units, 0);
+    lender.take_back(&LoanReturn { id: to_d.id, lender: entry("a"), returned: 1 });
+    assert_eq!(lender.free(now), 1, "its own queue began to wait before b");
+}
+
+#[test]
+fn recalled_loan_is_used_a_little_longer_and_then_given_back() {
+    let mut holder = Holder::new(id("b", 0), Terms::default(), Version(0));
+    let peers = [entry("a")];
+    holder.next(Moment(0), 2, &[]);
+    holder.read_failed();
+    let ask = ask_in(&holder.next(Moment(1_000), 2, &peers));
+    let recall = LoanRecall { id: ask.id.clone() };
+    let answer = LoanAnswer { id: ask.id, ask: ask.ask, units: 2, settled_at: Some(Version(0)) };
+    holder.lent(Moment(1_000), &answer);
+    holder.charge(Moment(1_000), GrantId(1), Moment(60_000)).expect("a lent unit");
+    holder.recalled(Moment(1_000), &recall);
+    assert_eq!(returned_in(&holder.next(Moment(1_050), 1, &peers)), None);
+    assert_eq!(holder.free(Moment(1_050)), 1);
+    assert_eq!(returned_in(&holder.next(Moment(1_200), 1, &peers)), Some(1));
+    holder.release(GrantId(1));
+    assert_eq!(returned_in(&holder.next(Moment(1_200), 1, &peers)), Some(2));
+}
--- a/crates/settings/src/jobs.rs
+++ b/crates/settings/src/jobs.rs
@@ -25,6 +25,8 @@
     pub batch: usize,
     /// The largest payload of a job, in bytes.
     pub payload_bytes: usize,
+    /// How much of each upper limit is kept from jobs, to serve requests while the table is down.
+    pub reserve_percent: u32,
 }
 
 impl TryFrom<Section<'_>> for Jobs {
@@ -38,6 +40,7 @@
             keep_ms: section.number("keep-ms", 48 * HOUR_MS, 1_000..=8_760 * HOUR_MS)?,
             batch: section.number("batch", 64, 1..=1_000)?,
             payload_bytes: section.number("payload-bytes", 64 * KIB, 1..=1024 * KIB)?,
+            reserve_percent: section.number("reserve-percent", 50, 0..=90)?,
         };
         if jobs.sync_ms * 4 > jobs.lease_ms {
             return Err(section.clash("sync-ms", "set it to at most a quarter of 'lease-ms'"));
