Job tests at a small limit keep no reserve

Cause: since a reserve too small to be divided is kept by one host, half of the limit 3 is one unit that jobs may not take; two tests that want all 3 units in use failed (2 at once; 30 s without a third run). Ruled out: units lost or held by a stopped process; both tests ran on a fresh site.

Change: both set jobs.reserve-percent to 0, the setting for it; the checks (exactly 3 at once) stay as they were.

--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -85,8 +85,8 @@
 
 #[test]
 fn accepted_jobs_finish_within_the_upper_limit() {
-    // The schedulers of two pools race for the same units.
-    let site = site().pool("scan", 4).start();
+    // The schedulers of two pools race for the same units, all of which jobs may take.
+    let site = site().pool("scan", 4).setting("jobs.reserve-percent", 0).start();
     let mut jobs = accept_many(&site, "south", 12, 800);
     for n in 0..12 {
         let key = format!("scan-{n}");
@@ -210,7 +210,7 @@
 
 #[test]
 fn wave_of_cancellations_is_told_truly() {
-    let site = site().start();
+    let site = site().setting("jobs.reserve-percent", 0).start();
     // No job ends by itself before it is cancelled.
     let jobs = accept_many(&site, "south", 60, 600_000);
     wait_until("some run", || runs_open(&site) == 3);
