Units of upper limits gather faster at a pool whose queue peaks

An owner counted on the table's room while its next write had to wait up to 250 ms; a write that lost its race waited 250 ms more to read; the owner of the pool that had peaked before kept unused loans for 3 s, as long as a whole peak.

Change: the table's room counts only when a write is due and for 20 ms; a lost race is read again at once; unused loans go back after 300 ms.

--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -30,6 +30,7 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 const ROWS_PERIOD: Millisecond = 250;
 const IDLE_UNITS: Millisecond = 3_000;
+const IDLE_LOAN: Millisecond = 300;
 /// How long after its first majority a host counts as having asked for all that it wants.
 const ASKING_TIME: Millisecond = 1_000;
 const TAKE_OVER: Millisecond = 1_000;
@@ -107,6 +108,7 @@
         deadline: cx.settings.callers.longest_deadline_ms,
         write_period: ROWS_PERIOD,
         idle: IDLE_UNITS,
+        idle_loan: IDLE_LOAN,
         standing: timing.standing_ms,
         drift_percent: timing.drift_percent,
     };
--- a/crates/policy/src/escrow/holder/borrow.rs
+++ b/crates/policy/src/escrow/holder/borrow.rs
@@ -69,7 +69,7 @@
     }
 
     pub(super) fn return_steps(&mut self, now: Moment, steps: &mut Vec<Step>) {
-        let idle = self.terms.idle;
+        let idle = self.terms.idle_loan;
         let mut needed = self.queued.saturating_sub(self.own_free());
         for (id, borrowed) in &mut self.borrowed {
             let kept = borrowed.free(now).min(needed);
--- a/crates/policy/src/escrow/holder/table.rs
+++ b/crates/policy/src/escrow/holder/table.rs
@@ -7,7 +7,7 @@
     WriteOutcome,
 };
 
-const TABLE_WAIT: Millisecond = 100;
+const TABLE_WAIT: Millisecond = 20;
 const LIMIT_PER_HEADROOM: Units = 16;
 
 impl Holder {
@@ -44,7 +44,10 @@
                 }
                 self.see(row, revision, lowered_at);
             }
-            WriteOutcome::Conflict => self.must_read = true,
+            WriteOutcome::Conflict => {
+                self.must_read = true;
+                self.read_at = None;
+            }
             WriteOutcome::Unknown => {
                 self.must_read = true;
                 self.table = TableHealth::Silent;
@@ -67,6 +70,9 @@
             let is_fresh = began.is_some_and(|at| now.since(at) < TABLE_WAIT);
             return if is_fresh { Units::MAX } else { 0 };
         }
+        if !self.is_due(now, self.wrote_at) {
+            return 0;
+        }
         self.seen.as_ref().map_or(0, |seen| seen.row.room())
     }
 
--- a/crates/policy/src/escrow/terms.rs
+++ b/crates/policy/src/escrow/terms.rs
@@ -13,8 +13,10 @@
     pub deadline: Millisecond,
     /// The least time between two table writes of one holder.
     pub write_period: Millisecond,
-    /// How long units stay unused before they are given back.
+    /// How long units of the table stay unused before they are given back.
     pub idle: Millisecond,
+    /// How long units on loan stay unused before they are given back.
+    pub idle_loan: Millisecond,
     /// How long a process may think that it has standing after it lost it.
     pub standing: Millisecond,
     /// The margin on waits by another host's clock, in percent.
@@ -46,6 +48,7 @@
             deadline: 30_000,
             write_period: 250,
             idle: 3_000,
+            idle_loan: 300,
             standing: 2_000,
             drift_percent: 2,
         }
--- a/crates/policy/tests/escrow_limit.rs
+++ b/crates/policy/tests/escrow_limit.rs
@@ -17,6 +17,7 @@
     deadline: 120,
     write_period: 8,
     idle: 40,
+    idle_loan: 20,
     standing: 0,
     drift_percent: 2,
 };
--- a/crates/policy/tests/escrow_races.rs
+++ b/crates/policy/tests/escrow_races.rs
@@ -232,3 +232,39 @@
     holder.release(GrantId(1));
     assert_eq!(returned_in(&holder.next(Moment(1_200), 1, &peers)), Some(2));
 }
+
+#[test]
+fn lost_race_for_the_row_is_read_again_at_once() {
+    let mut holder = Holder::new(id("a", 0), Terms::default(), Version(0));
+    assert_eq!(holder.next(Moment(0), 5, &[]), [Step::Read]);
+    holder.read(EscrowRow::new(8, Version(0)), Revision(1));
+    let row = write_in(&holder.next(Moment(10), 5, &[]));
+    holder.wrote(row, WriteOutcome::Conflict);
+    assert_eq!(holder.next(Moment(20), 5, &[]), [Step::Read]);
+}
+
+#[test]
+fn loan_is_asked_for_while_a_write_has_to_wait() {
+    let limit = 100;
+    let mut holder = Holder::new(id("a", 0), Terms::default(), Version(0));
+    holder.next(Moment(0), 1, &[]);
+    holder.read(EscrowRow::new(limit, Version(0)), Revision(1));
+    let row = write_in(&holder.next(Moment(1_000), 1, &[]));
+    let held = row.held_by(&id("a", 0));
+    holder.wrote(row, WriteOutcome::Applied(Revision(2)));
+    let peers = [entry("b")];
+    let steps = holder.next(Moment(1_010), held + 5, &peers);
+    assert_eq!(ask_in(&steps).want, 5, "the next write is due at 1,250: {steps:?}");
+}
+
+#[test]
+fn unused_loan_goes_back_before_the_peak_of_another_pool_is_over() {
+    let mut holder = Holder::new(id("b", 0), Terms::default(), Version(0));
+    holder.next(Moment(0), 5, &[]);
+    holder.read_failed();
+    let ask = ask_in(&holder.next(Moment(1_000), 5, &[entry("a")]));
+    let answer = LoanAnswer { id: ask.id, ask: ask.ask, units: 5, settled_at: Some(Version(0)) };
+    holder.lent(Moment(1_001), &answer);
+    assert_eq!(returned_in(&holder.next(Moment(1_100), 0, &[entry("a")])), None);
+    assert_eq!(returned_in(&holder.next(Moment(1_500), 0, &[entry("a")])), Some(5));
+}
