--- a/crates/settings/tests/settings_file.rs
+++ b/crates/settings/tests/settings_file.rs
@@ -70,7 +70,7 @@
         assert_eq!(format!("{settings:?}"), format!("{plain:?}"), "[{section}] {line}");
         seen += 1;
     }
-    assert_eq!(seen, 52);
+    assert_eq!(seen, 57);
 }
 
 #[test]
