Outliers: forgotten and departed members free their places in the cap

The line that drops departed members from the set of those that are out ended up in forget(), where the forgotten member itself stayed in the set, since it is still a member. A server that was ejected and then restarted or set aside went on using up the cap of 30 %, so that others which failed everything were not taken out.

Change: set_members drops those that left, forget drops the forgotten one.

--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -96,6 +96,7 @@
             let member = old.remove(key).unwrap_or_else(Member::fresh);
             self.members.insert(key.clone(), member);
         }
+        self.out.retain(|key| self.members.contains_key(key));
     }
 
     /// A member's failures no longer tell of it, for instance since it was restarted.
@@ -103,7 +104,7 @@
         if let Some(member) = self.members.get_mut(key) {
             *member = Member::fresh();
         }
-        self.out.retain(|key| self.members.contains_key(key));
+        self.out.remove(key);
     }
 
     /// Whether a member may be given work. Strangers may.
--- a/crates/policy/tests/outlier_cap.rs
+++ b/crates/policy/tests/outlier_cap.rs
@@ -98,3 +98,22 @@
     }
     assert_eq!(pool.out().len(), 0);
 }
+
+#[test]
+fn members_that_left_or_are_forgotten_free_their_places_in_the_cap() {
+    let mut pool = pool(10);
+    let eject = |pool: &mut Outliers<u8>, key: u8| {
+        (0..4).for_each(|_| {
+            pool.record(Moment(0), &key, Ending::Failed);
+        });
+        pool.record(Moment(0), &key, Ending::Failed)
+    };
+    (0..3).for_each(|key| assert_eq!(eject(&mut pool, key), Change::Ejected));
+    assert_eq!(eject(&mut pool, 3), Change::Capped);
+    pool.forget(&0);
+    assert_eq!(pool.out().len(), 2);
+    assert_eq!(pool.record(Moment(0), &3, Ending::Failed), Change::Ejected);
+    let left: Vec<u8> = (2..10).collect();
+    pool.set_members(&left);
+    assert_eq!(pool.out().len(), 2);
+}
