--- a/crates/daemon/src/audit/mod.rs
+++ b/crates/daemon/src/audit/mod.rs
@@ -8,7 +8,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use fuchsiamill_api::{AuditFilter, AuditRecord};
-use fuchsiamill_platform::{Commit, Range, Result, Table};
+use fuchsiamill_ports::{Commit, Range, Result, Table};
 use monoio::time::sleep;
 use tokio::sync::mpsc;
 
--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
 use fuchsiamill_model::{Configuration, FastMap, FastSet, HostName, HostState, Moment, PoolName};
-use fuchsiamill_platform::{HostReport, Liveness};
+use fuchsiamill_ports::{HostReport, Liveness};
 use fuchsiamill_policy::{
     backend_state::{BackendState, Intake, Listed, Probe, Said},
     outlier::{self, Change, Outliers, Standing},
@@ -44,8 +44,27 @@
 pub struct ListReading {
     /// When it came.
     pub at: Moment,
-    /// What it says of the hosts that it names.
-    pub hosts: Rc<FastMap<HostName, Liveness>>,
+    hosts: Rc<FastMap<HostName, Liveness>>,
+}
+
+impl ListReading {
+    fn new(at: Moment, reports: Vec<HostReport>) -> Self {
+        let hosts = reports.into_iter().map(|it| (it.host, it.liveness)).collect();
+        Self { at, hosts: Rc::new(hosts) }
+    }
+
+    /// What it says of a host.
+    pub fn listed(&self, host: &HostName) -> Listed {
+        match self.hosts.get(host) {
+            Some(Liveness::Live) => Listed::Live,
+            Some(Liveness::Leaving) => Listed::Leaving,
+            Some(Liveness::Gone) | None => Listed::Absent,
+        }
+    }
+
+    fn leaving(&self) -> impl Iterator<Item = &HostName> {
+        self.hosts.iter().filter(|(_, it)| **it == Liveness::Leaving).map(|(host, _)| host)
+    }
 }
 
 /// What this entry host knows of the backend servers.
@@ -232,9 +251,8 @@
 async fn read_list_on(cx: Rc<Cx>) {
     loop {
         if let Ok(reports) = cx.hosts.list().await {
-            take_list(&cx, &reports);
-            let hosts = reports.into_iter().map(|it| (it.host, it.liveness)).collect();
-            let reading = ListReading { at: cx.clock.now(), hosts: Rc::new(hosts) };
+            let reading = ListReading::new(cx.clock.now(), reports);
+            take_list(&cx, &reading);
             cx.health.list.replace(Some(reading));
         }
         sleep(PERIOD).await;
@@ -242,19 +260,11 @@
 }
 
 /// Live hosts that nothing is known of need no state of their own.
-fn take_list(cx: &Cx, reports: &[HostReport]) {
-    let listed: FastMap<&HostName, Liveness> =
-        reports.iter().map(|it| (&it.host, it.liveness)).collect();
-    let leaving = reports.iter().filter(|it| it.liveness == Liveness::Leaving);
+fn take_list(cx: &Cx, list: &ListReading) {
     let mut hosts: FastSet<HostName> = cx.health.states.borrow().keys().cloned().collect();
-    hosts.extend(leaving.map(|it| it.host.clone()));
+    hosts.extend(list.leaving().cloned());
     for host in hosts {
-        let listed = match listed.get(&host) {
-            Some(Liveness::Live) => Listed::Live,
-            Some(Liveness::Leaving) => Listed::Leaving,
-            Some(Liveness::Gone) | None => Listed::Absent,
-        };
-        cx.health.change_state(cx, &host, |it| it.listed(listed));
+        cx.health.change_state(cx, &host, |it| it.listed(list.listed(&host)));
     }
 }
 
--- a/crates/daemon/src/claims/answer.rs
+++ b/crates/daemon/src/claims/answer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fuchsiamill_http::Response;
-use fuchsiamill_platform::{ObjectClient, Result};
+use fuchsiamill_ports::{ObjectClient, Result};
 use fuchsiamill_policy::claims::{Answer, Body, ClaimId};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
--- a/crates/daemon/src/claims/commit.rs
+++ b/crates/daemon/src/claims/commit.rs
@@ -1,7 +1,7 @@
 //! One batch of claims as one conditional commit of the table.
 
 use fuchsiamill_model::{Incarnation, WallTime};
-use fuchsiamill_platform::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::claims::{
     Batch, Bucket, ClaimId, ClaimKey, ClaimRow, Found, IndexKey, IndexRow, Op, Outcome, Progress,
     RequestDigest, Write,
--- a/crates/daemon/src/claims/reader.rs
+++ b/crates/daemon/src/claims/reader.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fuchsiamill_platform::{Row, Table};
+use fuchsiamill_ports::{Row, Table};
 use fuchsiamill_policy::claims::ClaimKey;
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/daemon/src/claims/sweep.rs
+++ b/crates/daemon/src/claims/sweep.rs
@@ -1,7 +1,7 @@
 //! Removes claims that are past their retention, with the answers that they left as objects.
 
 use fuchsiamill_model::WallTime;
-use fuchsiamill_platform::{Commit, CommitOutcome, ObjectClient, Range, Result, Row, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, ObjectClient, Range, Result, Row, Table};
 use fuchsiamill_policy::claims::{Bucket, ClaimRow, IndexRow};
 
 /// The index rows that one sweep reads.
--- a/crates/daemon/src/claims/task.rs
+++ b/crates/daemon/src/claims/task.rs
@@ -9,7 +9,7 @@
 
 use fuchsiamill_http::Response;
 use fuchsiamill_model::{FastMap, Incarnation, Millisecond, Moment};
-use fuchsiamill_platform::{ObjectClient, Table};
+use fuchsiamill_ports::{ObjectClient, Table};
 use fuchsiamill_policy::claims::{
     Batch, Batcher, Bounds, Claim, ClaimId, ClaimRow, Fate, OpId, Outcome, Progress, Sent, Step,
     Submitted,
--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -134,11 +134,6 @@
         self.view.borrow().clone()
     }
 
-    /// Follows the installed view.
-    pub fn follow_view(&self) -> watch::Receiver<View> {
-        self.view.subscribe()
-    }
-
     /// Follows the peer that told last of a newer configuration than this host has applied.
     pub fn follow_newer(&self) -> watch::Receiver<Option<(EntryName, Version)>> {
         self.newer.subscribe()
--- a/crates/daemon/src/config/limits.rs
+++ b/crates/daemon/src/config/limits.rs
@@ -1,7 +1,7 @@
 //! Upper limits that an entry changes: their escrow rows change in the same commit.
 
 use fuchsiamill_model::{Change, LogEntry, TeamName, Units};
-use fuchsiamill_platform::{Commit, CommitOutcome, Error, Result, Row, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, Table};
 use fuchsiamill_policy::escrow::EscrowRow;
 
 const ESCROW_PREFIX: &str = "escrow/";
--- a/crates/daemon/src/config/reads.rs
+++ b/crates/daemon/src/config/reads.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fuchsiamill_model::{EntryName, Moment};
-use fuchsiamill_platform::Result;
+use fuchsiamill_ports::Result;
 use fuchsiamill_policy::config_log::Offer;
 
 use super::{
--- a/crates/daemon/src/config/spread.rs
+++ b/crates/daemon/src/config/spread.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_api::ConfigStatus;
 use fuchsiamill_model::{Configuration, EntryName, LogEntry, Moment, Version};
-use fuchsiamill_platform::RowVersion;
+use fuchsiamill_ports::RowVersion;
 use fuchsiamill_policy::config_log::{Since, Told};
 use futures_util::{
     future::join_all,
--- a/crates/daemon/src/config/task.rs
+++ b/crates/daemon/src/config/task.rs
@@ -44,7 +44,7 @@
     /// A peer has seen something.
     Seen(Notice),
     /// A read of the log ended; it began at this moment.
-    Read(Moment, fuchsiamill_platform::Result<LogRead>),
+    Read(Moment, fuchsiamill_ports::Result<LogRead>),
     /// A peer told what follows the applied version.
     News(Option<News>),
     /// A step of an append ended.
--- a/crates/daemon/src/config/wire.rs
+++ b/crates/daemon/src/config/wire.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::{Configuration, EntryName, Incarnation, LogEntry, Version};
-use fuchsiamill_platform::RowVersion;
+use fuchsiamill_ports::RowVersion;
 use serde::{Deserialize, Serialize};
 
 /// Pushes entries; answered with [`Known`].
--- a/crates/daemon/src/cx.rs
+++ b/crates/daemon/src/cx.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::Incarnation;
-use fuchsiamill_platform::{HostListClient, ObjectClient, TableClient};
+use fuchsiamill_ports::{HostListClient, ObjectClient, TableClient};
 use fuchsiamill_settings::Settings;
 
 use crate::{
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -6,7 +6,7 @@
 use fuchsiamill_http::{Bounds, Server, ShutdownHandle, shutdown_pair};
 use fuchsiamill_model::Incarnation;
 use fuchsiamill_peer::{PeerServer, Router};
-use fuchsiamill_platform::{HostListClient, ObjectClient, TableClient};
+use fuchsiamill_ports::{HostListClient, ObjectClient, TableClient};
 use fuchsiamill_settings::Settings;
 use monoio::{task::JoinHandle, time::sleep};
 use tokio::sync::watch;
--- a/crates/daemon/src/jobs/commit.rs
+++ b/crates/daemon/src/jobs/commit.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, rc::Rc};
 
 use fuchsiamill_model::{Configuration, JobId, PoolName, TeamName, WallTime};
-use fuchsiamill_platform::{Commit, CommitOutcome, Result, Row, RowVersion, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
     jobs::{JobRow, Proposal, Resolution, Stage, UnitChange, resolve},
--- a/crates/daemon/src/jobs/intake.rs
+++ b/crates/daemon/src/jobs/intake.rs
@@ -6,7 +6,7 @@
 use fuchsiamill_model::{
     ChangeId, JobId, Moment, OperatorName, PoolName, Problem, ProblemKind, TeamName, WallTime,
 };
-use fuchsiamill_platform::{Commit, CommitOutcome, RowVersion, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, RowVersion, Table};
 use fuchsiamill_policy::jobs::{Cancel, Job, JobRow, Running, Stage, Waiting};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
@@ -215,7 +215,7 @@
     async fn read(
         &self,
         batch: &[Pending],
-    ) -> fuchsiamill_platform::Result<BTreeMap<JobId, Found>> {
+    ) -> fuchsiamill_ports::Result<BTreeMap<JobId, Found>> {
         let jobs: Vec<JobId> = batch.iter().map(|it| it.request.job().clone()).collect();
         let keys: Vec<String> = jobs.iter().map(index_key).collect();
         let indexes = self.cx.table.get(&keys).await?;
--- a/crates/daemon/src/jobs/owner.rs
+++ b/crates/daemon/src/jobs/owner.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{HostName, JobId, Moment, PoolName, task::Fence};
-use fuchsiamill_platform::Result;
+use fuchsiamill_ports::Result;
 use fuchsiamill_policy::{
     jobs::WaitCause,
     membership::{self as cluster, TenureId},
--- a/crates/daemon/src/jobs/purge.rs
+++ b/crates/daemon/src/jobs/purge.rs
@@ -1,7 +1,7 @@
 //! Deletes jobs that have been over for long.
 
 use fuchsiamill_model::{JobId, PoolName};
-use fuchsiamill_platform::{Commit, Range, Result, Table};
+use fuchsiamill_ports::{Commit, Range, Result, Table};
 
 use super::rows::{ended_prefix, index_key};
 use crate::cx::Cx;
--- a/crates/daemon/src/jobs/rows.rs
+++ b/crates/daemon/src/jobs/rows.rs
@@ -1,7 +1,7 @@
 //! Keys and values of the rows of jobs.
 
 use fuchsiamill_model::{JobId, KeyDigest, PoolName, TeamName, WallTime};
-use fuchsiamill_platform::{Row, RowVersion};
+use fuchsiamill_ports::{Row, RowVersion};
 use fuchsiamill_policy::jobs::{JobRow, WriteId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
--- a/crates/daemon/src/jobs/rpc.rs
+++ b/crates/daemon/src/jobs/rpc.rs
@@ -5,7 +5,7 @@
 use fuchsiamill_api::{JobFilter, JobRef, JobReport, JobState, JobView, plans::Reason};
 use fuchsiamill_model::{JobId, PoolName, Problem, ProblemKind};
 use fuchsiamill_peer::{CallReceiver, Failure, Router, call_channel};
-use fuchsiamill_platform::{Range, Row, Table};
+use fuchsiamill_ports::{Range, Row, Table};
 use fuchsiamill_policy::jobs::JobRow;
 
 use super::{
@@ -78,7 +78,7 @@
     JobReport::NotDone { reason: unsure, detail }
 }
 
-async fn list(cx: &Cx, filter: &JobFilter) -> fuchsiamill_platform::Result<Vec<JobView>> {
+async fn list(cx: &Cx, filter: &JobFilter) -> fuchsiamill_ports::Result<Vec<JobView>> {
     let limit = filter.limit.unwrap_or(MOST_LISTED).min(MOST_LISTED);
     let pools: Vec<PoolName> = match &filter.pool {
         Some(pool) => vec![pool.clone()],
@@ -104,7 +104,7 @@
     pool: &PoolName,
     filter: &JobFilter,
     most: usize,
-) -> fuchsiamill_platform::Result<Vec<JobRow>> {
+) -> fuchsiamill_ports::Result<Vec<JobRow>> {
     let mut found = Vec::new();
     let mut range = Range::prefix(&job_prefix(pool), PAGE_ROWS);
     while found.len() < most {
@@ -127,7 +127,7 @@
     pool: &PoolName,
     filter: &JobFilter,
     most: usize,
-) -> fuchsiamill_platform::Result<Vec<JobRow>> {
+) -> fuchsiamill_ports::Result<Vec<JobRow>> {
     let mut found = Vec::new();
     let mut range = Range::prefix(&ended_prefix(pool), PAGE_ROWS);
     if let Some(since) = filter.ended_since {
--- a/crates/daemon/src/jobs/syncs.rs
+++ b/crates/daemon/src/jobs/syncs.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{FastMap, Host, HostName, Millisecond, Moment};
-use fuchsiamill_platform::WorkerClient;
+use fuchsiamill_ports::WorkerClient;
 use fuchsiamill_policy::jobs::Scheduler;
 
 /// Whether a call is under way.
--- a/crates/daemon/src/jobs/takeover.rs
+++ b/crates/daemon/src/jobs/takeover.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::PoolName;
-use fuchsiamill_platform::{Commit, CommitOutcome, Range, Result, RowVersion, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, RowVersion, Table};
 use fuchsiamill_policy::jobs::{JobRow, PoolLease};
 
 use super::{
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -6,7 +6,7 @@
     Configuration, FastMap, HostName, JobId, Moment, TeamName, Units,
     task::{Fence, WorkerAnswer},
 };
-use fuchsiamill_platform::{Result, Table, Worker};
+use fuchsiamill_ports::{Result, Table, Worker};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
     jobs::{AnswerOutcome, JobRow, Proposal, Scheduler, Timing, UnitChange, WaitCause, Weight},
--- a/crates/daemon/src/maintenance/absence.rs
+++ b/crates/daemon/src/maintenance/absence.rs
@@ -9,7 +9,6 @@
     ChangeId, Configuration, FastMap, Host, HostName, HostState, Millisecond, OperatorName,
     PoolName,
 };
-use fuchsiamill_platform::Liveness;
 use fuchsiamill_policy::{
     absence::{Conduct, Decision, Limits, Next, PoolWatch, Reason, Sight},
     backend_state::Listed,
@@ -20,7 +19,7 @@
 use monoio::time::sleep;
 
 use super::{probes, proposals::PATIENCE};
-use crate::{backend::ListReading, config::Outcome, cx::Cx};
+use crate::{config::Outcome, cx::Cx};
 
 /// How old a reading of the host list may be.
 const FRESH_MS: Millisecond = 3_000;
@@ -52,7 +51,7 @@
 
 async fn look_at(cx: &Rc<Cx>, config: &Rc<Configuration>, pool: &PoolName, watch: &mut PoolWatch) {
     let list = cx.health.list().filter(|it| cx.clock.now().since(it.at) <= FRESH_MS);
-    let says = |host: &HostName| list.as_ref().map(|it| listed(it, host));
+    let says = |host: &HostName| list.as_ref().map(|it| it.listed(host));
     let is_back =
         |it: &&Host| it.state == HostState::Absent && says(&it.name) == Some(Listed::Live);
     let back: Vec<Host> = config.hosts_of(pool).filter(is_back).cloned().collect();
@@ -83,14 +82,6 @@
     answered.filter_map(|(host, probe)| Some((host.name, probe?))).collect()
 }
 
-fn listed(list: &ListReading, host: &HostName) -> Listed {
-    match list.hosts.get(host) {
-        Some(Liveness::Live) => Listed::Live,
-        Some(Liveness::Leaving) => Listed::Leaving,
-        Some(Liveness::Gone) | None => Listed::Absent,
-    }
-}
-
 async fn record(cx: &Cx, config: &Configuration, decision: Decision) {
     let Ok(who) = OperatorName::try_from(cx.settings.entry.name.as_str()) else { return };
     let Decision { host, reason, change } = decision;
--- a/crates/daemon/src/maintenance/error.rs
+++ b/crates/daemon/src/maintenance/error.rs
@@ -69,8 +69,8 @@
     },
 }
 
-impl From<fuchsiamill_platform::Error> for Error {
-    fn from(e: fuchsiamill_platform::Error) -> Self {
+impl From<fuchsiamill_ports::Error> for Error {
+    fn from(e: fuchsiamill_ports::Error) -> Self {
         Error::Unavailable(e.to_string())
     }
 }
--- a/crates/daemon/src/maintenance/lease.rs
+++ b/crates/daemon/src/maintenance/lease.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::{Moment, PlanId};
-use fuchsiamill_platform::RowVersion;
+use fuchsiamill_ports::RowVersion;
 
 use super::rows::{LeaseRow, PlanRows, Stored};
 use crate::cx::Cx;
--- a/crates/daemon/src/maintenance/purge.rs
+++ b/crates/daemon/src/maintenance/purge.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use fuchsiamill_model::{Configuration, PlanId, WallTime};
-use fuchsiamill_platform::{Commit, CommitOutcome, Range, Result, Row, Table};
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, Row, Table};
 use monoio::time::sleep;
 
 use super::rows::{INDEX_PREFIX, index_start, lease_key, plan_key};
--- a/crates/daemon/src/maintenance/rows.rs
+++ b/crates/daemon/src/maintenance/rows.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, rc::Rc};
 
 use fuchsiamill_model::{EntryName, Incarnation, OperatorName, PlanId, Version, WallTime};
-use fuchsiamill_platform::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
 use fuchsiamill_policy::planner::Plan;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
--- a/crates/daemon/src/maintenance/task.rs
+++ b/crates/daemon/src/maintenance/task.rs
@@ -5,7 +5,7 @@
 use fuchsiamill_model::{
     Change, Configuration, FastMap, Host, HostName, HostState, OperatorName, PlanId, PoolName,
 };
-use fuchsiamill_platform::{RestartClient, RestartOrder, RestartState};
+use fuchsiamill_ports::{RestartClient, RestartOrder, RestartState};
 use fuchsiamill_policy::waves::{
     Action, Limits, Observations, Reading, Restart, Runner, Tasks, Turn,
 };
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,21 +1,34 @@
-//! Signals that end the process gracefully.
+//! Signals: SIGTERM and SIGINT end the process gracefully, SIGHUP says that the settings changed.
 
 use std::{io, thread};
 
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-/// A receiver that resolves at the first SIGTERM or SIGINT.
-pub fn listen() -> io::Result<oneshot::Receiver<()>> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let (tx, rx) = oneshot::channel();
+/// What the process is told by signals.
+pub struct Told {
+    /// Resolves at the first SIGTERM or SIGINT.
+    pub stop: oneshot::Receiver<()>,
+    /// Yields at each SIGHUP.
+    pub reload: mpsc::UnboundedReceiver<()>,
+}
+
+/// Listens to signals on a thread of its own.
+pub fn listen() -> io::Result<Told> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let (stop_tx, stop) = oneshot::channel();
+    let (reload_tx, reload) = mpsc::unbounded_channel();
     thread::Builder::new().name("signals".into()).spawn(move || {
-        if signals.forever().next().is_some() {
-            let _ = tx.send(());
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                let _ = stop_tx.send(());
+                return;
+            }
+            let _ = reload_tx.send(());
         }
     })?;
-    Ok(rx)
+    Ok(Told { stop, reload })
 }
--- a/crates/daemon/tests/backend_shutdown.rs
+++ b/crates/daemon/tests/backend_shutdown.rs
@@ -8,7 +8,7 @@
 };
 
 use common::{Site, net, wait_until};
-use fuchsiamill_platform::Liveness;
+use fuchsiamill_ports::Liveness;
 use fuchsiamill_standin::{
     admin::{BackendMode, SetLiveness},
     record::Run,
--- a/crates/daemon/tests/claim_table.rs
+++ b/crates/daemon/tests/claim_table.rs
@@ -8,7 +8,7 @@
 };
 use fuchsiamill_http::{Bounds as HttpBounds, JsonClient, Response};
 use fuchsiamill_model::{Incarnation, ProblemKind, RunState, ServiceName, TeamName, WallTime};
-use fuchsiamill_platform::{Commit, ObjectClient, Row, Table, TableClient};
+use fuchsiamill_ports::{Commit, ObjectClient, Row, Table, TableClient};
 use fuchsiamill_policy::claims::{
     Bounds, Claim, ClaimKey, Held, IdempotencyKey, RETENTION, RequestDigest, Scope,
 };
--- a/crates/daemon/tests/common/jobs.rs
+++ b/crates/daemon/tests/common/jobs.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use fuchsiamill_http::{Request, Response};
-use fuchsiamill_platform::Row;
+use fuchsiamill_ports::Row;
 use fuchsiamill_standin::worker::{Access, Conduct, Run, SetAccess, SetConduct, WorkerRecord};
 use http::{HeaderName, HeaderValue, Method};
 use serde_json::{Value, json};
--- a/crates/daemon/tests/config_changes.rs
+++ b/crates/daemon/tests/config_changes.rs
@@ -5,7 +5,7 @@
 use common::{Site, operator, wait_until};
 use fuchsiamill_api::{AuditFilter, AuditOutcome, AuditRecord, Catalogue, ChangeReport};
 use fuchsiamill_model::{Change, Version};
-use fuchsiamill_platform::{Range, Row};
+use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_standin::admin::PlatformFault;
 
 fn share(team: &str, share: u32) -> Change {
--- a/crates/daemon/tests/host_absence.rs
+++ b/crates/daemon/tests/host_absence.rs
@@ -10,7 +10,7 @@
 };
 use fuchsiamill_api::{AuditFilter, AuditRecord, PlanReport};
 use fuchsiamill_model::{Change, HostState, Intent, PlanId, PlanState};
-use fuchsiamill_platform::Liveness;
+use fuchsiamill_ports::Liveness;
 use fuchsiamill_standin::{
     admin::{BackendMode, SetLiveness},
     record::RunEnd,
--- a/crates/daemon/tests/job_faults.rs
+++ b/crates/daemon/tests/job_faults.rs
@@ -11,7 +11,7 @@
 };
 use fuchsiamill_api::PlanReport;
 use fuchsiamill_model::Intent;
-use fuchsiamill_platform::{Range, Row};
+use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_standin::{
     admin::PlatformFault,
     worker::{Access, Conduct, Run, RunEnd},
--- a/crates/daemon/tests/plan_rows.rs
+++ b/crates/daemon/tests/plan_rows.rs
@@ -5,7 +5,7 @@
 use common::{Site, SiteBuilder, wait_until};
 use fuchsiamill_api::{PlanReport, Stage};
 use fuchsiamill_model::{Intent, PlanId, PlanState};
-use fuchsiamill_platform::Range;
+use fuchsiamill_ports::Range;
 
 const LISTED: usize = 200;
 const ROWS: usize = 1_000;
--- a/crates/daemon/tests/wave_processes.rs
+++ b/crates/daemon/tests/wave_processes.rs
@@ -58,9 +58,12 @@
     if view.stage == Stage::Ended { u32::MAX } else { view.hosts.map_or(0, |it| it[0]) }
 }
 
-fn check_load(load: &LoadResult) {
+/// No request was lost, none ran where it must not, and hosts were empty when they restarted.
+fn check_served(site: &Site, load: &LoadResult) {
     assert!(load.lost.is_empty(), "{} lost, first {:?}", load.lost.len(), load.lost.first());
     assert!(load.answered > 0);
+    site.check_runs();
+    site.check_empty();
 }
 
 fn check_all_maintained_once(site: &Site) {
@@ -83,9 +86,7 @@
         wait_until("another entry host carries it out", || site.runner(&id) != Some(runner));
         wait_until("the wave has ended", || site.has_ended(other, &id));
     });
-    check_load(&load);
-    site.check_runs();
-    site.check_empty();
+    check_served(&site, &load);
     site.check_budgets(&[]);
     check_all_maintained_once(&site);
 }
@@ -105,9 +106,7 @@
         site.platform_fault(PlatformFault::None);
         wait_until("the wave has ended", || site.has_ended(1, &plan.id));
     });
-    check_load(&load);
-    site.check_runs();
-    site.check_empty();
+    check_served(&site, &load);
     site.check_budgets(&[]);
     check_all_maintained_once(&site);
 }
@@ -121,9 +120,7 @@
         confirmed(&site.confirm(0, "ada-key", &plan.id));
         wait_until("the wave has ended", || site.has_ended(1, &plan.id));
     });
-    check_load(&load);
-    site.check_runs();
-    site.check_empty();
+    check_served(&site, &load);
     site.check_budgets(&["host-3"]);
     let newest = site.newest();
     let aside = newest.hosts.values().filter(|it| it.state == HostState::SetAside);
@@ -142,9 +139,7 @@
         confirmed(&site.confirm(2, "ada-key", &plan.id));
         wait_until("the drain has ended", || site.has_ended(1, &plan.id));
     });
-    check_load(&load);
-    site.check_runs();
-    site.check_empty();
+    check_served(&site, &load);
     site.check_budgets(&[]);
     let newest = site.newest();
     let aside = |it: &&fuchsiamill_model::Host| it.state == HostState::SetAside;
@@ -281,9 +276,7 @@
         wait_until("most hosts are done", || done_hosts(&site, other, &plan.id) >= 8);
         wait_until("the wave has ended", || site.has_ended(other, &plan.id));
     });
-    check_load(&load);
-    site.check_runs();
-    site.check_empty();
+    check_served(&site, &load);
     site.check_budgets(&["host-3"]);
     let newest = site.newest();
     let serving = newest.hosts.values().filter(|it| it.state == HostState::Serving).count();
--- /dev/null
+++ b/crates/fleet/src/coordinator/job.rs
@@ -0,0 +1,309 @@
+//! A job in the coordinator's memory.
+
+use std::sync::Arc;
+
+use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
+
+use crate::{JobRecord, JobSpec, Name, Stage, TaskId, TaskRecord};
+
+/// A job that is not over, or whose last tasks are being stopped.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its id.
+    pub id: Name,
+    /// What was asked for.
+    pub spec: Arc<JobSpec>,
+    /// Where it stands.
+    pub stage: Stage,
+    /// When it should be completed.
+    pub due: Moment,
+    /// Whether its team had sent more than its share when it came.
+    pub excess: bool,
+    /// Occurrences that are due, by their number.
+    pub occurrences: Vec<Occurrence>,
+    /// How many tasks are at a worker.
+    pub live: u32,
+}
+
+/// One pass through a job's steps.
+#[derive(Clone, Debug)]
+pub struct Occurrence {
+    /// The steps.
+    pub steps: Vec<StepRun>,
+}
+
+/// The tasks of one step.
+#[derive(Clone, Debug)]
+pub struct StepRun {
+    /// The tasks, by index.
+    pub tasks: Vec<Task>,
+    /// Tasks that are done.
+    pub done: u32,
+    /// Tasks that wait for a worker.
+    pub waiting: u32,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// What it is doing.
+    pub state: TaskState,
+    /// The number of its last run.
+    pub run: u32,
+    /// How often it has failed.
+    pub failures: u32,
+    /// Saved progress.
+    pub saved: Name,
+}
+
+/// What a task is doing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum TaskState {
+    /// It waits for its turn or for room.
+    #[default]
+    Waiting,
+    /// It may be on a worker.
+    Live(Live),
+    /// It is done.
+    Done,
+}
+
+/// A run that takes room on a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Live {
+    /// The worker.
+    pub worker: Name,
+    /// The worker's birth.
+    pub born: u64,
+    /// What is known of the run.
+    pub phase: Phase,
+    /// When the last order about it was given.
+    pub since: Moment,
+    /// Whether it was seen at work: running, and with its whole speed if it lasts.
+    pub at_work: bool,
+}
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The order waits for its record to be stored.
+    Recorded,
+    /// The order was sent and not answered.
+    Sent,
+    /// The worker has it.
+    Running,
+    /// A stop was sent and not answered.
+    Stopping,
+    /// The worker has confirmed a stop at this moment; the end is not listed yet.
+    StopConfirmed,
+    /// An earlier coordinator recorded it; the worker was not asked yet.
+    Inherited,
+}
+
+impl StepRun {
+    fn new(count: u32) -> Self {
+        Self { tasks: vec![Task::default(); count as usize], done: 0, waiting: count }
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+}
+
+impl Job {
+    /// A job that was just accepted, or that an earlier coordinator left.
+    pub fn new(id: Name, spec: Arc<JobSpec>, now: Moment, wall: WallTime) -> Self {
+        let age = wall.0.saturating_sub(spec.accepted.0);
+        let objective = objective_ms(&spec);
+        let due = Moment((now.0 + objective).saturating_sub(age));
+        Self {
+            id,
+            spec,
+            stage: Stage::Queued,
+            due,
+            excess: false,
+            occurrences: Vec::new(),
+            live: 0,
+        }
+    }
+
+    /// Opens the occurrences that are due.
+    pub fn open_due(&mut self, wall: WallTime) {
+        let due = match self.spec.schedule {
+            None => 1,
+            Some(it) if wall < it.first => 0,
+            Some(it) => {
+                let passed = (wall.0 - it.first.0) / it.interval_ms.max(1) + 1;
+                passed.min(it.times.into()) as usize
+            }
+        };
+        while self.occurrences.len() < due {
+            self.open_next();
+        }
+    }
+
+    fn open_next(&mut self) {
+        let steps = self.spec.steps.iter().map(|it| StepRun::new(it.count)).collect();
+        self.occurrences.push(Occurrence { steps });
+    }
+
+    /// Whether all occurrences were opened and are done.
+    pub fn is_done(&self) -> bool {
+        let expected = self.spec.schedule.map_or(1, |it| it.times as usize);
+        self.occurrences.len() == expected
+            && self.occurrences.iter().all(|it| it.steps.iter().all(StepRun::is_done))
+    }
+
+    /// Whether the tasks of a step may run.
+    pub fn is_open(&self, occurrence: usize, step: usize) -> bool {
+        let run = &self.occurrences[occurrence];
+        self.spec.steps[step].after.iter().all(|it| run.steps[*it as usize].is_done())
+    }
+
+    /// Occurrence and step numbers whose tasks may run and that have tasks waiting.
+    pub fn open_steps(&self) -> Vec<(usize, usize)> {
+        let mut open = Vec::new();
+        for (k, run) in self.occurrences.iter().enumerate() {
+            for (s, step) in run.steps.iter().enumerate() {
+                if step.waiting > 0 && self.is_open(k, s) {
+                    open.push((k, s));
+                }
+            }
+        }
+        open
+    }
+
+    /// One step of one occurrence.
+    pub fn step_mut(&mut self, occurrence: usize, step: usize) -> &mut StepRun {
+        &mut self.occurrences[occurrence].steps[step]
+    }
+
+    /// A task.
+    pub fn task(&self, id: &TaskId) -> Option<&Task> {
+        let run = self.occurrences.get(id.occurrence as usize)?;
+        run.steps.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    /// A task.
+    pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        let run = self.occurrences.get_mut(id.occurrence as usize)?;
+        run.steps.get_mut(id.step as usize)?.tasks.get_mut(id.index as usize)
+    }
+
+    /// Changes a task's state and keeps the counts of its step and of the job.
+    pub fn set_state(&mut self, id: &TaskId, state: TaskState) -> Option<TaskState> {
+        let step = self.occurrences.get_mut(id.occurrence as usize)?;
+        let step = step.steps.get_mut(id.step as usize)?;
+        let task = step.tasks.get_mut(id.index as usize)?;
+        match &task.state {
+            TaskState::Waiting => step.waiting -= 1,
+            TaskState::Done => step.done -= 1,
+            TaskState::Live(_) => self.live -= 1,
+        }
+        match &state {
+            TaskState::Waiting => step.waiting += 1,
+            TaskState::Done => step.done += 1,
+            TaskState::Live(_) => self.live += 1,
+        }
+        Some(std::mem::replace(&mut task.state, state))
+    }
+
+    /// Every task at a worker.
+    pub fn live_tasks(&self) -> Vec<(TaskId, Live)> {
+        let mut live = Vec::new();
+        self.each_task(|id, task| {
+            if let TaskState::Live(it) = &task.state {
+                live.push((id, it.clone()));
+            }
+        });
+        live
+    }
+
+    fn each_task(&self, mut f: impl FnMut(TaskId, &Task)) {
+        for (k, run) in self.occurrences.iter().enumerate() {
+            for (s, step) in run.steps.iter().enumerate() {
+                for (i, task) in step.tasks.iter().enumerate() {
+                    let id = TaskId {
+                        job: self.id.clone(),
+                        occurrence: k as u32,
+                        step: s as u16,
+                        index: i as u32,
+                    };
+                    f(id, task);
+                }
+            }
+        }
+    }
+
+    /// All tasks of the step that a task belongs to.
+    pub fn members_of(&self, id: &TaskId) -> Vec<TaskId> {
+        let count = self.spec.steps.get(id.step as usize).map_or(0, |it| it.count);
+        (0..count).map(|index| TaskId { index, ..id.clone() }).collect()
+    }
+
+    /// What is stored of the job.
+    pub fn record(&self) -> JobRecord {
+        let mut record = JobRecord { stage: self.stage, ..JobRecord::default() };
+        if self.stage.is_over() && self.live == 0 {
+            return record;
+        }
+        self.each_task(|id, task| {
+            if task.run == 0 {
+                return;
+            }
+            let on = match &task.state {
+                TaskState::Live(it) => Some((it.worker.clone(), it.born)),
+                _ => None,
+            };
+            record.tasks.push(TaskRecord {
+                occurrence: id.occurrence,
+                step: id.step,
+                index: id.index,
+                run: task.run,
+                failures: task.failures,
+                done: task.state == TaskState::Done,
+                on,
+                saved: task.saved.clone(),
+            });
+        });
+        record
+    }
+
+    /// Takes over what an earlier coordinator stored; returns the tasks that may be at a worker.
+    pub fn restore(&mut self, record: &JobRecord, now: Moment) -> Vec<(TaskId, Live)> {
+        self.stage = record.stage;
+        let mut live = Vec::new();
+        for it in &record.tasks {
+            let expected = self.spec.schedule.map_or(1, |it| it.times);
+            while self.occurrences.len() <= it.occurrence as usize && it.occurrence < expected {
+                self.open_next();
+            }
+            let id = it.id(&self.id);
+            let Some(task) = self.task_mut(&id) else { continue };
+            task.run = it.run;
+            task.failures = it.failures;
+            task.saved = it.saved.clone();
+            if it.done {
+                self.set_state(&id, TaskState::Done);
+            } else if let Some((worker, born)) = &it.on {
+                let at = Live {
+                    worker: worker.clone(),
+                    born: *born,
+                    phase: Phase::Inherited,
+                    since: now,
+                    at_work: false,
+                };
+                self.set_state(&id, TaskState::Live(at.clone()));
+                live.push((id, at));
+            }
+        }
+        live
+    }
+}
+
+/// The objective of a job, counted from its acceptance.
+pub fn objective_ms(spec: &JobSpec) -> Millisecond {
+    let chain = spec.chain_ms() as f64 * spec.route.stretch.max(1.0);
+    chain as Millisecond + spec.route.objective_ms
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/lapse.rs
@@ -0,0 +1,37 @@
+//! What happens only because time passes.
+
+use fuchsiamill_model::units::{Moment, WallTime};
+
+use super::Coordinator;
+use crate::{Name, terms::with_drift};
+
+impl Coordinator {
+    /// Opens occurrences that are due and gives up runs whose leases have surely lapsed.
+    pub fn tick(&mut self, now: Moment, wall: WallTime) {
+        self.open_occurrences(wall);
+        let lease = with_drift(self.terms.lease_ms);
+        let lapsed: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(_, at)| at.silent.is_some_and(|renewed| now > renewed + lease))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            for (task, _) in self.live_on(&id) {
+                self.free(&task, now);
+            }
+            if self.workers.get(&id).is_some_and(|it| it.gone) {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    fn open_occurrences(&mut self, wall: WallTime) {
+        let scheduled = self.jobs.values_mut().filter(|it| it.spec.schedule.is_some());
+        for job in scheduled {
+            let before = job.occurrences.len();
+            job.open_due(wall);
+            self.needs_placing |= job.occurrences.len() > before;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -0,0 +1,370 @@
+//! The state machine of the one process that places all tasks.
+//!
+//! Every start is recorded in the store before it is ordered, and every end before it is acknowledged, so that
+//! another coordinator can go on from the store and from what the workers list.
+
+mod job;
+mod lapse;
+mod place;
+mod reports;
+mod worker;
+
+use std::{collections::VecDeque, sync::Arc};
+
+use fuchsiamill_model::{
+    FastMap, FastSet, Resources,
+    units::{Moment, WallTime},
+};
+
+pub use job::{Job, Live, Phase, TaskState, objective_ms};
+pub use reports::{Refusal, Started};
+pub use worker::Worker;
+
+use crate::{Config, JobRecord, JobSpec, Name, Stage, TaskId, Terms, WorkerSeen};
+
+/// What the coordinator wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Begin to look at a worker.
+    Watch {
+        /// How it describes itself.
+        worker: WorkerSeen,
+    },
+    /// Start a run.
+    Start {
+        /// The worker.
+        worker: Name,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// The job's payload.
+        payload: Arc<str>,
+        /// Saved progress, empty when there is none.
+        saved: Name,
+    },
+    /// Stop a run.
+    Stop {
+        /// The worker.
+        worker: Name,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// Ends up to this number are recorded.
+    Seen {
+        /// The worker.
+        worker: Name,
+        /// Its birth.
+        born: u64,
+        /// The number.
+        upto: u64,
+    },
+}
+
+/// Records to store, all or none of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Commit {
+    /// Rows to write.
+    pub records: Vec<(Name, JobRecord)>,
+}
+
+/// The most records in one commit: the store takes 100 rows, of which the lease and the board are two.
+const COMMIT_RECORDS: usize = 90;
+
+/// See the module's documentation.
+pub struct Coordinator {
+    terms: Terms,
+    config: Arc<Config>,
+    jobs: FastMap<Name, Job>,
+    over: FastMap<Name, Stage>,
+    workers: FastMap<Name, Worker>,
+    used: FastMap<Name, Resources>,
+    recent: FastMap<Name, VecDeque<Moment>>,
+    early_cancels: FastSet<Name>,
+    dirty: VecDeque<Name>,
+    is_dirty: FastSet<Name>,
+    held_back: Vec<Order>,
+    released: Vec<Order>,
+    in_flight: Option<(FastSet<Name>, Vec<Order>)>,
+    needs_placing: bool,
+}
+
+impl Coordinator {
+    /// A coordinator that knows of nothing yet.
+    pub fn new(terms: Terms, config: Arc<Config>) -> Self {
+        Self {
+            terms,
+            config,
+            jobs: FastMap::default(),
+            over: FastMap::default(),
+            workers: FastMap::default(),
+            used: FastMap::default(),
+            recent: FastMap::default(),
+            early_cancels: FastSet::default(),
+            dirty: VecDeque::new(),
+            is_dirty: FastSet::default(),
+            held_back: Vec::new(),
+            released: Vec::new(),
+            in_flight: None,
+            needs_placing: false,
+        }
+    }
+
+    /// Puts a newer configuration in force.
+    pub fn configure(&mut self, config: Arc<Config>) {
+        self.config = config;
+        self.needs_placing = true;
+    }
+
+    /// Takes a job in: a new one, or one that an earlier coordinator left with `record`.
+    pub fn accept(
+        &mut self,
+        id: Name,
+        spec: Arc<JobSpec>,
+        record: Option<&JobRecord>,
+        now: Moment,
+        wall: WallTime,
+    ) {
+        if self.jobs.contains_key(&id) || self.over.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(id.clone(), spec, now, wall);
+        job.open_due(wall);
+        job.excess = self.is_excess(&job.spec.team, now);
+        let inherited = record.map(|it| job.restore(it, now)).unwrap_or_default();
+        let over = job.stage.is_over();
+        if over && inherited.is_empty() {
+            self.over.insert(id, job.stage);
+            return;
+        }
+        let spec = job.spec.clone();
+        self.jobs.insert(id.clone(), job);
+        for (task, live) in inherited {
+            self.take_room(&task, &live.worker, &spec, now);
+        }
+        self.needs_placing = true;
+        if self.early_cancels.remove(&id) {
+            self.cancel(&id, now);
+        }
+    }
+
+    /// Jobs that a team sends beyond its weight a second are not owed to it.
+    fn is_excess(&mut self, team: &Name, now: Moment) -> bool {
+        let Some(weight) = self.config.teams.get(team).map(|it| it.weight) else { return false };
+        let recent = self.recent.entry(team.clone()).or_default();
+        while recent.front().is_some_and(|it| now.since(*it) > EXCESS_WINDOW_MS) {
+            recent.pop_front();
+        }
+        recent.push_back(now);
+        recent.len() as f64 > weight * EXCESS_WINDOW_MS as f64 / 1_000.0 + EXCESS_SLACK_JOBS
+    }
+
+    /// Cancels a job; its tasks are stopped.
+    pub fn cancel(&mut self, id: &Name, now: Moment) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            if !self.over.contains_key(id) {
+                self.early_cancels.insert(id.clone());
+            }
+            return;
+        };
+        if !job.stage.is_over() {
+            self.end(id, Stage::Cancelled, now);
+        }
+    }
+
+    /// Ends a job, whatever its tasks do.
+    fn end(&mut self, id: &Name, stage: Stage, now: Moment) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.stage = stage;
+        let live = job.live_tasks();
+        self.mark(id);
+        for (task, _) in live {
+            self.stop(&task, now);
+        }
+        self.forget_if_over(id);
+    }
+
+    fn forget_if_over(&mut self, id: &Name) {
+        if let Some(job) = self.jobs.get(id)
+            && job.stage.is_over()
+            && job.live == 0
+            && !self.is_dirty.contains(id)
+        {
+            self.over.insert(id.clone(), job.stage);
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Orders a run to be stopped.
+    fn stop(&mut self, id: &TaskId, now: Moment) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
+        let run = task.run;
+        let TaskState::Live(live) = &mut task.state else { return };
+        match live.phase {
+            Phase::Stopping | Phase::StopConfirmed => {}
+            Phase::Recorded => {
+                // The order was not sent: it is withdrawn with its record.
+                self.held_back.retain(|it| !is_start_of(it, id, run));
+                let flying = self.in_flight.as_mut().is_some_and(|(_, orders)| {
+                    let before = orders.len();
+                    orders.retain(|it| !is_start_of(it, id, run));
+                    orders.len() < before
+                });
+                let _ = flying;
+                self.free(id, now);
+            }
+            _ => {
+                live.phase = Phase::Stopping;
+                live.since = now;
+                let worker = live.worker.clone();
+                self.released.push(Order::Stop { worker, task: id.clone(), run });
+            }
+        }
+    }
+
+    /// Takes a run's room back and lets the task wait again.
+    fn free(&mut self, id: &TaskId, now: Moment) {
+        self.settle(id, TaskState::Waiting, now);
+    }
+
+    fn settle(&mut self, id: &TaskId, state: TaskState, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let spec = job.spec.clone();
+        let Some(TaskState::Live(live)) = job.set_state(id, state) else { return };
+        if let Some(worker) = self.workers.get_mut(&live.worker) {
+            worker.release(id, now);
+        }
+        let size = spec.steps[id.step as usize].size;
+        if let Some(used) = self.used.get_mut(&spec.team) {
+            *used = used.minus(size);
+        }
+        self.mark(&id.job);
+        self.needs_placing = true;
+    }
+
+    fn take_room(&mut self, id: &TaskId, worker: &Name, spec: &JobSpec, now: Moment) {
+        let step = &spec.steps[id.step as usize];
+        let used = self.used.entry(spec.team.clone()).or_default();
+        *used = used.plus(step.size);
+        let ghost = || Worker { gone: true, ..Worker::new(ghost_of(worker), now) };
+        let at = self.workers.entry(worker.clone()).or_insert_with(ghost);
+        if at.gone && at.silent.is_none() {
+            at.silent = Some(now + self.terms.renewal_ms);
+        }
+        at.take(id.clone(), step.room());
+    }
+
+    fn mark(&mut self, id: &Name) {
+        if self.is_dirty.insert(id.clone()) {
+            self.dirty.push_back(id.clone());
+        }
+    }
+
+    /// The next records to store, if there are any and none are on their way.
+    pub fn next_commit(&mut self) -> Option<Commit> {
+        if self.in_flight.is_some() || (self.dirty.is_empty() && self.held_back.is_empty()) {
+            return None;
+        }
+        let mut commit = Commit::default();
+        let mut ids = FastSet::default();
+        while commit.records.len() < COMMIT_RECORDS
+            && let Some(id) = self.dirty.pop_front()
+        {
+            self.is_dirty.remove(&id);
+            if let Some(job) = self.jobs.get(&id) {
+                commit.records.push((id.clone(), job.record()));
+                ids.insert(id);
+            }
+        }
+        let orders = std::mem::take(&mut self.held_back);
+        // Orders about jobs whose record did not fit wait for the next commit.
+        let (now, later) = orders.into_iter().partition(|it| !self.waits_for_record(it));
+        self.held_back = later;
+        self.in_flight = Some((ids, now));
+        Some(commit)
+    }
+
+    fn waits_for_record(&self, order: &Order) -> bool {
+        match order {
+            Order::Start { task, .. } => self.is_dirty.contains(&task.job),
+            _ => !self.is_dirty.is_empty(),
+        }
+    }
+
+    /// The commit is stored: orders that waited for it are released.
+    pub fn committed(&mut self, now: Moment) {
+        let Some((ids, orders)) = self.in_flight.take() else { return };
+        for order in &orders {
+            if let Order::Start { task, .. } = order {
+                self.set_phase(task, Phase::Sent, now);
+            }
+        }
+        self.released.extend(orders);
+        for id in ids {
+            self.forget_if_over(&id);
+        }
+    }
+
+    fn set_phase(&mut self, id: &TaskId, phase: Phase, now: Moment) {
+        let task = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id));
+        if let Some(TaskState::Live(live)) = task.map(|it| &mut it.state) {
+            live.phase = phase;
+            live.since = now;
+        }
+    }
+
+    /// Orders that may be carried out now.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.released)
+    }
+
+    /// The accepted jobs of each queue of which nothing has started.
+    pub fn waiting(&self) -> FastMap<Name, u64> {
+        let mut counts = FastMap::default();
+        for job in self.jobs.values().filter(|it| it.stage == Stage::Queued) {
+            *counts.entry(job.spec.queue.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// A job that is not over.
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Every worker by its id.
+    pub fn workers(&self) -> &FastMap<Name, Worker> {
+        &self.workers
+    }
+
+    /// Jobs that are not over.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+}
+
+/// The window over which a team's jobs are counted against its weight.
+const EXCESS_WINDOW_MS: u64 = 1_000;
+
+/// Jobs beyond the weight that are still counted as owed, since arrivals are uneven.
+const EXCESS_SLACK_JOBS: f64 = 1.0;
+
+fn is_start_of(order: &Order, id: &TaskId, of: u32) -> bool {
+    matches!(order, Order::Start { task, run, .. } if task == id && *run == of)
+}
+
+/// A worker that only a record names: it takes no tasks and is gone once its leases have lapsed.
+fn ghost_of(id: &Name) -> WorkerSeen {
+    WorkerSeen {
+        id: id.clone(),
+        born: 0,
+        pool: Name::default(),
+        addr: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
+        data_centre: Name::default(),
+        state: crate::WorkerState::Draining,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/place.rs
@@ -0,0 +1,199 @@
+//! Which task runs where.
+
+use fuchsiamill_model::{
+    FastMap, Resources,
+    units::{Millisecond, Moment},
+};
+
+use super::{Coordinator, Live, Order, Phase, TaskState, Worker};
+use crate::{Name, Stage, Step, TaskId};
+
+/// Tasks that found no room after which the search in a pool ends until something changes.
+const MISFITS_PER_POOL: u32 = 40;
+
+/// The order in which jobs get room: a smaller value comes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    priority: u32,
+    standing: Standing,
+    due: Moment,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It can still be completed within its objective.
+    InTime,
+    /// It is late already: others gain more from the room.
+    Late,
+    /// Its team sent more than its share.
+    Excess,
+}
+
+/// What a worker would look like with one more task; the smallest value wins.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Fit {
+    far: bool,
+    disturbs: bool,
+    empty: bool,
+    left: u32,
+}
+
+impl Coordinator {
+    /// Places what fits, the most urgent first.
+    pub fn place(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.needs_placing) {
+            return;
+        }
+        let mut misfits: FastMap<Name, u32> = FastMap::default();
+        for id in self.ranked(now) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let pool = job.spec.route.pool.clone();
+            if misfits.get(&pool).is_some_and(|it| *it >= MISFITS_PER_POOL) {
+                continue;
+            }
+            for (occurrence, step) in job.open_steps() {
+                let failed = self.place_step(&id, occurrence, step, now);
+                *misfits.entry(pool.clone()).or_insert(0) += failed;
+            }
+        }
+    }
+
+    fn ranked(&self, now: Moment) -> Vec<Name> {
+        let waiting = self.jobs.values().filter(|it| !it.stage.is_over());
+        let mut ranked: Vec<(Rank, &Name)> = waiting
+            .filter(|it| it.occurrences.iter().any(|k| k.steps.iter().any(|s| s.waiting > 0)))
+            .map(|it| {
+                let standing = match (it.excess, now > it.due) {
+                    (true, _) => Standing::Excess,
+                    (_, true) if !it.spec.lasts() => Standing::Late,
+                    _ => Standing::InTime,
+                };
+                (Rank { priority: it.spec.route.priority, standing, due: it.due }, &it.id)
+            })
+            .collect();
+        ranked.sort();
+        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Places the waiting tasks of a step; returns how many found no room.
+    fn place_step(&mut self, id: &Name, occurrence: usize, step: usize, now: Moment) -> u32 {
+        let Some(job) = self.jobs.get(id) else { return 0 };
+        let spec = job.spec.clone();
+        let wanted = &spec.steps[step];
+        let tasks = &job.occurrences[occurrence].steps[step].tasks;
+        let waiting: Vec<u32> = (0..tasks.len() as u32)
+            .filter(|it| tasks[*it as usize].state == TaskState::Waiting)
+            .collect();
+        let run = tasks.iter().map(|it| it.run).max().unwrap_or(0) + 1;
+        if wanted.gang && waiting.len() < tasks.len() {
+            return 0;
+        }
+        let mut placed = Vec::new();
+        for index in &waiting {
+            let task = TaskId {
+                job: id.clone(),
+                occurrence: occurrence as u32,
+                step: step as u16,
+                index: *index,
+            };
+            let fits_limit = self.fits_limit(&spec.team, wanted.size);
+            let worker = match fits_limit {
+                true => self.find_worker(&task, wanted, &spec.route.pool, now),
+                false => None,
+            };
+            let Some(worker) = worker else { break };
+            self.put(&task, &worker, wanted.gang.then_some(run), now);
+            placed.push(task);
+        }
+        let missing = (waiting.len() - placed.len()) as u32;
+        if wanted.gang && missing > 0 {
+            placed.iter().for_each(|it| self.take_back(it, now));
+            return missing;
+        }
+        for task in placed {
+            self.order_start(&task);
+        }
+        missing.min(1)
+    }
+
+    /// Whether the team's upper limit leaves room for one more task of this size.
+    fn fits_limit(&self, team: &Name, size: Resources) -> bool {
+        let Some(limit) = self.config.teams.get(team).map(|it| it.limit) else { return true };
+        let used = self.used.get(team).copied().unwrap_or_default().plus(size);
+        let within = |limit: u32, used: u32| limit == 0 || used <= limit;
+        within(limit.millicores, used.millicores)
+            && within(limit.memory_mib, used.memory_mib)
+            && within(limit.accelerators, used.accelerators)
+    }
+
+    fn find_worker(&self, task: &TaskId, step: &Step, pool: &Name, now: Moment) -> Option<Name> {
+        let room = step.room();
+        let candidates = self.workers.values().filter(|it| {
+            it.seen.pool == *pool
+                && it.takes_tasks(now)
+                && it.free().fits(room)
+                && step.label.as_ref().is_none_or(|label| it.has_label(label))
+                && step.per_worker.is_none_or(|most| siblings_on(it, task) < most)
+        });
+        let best = candidates
+            .map(|it| (fit(it, step, room), it))
+            .min_by(|(a, x), (b, y)| a.partial_cmp(b).unwrap().then(x.seen.id.cmp(&y.seen.id)))?;
+        Some(best.1.seen.id.clone())
+    }
+
+    fn put(&mut self, id: &TaskId, worker: &Name, run: Option<u32>, now: Moment) {
+        let born = self.workers[worker].seen.born;
+        let job = self.jobs.get_mut(&id.job).expect("the job is being placed");
+        let spec = job.spec.clone();
+        let live = Live {
+            worker: worker.clone(),
+            born,
+            phase: Phase::Recorded,
+            since: now,
+            at_work: false,
+        };
+        job.set_state(id, TaskState::Live(live));
+        let task = job.task_mut(id).expect("the task is being placed");
+        task.run = run.unwrap_or(task.run + 1);
+        if job.stage == Stage::Queued {
+            job.stage = Stage::Running;
+        }
+        self.take_room(id, worker, &spec, now);
+        self.mark(&id.job);
+    }
+
+    fn take_back(&mut self, id: &TaskId, now: Moment) {
+        self.free(id, now);
+    }
+
+    fn order_start(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(task) = job.task(id) else { return };
+        let TaskState::Live(live) = &task.state else { return };
+        self.held_back.push(Order::Start {
+            worker: live.worker.clone(),
+            task: id.clone(),
+            run: task.run,
+            payload: job.spec.payload.clone(),
+            saved: task.saved.clone(),
+        });
+    }
+
+    /// When the next objective is missed, at the latest.
+    pub fn earliest_due(&self) -> Option<Millisecond> {
+        self.jobs.values().filter(|it| !it.stage.is_over()).map(|it| it.due.0).min()
+    }
+}
+
+fn siblings_on(worker: &Worker, id: &TaskId) -> u32 {
+    let is_sibling = |it: &&TaskId| {
+        it.job == id.job && it.occurrence == id.occurrence && it.step == id.step
+    };
+    worker.live.keys().filter(is_sibling).count() as u32
+}
+
+fn fit(worker: &Worker, step: &Step, room: Resources) -> Fit {
+    let far = step.rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
+    let left = worker.free().minus(room).millicores;
+    Fit { far, disturbs: false, empty: worker.live.is_empty(), left }
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -0,0 +1,356 @@
+//! What workers say, and what becomes of the runs on them.
+
+use fuchsiamill_model::{
+    FastMap,
+    units::{Millisecond, Moment},
+};
+
+use super::{Coordinator, Live, Order, Phase, TaskState, Worker};
+use crate::{Ending, Name, Report, RunEnd, RunSeen, Stage, TaskId, WorkerSeen, terms::with_drift};
+
+/// The answer to the order to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// The worker has it.
+    Running,
+    /// The worker has done nothing and gives its reason.
+    Refused(Refusal),
+    /// Nothing was sent.
+    NotSent,
+    /// No answer: it may start at any time until its lease is over.
+    Unknown,
+}
+
+/// Why a worker did not start a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another coordinator has given orders since.
+    Fence,
+    /// The run is not newer than one that ended there.
+    Old,
+    /// The order came after its deadline.
+    Late,
+    /// It has no room.
+    Room,
+    /// The step may not run there, or its ticket is no longer valid.
+    Ticket,
+    /// The worker does not understand the order.
+    Malformed,
+    /// The worker is unhealthy.
+    Unhealthy,
+}
+
+/// Failures of different tasks in a row after which a worker is left out for a while.
+const FAILURES_TO_AVOID: u32 = 3;
+
+/// How long a worker that fails everything is left out.
+const FAILING_MS: Millisecond = 8_000;
+
+/// How long a worker that leaves orders unanswered is left out.
+const UNANSWERED_MS: Millisecond = 2_000;
+
+/// How long a worker without room is left out: its next report corrects the picture.
+const NO_ROOM_MS: Millisecond = 150;
+
+impl Coordinator {
+    /// A worker is in the list.
+    pub fn worker_listed(&mut self, seen: WorkerSeen, now: Moment) {
+        let id = seen.id.clone();
+        let known = self.workers.get(&id).map(|it| it.seen.born);
+        match known {
+            Some(born) if born != seen.born => self.begin_life(seen.clone(), now),
+            Some(_) => {
+                let at = self.workers.get_mut(&id).expect("the worker is known");
+                at.seen = seen.clone();
+                at.gone = false;
+            }
+            None => {
+                self.workers.insert(id, Worker::new(seen.clone(), now));
+            }
+        }
+        self.released.push(Order::Watch { worker: seen });
+        self.needs_placing = true;
+    }
+
+    /// A worker is no longer in the list.
+    pub fn worker_unlisted(&mut self, id: &Name) {
+        if let Some(at) = self.workers.get_mut(id) {
+            at.gone = true;
+            if at.live.is_empty() {
+                self.workers.remove(id);
+            }
+        }
+    }
+
+    /// A worker has started anew under its id.
+    fn begin_life(&mut self, seen: WorkerSeen, now: Moment) {
+        let id = seen.id.clone();
+        let born = seen.born;
+        self.lose_life(&id, now, |it| it.born != born);
+        let Some(at) = self.workers.get_mut(&id) else { return };
+        at.seen = seen;
+        at.taken = 0;
+        at.answered = false;
+        at.gone = false;
+        at.silent = None;
+        at.failures = 0;
+    }
+
+    /// Runs of a life that has ended: those that the worker had are gone; an order that was under way may
+    /// still reach the new life, so that it is stopped there first.
+    fn lose_life(&mut self, id: &Name, now: Moment, is_lost: impl Fn(&Live) -> bool) {
+        for (task, live) in self.live_on(id) {
+            if !is_lost(&live) {
+                continue;
+            }
+            match live.phase {
+                Phase::Sent | Phase::Stopping if !self.workers[id].gone => {
+                    self.set_phase(&task, Phase::Stopping, now);
+                    let run = self.run_of(&task);
+                    self.released.push(Order::Stop { worker: id.clone(), task, run });
+                }
+                _ => self.free(&task, now),
+            }
+        }
+    }
+
+    fn run_of(&self, id: &TaskId) -> u32 {
+        self.jobs.get(&id.job).and_then(|it| it.task(id)).map_or(0, |it| it.run)
+    }
+
+    pub(super) fn live_on(&self, worker: &Name) -> Vec<(TaskId, Live)> {
+        let Some(at) = self.workers.get(worker) else { return Vec::new() };
+        let live = |id: &TaskId| match self.jobs.get(&id.job)?.task(id)?.state {
+            TaskState::Live(ref live) if live.worker == *worker => Some((id.clone(), live.clone())),
+            _ => None,
+        };
+        at.live.keys().filter_map(live).collect()
+    }
+
+    /// The life `born` of a worker is surely over.
+    pub fn worker_dead(&mut self, id: &Name, born: u64, now: Moment) {
+        let Some(at) = self.workers.get_mut(id) else { return };
+        if at.seen.born != born && at.seen.born != 0 {
+            return;
+        }
+        at.answered = false;
+        at.silent.get_or_insert(now);
+        for (task, _) in self.live_on(id) {
+            self.free(&task, now);
+        }
+        if self.workers[id].gone {
+            self.workers.remove(id);
+        }
+    }
+
+    /// A worker does not answer; `renewed` is the last moment at which its leases may have been renewed.
+    pub fn worker_silent(&mut self, id: &Name, renewed: Moment, now: Moment) {
+        let Some(at) = self.workers.get_mut(id) else { return };
+        let inherited = match at.answered {
+            // Before its first answer the former coordinator may have renewed them until its own limit.
+            false => now + self.terms.renewal_ms,
+            true => renewed,
+        };
+        at.silent.get_or_insert(inherited);
+    }
+
+    /// A worker answered a look.
+    pub fn worker_held(&mut self, id: &Name, report: Report, now: Moment) {
+        let Some(at) = self.workers.get(id) else { return };
+        if at.seen.born != report.born {
+            let seen = WorkerSeen { born: report.born, ..at.seen.clone() };
+            self.begin_life(seen, now);
+        }
+        let at = self.workers.get_mut(id).expect("the worker is known");
+        if !at.answered || at.silent.is_some() {
+            self.needs_placing = true;
+        }
+        at.answered = true;
+        at.silent = None;
+        let before = at.taken;
+        for end in report.ended.iter().filter(|it| it.number > before) {
+            self.run_ended(id, end, now);
+        }
+        for run in &report.running {
+            self.run_seen(id, run, report.asked, now);
+        }
+        self.find_missing(id, &report, now);
+        if let Some(at) = self.workers.get_mut(id)
+            && let Some(last) = report.ended.iter().map(|it| it.number).max()
+            && last > before
+        {
+            at.taken = last;
+            let born = report.born;
+            self.held_back.push(Order::Seen { worker: id.clone(), born, upto: last });
+        }
+    }
+
+    fn run_seen(&mut self, worker: &Name, seen: &RunSeen, asked: Moment, now: Moment) {
+        let id = &seen.task;
+        let expected = self.jobs.get_mut(&id.job).and_then(|job| {
+            let lasts = job.spec.steps.get(id.step as usize)?.lasts;
+            let task = job.task_mut(id)?;
+            let is_run = task.run == seen.run;
+            match &mut task.state {
+                TaskState::Live(live) if live.worker == *worker && is_run => {
+                    if matches!(live.phase, Phase::Sent | Phase::Inherited) {
+                        live.phase = Phase::Running;
+                        live.since = now;
+                    }
+                    live.at_work = !lasts || seen.percent >= 100;
+                    if !seen.saved.is_empty() {
+                        task.saved = seen.saved.clone();
+                    }
+                    Some(())
+                }
+                _ => None,
+            }
+        });
+        let _ = asked;
+        if expected.is_none() {
+            let (task, run) = (id.clone(), seen.run);
+            self.released.push(Order::Stop { worker: worker.clone(), task, run });
+        }
+    }
+
+    /// Runs that should be on the worker and that it lists neither as running nor as ended.
+    fn find_missing(&mut self, worker: &Name, report: &Report, now: Moment) {
+        let listed: FastMap<&TaskId, u32> =
+            report.running.iter().map(|it| (&it.task, it.run)).collect();
+        let lease = with_drift(self.terms.lease_ms);
+        for (task, live) in self.live_on(worker) {
+            if listed.get(&task) == Some(&self.run_of(&task)) {
+                continue;
+            }
+            let is_missing = match live.phase {
+                Phase::Recorded => false,
+                Phase::Inherited => true,
+                Phase::Running | Phase::StopConfirmed => report.asked > live.since,
+                Phase::Sent | Phase::Stopping => report.asked > live.since + lease,
+            };
+            if is_missing {
+                self.free(&task, now);
+            }
+        }
+    }
+
+    fn run_ended(&mut self, worker: &Name, end: &RunEnd, now: Moment) {
+        let id = &end.task;
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(id.step as usize) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        let is_run = task.run == end.run
+            && matches!(&task.state, TaskState::Live(live) if live.worker == *worker);
+        if !end.saved.is_empty() && step.saves {
+            task.saved = end.saved.clone();
+        }
+        self.note_health(worker, end.ending, now);
+        match (end.ending, is_run) {
+            (Ending::Done, _) if !step.lasts => self.task_done(id, step.gang, now),
+            (Ending::Failed, true) => self.task_failed(id, step.lasts, now),
+            (_, true) => self.free(id, now),
+            (_, false) => {}
+        }
+    }
+
+    fn note_health(&mut self, worker: &Name, ending: Ending, now: Moment) {
+        let Some(at) = self.workers.get_mut(worker) else { return };
+        match ending {
+            Ending::Done => at.failures = 0,
+            Ending::Failed => at.failures += 1,
+            _ => {}
+        }
+        if at.failures >= FAILURES_TO_AVOID {
+            at.avoid_until = now + FAILING_MS;
+        }
+    }
+
+    fn task_done(&mut self, id: &TaskId, gang: bool, now: Moment) {
+        let members = match (gang, self.jobs.get(&id.job)) {
+            (true, Some(job)) => job.members_of(id),
+            _ => vec![id.clone()],
+        };
+        for member in members {
+            self.finish_task(&member, now);
+        }
+        let done = self.jobs.get(&id.job).is_some_and(|it| !it.stage.is_over() && it.is_done());
+        if done {
+            self.end(&id.job, Stage::Completed, now);
+        }
+    }
+
+    fn finish_task(&mut self, id: &TaskId, now: Moment) {
+        let Some(task) = self.jobs.get(&id.job).and_then(|it| it.task(id)) else { return };
+        match task.state {
+            TaskState::Done => {}
+            TaskState::Live(_) => self.settle(id, TaskState::Done, now),
+            TaskState::Waiting => {
+                let job = self.jobs.get_mut(&id.job).expect("the job is known");
+                job.set_state(id, TaskState::Done);
+                self.mark(&id.job);
+                self.needs_placing = true;
+            }
+        }
+    }
+
+    fn task_failed(&mut self, id: &TaskId, lasts: bool, now: Moment) {
+        self.free(id, now);
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let allowed = job.spec.route.max_attempts.max(1);
+        let is_over = job.stage.is_over();
+        let Some(task) = job.task_mut(id) else { return };
+        task.failures += 1;
+        if !lasts && !is_over && task.failures >= allowed {
+            self.end(&id.job, Stage::Failed, now);
+        }
+    }
+
+    /// The answer to an order to start.
+    pub fn start_answered(&mut self, id: &TaskId, run: u32, answer: Started, now: Moment) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
+        let TaskState::Live(live) = &mut task.state else { return };
+        if task.run != run || live.phase != Phase::Sent {
+            return;
+        }
+        let worker = live.worker.clone();
+        match answer {
+            Started::Running => {
+                live.phase = Phase::Running;
+                live.since = now;
+            }
+            Started::Unknown => {
+                self.avoid(&worker, now + UNANSWERED_MS);
+                self.stop(id, now);
+            }
+            Started::NotSent => self.free(id, now),
+            Started::Refused(reason) => {
+                match reason {
+                    Refusal::Room => self.avoid(&worker, now + NO_ROOM_MS),
+                    Refusal::Unhealthy => self.avoid(&worker, now + FAILING_MS),
+                    Refusal::Malformed => self.avoid(&worker, now + UNANSWERED_MS),
+                    _ => {}
+                }
+                self.free(id, now);
+            }
+        }
+    }
+
+    fn avoid(&mut self, worker: &Name, until: Moment) {
+        if let Some(at) = self.workers.get_mut(worker) {
+            at.avoid_until = at.avoid_until.max(until);
+        }
+    }
+
+    /// A worker has confirmed a stop: the run is not there, or its end will be listed.
+    pub fn stop_answered(&mut self, id: &TaskId, run: u32, now: Moment) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
+        if task.run == run
+            && let TaskState::Live(live) = &mut task.state
+            && live.phase == Phase::Stopping
+        {
+            live.phase = Phase::StopConfirmed;
+            live.since = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -0,0 +1,87 @@
+//! A worker in the coordinator's memory.
+
+use fuchsiamill_model::{FastMap, Resources, units::Moment};
+
+use crate::{TaskId, WorkerSeen, WorkerState};
+
+/// A worker and what the coordinator has on it.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// How it describes itself.
+    pub seen: WorkerSeen,
+    /// Room that is taken by runs that may be there.
+    pub used: Resources,
+    /// Those runs, with the room each takes.
+    pub live: FastMap<TaskId, Resources>,
+    /// The highest number of an end that was taken note of in memory.
+    pub taken: u64,
+    /// Whether it has answered this coordinator in this life.
+    pub answered: bool,
+    /// Whether its entry is gone from the list of workers.
+    pub gone: bool,
+    /// Since when it is silent: the last moment at which its leases may have been renewed.
+    pub silent: Option<Moment>,
+    /// Takes no new tasks before this moment.
+    pub avoid_until: Moment,
+    /// Failures in a row of different tasks.
+    pub failures: u32,
+    /// Takes no new tasks, since its host is about to leave the pool or to be maintained.
+    pub reserved: bool,
+    /// When the last task left it.
+    pub idle_since: Moment,
+}
+
+impl Worker {
+    /// A worker that was just seen.
+    pub fn new(seen: WorkerSeen, now: Moment) -> Self {
+        Self {
+            seen,
+            used: Resources::default(),
+            live: FastMap::default(),
+            taken: 0,
+            answered: false,
+            gone: false,
+            silent: None,
+            avoid_until: Moment(0),
+            failures: 0,
+            reserved: false,
+            idle_since: now,
+        }
+    }
+
+    /// Whether new tasks may be placed on it.
+    pub fn takes_tasks(&self, now: Moment) -> bool {
+        self.answered
+            && !self.gone
+            && !self.reserved
+            && self.silent.is_none()
+            && self.seen.state == WorkerState::Ready
+            && now >= self.avoid_until
+    }
+
+    /// The room that is left.
+    pub fn free(&self) -> Resources {
+        self.seen.capacity.minus(self.used)
+    }
+
+    /// Takes room for a run.
+    pub fn take(&mut self, id: TaskId, room: Resources) {
+        self.used = self.used.plus(room);
+        self.live.insert(id, room);
+    }
+
+    /// Gives the room of a run back.
+    pub fn release(&mut self, id: &TaskId, now: Moment) {
+        if let Some(room) = self.live.remove(id) {
+            self.used = self.used.minus(room);
+            if self.live.is_empty() {
+                self.idle_since = now;
+            }
+        }
+    }
+
+    /// The value of a label such as a rack: whether the worker has it.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.seen.labels.iter().any(|it| it == label)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/terms.rs
@@ -0,0 +1,53 @@
+//! Bounds that a site agrees on, in one place.
+
+use fuchsiamill_model::units::Millisecond;
+
+/// Time limits and factors of a site.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// How long what runs on a worker may go on without a renewal.
+    pub lease_ms: Millisecond,
+    /// The longest time that a worker takes to stop a task.
+    pub stop_ms: Millisecond,
+    /// How long a member of a gang waits for the others.
+    pub gang_ms: Millisecond,
+    /// How many times longer a task takes away from its data.
+    pub far_factor: f64,
+    /// A task that lasts is away from this time on.
+    pub notice_ms: Millisecond,
+    /// How long a host takes to change its pool.
+    pub move_ms: Millisecond,
+    /// How long maintenance of a host takes.
+    pub upkeep_ms: Millisecond,
+    /// How long ago another holder of the lease may have given orders to a host.
+    pub holder_change_ms: Millisecond,
+    /// How long a former coordinator may go on renewing leases after its last confirmed write.
+    pub renewal_ms: Millisecond,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            lease_ms: 6_000,
+            stop_ms: 1_000,
+            gang_ms: 3_000,
+            far_factor: 2.0,
+            notice_ms: 4_500,
+            move_ms: 1_500,
+            upkeep_ms: 2_000,
+            holder_change_ms: 3_000,
+            renewal_ms: 12_000,
+        }
+    }
+}
+
+/// Added to every wait on another machine's clock, as a divisor: 1/50 is 2 %.
+const DRIFT_DIVISOR: Millisecond = 50;
+
+/// Covers the rounding of times to whole milliseconds and one scheduling delay.
+const WAIT_SLACK_MS: Millisecond = 50;
+
+/// A time after which a span of `ms` has surely passed on a clock that runs 2 % slow.
+pub fn with_drift(ms: Millisecond) -> Millisecond {
+    ms + ms / DRIFT_DIVISOR + WAIT_SLACK_MS
+}
--- a/crates/measure/src/capacity.rs
+++ b/crates/measure/src/capacity.rs
@@ -18,7 +18,7 @@
     Change, ChangeId, Configuration, EntryName, Host, HostName, HostState, Pool, PoolName,
     Resources, Version, config::PoolRole,
 };
-use fuchsiamill_platform::{Commit, CommitOutcome};
+use fuchsiamill_ports::{Commit, CommitOutcome};
 use fuchsiamill_standin::site;
 use serde_json::{Value, json};
 
--- a/crates/policy/src/shares/queues.rs
+++ b/crates/policy/src/shares/queues.rs
@@ -82,18 +82,6 @@
         self.lanes.entry(lane).or_insert(fresh).settings = settings;
     }
 
-    /// Removes a lane and returns what it had queued.
-    pub fn remove_lane(&mut self, lane: &Lane) -> Vec<Waiting> {
-        let queue: Vec<_> = self.lanes.remove(lane).map(|it| it.queue.into()).unwrap_or_default();
-        self.len -= queue.len();
-        queue
-    }
-
-    /// Whether a lane is known.
-    pub fn has_lane(&self, lane: &Lane) -> bool {
-        self.lanes.contains_key(lane)
-    }
-
     /// Adds a request, or takes another ask for one that is queued already.
     ///
     /// Gives it back when the lane's queue is full or the lane is not known.
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,125 @@
+//! Section `[fleet]`: an entry host that runs on a site's platform and keeps nothing of its own.
+
+use std::{net::SocketAddr, path::Path};
+
+use fuchsiamill_model::Millisecond;
+use smol_str::SmolStr;
+
+use crate::{
+    error::{Error, Result},
+    section::{Document, Section},
+};
+
+const ADDRESS: &str = "IP:PORT";
+const SECTION: &str = "fleet";
+
+/// Settings of an entry host on a platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// The entry host's name.
+    pub name: SmolStr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness and metrics are told.
+    pub ready: SocketAddr,
+    /// Where the other entry hosts connect.
+    pub peers: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The service that moves and maintains hosts.
+    pub hosts: Option<SocketAddr>,
+    /// The service that knows which workers may run a step.
+    pub advice: Option<SocketAddr>,
+    /// The longest lease that a worker grants.
+    pub longest_lease_ms: Millisecond,
+    /// The longest time that a worker takes to stop a task.
+    pub stop_ms: Millisecond,
+    /// How long a member of a gang waits for the others.
+    pub gang_ms: Millisecond,
+    /// How many times longer a task takes away from its data.
+    pub far_factor: f64,
+    /// A task that lasts counts as away from this time on.
+    pub notice_ms: Millisecond,
+    /// How long a host takes to change its pool.
+    pub move_s: f64,
+    /// How long maintenance of a host takes.
+    pub upkeep_s: f64,
+    /// How long a former holder of the lease may still have given orders to a host.
+    pub holder_change_ms: Millisecond,
+    /// How long a stop waits for requests in flight, in seconds.
+    pub grace_s: f64,
+    /// How long a finished job's state is told, in seconds.
+    pub status_s: u64,
+    /// The largest row that the store takes, in bytes.
+    pub row_bytes: usize,
+    /// Changes a second that one part of the store takes.
+    pub part_writes_per_s: u32,
+    /// The least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl Fleet {
+    /// Reads and checks a file; `None` when it is not about an entry host on a platform.
+    pub fn load(path: &Path) -> Result<Option<Self>> {
+        Self::read(&Document::load(path)?)
+    }
+
+    /// Checks the text of a file; `file` is its name in error messages.
+    pub fn parse(file: &str, text: &str) -> Result<Option<Self>> {
+        Self::read(&Document::parse(file, text)?)
+    }
+
+    fn read(document: &Document) -> Result<Option<Self>> {
+        if !document.has_section(SECTION) {
+            return Ok(None);
+        }
+        document.allow_sections(&[SECTION])?;
+        document.section(SECTION)?.try_into().map(Some)
+    }
+}
+
+impl TryFrom<Section<'_>> for Fleet {
+    type Error = Error;
+
+    fn try_from(mut section: Section<'_>) -> Result<Self> {
+        let factor = "a number";
+        let settings = Self {
+            name: section.value("name", "the entry host's name")?,
+            callers: section.value("callers", ADDRESS)?,
+            ready: section.value("ready", ADDRESS)?,
+            peers: optional(&mut section, "peers")?,
+            store: section.value("store", ADDRESS)?,
+            hosts: optional(&mut section, "hosts")?,
+            advice: optional(&mut section, "advice")?,
+            longest_lease_ms: section.number("longest-lease-ms", 10_000, 1_000..=600_000)?,
+            stop_ms: section.number("stop-ms", 1_000, 0..=60_000)?,
+            gang_ms: section.number("gang-ms", 3_000, 0..=60_000)?,
+            far_factor: section.value_or("far-factor", factor, 2.0)?,
+            notice_ms: section.number("notice-ms", 4_500, 0..=600_000)?,
+            move_s: section.value_or("move-s", factor, 1.5)?,
+            upkeep_s: section.value_or("upkeep-s", factor, 2.0)?,
+            holder_change_ms: section.number("holder-change-ms", 3_000, 0..=600_000)?,
+            grace_s: section.value_or("grace-s", factor, 6.0)?,
+            status_s: section.number("status-s", 120, 1..=86_400)?,
+            row_bytes: section.number("row-bytes", 65_536, 4_096..=16_777_216)?,
+            part_writes_per_s: section.number("part-writes-per-s", 150, 1..=1_000_000)?,
+            log_level: section.value_or(
+                "log-level",
+                "off, error, warn, info, debug or trace",
+                log::LevelFilter::Info,
+            )?,
+        };
+        section.finish()?;
+        Ok(settings)
+    }
+}
+
+/// An address that may be left empty where a site lacks the service.
+fn optional(section: &mut Section<'_>, key: &'static str) -> Result<Option<SocketAddr>> {
+    let raw: String = section.value_or(key, ADDRESS, String::new())?;
+    let raw = raw.trim();
+    if raw.is_empty() {
+        return Ok(None);
+    }
+    raw.parse().map(Some).map_err(|_| section.refused(key, raw, ADDRESS))
+}
--- a/crates/settings/src/section.rs
+++ b/crates/settings/src/section.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether the file has a section.
+    pub fn has_section(&self, name: &str) -> bool {
+        self.ini.section(Some(name)).is_some()
+    }
+
     /// A section; one that is not in the file reads as empty.
     pub fn section(&self, name: &'static str) -> Result<Section<'_>> {
         let mut all = self.ini.section_all(Some(name));
--- /dev/null
+++ b/crates/site/src/config.rs
@@ -0,0 +1,135 @@
+//! Follows the operator's configuration and waves.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use fuchsiamill_fleet::{Config, worker::Wave};
+use fuchsiamill_platform::{Change, Key, Row, Store, read_config, read_wave, tables};
+use monoio::time::sleep;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use fuchsiamill_model::units::Moment;
+
+/// How long one call to the feed waits: a connection that went silent is noticed after little more.
+const FEED_WAIT: Duration = Duration::from_millis(900);
+
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the operator has written.
+#[derive(Clone, Debug, Default)]
+pub struct Intent {
+    /// The newest configuration, if one was read.
+    pub config: Option<Arc<Config>>,
+    /// Maintenance waves, by number.
+    pub waves: Vec<Wave>,
+}
+
+/// Follows the operator's table for ever.
+pub struct Follower {
+    /// The store.
+    pub store: Rc<Store>,
+    /// The clock.
+    pub clock: Clock,
+    /// Where new intents are told.
+    pub tx: watch::Sender<Intent>,
+    /// When the store last answered.
+    pub heard: Rc<Cell<Moment>>,
+}
+
+impl Follower {
+    /// Runs until the process ends.
+    pub async fn run(self) {
+        let mut after = None;
+        loop {
+            after = match after {
+                None => self.read_all().await,
+                Some(version) => self.follow(version).await,
+            };
+        }
+    }
+
+    async fn read_all(&self) -> Option<u64> {
+        match self.store.read_part(tables::OPERATOR, "").await {
+            Ok(page) => {
+                self.heard.set(self.clock.now());
+                page.rows.iter().for_each(|it| self.apply(it));
+                Some(page.version)
+            }
+            Err(e) => {
+                tracing::warn!(event = "store-lost", what = "operator table", error = %e);
+                sleep(RETRY_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    async fn follow(&self, version: u64) -> Option<u64> {
+        match self.store.feed(tables::OPERATOR, version, FEED_WAIT).await {
+            Ok(Change::Rows(page)) => {
+                self.heard.set(self.clock.now());
+                page.rows.iter().for_each(|it| self.apply(it));
+                Some(page.version.max(version))
+            }
+            Ok(Change::HistoryLost) => None,
+            Err(e) => {
+                tracing::debug!(event = "store-lost", what = "operator feed", error = %e);
+                sleep(RETRY_PAUSE).await;
+                Some(version)
+            }
+        }
+    }
+
+    fn apply(&self, row: &Row) {
+        let Key { key, .. } = &row.key;
+        if row.is_removed {
+            return;
+        }
+        if key == tables::CONFIG_KEY {
+            self.apply_config(row);
+        } else if key.starts_with(tables::WAVE_PREFIX) {
+            self.apply_wave(row);
+        }
+    }
+
+    fn apply_config(&self, row: &Row) {
+        let config = match read_config(&row.value) {
+            Ok(config) => config,
+            Err(e) => {
+                tracing::error!(event = "configuration-unreadable", version = row.version, error = %e);
+                return;
+            }
+        };
+        let current = self.tx.borrow().config.as_ref().map_or(0, |it| it.version);
+        if config.version <= current {
+            return;
+        }
+        tracing::info!(
+            event = "configuration-in-force",
+            version = config.version,
+            before = current,
+            queues = config.queues.len(),
+            teams = config.teams.len()
+        );
+        self.tx.send_modify(|it| it.config = Some(Arc::new(config)));
+    }
+
+    fn apply_wave(&self, row: &Row) {
+        let wave = match read_wave(&row.value) {
+            Ok(wave) => wave,
+            Err(e) => {
+                tracing::error!(event = "wave-unreadable", key = %row.key.key, error = %e);
+                return;
+            }
+        };
+        let known = self.tx.borrow().waves.contains(&wave);
+        if known {
+            return;
+        }
+        tracing::info!(event = "wave-asked", wave = wave.number, hosts = wave.hosts.len());
+        self.tx.send_modify(|it| {
+            it.waves.retain(|known| known.number != wave.number);
+            it.waves.push(wave);
+        });
+    }
+}
--- /dev/null
+++ b/crates/site/src/entry.rs
@@ -0,0 +1,163 @@
+//! Starts the tasks of an entry host and stops them gracefully.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use fuchsiamill_fleet::{Name, Terms};
+use fuchsiamill_http::{
+    Bounds, Response, Server, ShutdownHandle,
+    server::{Handler, Incoming},
+    shutdown_pair,
+};
+use fuchsiamill_model::{FastMap, units::Moment};
+use fuchsiamill_platform::Store;
+use fuchsiamill_settings::Fleet;
+use http::StatusCode;
+use monoio::{task::JoinHandle, time::timeout};
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    clock::Clock,
+    config::{Follower, Intent},
+    front::{Front, Submitter},
+    lead::{Candidate, LeaseRow},
+    tables,
+};
+
+/// The longest call to the store. Its slow days take half a second for an answer.
+const STORE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Kept of the longest lease for the way of an order, as a divisor: 10 is a tenth.
+const LEASE_MARGIN_DIVISOR: u64 = 10;
+
+/// The longest lease that is asked for: a shorter one frees tasks of a lost worker sooner, a longer one outlives
+/// the loss of a coordinator.
+const LEASE_MS: u64 = 6_000;
+
+/// How long a former coordinator may go on renewing leases without the store.
+const RENEWAL_MS: u64 = 12_000;
+
+/// The most connections of callers.
+const CALLER_CONNECTIONS: usize = 2_000;
+
+/// A running entry host.
+pub struct Entry {
+    is_stopping: Rc<Cell<bool>>,
+    is_holding: Rc<Cell<bool>>,
+    callers: Running,
+    candidate: JoinHandle<()>,
+    grace: Duration,
+}
+
+struct Running {
+    stop: ShutdownHandle,
+    task: JoinHandle<()>,
+}
+
+/// Tells whether this entry host takes callers.
+struct Ready {
+    intent: watch::Receiver<Intent>,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+impl Handler for Ready {
+    async fn handle(&self, _: Incoming) -> Response {
+        let is_ready = !self.is_stopping.get() && self.intent.borrow().config.is_some();
+        Response::empty(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    }
+}
+
+impl Entry {
+    /// Starts all tasks.
+    pub fn start(settings: &Fleet) -> Result<Self> {
+        let clock = Clock::start();
+        let store = Rc::new(Store::new(settings.store, STORE_TIME));
+        let is_stopping = Rc::new(Cell::new(false));
+        let (tx, intent) = watch::channel(Intent::default());
+        let heard = Rc::new(Cell::new(Moment(0)));
+        monoio::spawn(Follower { store: store.clone(), clock, tx, heard }.run());
+
+        let ready = Ready { intent: intent.clone(), is_stopping: is_stopping.clone() };
+        let (_, shutdown) = shutdown_pair();
+        let ready = Server::bind(settings.ready, Bounds::default(), Rc::new(ready))
+            .with_context(|| format!("cannot listen at {} for readiness", settings.ready))?;
+        monoio::spawn(ready.run(shutdown));
+
+        let front = front(&store, clock, &intent);
+        let bounds = Bounds { connections: CALLER_CONNECTIONS, ..Bounds::default() };
+        let server = Server::bind(settings.callers, bounds, Rc::new(front))
+            .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
+        let (stop, shutdown) = shutdown_pair();
+        let callers = Running { stop, task: monoio::spawn(server.run(shutdown)) };
+
+        let candidate = Candidate {
+            store,
+            clock,
+            terms: terms(settings),
+            intent,
+            own: LeaseRow {
+                holder: settings.name.clone(),
+                incarnation: fastrand::u64(..) >> 12,
+                address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
+                ..LeaseRow::default()
+            },
+            is_stopping: is_stopping.clone(),
+            is_holding: Rc::default(),
+        };
+        let is_holding = candidate.is_holding.clone();
+        let candidate = monoio::spawn(candidate.run());
+        let grace = Duration::from_secs_f64(settings.grace_s * GRACE_SHARE);
+        Ok(Self { is_stopping, is_holding, callers, candidate, grace })
+    }
+
+    /// Takes no new callers, answers those in flight and gives the lease back.
+    pub async fn stop(self) {
+        self.is_stopping.set(true);
+        self.callers.stop.stop();
+        let drained = timeout(self.grace, self.callers.task).await;
+        if self.is_holding.get() {
+            let given_back = timeout(self.grace, self.candidate).await;
+            tracing::info!(event = "lease-returned", in_time = given_back.is_ok());
+        }
+        tracing::info!(event = "stopped", drained = drained.is_ok());
+    }
+}
+
+/// The part of the time until the process is killed that each step of a graceful stop may take.
+const GRACE_SHARE: f64 = 0.7;
+
+fn front(store: &Rc<Store>, clock: Clock, intent: &watch::Receiver<Intent>) -> Front {
+    let mut submitters = FastMap::default();
+    for part in tables::job_parts() {
+        let (tx, rx) = mpsc::unbounded_channel();
+        monoio::spawn(Submitter { store: store.clone(), clock, rx }.run());
+        submitters.insert(Name::from(part), tx);
+    }
+    Front {
+        store: store.clone(),
+        clock,
+        intent: intent.clone(),
+        submitters,
+        board: RefCell::default(),
+        in_flight: Cell::new(0),
+    }
+}
+
+fn terms(settings: &Fleet) -> Terms {
+    let longest = settings.longest_lease_ms;
+    Terms {
+        lease_ms: LEASE_MS.min(longest - longest / LEASE_MARGIN_DIVISOR),
+        stop_ms: settings.stop_ms,
+        gang_ms: settings.gang_ms,
+        far_factor: settings.far_factor,
+        notice_ms: settings.notice_ms,
+        move_ms: (settings.move_s * 1_000.0) as u64,
+        upkeep_ms: (settings.upkeep_s * 1_000.0) as u64,
+        holder_change_ms: settings.holder_change_ms,
+        renewal_ms: RENEWAL_MS,
+    }
+}
--- /dev/null
+++ b/crates/site/src/front/mod.rs
@@ -0,0 +1,158 @@
+//! Callers' requests.
+
+mod lookup;
+mod submit;
+
+use std::{cell::Cell, rc::Rc, sync::Arc};
+
+use fuchsiamill_fleet::{Config, JobSpec, Name, Queue, job::RouteTerms};
+use fuchsiamill_http::{
+    Response,
+    server::{Handler, Incoming},
+};
+use fuchsiamill_model::{FastMap, units::Moment};
+use fuchsiamill_platform::{Ask, Headers, Store, read_ask};
+use http::{HeaderValue, StatusCode, header};
+use tokio::sync::{mpsc, oneshot, watch};
+
+pub use submit::{Insert, Inserted, Submitter};
+
+use crate::{clock::Clock, config::Intent, tables};
+
+/// How long a refused insertion is tried again: a quarter of the usual objective.
+const INSERT_PATIENCE_MS: u64 = 400;
+
+/// What a caller waits when it does not say so.
+const DEFAULT_PATIENCE_MS: u64 = 3_000;
+
+/// Kept of a caller's patience for the way of the answer.
+const ANSWER_MARGIN_MS: u64 = 150;
+
+/// When a caller that was refused should come back, in seconds: outages of the store last seconds.
+const RETRY_AFTER_S: &str = "1";
+
+/// Answers callers.
+pub struct Front {
+    /// The store.
+    pub store: Rc<Store>,
+    /// The clock.
+    pub clock: Clock,
+    /// What the operator has written.
+    pub intent: watch::Receiver<Intent>,
+    /// Inserts rows, by part.
+    pub submitters: FastMap<Name, mpsc::UnboundedSender<Insert>>,
+    /// The last board read, and when.
+    pub board: lookup::BoardCache,
+    /// Requests that are being answered.
+    pub in_flight: Cell<usize>,
+}
+
+pub use lookup::{Board, BoardCache};
+
+/// What is known of a request once it has been admitted.
+struct Admitted<'a> {
+    queue: &'a Queue,
+    team: Name,
+    deadline: Moment,
+}
+
+impl Handler for Front {
+    async fn handle(&self, incoming: Incoming) -> Response {
+        self.in_flight.set(self.in_flight.get() + 1);
+        let response = self.answer(&incoming).await;
+        self.in_flight.set(self.in_flight.get() - 1);
+        response
+    }
+}
+
+impl Front {
+    async fn answer(&self, incoming: &Incoming) -> Response {
+        let request = &incoming.request;
+        let Some(config) = self.intent.borrow().config.clone() else {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration was read yet");
+        };
+        let headers = Headers::from(request);
+        let Some(queue) = config.route(headers.host, request.path()) else {
+            return Response::text(StatusCode::NOT_FOUND, "no queue has this host and path");
+        };
+        let Some(team) = team_of(&config, queue, &headers) else {
+            return Response::text(StatusCode::UNAUTHORIZED, "the key is not known");
+        };
+        let patience = headers.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+        let deadline = self.clock.now() + patience.saturating_sub(ANSWER_MARGIN_MS);
+        let rest = &request.path()[queue.path_prefix.len()..];
+        let admitted = Admitted { queue, team, deadline };
+        match read_ask(request, rest, self.clock.wall()) {
+            Ok(Ask::Submit { id, spec }) => self.submit(id, *spec, admitted).await,
+            Ok(Ask::State(id)) => self.state(&id, admitted.deadline).await,
+            Ok(Ask::Cancel(id)) => self.cancel(&id, admitted.deadline).await,
+            Ok(Ask::Count) => self.count(&queue.name, admitted.deadline).await,
+            Err(e) => Response::text(e.status(), e.to_string()),
+        }
+    }
+
+    async fn submit(&self, id: Name, mut spec: JobSpec, admitted: Admitted<'_>) -> Response {
+        let Admitted { queue, team, deadline } = admitted;
+        spec.queue = queue.name.clone();
+        spec.team = team;
+        spec.route = RouteTerms {
+            pool: queue.pool.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts,
+            stretch: queue.stretch,
+            objective_ms: queue.objective_ms,
+            advised: queue.advised,
+        };
+        let value = serde_json::to_vec(&spec).expect("a job serialises to JSON");
+        let outcome = self.insert(tables::job_key(&id), value, deadline).await;
+        tracing::info!(
+            event = "job-posted",
+            job = %id,
+            queue = %queue.name,
+            team = %spec.team,
+            outcome = outcome_word(&outcome)
+        );
+        match outcome {
+            Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
+            Inserted::Refused => {
+                refuse(StatusCode::SERVICE_UNAVAILABLE, "the job was not stored and will not run")
+            }
+            Inserted::Unknown => {
+                Response::text(StatusCode::GATEWAY_TIMEOUT, "the job may be stored; ask again")
+            }
+        }
+    }
+
+    async fn insert(&self, key: fuchsiamill_platform::Key, value: Vec<u8>, deadline: Moment) -> Inserted {
+        let (reply, outcome) = oneshot::channel();
+        let give_up = (self.clock.now() + INSERT_PATIENCE_MS).min(deadline);
+        let Some(submitter) = self.submitters.get(&key.part) else { return Inserted::Refused };
+        let insert = Insert { key, value, give_up, deadline, reply };
+        if submitter.send(insert).is_err() {
+            return Inserted::Refused;
+        }
+        outcome.await.unwrap_or(Inserted::Unknown)
+    }
+}
+
+fn team_of(config: &Arc<Config>, queue: &Queue, headers: &Headers<'_>) -> Option<Name> {
+    let team = headers.key.and_then(|it| config.keys.get(it)).cloned();
+    match queue.open {
+        true => Some(team.unwrap_or_default()),
+        false => team,
+    }
+}
+
+fn outcome_word(outcome: &Inserted) -> &'static str {
+    match outcome {
+        Inserted::Stored => "accepted",
+        Inserted::Exists(_) => "known",
+        Inserted::Refused => "refused",
+        Inserted::Unknown => "unknown",
+    }
+}
+
+/// A refusal of something that has not run, with the time to come back.
+fn refuse(status: StatusCode, text: &str) -> Response {
+    Response::text(status, text).header(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S))
+}
--- /dev/null
+++ b/crates/site/src/lead/feeds.rs
@@ -0,0 +1,104 @@
+//! Follows the tables of jobs and workers for the coordinator.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use fuchsiamill_platform::{Change, Row, Store};
+use monoio::time::sleep;
+use tokio::sync::mpsc;
+
+/// How long one call to a feed waits.
+const FEED_WAIT: Duration = Duration::from_millis(2_000);
+
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a feed tells.
+#[derive(Debug)]
+pub enum FeedEvent {
+    /// Changed rows, in order.
+    Rows(Vec<Row>),
+    /// All rows of the table, since changes were missed.
+    Whole(Vec<Row>),
+}
+
+/// A feed of one table.
+pub struct Feed {
+    /// The store.
+    pub store: Rc<Store>,
+    /// The table.
+    pub table: &'static str,
+    /// Its parts.
+    pub parts: Vec<String>,
+    /// Where events go.
+    pub tx: mpsc::UnboundedSender<FeedEvent>,
+    /// Whether this process still coordinates.
+    pub is_leading: Rc<Cell<bool>>,
+}
+
+impl Feed {
+    /// Follows the table after a version until this process no longer coordinates.
+    pub async fn run(self, after: u64) {
+        let mut after = Some(after);
+        while self.is_leading.get() {
+            after = match after {
+                Some(version) => self.follow(version).await,
+                None => self.read_whole().await,
+            };
+        }
+    }
+
+    async fn follow(&self, version: u64) -> Option<u64> {
+        match self.store.feed(self.table, version, FEED_WAIT).await {
+            Ok(Change::Rows(page)) => {
+                if !page.rows.is_empty() {
+                    self.tell(FeedEvent::Rows(page.rows));
+                }
+                Some(page.version.max(version))
+            }
+            Ok(Change::HistoryLost) => {
+                tracing::info!(event = "history-lost", table = self.table, version);
+                None
+            }
+            Err(e) => {
+                tracing::debug!(event = "feed-failed", table = self.table, error = %e);
+                sleep(RETRY_PAUSE).await;
+                Some(version)
+            }
+        }
+    }
+
+    async fn read_whole(&self) -> Option<u64> {
+        match read_table(&self.store, self.table, &self.parts).await {
+            Ok((rows, version)) => {
+                self.tell(FeedEvent::Whole(rows));
+                Some(version)
+            }
+            Err(e) => {
+                tracing::debug!(event = "read-failed", table = self.table, error = %e);
+                sleep(RETRY_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    fn tell(&self, event: FeedEvent) {
+        // Nobody listens once this process no longer coordinates.
+        let _ = self.tx.send(event);
+    }
+}
+
+/// All rows of a table, and a version after which the feed misses nothing.
+pub async fn read_table(
+    store: &Store,
+    table: &str,
+    parts: &[String],
+) -> fuchsiamill_platform::Result<(Vec<Row>, u64)> {
+    let mut rows = Vec::new();
+    let mut first = None;
+    for part in parts {
+        let page = store.read_part(table, part).await?;
+        first.get_or_insert(page.version);
+        rows.extend(page.rows);
+    }
+    Ok((rows, first.unwrap_or(0)))
+}
--- /dev/null
+++ b/crates/site/src/lead/leader.rs
@@ -0,0 +1,346 @@
+//! The loop of the coordinator.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use fuchsiamill_fleet::{Coordinator, Name, Order};
+use fuchsiamill_model::{FastMap, FastSet, units::Moment};
+use fuchsiamill_platform::{Key, Row, tables as shared};
+use futures_util::future::{Either, select};
+use monoio::time::sleep;
+use tokio::sync::mpsc;
+
+use super::{
+    Candidate, RENEW_MS,
+    feeds::{Feed, FeedEvent},
+    lease::{Lease, Lost},
+    links::{Link, LinkEvent, LinkTerms},
+    load::{Loaded, apply_job, apply_worker, load},
+};
+use crate::{front::Board, tables};
+
+/// The longest pause between two looks at what time alone brings about.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The board is written with the first change after this time.
+const BOARD_MS: u64 = 800;
+
+/// Why a process stopped coordinating.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// Another one holds the lease.
+    Lost,
+    /// A worker has orders of another one.
+    Fenced,
+    /// The process was told to stop.
+    Stopping,
+}
+
+enum Event {
+    Jobs(FeedEvent),
+    Workers(FeedEvent),
+    Link(LinkEvent),
+    Committed(Box<Lease>, Result<(), Lost>),
+    Tick,
+}
+
+/// The coordinator's process.
+pub struct Leader {
+    cx: Candidate,
+    coordinator: Coordinator,
+    links: FastMap<Name, Rc<Link>>,
+    link_terms: LinkTerms,
+    /// The lease while no change is under way.
+    lease: Option<Box<Lease>>,
+    committed: Moment,
+    board_written: Moment,
+    store_offset: (u64, Moment),
+    commits: mpsc::UnboundedSender<(Box<Lease>, Result<(), Lost>)>,
+    config_version: u64,
+}
+
+impl Leader {
+    /// Coordinates until the lease is lost or the process is told to stop.
+    pub async fn run(cx: Candidate, lease: Lease) -> Left {
+        let taken = cx.clock.now();
+        let Loaded { coordinator, jobs_version, workers_version } = load(&cx).await;
+        let is_leading = Rc::new(Cell::new(true));
+        let (link_tx, mut link_rx) = mpsc::unbounded_channel();
+        let (job_tx, mut job_rx) = mpsc::unbounded_channel();
+        let (worker_tx, mut worker_rx) = mpsc::unbounded_channel();
+        let (commits, mut commit_rx) = mpsc::unbounded_channel();
+        let feed = |table, parts, tx| Feed {
+            store: cx.store.clone(),
+            table,
+            parts,
+            tx,
+            is_leading: is_leading.clone(),
+        };
+        let job_parts = tables::job_parts().collect();
+        monoio::spawn(feed(tables::JOBS, job_parts, job_tx).run(jobs_version));
+        let worker_parts = vec![String::new()];
+        monoio::spawn(feed(shared::WORKERS, worker_parts, worker_tx).run(workers_version));
+        let link_terms = LinkTerms {
+            clock: cx.clock,
+            tx: link_tx,
+            fence: lease.term(),
+            lease_ms: cx.terms.lease_ms,
+            is_leading: is_leading.clone(),
+            confirmed: Rc::new(Cell::new(taken)),
+            renewal_ms: cx.terms.renewal_ms,
+        };
+        let mut leader = Self {
+            coordinator,
+            links: FastMap::default(),
+            link_terms,
+            committed: taken,
+            board_written: Moment(0),
+            store_offset: (lease.store_ms(), taken),
+            lease: Some(Box::new(lease)),
+            commits,
+            config_version: 0,
+            cx,
+        };
+        let left = loop {
+            let event = {
+                let jobs = std::pin::pin!(job_rx.recv());
+                let workers = std::pin::pin!(worker_rx.recv());
+                let links = std::pin::pin!(link_rx.recv());
+                let commits = std::pin::pin!(commit_rx.recv());
+                let tick = std::pin::pin!(sleep(TICK));
+                let feeds = select(jobs, workers);
+                let answers = select(links, commits);
+                match select(select(answers, feeds), tick).await {
+                    Either::Left((Either::Left((Either::Left((it, _)), _)), _)) => {
+                        it.map(Event::Link)
+                    }
+                    Either::Left((Either::Left((Either::Right((it, _)), _)), _)) => {
+                        it.map(|(lease, result)| Event::Committed(lease, result))
+                    }
+                    Either::Left((Either::Right((Either::Left((it, _)), _)), _)) => {
+                        it.map(Event::Jobs)
+                    }
+                    Either::Left((Either::Right((Either::Right((it, _)), _)), _)) => {
+                        it.map(Event::Workers)
+                    }
+                    Either::Right(_) => Some(Event::Tick),
+                }
+            };
+            let mut left = event.and_then(|it| leader.apply(it));
+            while left.is_none() && let Ok(it) = link_rx.try_recv() {
+                left = leader.apply(Event::Link(it));
+            }
+            if left.is_none() {
+                left = leader.advance();
+            }
+            if let Some(left) = left {
+                break left;
+            }
+        };
+        is_leading.set(false);
+        leader.links.values().for_each(|it| it.close());
+        if left == Left::Stopping {
+            leader.give_back(commit_rx).await;
+        }
+        left
+    }
+
+    /// Waits for the change under way, then gives the lease back.
+    async fn give_back(mut self, mut commits: mpsc::UnboundedReceiver<(Box<Lease>, Result<(), Lost>)>) {
+        let lease = match self.lease.take() {
+            Some(lease) => Some(lease),
+            None => commits.recv().await.and_then(|(lease, result)| result.ok().map(|()| lease)),
+        };
+        if let Some(mut lease) = lease {
+            let given = lease.give_back().await;
+            tracing::info!(event = "lease-given-back", ok = given.is_ok());
+        }
+    }
+
+    fn apply(&mut self, event: Event) -> Option<Left> {
+        match event {
+            Event::Jobs(it) => self.apply_jobs(it),
+            Event::Workers(it) => self.apply_workers(it),
+            Event::Link(LinkEvent::Fenced(worker)) => {
+                tracing::warn!(event = "fenced", %worker);
+                return Some(Left::Fenced);
+            }
+            Event::Link(it) => self.apply_link(it),
+            Event::Committed(lease, Ok(())) => self.apply_commit(lease),
+            Event::Committed(_, Err(Lost)) => return Some(Left::Lost),
+            Event::Tick => {}
+        }
+        None
+    }
+
+    fn apply_jobs(&mut self, event: FeedEvent) {
+        let (FeedEvent::Rows(rows) | FeedEvent::Whole(rows)) = event;
+        for row in &rows {
+            apply_job(&mut self.coordinator, row, None, &self.cx);
+        }
+    }
+
+    fn apply_workers(&mut self, event: FeedEvent) {
+        match event {
+            FeedEvent::Rows(rows) => self.apply_worker_rows(&rows),
+            FeedEvent::Whole(rows) => {
+                let listed: FastSet<&Name> = rows.iter().map(|it| &it.key.key).collect();
+                let gone: Vec<Name> = self.coordinator.workers().keys().cloned().collect();
+                for id in gone.iter().filter(|it| !listed.contains(it)) {
+                    self.coordinator.worker_unlisted(id);
+                }
+                self.apply_worker_rows(&rows);
+            }
+        }
+    }
+
+    fn apply_worker_rows(&mut self, rows: &[Row]) {
+        for row in rows {
+            apply_worker(&mut self.coordinator, row, &self.cx);
+        }
+    }
+
+    fn apply_link(&mut self, event: LinkEvent) {
+        let now = self.cx.clock.now();
+        match event {
+            LinkEvent::Held(id, report) => {
+                self.coordinator.worker_held(&id, report, now);
+                let at = self.coordinator.workers().get(&id);
+                let is_busy = at.is_some_and(|it| !it.live.is_empty());
+                if let Some(link) = self.links.get(&id) {
+                    link.set_busy(is_busy);
+                }
+            }
+            LinkEvent::Silent(id, renewed) => {
+                tracing::info!(event = "worker-silent", worker = %id, renewed = renewed.0, now = now.0);
+                self.coordinator.worker_silent(&id, renewed, now);
+            }
+            LinkEvent::Dead(id, born) => {
+                tracing::info!(event = "worker-over", worker = %id, born);
+                self.coordinator.worker_dead(&id, born, now);
+            }
+            LinkEvent::Started(task, run, answer) => {
+                tracing::debug!(event = "start-answered", %task, run, answer = ?answer);
+                self.coordinator.start_answered(&task, run, answer, now);
+            }
+            LinkEvent::Stopped(task, run) => self.coordinator.stop_answered(&task, run, now),
+            LinkEvent::Fenced(_) => {}
+        }
+    }
+
+    fn apply_commit(&mut self, lease: Box<Lease>) {
+        let now = self.cx.clock.now();
+        self.committed = now;
+        self.link_terms.confirmed.set(now);
+        self.store_offset = (lease.store_ms(), now);
+        self.lease = Some(lease);
+        self.coordinator.committed(now);
+    }
+
+    /// Decides, stores and orders what the events brought about.
+    fn advance(&mut self) -> Option<Left> {
+        if self.cx.is_stopping.get() {
+            return Some(Left::Stopping);
+        }
+        let now = self.cx.clock.now();
+        self.apply_config();
+        self.coordinator.tick(now, self.cx.clock.wall());
+        self.coordinator.place(now);
+        self.begin_commit(now);
+        self.carry_out();
+        self.close_links();
+        None
+    }
+
+    fn apply_config(&mut self) {
+        let config = self.cx.intent.borrow().config.clone();
+        if let Some(config) = config
+            && config.version > self.config_version
+        {
+            self.config_version = config.version;
+            self.coordinator.configure(config);
+        }
+    }
+
+    fn begin_commit(&mut self, now: Moment) {
+        if self.lease.is_none() {
+            return;
+        }
+        let records = self.coordinator.next_commit().unwrap_or_default().records;
+        let is_due = now.since(self.committed) >= RENEW_MS;
+        if records.is_empty() && !is_due {
+            // Orders that wait for no record are free to go.
+            self.coordinator.committed(now);
+            return;
+        }
+        let mut puts: Vec<(Key, Vec<u8>)> = records
+            .iter()
+            .map(|(id, record)| {
+                let value = serde_json::to_vec(record).expect("a record serialises to JSON");
+                (tables::progress_key(id), value)
+            })
+            .collect();
+        if now.since(self.board_written) >= BOARD_MS {
+            self.board_written = now;
+            puts.push((tables::board_key(), self.board(now)));
+        }
+        let mut lease = self.lease.take().expect("the lease is here");
+        let commits = self.commits.clone();
+        monoio::spawn(async move {
+            let result = lease.commit(puts, Vec::new()).await;
+            // The leader may have stopped.
+            let _ = commits.send((lease, result));
+        });
+    }
+
+    fn board(&self, now: Moment) -> Vec<u8> {
+        let (store_ms, read) = self.store_offset;
+        let board = Board { at_ms: store_ms + now.since(read), waiting: self.coordinator.waiting() };
+        serde_json::to_vec(&board).expect("a board serialises to JSON")
+    }
+
+    fn carry_out(&mut self) {
+        for order in self.coordinator.take_orders() {
+            match order {
+                Order::Watch { worker } => self.watch(worker),
+                Order::Start { worker, task, run, payload, saved } => {
+                    let Some(link) = self.links.get(&worker) else { continue };
+                    tracing::info!(event = "task-started", %task, run, %worker);
+                    monoio::spawn(link.clone().start(task, run, payload, saved));
+                }
+                Order::Stop { worker, task, run } => {
+                    let Some(link) = self.links.get(&worker) else { continue };
+                    tracing::info!(event = "task-stopped", %task, run, %worker);
+                    monoio::spawn(link.clone().stop(task, run));
+                }
+                Order::Seen { worker, born, upto } => {
+                    if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born) {
+                        link.acknowledge(upto);
+                    }
+                }
+            }
+        }
+    }
+
+    fn watch(&mut self, worker: fuchsiamill_fleet::WorkerSeen) {
+        if let Some(link) = self.links.get(&worker.id) {
+            if link.worker.born == worker.born && link.worker.addr == worker.addr {
+                return;
+            }
+            link.close();
+        }
+        let id = worker.id.clone();
+        self.links.insert(id, Link::open(worker, self.link_terms.clone()));
+    }
+
+    /// Ends the links of workers that are no longer known.
+    fn close_links(&mut self) {
+        let workers = self.coordinator.workers();
+        self.links.retain(|id, link| {
+            let is_known = workers.contains_key(id);
+            if !is_known {
+                link.close();
+            }
+            is_known
+        });
+    }
+}
--- /dev/null
+++ b/crates/site/src/lead/links.rs
@@ -0,0 +1,285 @@
+//! One link to each worker: it looks at the worker, renews its leases and carries orders.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use fuchsiamill_fleet::{Name, Report, TaskId, WorkerSeen, coordinator::Started};
+use fuchsiamill_model::units::{Millisecond, Moment};
+use fuchsiamill_platform::{LifeError, WorkerClient};
+use monoio::time::sleep;
+use tokio::sync::{Notify, mpsc};
+
+use crate::clock::Clock;
+
+/// How long a look waits for an end while something runs.
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long an order or a look may take beyond its wait.
+const ORDER_TIME: Duration = Duration::from_millis(700);
+
+/// The pause after a look that was not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The pause after a look that found the worker's life over.
+const DEAD_PAUSE: Duration = Duration::from_millis(500);
+
+/// Tries of a stop before it is left to the end of the lease.
+const STOP_TRIES: u32 = 30;
+
+/// What links tell the coordinator.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A worker answered a look.
+    Held(Name, Report),
+    /// A worker does not answer; its leases were last renewed at this moment.
+    Silent(Name, Moment),
+    /// The life of a worker that was born then is over.
+    Dead(Name, u64),
+    /// An order to start was answered.
+    Started(TaskId, u32, Started),
+    /// A stop was confirmed.
+    Stopped(TaskId, u32),
+    /// Another coordinator gives orders.
+    Fenced(Name),
+}
+
+/// What every link shares.
+#[derive(Clone)]
+pub struct LinkTerms {
+    /// The clock.
+    pub clock: Clock,
+    /// Where events go.
+    pub tx: mpsc::UnboundedSender<LinkEvent>,
+    /// The fence of all orders.
+    pub fence: u64,
+    /// How long a lease is renewed for.
+    pub lease_ms: Millisecond,
+    /// Whether this process still coordinates.
+    pub is_leading: Rc<Cell<bool>>,
+    /// When the store last confirmed that it does.
+    pub confirmed: Rc<Cell<Moment>>,
+    /// How long after that leases are renewed.
+    pub renewal_ms: Millisecond,
+}
+
+/// A link to one life of a worker.
+pub struct Link {
+    terms: LinkTerms,
+    client: WorkerClient,
+    /// The worker.
+    pub worker: WorkerSeen,
+    state: RefCell<LinkState>,
+    wake: Notify,
+}
+
+struct LinkState {
+    /// A reading of the worker's clock and when it was received.
+    clock: Option<(u64, Moment)>,
+    renewed: Moment,
+    is_silent: bool,
+    is_busy: bool,
+    is_closed: bool,
+    seen_upto: u64,
+    told_upto: u64,
+}
+
+enum Next {
+    Look,
+    Pause(Duration),
+}
+
+impl Link {
+    /// Begins to look at a worker.
+    pub fn open(worker: WorkerSeen, terms: LinkTerms) -> Rc<Self> {
+        let now = terms.clock.now();
+        let link = Rc::new(Self {
+            client: WorkerClient::new(&worker.id, worker.addr, terms.fence),
+            state: RefCell::new(LinkState {
+                clock: None,
+                renewed: now,
+                is_silent: false,
+                is_busy: false,
+                is_closed: false,
+                seen_upto: 0,
+                told_upto: 0,
+            }),
+            wake: Notify::new(),
+            worker,
+            terms,
+        });
+        monoio::spawn(link.clone().look_always());
+        link
+    }
+
+    /// Ends the link.
+    pub fn close(&self) {
+        self.state.borrow_mut().is_closed = true;
+        self.wake.notify_one();
+    }
+
+    /// Whether something may run on the worker, so that it has to be looked at.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state.borrow_mut().is_busy = is_busy;
+        if is_busy {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Ends up to this number are stored.
+    pub fn acknowledge(&self, upto: u64) {
+        self.state.borrow_mut().seen_upto = upto;
+        self.wake.notify_one();
+    }
+
+    fn is_over(&self) -> bool {
+        self.state.borrow().is_closed || !self.terms.is_leading.get()
+    }
+
+    async fn look_always(self: Rc<Self>) {
+        while !self.is_over() {
+            if self.may_rest() {
+                self.wake.notified().await;
+                continue;
+            }
+            match self.look().await {
+                Next::Look => {}
+                Next::Pause(span) => sleep(span).await,
+            }
+        }
+    }
+
+    fn may_rest(&self) -> bool {
+        let state = self.state.borrow();
+        state.clock.is_some() && !state.is_busy && !state.is_silent && state.seen_upto == state.told_upto
+    }
+
+    /// The worker's clock now, at the latest, and the end of a lease that begins now.
+    fn deadline(&self, now: Moment) -> Option<u64> {
+        let (clock, read) = self.state.borrow().clock?;
+        Some(clock + now.since(read) + self.terms.lease_ms)
+    }
+
+    fn may_renew(&self, now: Moment) -> bool {
+        now.since(self.terms.confirmed.get()) < self.terms.renewal_ms
+    }
+
+    async fn look(&self) -> Next {
+        let asked = self.terms.clock.now();
+        let (is_busy, is_silent, seen_upto) = {
+            let state = self.state.borrow();
+            (state.is_busy, state.is_silent, state.seen_upto)
+        };
+        let renews = !is_silent && self.may_renew(asked);
+        let deadline = renews.then(|| self.deadline(asked)).flatten();
+        if deadline.is_some() {
+            self.state.borrow_mut().renewed = asked;
+        }
+        let wait = if is_busy && !is_silent { LOOK_WAIT } else { Duration::ZERO };
+        let answer = self.client.hold(asked, deadline, seen_upto, wait, wait + ORDER_TIME).await;
+        if self.is_over() {
+            return Next::Look;
+        }
+        match answer {
+            Ok(held) => {
+                let mut state = self.state.borrow_mut();
+                state.clock = Some((held.clock_ms, self.terms.clock.now()));
+                state.is_silent = false;
+                state.told_upto = seen_upto;
+                drop(state);
+                self.tell(LinkEvent::Held(self.worker.id.clone(), held.report));
+                Next::Look
+            }
+            Err(e) => self.look_failed(e),
+        }
+    }
+
+    fn look_failed(&self, e: LifeError) -> Next {
+        let id = self.worker.id.clone();
+        tracing::debug!(event = "look-failed", worker = %id, error = %e);
+        match e {
+            LifeError::OtherLife | LifeError::Closed => {
+                self.state.borrow_mut().clock = None;
+                self.tell(LinkEvent::Dead(id, self.worker.born));
+                Next::Pause(DEAD_PAUSE)
+            }
+            LifeError::Fenced => {
+                self.tell(LinkEvent::Fenced(id));
+                Next::Pause(DEAD_PAUSE)
+            }
+            LifeError::Call(_) => {
+                let renewed = {
+                    let mut state = self.state.borrow_mut();
+                    state.is_silent = true;
+                    state.renewed
+                };
+                self.tell(LinkEvent::Silent(id, renewed));
+                Next::Pause(RETRY_PAUSE)
+            }
+        }
+    }
+
+    fn tell(&self, event: LinkEvent) {
+        // Nobody listens once this process no longer coordinates.
+        let _ = self.terms.tx.send(event);
+    }
+
+    /// Sends an order to start; one without an answer is sent once more, since it does nothing twice.
+    pub async fn start(self: Rc<Self>, task: TaskId, run: u32, payload: Arc<str>, saved: Name) {
+        let mut answer = Started::NotSent;
+        for _ in 0..2 {
+            let now = self.terms.clock.now();
+            let Some(deadline) = self.deadline(now).filter(|_| !self.is_over()) else { break };
+            if self.state.borrow().is_silent || !self.may_renew(now) {
+                break;
+            }
+            {
+                let mut state = self.state.borrow_mut();
+                state.renewed = now;
+                state.is_busy = true;
+            }
+            self.wake.notify_one();
+            let order = (&task, run);
+            let sent = self.client.start(order, &payload, &saved, None, deadline, ORDER_TIME).await;
+            answer = match (sent, answer) {
+                (Ok(Started::NotSent), Started::Unknown) => Started::Unknown,
+                (Ok(it), _) => it,
+                (Err(LifeError::OtherLife | LifeError::Closed), _) => {
+                    self.tell(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
+                    return;
+                }
+                (Err(e), before) => {
+                    tracing::warn!(event = "start-failed", task = %task, run, error = %e);
+                    before
+                }
+            };
+            if answer != Started::Unknown {
+                break;
+            }
+        }
+        self.tell(LinkEvent::Started(task, run, answer));
+    }
+
+    /// Stops a run, until the worker confirms it.
+    pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
+        for _ in 0..STOP_TRIES {
+            if self.is_over() {
+                return;
+            }
+            self.set_busy(true);
+            match self.client.stop(&task, run, ORDER_TIME).await {
+                Ok(()) => return self.tell(LinkEvent::Stopped(task, run)),
+                Err(LifeError::OtherLife | LifeError::Closed) => {
+                    self.tell(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
+                    return;
+                }
+                Err(e) => tracing::debug!(event = "stop-failed", task = %task, run, error = %e),
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        tracing::warn!(event = "stop-given-up", task = %task, run, worker = %self.worker.id);
+    }
+}
--- /dev/null
+++ b/crates/site/src/lead/load.rs
@@ -0,0 +1,106 @@
+//! Rebuilds the coordinator's state from the store.
+
+use std::{sync::Arc, time::Duration};
+
+use fuchsiamill_fleet::{Coordinator, JobRecord, JobSpec, Name};
+use fuchsiamill_model::FastMap;
+use fuchsiamill_platform::{Row, read_worker, tables as shared};
+use monoio::time::sleep;
+
+use super::{Candidate, feeds::read_table};
+use crate::tables;
+
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(80);
+
+/// Versions from which the feeds go on.
+pub struct Loaded {
+    /// The state.
+    pub coordinator: Coordinator,
+    /// Of the table of jobs.
+    pub jobs_version: u64,
+    /// Of the table of workers.
+    pub workers_version: u64,
+}
+
+/// Reads everything; the caller gives up when the lease is lost meanwhile.
+pub async fn load(cx: &Candidate) -> Loaded {
+    let parts = [tables::COORDINATOR_PART.to_owned()];
+    let (progress, _) = read_patiently(cx, tables::PROGRESS, &parts).await;
+    let job_parts: Vec<String> = tables::job_parts().collect();
+    let (jobs, jobs_version) = read_patiently(cx, tables::JOBS, &job_parts).await;
+    let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
+    let config = cx.intent.borrow().config.clone().unwrap_or_default();
+    let mut coordinator = Coordinator::new(cx.terms.clone(), config);
+    for row in &workers {
+        apply_worker(&mut coordinator, row, cx);
+    }
+    let records: FastMap<Name, JobRecord> =
+        progress.iter().filter_map(|it| Some((it.key.key.clone(), read_record(it)?))).collect();
+    for row in &jobs {
+        apply_job(&mut coordinator, row, records.get(&row.key.key), cx);
+    }
+    tracing::info!(
+        event = "state-loaded",
+        jobs = jobs.len(),
+        open = coordinator.open_jobs(),
+        workers = workers.len()
+    );
+    Loaded { coordinator, jobs_version, workers_version }
+}
+
+async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> (Vec<Row>, u64) {
+    loop {
+        match read_table(&cx.store, table, parts).await {
+            Ok(read) => return read,
+            Err(e) => tracing::debug!(event = "read-failed", table, error = %e),
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+fn read_record(row: &Row) -> Option<JobRecord> {
+    serde_json::from_slice(&row.value)
+        .inspect_err(|e| {
+            tracing::error!(event = "progress-unreadable", job = %row.key.key, error = %e);
+        })
+        .ok()
+}
+
+/// Takes a row of the jobs' table in: a job or the wish to cancel one.
+pub fn apply_job(
+    coordinator: &mut Coordinator,
+    row: &Row,
+    record: Option<&JobRecord>,
+    cx: &Candidate,
+) {
+    if row.is_removed {
+        return;
+    }
+    let now = cx.clock.now();
+    if let Some(id) = tables::cancelled_job(&row.key.key) {
+        coordinator.cancel(&Name::from(id), now);
+        return;
+    }
+    match serde_json::from_slice::<JobSpec>(&row.value) {
+        Ok(spec) => {
+            let id = row.key.key.clone();
+            coordinator.accept(id, Arc::new(spec), record, now, cx.clock.wall());
+        }
+        Err(e) => tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e),
+    }
+}
+
+/// Takes a row of the workers' table in.
+pub fn apply_worker(coordinator: &mut Coordinator, row: &Row, cx: &Candidate) {
+    let id = &row.key.key;
+    if row.is_removed {
+        coordinator.worker_unlisted(id);
+        return;
+    }
+    match read_worker(id, &row.value) {
+        Ok(Some(seen)) => coordinator.worker_listed(seen, cx.clock.now()),
+        Ok(None) => tracing::warn!(event = "worker-state-unknown", worker = %id),
+        Err(e) => tracing::warn!(event = "worker-unreadable", worker = %id, error = %e),
+    }
+}
--- /dev/null
+++ b/crates/site/src/lead/mod.rs
@@ -0,0 +1,69 @@
+//! The process that holds the lease: it feeds the coordinator with events and carries out its orders.
+
+mod election;
+mod feeds;
+mod lease;
+mod leader;
+mod links;
+mod load;
+
+use std::{cell::Cell, rc::Rc};
+
+use fuchsiamill_fleet::Terms;
+use fuchsiamill_platform::Store;
+use tokio::sync::watch;
+
+pub use lease::LeaseRow;
+
+use crate::{clock::Clock, config::Intent};
+use election::Election;
+use leader::Leader;
+
+/// The lease row is changed at least this often.
+const RENEW_MS: u64 = 400;
+
+/// What a candidate needs.
+#[derive(Clone)]
+pub struct Candidate {
+    /// The store.
+    pub store: Rc<Store>,
+    /// The clock.
+    pub clock: Clock,
+    /// Time limits of the site.
+    pub terms: Terms,
+    /// What the operator has written.
+    pub intent: watch::Receiver<Intent>,
+    /// How this process appears in the lease.
+    pub own: LeaseRow,
+    /// Whether this process was told to stop.
+    pub is_stopping: Rc<Cell<bool>>,
+    /// Whether this process holds the lease, so that a stop has to wait for its return.
+    pub is_holding: Rc<Cell<bool>>,
+}
+
+impl Candidate {
+    /// Competes for the lease and coordinates while it is held, until the process is told to stop.
+    pub async fn run(mut self) {
+        if self.intent.wait_for(|it| it.config.is_some()).await.is_err() {
+            return;
+        }
+        while !self.is_stopping.get() {
+            let election = Election {
+                store: self.store.clone(),
+                clock: self.clock,
+                own: self.own.clone(),
+            };
+            let lease = election.win().await;
+            if self.is_stopping.get() {
+                let mut lease = lease;
+                let _ = lease.give_back().await;
+                return;
+            }
+            let term = lease.term();
+            self.is_holding.set(true);
+            let why = Leader::run(self.clone(), lease).await;
+            self.is_holding.set(false);
+            tracing::warn!(event = "lease-left", term, reason = ?why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,14 @@
+//! An entry host that runs on a site's platform.
+//!
+//! All entry hosts are alike. Each takes callers' jobs and writes them into the platform's store; one of them, the
+//! coordinator, holds a lease row there and gives all orders to workers and hosts.
+
+pub mod clock;
+pub mod config;
+pub mod entry;
+pub mod front;
+pub mod lead;
+pub mod logging;
+pub mod tables;
+
+pub use entry::Entry;
--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use fuchsiamill_platform::Liveness;
+use fuchsiamill_ports::Liveness;
 use serde::{Deserialize, Serialize};
 
 /// How the platform misbehaves.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -13,7 +13,7 @@
 };
 
 use fuchsiamill_http::{Bounds, Handler, Incoming, Response};
-use fuchsiamill_platform::{Commit, CommitOutcome, Range, RestartOrder};
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, RestartOrder};
 use http::{Method, StatusCode};
 use monoio::time::sleep;
 
--- a/crates/standin/src/platform/hosts.rs
+++ b/crates/standin/src/platform/hosts.rs
@@ -6,7 +6,7 @@
 };
 
 use fuchsiamill_model::HostName;
-use fuchsiamill_platform::{HostReport, Liveness};
+use fuchsiamill_ports::{HostReport, Liveness};
 
 use crate::admin::SetLiveness;
 
--- a/crates/standin/src/platform/restarts.rs
+++ b/crates/standin/src/platform/restarts.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use fuchsiamill_platform::restart::{RestartOrder, RestartState};
+use fuchsiamill_ports::restart::{RestartOrder, RestartState};
 
 use crate::{
     admin::{RestartMode, SetRestart},
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use fuchsiamill_platform::{Commit, CommitOutcome, Condition, Range, Row, RowVersion};
+use fuchsiamill_ports::{Commit, CommitOutcome, Condition, Range, Row, RowVersion};
 use serde_json::Value;
 
 /// Rows by key, and objects by name.
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -17,7 +17,7 @@
     config::{Access, PoolRole},
     team::Urgency,
 };
-use fuchsiamill_platform::{Commit, CommitOutcome};
+use fuchsiamill_ports::{Commit, CommitOutcome};
 
 use crate::{
     backend::{self, BackendPlan},
@@ -85,11 +85,6 @@
         Some(self.servers.get(host_index(host)?)?.0.clone())
     }
 
-    /// The name of a host's worker agent.
-    pub fn agent_of(&self, host: &str) -> Option<String> {
-        Some(self.agents.get(host_index(host)?)?.0.clone())
-    }
-
     /// The configuration of a site of these pools, teams and entry hosts, at version 1.
     pub fn configuration(
         &self,
