--- a/crates/daemon/src/backend/health.rs
+++ b/crates/daemon/src/backend/health.rs
@@ -4,11 +4,11 @@
 
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
 use fuchsiamill_model::{Configuration, FastMap, FastSet, HostName, HostState, Moment, PoolName};
-use fuchsiamill_ports::{HostReport, Liveness};
 use fuchsiamill_policy::{
     backend_state::{BackendState, Intake, Listed, Probe, Said},
     outlier::{self, Change, Outliers, Standing},
 };
+use fuchsiamill_ports::{HostReport, Liveness};
 use http::{HeaderMap, StatusCode};
 use monoio::time::{Instant, sleep};
 
--- a/crates/daemon/src/claims/answer.rs
+++ b/crates/daemon/src/claims/answer.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use fuchsiamill_http::Response;
-use fuchsiamill_ports::{ObjectClient, Result};
 use fuchsiamill_policy::claims::{Answer, Body, ClaimId};
+use fuchsiamill_ports::{ObjectClient, Result};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 /// The largest body that is kept in the row.
--- a/crates/daemon/src/claims/commit.rs
+++ b/crates/daemon/src/claims/commit.rs
@@ -1,11 +1,11 @@
 //! One batch of claims as one conditional commit of the table.
 
 use fuchsiamill_model::{Incarnation, WallTime};
-use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::claims::{
     Batch, Bucket, ClaimId, ClaimKey, ClaimRow, Found, IndexKey, IndexRow, Op, Outcome, Progress,
     RequestDigest, Write,
 };
+use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Table};
 
 /// Makes a batch's writes and tells what became of them.
 pub async fn write(table: &impl Table, batch: &Batch, index: &IndexKey) -> Outcome {
--- a/crates/daemon/src/claims/reader.rs
+++ b/crates/daemon/src/claims/reader.rs
@@ -2,8 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fuchsiamill_ports::{Row, Table};
 use fuchsiamill_policy::claims::ClaimKey;
+use fuchsiamill_ports::{Row, Table};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
 
--- a/crates/daemon/src/claims/sweep.rs
+++ b/crates/daemon/src/claims/sweep.rs
@@ -1,8 +1,8 @@
 //! Removes claims that are past their retention, with the answers that they left as objects.
 
 use fuchsiamill_model::WallTime;
-use fuchsiamill_ports::{Commit, CommitOutcome, ObjectClient, Range, Result, Row, Table};
 use fuchsiamill_policy::claims::{Bucket, ClaimRow, IndexRow};
+use fuchsiamill_ports::{Commit, CommitOutcome, ObjectClient, Range, Result, Row, Table};
 
 /// The index rows that one sweep reads.
 const ROWS_PER_SWEEP: usize = 16;
--- a/crates/daemon/src/claims/task.rs
+++ b/crates/daemon/src/claims/task.rs
@@ -9,11 +9,11 @@
 
 use fuchsiamill_http::Response;
 use fuchsiamill_model::{FastMap, Incarnation, Millisecond, Moment};
-use fuchsiamill_ports::{ObjectClient, Table};
 use fuchsiamill_policy::claims::{
     Batch, Batcher, Bounds, Claim, ClaimId, ClaimRow, Fate, OpId, Outcome, Progress, Sent, Step,
     Submitted,
 };
+use fuchsiamill_ports::{ObjectClient, Table};
 use fuchsiamill_settings as settings;
 use monoio::time::{sleep, sleep_until};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/daemon/src/config/appends.rs
+++ b/crates/daemon/src/config/appends.rs
@@ -4,11 +4,11 @@
 
 use fuchsiamill_api::{AuditOutcome, AuditRecord};
 use fuchsiamill_model::{ChangeId, LogEntry, Moment, Version};
-use fuchsiamill_ports::Result;
 use fuchsiamill_policy::config_log::{
     Append, AppendEvent, AppendStep, Confirmation, Conflict, Finish, Proposal, Write,
     compaction_due,
 };
+use fuchsiamill_ports::Result;
 use monoio::time::sleep;
 use tokio::sync::oneshot;
 
--- a/crates/daemon/src/config/limits.rs
+++ b/crates/daemon/src/config/limits.rs
@@ -1,8 +1,8 @@
 //! Upper limits that an entry changes: their escrow rows change in the same commit.
 
 use fuchsiamill_model::{Change, LogEntry, TeamName, Units};
-use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, Table};
 use fuchsiamill_policy::escrow::EscrowRow;
+use fuchsiamill_ports::{Commit, CommitOutcome, Error, Result, Row, Table};
 
 const ESCROW_PREFIX: &str = "escrow/";
 const MOST_ATTEMPTS: u32 = 20;
--- a/crates/daemon/src/config/reads.rs
+++ b/crates/daemon/src/config/reads.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use fuchsiamill_model::{EntryName, Moment};
-use fuchsiamill_ports::Result;
 use fuchsiamill_policy::config_log::Offer;
+use fuchsiamill_ports::Result;
 
 use super::{
     spread,
--- a/crates/daemon/src/config/spread.rs
+++ b/crates/daemon/src/config/spread.rs
@@ -4,8 +4,8 @@
 
 use fuchsiamill_api::ConfigStatus;
 use fuchsiamill_model::{Configuration, EntryName, LogEntry, Moment, Version};
-use fuchsiamill_ports::RowVersion;
 use fuchsiamill_policy::config_log::{Since, Told};
+use fuchsiamill_ports::RowVersion;
 use futures_util::{
     future::join_all,
     stream::{FuturesUnordered, StreamExt},
--- a/crates/daemon/src/config/store.rs
+++ b/crates/daemon/src/config/store.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::{Configuration, LogEntry, Version};
-use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::config_log::{
     AppendEvent, Compaction, HEAD_KEY, Head, LOG_PREFIX, SNAPSHOT_KEY, Write, log_key,
 };
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, Row, RowVersion, Table};
 use serde::de::DeserializeOwned;
 
 use crate::audit::{key_of, record_of};
--- a/crates/daemon/src/dispatch/rows.rs
+++ b/crates/daemon/src/dispatch/rows.rs
@@ -1,8 +1,8 @@
 //! Escrow rows: read in one call and written in one commit for each period.
 
 use fuchsiamill_model::{Configuration, TeamName, Version};
-use fuchsiamill_ports::{Commit, CommitOutcome, Row, RowVersion, Table};
 use fuchsiamill_policy::escrow::{EscrowRow, Revision, WriteOutcome};
+use fuchsiamill_ports::{Commit, CommitOutcome, Row, RowVersion, Table};
 
 use crate::cx::Cx;
 
--- a/crates/daemon/src/jobs/api.rs
+++ b/crates/daemon/src/jobs/api.rs
@@ -8,11 +8,11 @@
     Configuration, JobId, JobKind, KeyDigest, Millisecond, PoolName, Problem, ProblemKind,
     Resources, RunState, ServiceName, TeamName, config::PoolRole,
 };
-use fuchsiamill_ports::Table;
 use fuchsiamill_policy::{
     jobs::{Begun, Cancel, Ended, JobCore, JobRow, JobSpec, Rerun, Stage, WriteId},
     keys::{Bearer, KeyRing},
 };
+use fuchsiamill_ports::Table;
 use http::{HeaderValue, Method, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
--- a/crates/daemon/src/jobs/commit.rs
+++ b/crates/daemon/src/jobs/commit.rs
@@ -3,11 +3,11 @@
 use std::{collections::BTreeMap, rc::Rc};
 
 use fuchsiamill_model::{Configuration, JobId, PoolName, TeamName, WallTime};
-use fuchsiamill_ports::{Commit, CommitOutcome, Result, Row, RowVersion, Table};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
     jobs::{JobRow, Proposal, Resolution, Stage, UnitChange, resolve},
 };
+use fuchsiamill_ports::{Commit, CommitOutcome, Result, Row, RowVersion, Table};
 
 use super::rows::{JobIndex, ended_key, escrow_key, index_key, job_key, lease_key, value_of};
 use crate::cx::Cx;
--- a/crates/daemon/src/jobs/intake.rs
+++ b/crates/daemon/src/jobs/intake.rs
@@ -6,8 +6,8 @@
 use fuchsiamill_model::{
     ChangeId, JobId, Moment, OperatorName, PoolName, Problem, ProblemKind, TeamName, WallTime,
 };
-use fuchsiamill_ports::{Commit, CommitOutcome, RowVersion, Table};
 use fuchsiamill_policy::jobs::{Cancel, Job, JobRow, Running, Stage, Waiting};
+use fuchsiamill_ports::{Commit, CommitOutcome, RowVersion, Table};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
 
@@ -212,10 +212,7 @@
         }
     }
 
-    async fn read(
-        &self,
-        batch: &[Pending],
-    ) -> fuchsiamill_ports::Result<BTreeMap<JobId, Found>> {
+    async fn read(&self, batch: &[Pending]) -> fuchsiamill_ports::Result<BTreeMap<JobId, Found>> {
         let jobs: Vec<JobId> = batch.iter().map(|it| it.request.job().clone()).collect();
         let keys: Vec<String> = jobs.iter().map(index_key).collect();
         let indexes = self.cx.table.get(&keys).await?;
--- a/crates/daemon/src/jobs/owner.rs
+++ b/crates/daemon/src/jobs/owner.rs
@@ -3,11 +3,11 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{HostName, JobId, Moment, PoolName, task::Fence};
-use fuchsiamill_ports::Result;
 use fuchsiamill_policy::{
     jobs::WaitCause,
     membership::{self as cluster, TenureId},
 };
+use fuchsiamill_ports::Result;
 use futures_util::future::{Either, select};
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/daemon/src/jobs/rows.rs
+++ b/crates/daemon/src/jobs/rows.rs
@@ -1,8 +1,8 @@
 //! Keys and values of the rows of jobs.
 
 use fuchsiamill_model::{JobId, KeyDigest, PoolName, TeamName, WallTime};
-use fuchsiamill_ports::{Row, RowVersion};
 use fuchsiamill_policy::jobs::{JobRow, WriteId};
+use fuchsiamill_ports::{Row, RowVersion};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Hexadecimal digits of a job's id.
--- a/crates/daemon/src/jobs/rpc.rs
+++ b/crates/daemon/src/jobs/rpc.rs
@@ -5,8 +5,8 @@
 use fuchsiamill_api::{JobFilter, JobRef, JobReport, JobState, JobView, plans::Reason};
 use fuchsiamill_model::{JobId, PoolName, Problem, ProblemKind};
 use fuchsiamill_peer::{CallReceiver, Failure, Router, call_channel};
-use fuchsiamill_ports::{Range, Row, Table};
 use fuchsiamill_policy::jobs::JobRow;
+use fuchsiamill_ports::{Range, Row, Table};
 
 use super::{
     api::look_up,
--- a/crates/daemon/src/jobs/syncs.rs
+++ b/crates/daemon/src/jobs/syncs.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_model::{FastMap, Host, HostName, Millisecond, Moment};
-use fuchsiamill_ports::WorkerClient;
 use fuchsiamill_policy::jobs::Scheduler;
+use fuchsiamill_ports::WorkerClient;
 
 /// Whether a call is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/daemon/src/jobs/takeover.rs
+++ b/crates/daemon/src/jobs/takeover.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use fuchsiamill_model::PoolName;
-use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, RowVersion, Table};
 use fuchsiamill_policy::jobs::{JobRow, PoolLease};
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Result, RowVersion, Table};
 
 use super::{
     commit::HeldLease,
--- a/crates/daemon/src/jobs/tenure.rs
+++ b/crates/daemon/src/jobs/tenure.rs
@@ -6,11 +6,11 @@
     Configuration, FastMap, HostName, JobId, Moment, TeamName, Units,
     task::{Fence, WorkerAnswer},
 };
-use fuchsiamill_ports::{Result, Table, Worker};
 use fuchsiamill_policy::{
     escrow::EscrowRow,
     jobs::{AnswerOutcome, JobRow, Proposal, Scheduler, Timing, UnitChange, WaitCause, Weight},
 };
+use fuchsiamill_ports::{Result, Table, Worker};
 use tokio::sync::mpsc;
 
 use super::{
--- a/crates/daemon/src/maintenance/probes.rs
+++ b/crates/daemon/src/maintenance/probes.rs
@@ -4,8 +4,8 @@
 
 use fuchsiamill_http::{Bounds, Connection, Request};
 use fuchsiamill_model::Host;
-use fuchsiamill_ports::{Worker, WorkerClient};
 use fuchsiamill_policy::waves::{Health, Probe};
+use fuchsiamill_ports::{Worker, WorkerClient};
 use futures_util::future::{join, join_all};
 use monoio::time::Instant;
 
--- a/crates/daemon/src/maintenance/rows.rs
+++ b/crates/daemon/src/maintenance/rows.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeSet, rc::Rc};
 
 use fuchsiamill_model::{EntryName, Incarnation, OperatorName, PlanId, Version, WallTime};
-use fuchsiamill_ports::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
 use fuchsiamill_policy::planner::Plan;
+use fuchsiamill_ports::{Commit, CommitOutcome, Range, Row, RowVersion, Table, TableClient};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use super::error::{Error, Result};
--- a/crates/daemon/src/maintenance/task.rs
+++ b/crates/daemon/src/maintenance/task.rs
@@ -5,10 +5,10 @@
 use fuchsiamill_model::{
     Change, Configuration, FastMap, Host, HostName, HostState, OperatorName, PlanId, PoolName,
 };
-use fuchsiamill_ports::{RestartClient, RestartOrder, RestartState};
 use fuchsiamill_policy::waves::{
     Action, Limits, Observations, Reading, Restart, Runner, Tasks, Turn,
 };
+use fuchsiamill_ports::{RestartClient, RestartOrder, RestartState};
 use monoio::time::sleep;
 
 use super::{
--- a/crates/daemon/tests/claim_measure.rs
+++ b/crates/daemon/tests/claim_measure.rs
@@ -11,8 +11,8 @@
 };
 use fuchsiamill_http::{Bounds as HttpBounds, JsonClient, Response};
 use fuchsiamill_model::{Incarnation, ServiceName, TeamName, WallTime};
-use fuchsiamill_ports::{ObjectClient, TableClient};
 use fuchsiamill_policy::claims::{Bounds, ClaimKey, IdempotencyKey, RequestDigest, Scope};
+use fuchsiamill_ports::{ObjectClient, TableClient};
 use fuchsiamill_standin::{admin::PlatformFault, platform, record::PlatformRecord};
 use http::StatusCode;
 use monoio::time::{Instant, sleep};
--- a/crates/daemon/tests/claim_table.rs
+++ b/crates/daemon/tests/claim_table.rs
@@ -8,10 +8,10 @@
 };
 use fuchsiamill_http::{Bounds as HttpBounds, JsonClient, Response};
 use fuchsiamill_model::{Incarnation, ProblemKind, RunState, ServiceName, TeamName, WallTime};
-use fuchsiamill_ports::{Commit, ObjectClient, Row, Table, TableClient};
 use fuchsiamill_policy::claims::{
     Bounds, Claim, ClaimKey, Held, IdempotencyKey, RETENTION, RequestDigest, Scope,
 };
+use fuchsiamill_ports::{Commit, ObjectClient, Row, Table, TableClient};
 use fuchsiamill_standin::{admin::PlatformFault, platform, record::PlatformRecord, run::block_on};
 use http::StatusCode;
 use serde_json::json;
--- a/crates/daemon/tests/common/waves.rs
+++ b/crates/daemon/tests/common/waves.rs
@@ -12,8 +12,8 @@
 use fuchsiamill_model::{
     Change, Configuration, HostState, Intent, LogEntry, PlanId, PlanState, Slots,
 };
-use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_policy::planner::Plan;
+use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_standin::{
     admin::{RestartMode, SetRestart},
     record::{Run, RunEnd},
--- a/crates/daemon/tests/limits_hold.rs
+++ b/crates/daemon/tests/limits_hold.rs
@@ -10,8 +10,8 @@
 use common::{Site, operator, wait_until};
 use fuchsiamill_api::ChangeReport;
 use fuchsiamill_model::{Change, EntryName, Units};
-use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_policy::{escrow::EscrowRow, membership::View};
+use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_standin::{
     admin::PlatformFault,
     record::{BackendRecord, Run},
--- /dev/null
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -0,0 +1,318 @@
+//! Hosts: maintenance waves, and moves between pools.
+
+use fuchsiamill_model::{
+    FastMap, FastSet,
+    units::{Millisecond, Moment},
+};
+
+use super::{Coordinator, Order, Worker};
+use crate::{HostSeen, HostState, Name, worker::Wave};
+
+/// A host and what was ordered of it.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// What the list says of it.
+    pub seen: HostSeen,
+    /// What was ordered and is not known to be over.
+    pub duty: Option<Pending>,
+}
+
+/// An order to a host that is under way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pending {
+    /// The order.
+    pub duty: Duty,
+    /// When it was given.
+    pub since: Moment,
+    /// When it was confirmed.
+    pub confirmed: Option<Moment>,
+}
+
+/// What a host is ordered to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Go to another pool.
+    Move {
+        /// The pool.
+        pool: Name,
+    },
+    /// Be maintained.
+    Maintain {
+        /// The wave that asks for it.
+        wave: u64,
+    },
+}
+
+/// The answer to an order to a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DutyReply {
+    /// It is carried out.
+    Done,
+    /// It is not carried out.
+    Refused,
+    /// It may be carried out.
+    Unknown,
+}
+
+/// How far a wave is.
+#[derive(Clone, Debug)]
+pub struct WaveState {
+    /// What was asked for.
+    pub wave: Wave,
+    /// Hosts whose maintenance has begun or that are gone.
+    pub begun: FastSet<Name>,
+    /// Whether the operator was told that all are done.
+    pub is_completed: bool,
+}
+
+/// What is stored of a wave.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
+pub struct WaveRecord {
+    /// Hosts whose maintenance has begun or that are gone.
+    pub begun: Vec<Name>,
+    /// Whether all are done.
+    pub is_completed: bool,
+}
+
+/// Covers the time until the list shows the end of a duty.
+const DUTY_SLACK_MS: Millisecond = 300;
+
+/// An order without an answer is given again after this time; it does nothing twice.
+const DUTY_RETRY_MS: Millisecond = 1_500;
+
+impl Coordinator {
+    /// Takes the list of hosts in; `asked` is when it was asked for.
+    pub fn hosts_listed(&mut self, listed: Vec<HostSeen>, asked: Moment) {
+        let names: FastSet<Name> = listed.iter().map(|it| it.host.clone()).collect();
+        self.hosts.retain(|name, _| names.contains(name));
+        for seen in listed {
+            let host = self
+                .hosts
+                .entry(seen.host.clone())
+                .or_insert_with(|| Host { seen: seen.clone(), duty: None });
+            host.seen = seen;
+            if host.duty.as_ref().is_some_and(|it| is_over(it, &host.seen, asked, &self.terms)) {
+                host.duty = None;
+            }
+        }
+        self.hosts_known = true;
+    }
+
+    /// Takes the operator's waves in; `stored` is what an earlier coordinator did of them.
+    pub fn waves_asked(&mut self, waves: &[Wave], stored: &FastMap<u64, WaveRecord>) {
+        for wave in waves {
+            if self.waves.iter().any(|it| it.wave == *wave) {
+                continue;
+            }
+            self.waves.retain(|it| it.wave.number != wave.number);
+            let record = stored.get(&wave.number).cloned().unwrap_or_default();
+            self.waves.push(WaveState {
+                wave: wave.clone(),
+                begun: record.begun.into_iter().collect(),
+                is_completed: record.is_completed,
+            });
+            self.dirty_waves.insert(wave.number);
+        }
+    }
+
+    /// The records of waves that changed.
+    pub fn take_wave_records(&mut self) -> Vec<(u64, WaveRecord)> {
+        let dirty = std::mem::take(&mut self.dirty_waves);
+        let changed = self.waves.iter().filter(|it| dirty.contains(&it.wave.number));
+        changed
+            .map(|it| {
+                let begun = it.begun.iter().cloned().collect();
+                (it.wave.number, WaveRecord { begun, is_completed: it.is_completed })
+            })
+            .collect()
+    }
+
+    /// Decides on hosts: maintenance first, then the sizes of pools.
+    pub fn plan_hosts(&mut self, now: Moment) {
+        if !self.hosts_known || now < self.hosts_from {
+            return;
+        }
+        self.repeat_duties(now);
+        for number in 0..self.waves.len() {
+            self.plan_wave(number, now);
+        }
+        self.plan_pools(now);
+        self.evacuate(now);
+    }
+
+    fn repeat_duties(&mut self, now: Moment) {
+        for (name, host) in &mut self.hosts {
+            let Some(pending) = &mut host.duty else { continue };
+            if pending.confirmed.is_none() && now.since(pending.since) >= DUTY_RETRY_MS {
+                pending.since = now;
+                let (host, duty) = (name.clone(), pending.duty.clone());
+                self.released.push(Order::Host { host, duty });
+            }
+        }
+    }
+
+    fn plan_wave(&mut self, index: usize, now: Moment) {
+        let state = &self.waves[index];
+        if state.is_completed {
+            return;
+        }
+        let number = state.wave.number;
+        let gone: Vec<Name> = state
+            .wave
+            .hosts
+            .iter()
+            .filter(|it| !state.begun.contains(*it) && !self.hosts.contains_key(*it))
+            .cloned()
+            .collect();
+        if !gone.is_empty() {
+            self.waves[index].begun.extend(gone);
+            self.dirty_waves.insert(number);
+        }
+        let state = &self.waves[index];
+        let down = self.down_for(state);
+        if down == 0 && state.wave.hosts.iter().all(|it| state.begun.contains(it)) {
+            self.waves[index].is_completed = true;
+            self.dirty_waves.insert(number);
+            return;
+        }
+        let mut room = state.wave.at_once.saturating_sub(down);
+        let mut left: Vec<Name> = state
+            .wave
+            .hosts
+            .iter()
+            .filter(|it| !state.begun.contains(*it) && self.hosts.contains_key(*it))
+            .cloned()
+            .collect();
+        left.sort_by_key(|it| (self.work_on(it), it.clone()));
+        for name in left {
+            if room == 0 {
+                break;
+            }
+            room -= 1;
+            if self.is_free(&name) {
+                self.give_duty(&name, Duty::Maintain { wave: number }, now);
+            } else {
+                self.reserve(&name);
+            }
+        }
+    }
+
+    /// Hosts of a wave that are down for it, or may be.
+    fn down_for(&self, state: &WaveState) -> usize {
+        let is_down = |name: &&Name| {
+            self.hosts.get(*name).is_some_and(|host| {
+                let ordered = host.duty.as_ref().is_some_and(
+                    |it| matches!(it.duty, Duty::Maintain { wave } if wave == state.wave.number),
+                );
+                ordered || host.seen.state == HostState::Upkeep
+            })
+        };
+        state.wave.hosts.iter().filter(is_down).count()
+    }
+
+    /// Tasks on a host; one that is maintained last has most.
+    fn work_on(&self, host: &Name) -> usize {
+        self.worker_on(host).map_or(0, |it| it.live.len())
+    }
+
+    /// The worker on a host, if its entry is known.
+    pub(super) fn worker_on(&self, host: &Name) -> Option<&Worker> {
+        let worker = self.hosts.get(host)?.seen.worker.as_ref()?;
+        self.workers.get(worker)
+    }
+
+    /// Whether a host may be moved or maintained now: it is up, and nothing runs on it.
+    pub(super) fn is_free(&self, name: &Name) -> bool {
+        let Some(host) = self.hosts.get(name) else { return false };
+        if host.duty.is_some() || host.seen.state != HostState::Up {
+            return false;
+        }
+        let is_spare = self.config.pools.get(&host.seen.pool).is_some_and(|it| it.spare);
+        match self.worker_on(name) {
+            Some(worker) => worker.live.is_empty(),
+            None => is_spare,
+        }
+    }
+
+    pub(super) fn reserve(&mut self, host: &Name) {
+        let Some(worker) = self.hosts.get(host).and_then(|it| it.seen.worker.clone()) else {
+            return;
+        };
+        if let Some(at) = self.workers.get_mut(&worker) {
+            at.reserved = true;
+        }
+    }
+
+    pub(super) fn give_duty(&mut self, name: &Name, duty: Duty, now: Moment) {
+        self.reserve(name);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.duty = Some(Pending { duty: duty.clone(), since: now, confirmed: None });
+        self.released.push(Order::Host { host: name.clone(), duty });
+    }
+
+    /// An order to a host was answered.
+    pub fn host_answered(&mut self, name: &Name, duty: &Duty, reply: DutyReply, now: Moment) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.duty.as_ref().is_none_or(|it| it.duty != *duty) {
+            return;
+        }
+        match reply {
+            DutyReply::Unknown => {}
+            DutyReply::Refused => {
+                host.duty = None;
+                self.unreserve(name);
+            }
+            DutyReply::Done => {
+                if let Some(pending) = &mut host.duty {
+                    pending.confirmed = Some(now);
+                }
+                if let Duty::Maintain { wave } = duty
+                    && let Some(state) = self.waves.iter_mut().find(|it| it.wave.number == *wave)
+                {
+                    state.begun.insert(name.clone());
+                    self.dirty_waves.insert(*wave);
+                }
+            }
+        }
+    }
+
+    fn unreserve(&mut self, host: &Name) {
+        let worker = self.hosts.get(host).and_then(|it| it.seen.worker.clone());
+        if let Some(at) = worker.and_then(|it| self.workers.get_mut(&it)) {
+            at.reserved = false;
+            self.needs_placing = true;
+        }
+    }
+
+    /// Moves tasks that last off reserved and draining workers, as many at a time as their step may miss.
+    fn evacuate(&mut self, now: Moment) {
+        let leaving: Vec<Name> = self
+            .workers
+            .values()
+            .filter(|it| !it.live.is_empty() && it.is_leaving())
+            .map(|it| it.seen.id.clone())
+            .collect();
+        for worker in leaving {
+            for (task, live) in self.live_on(&worker) {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                if !job.spec.steps[task.step as usize].lasts || !live.at_work {
+                    continue;
+                }
+                if job.may_stop(&task) {
+                    self.stop(&task, now);
+                }
+            }
+        }
+    }
+}
+
+/// Whether the list shows that a duty has been carried out.
+fn is_over(it: &Pending, seen: &HostSeen, asked: Moment, terms: &crate::Terms) -> bool {
+    let Some(confirmed) = it.confirmed else { return false };
+    let takes = match it.duty {
+        Duty::Move { .. } => terms.move_ms,
+        Duty::Maintain { .. } => terms.upkeep_ms,
+    };
+    asked > confirmed + takes + DUTY_SLACK_MS && seen.state == HostState::Up
+}
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -83,6 +83,13 @@
     pub at_work: bool,
 }
 
+impl Live {
+    /// Whether its users are served by it.
+    pub fn is_serving(&self) -> bool {
+        self.at_work && self.phase == Phase::Running
+    }
+}
+
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -242,6 +249,14 @@
         (0..count).map(|index| TaskId { index, ..id.clone() }).collect()
     }
 
+    /// Whether a task may be taken away from its users: enough others of its step are at work.
+    pub fn may_stop(&self, id: &TaskId) -> bool {
+        let allowed = self.spec.steps[id.step as usize].may_miss.unwrap_or(1);
+        let is_away = |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving());
+        let step = &self.occurrences[id.occurrence as usize].steps[id.step as usize];
+        (step.tasks.iter().filter(|it| is_away(it)).count() as u32) < allowed
+    }
+
     /// What is stored of the job.
     pub fn record(&self) -> JobRecord {
         let mut record = JobRecord { stage: self.stage, ..JobRecord::default() };
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -3,9 +3,11 @@
 //! Every start is recorded in the store before it is ordered, and every end before it is acknowledged, so that
 //! another coordinator can go on from the store and from what the workers list.
 
+mod hosts;
 mod job;
 mod lapse;
 mod place;
+mod pools;
 mod reports;
 mod worker;
 
@@ -16,6 +18,7 @@
     units::{Moment, WallTime},
 };
 
+pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, TaskState, objective_ms};
 pub use reports::{Refusal, Started};
 pub use worker::Worker;
@@ -61,6 +64,13 @@
         /// The number.
         upto: u64,
     },
+    /// Move or maintain a host.
+    Host {
+        /// The host.
+        host: Name,
+        /// What it has to do.
+        duty: HostDuty,
+    },
 }
 
 /// Records to store, all or none of them.
@@ -89,11 +99,17 @@
     released: Vec<Order>,
     in_flight: Option<(FastSet<Name>, Vec<Order>)>,
     needs_placing: bool,
+    hosts: FastMap<Name, Host>,
+    hosts_known: bool,
+    hosts_from: Moment,
+    waves: Vec<hosts::WaveState>,
+    dirty_waves: FastSet<u64>,
+    demand: FastMap<Name, pools::Demand>,
 }
 
 impl Coordinator {
-    /// A coordinator that knows of nothing yet.
-    pub fn new(terms: Terms, config: Arc<Config>) -> Self {
+    /// A coordinator that knows of nothing yet and gives no order to a host before `hosts_from`.
+    pub fn new(terms: Terms, config: Arc<Config>, hosts_from: Moment) -> Self {
         Self {
             terms,
             config,
@@ -109,6 +125,12 @@
             released: Vec::new(),
             in_flight: None,
             needs_placing: false,
+            hosts: FastMap::default(),
+            hosts_known: false,
+            hosts_from,
+            waves: Vec::new(),
+            dirty_waves: FastSet::default(),
+            demand: FastMap::default(),
         }
     }
 
@@ -132,6 +154,9 @@
         }
         let mut job = Job::new(id.clone(), spec, now, wall);
         job.open_due(wall);
+        if record.is_none() {
+            self.note_demand(&job.spec, now);
+        }
         job.excess = self.is_excess(&job.spec.team, now);
         let inherited = record.map(|it| job.restore(it, now)).unwrap_or_default();
         let over = job.stage.is_over();
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -186,9 +186,8 @@
 }
 
 fn siblings_on(worker: &Worker, id: &TaskId) -> u32 {
-    let is_sibling = |it: &&TaskId| {
-        it.job == id.job && it.occurrence == id.occurrence && it.step == id.step
-    };
+    let is_sibling =
+        |it: &&TaskId| it.job == id.job && it.occurrence == id.occurrence && it.step == id.step;
     worker.live.keys().filter(is_sibling).count() as u32
 }
 
--- /dev/null
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -0,0 +1,216 @@
+//! How many hosts each pool needs, and which host goes where.
+//!
+//! Queues peak in turn, far above what their pool holds, and lie nearly idle between: hosts follow the demand. It is
+//! forecast from the work that arrived within the last second, so that hosts are on their way before tasks wait.
+
+use std::collections::VecDeque;
+
+use fuchsiamill_model::{
+    FastMap,
+    units::{Millisecond, Moment},
+};
+
+use super::{Coordinator, HostDuty, Job, TaskState};
+use crate::{HostState, JobSpec, Name};
+
+/// The window over which arriving work is counted.
+const ARRIVAL_MS: Millisecond = 1_000;
+
+/// A host that was idle this long is given up when its pool has enough: peaks of arrivals have gaps.
+const IDLE_MS: Millisecond = 2_500;
+
+/// Room beyond the expected demand, since tasks do not fill hosts evenly, in per cent.
+const HEADROOM_PERCENT: u64 = 15;
+
+/// The fewest hosts that a pool keeps, so that the first jobs of a peak start at once.
+const LEAST_HOSTS: u64 = 2;
+
+/// What a pool is asked for.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// When work arrived, and how much in millicore-milliseconds.
+    arrivals: VecDeque<(Moment, u64)>,
+    /// The same summed up.
+    arrived: u64,
+}
+
+impl Demand {
+    fn note(&mut self, now: Moment, work: u64) {
+        self.arrivals.push_back((now, work));
+        self.arrived += work;
+    }
+
+    /// Processors that the arrivals keep busy if they go on, in millicores.
+    fn expected(&mut self, now: Moment) -> u64 {
+        while let Some((at, work)) = self.arrivals.front()
+            && now.since(*at) > ARRIVAL_MS
+        {
+            self.arrived -= work;
+            self.arrivals.pop_front();
+        }
+        self.arrived / ARRIVAL_MS
+    }
+}
+
+/// A pool as the plan sees it.
+#[derive(Clone, Debug, Default)]
+struct PoolView {
+    /// Hosts that are in it or on their way.
+    hosts: u64,
+    /// Hosts that it needs.
+    wanted: u64,
+    /// Hosts that may leave, longest idle first.
+    idle: Vec<(Moment, Name)>,
+}
+
+impl Coordinator {
+    /// Counts a new job's work as demand on its pool.
+    pub(super) fn note_demand(&mut self, spec: &JobSpec, now: Moment) {
+        if spec.schedule.is_some() || spec.lasts() {
+            return;
+        }
+        let work = spec
+            .steps
+            .iter()
+            .map(|it| u64::from(it.count) * u64::from(it.size.millicores) * it.estimate_ms.max(1));
+        let demand = self.demand.entry(spec.route.pool.clone()).or_default();
+        demand.note(now, work.sum());
+    }
+
+    /// Moves hosts to the pools that need them and idle ones to the spare pool.
+    pub(super) fn plan_pools(&mut self, now: Moment) {
+        let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
+        let mut views = self.pool_views(now);
+        let mut free: Vec<Name> = self.spare_hosts(&spare);
+        let mut short: Vec<Name> = views
+            .iter()
+            .filter(|(name, it)| **name != spare && it.wanted > it.hosts)
+            .map(|(name, _)| name.clone())
+            .collect();
+        short.sort();
+        for pool in short {
+            let missing = views[&pool].wanted - views[&pool].hosts;
+            for _ in 0..missing {
+                let Some(host) = free.pop().or_else(|| take_idle(&mut views, &pool)) else { break };
+                self.give_duty(&host, HostDuty::Move { pool: pool.clone() }, now);
+            }
+        }
+        self.shrink(&mut views, &spare, now);
+    }
+
+    fn shrink(&mut self, views: &mut FastMap<Name, PoolView>, spare: &Name, now: Moment) {
+        for (pool, view) in views.iter_mut() {
+            if pool == spare {
+                continue;
+            }
+            while view.hosts > view.wanted
+                && let Some((since, host)) = view.idle.pop()
+            {
+                if now.since(since) < IDLE_MS {
+                    break;
+                }
+                view.hosts -= 1;
+                self.give_duty(&host, HostDuty::Move { pool: spare.clone() }, now);
+            }
+        }
+    }
+
+    fn spare_hosts(&self, spare: &Name) -> Vec<Name> {
+        let is_spare = |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name);
+        let mut hosts: Vec<Name> = self.hosts.keys().filter(is_spare).cloned().collect();
+        hosts.sort();
+        hosts
+    }
+
+    fn pool_views(&mut self, now: Moment) -> FastMap<Name, PoolView> {
+        let mut views: FastMap<Name, PoolView> = FastMap::default();
+        let pools: Vec<Name> = self.config.pools.keys().cloned().collect();
+        for pool in pools {
+            let wanted = self.hosts_wanted(&pool, now);
+            views.insert(pool, PoolView { wanted, ..PoolView::default() });
+        }
+        for (name, host) in &self.hosts {
+            let pool = match &host.duty {
+                Some(it) => match &it.duty {
+                    HostDuty::Move { pool } => pool,
+                    HostDuty::Maintain { .. } => &host.seen.pool,
+                },
+                None => &host.seen.pool,
+            };
+            let Some(view) = views.get_mut(pool) else { continue };
+            if host.seen.state == HostState::Down {
+                continue;
+            }
+            view.hosts += 1;
+            if host.duty.is_none()
+                && host.seen.state == HostState::Up
+                && let Some(worker) = self.worker_on(name)
+                && worker.live.is_empty()
+                && !worker.reserved
+            {
+                view.idle.push((worker.idle_since, name.clone()));
+            }
+        }
+        // The longest idle host is taken from the end.
+        views.values_mut().for_each(|it| it.idle.sort_by(|a, b| b.cmp(a)));
+        views
+    }
+
+    /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
+    fn hosts_wanted(&mut self, pool: &Name, now: Moment) -> u64 {
+        let expected = self.demand.get_mut(pool).map_or(0, |it| it.expected(now));
+        let mut present = 0;
+        let mut apart = 0;
+        for job in self.jobs.values().filter(|it| it.spec.route.pool == *pool) {
+            present += demand_of(job);
+            apart = apart.max(apart_of(job));
+        }
+        let host = self.host_millicores(pool);
+        let work = expected.max(present) * (100 + HEADROOM_PERCENT) / 100;
+        work.div_ceil(host).max(apart).max(LEAST_HOSTS)
+    }
+
+    /// The processors of a usual host of a pool, in millicores.
+    fn host_millicores(&self, pool: &Name) -> u64 {
+        let of_pool = self.workers.values().filter(|it| it.seen.pool == *pool);
+        let largest = of_pool.map(|it| it.seen.capacity.millicores).max();
+        let any = || self.hosts.values().map(|it| it.seen.capacity.millicores).max();
+        largest.or_else(any).unwrap_or(0).max(1).into()
+    }
+}
+
+fn take_idle(views: &mut FastMap<Name, PoolView>, for_pool: &Name) -> Option<Name> {
+    let donor = views
+        .iter_mut()
+        .filter(|(name, it)| *name != for_pool && it.hosts > it.wanted && !it.idle.is_empty())
+        .max_by_key(|(name, it)| (it.hosts - it.wanted, (*name).clone()))?;
+    donor.1.hosts -= 1;
+    donor.1.idle.pop().map(|(_, host)| host)
+}
+
+/// Processors of a job's tasks that run or could run, in millicores.
+fn demand_of(job: &Job) -> u64 {
+    if job.stage.is_over() {
+        return 0;
+    }
+    let mut sum = 0;
+    for (k, run) in job.occurrences.iter().enumerate() {
+        for (s, step) in run.steps.iter().enumerate() {
+            let live =
+                step.tasks.iter().filter(|it| matches!(it.state, TaskState::Live(_))).count();
+            let waiting = if job.is_open(k, s) { step.waiting as usize } else { 0 };
+            sum += (live + waiting) as u64 * u64::from(job.spec.steps[s].room().millicores);
+        }
+    }
+    sum
+}
+
+/// Hosts that a job's open steps need because of their tasks' distance.
+fn apart_of(job: &Job) -> u64 {
+    if job.stage.is_over() {
+        return 0;
+    }
+    let steps =
+        job.spec.steps.iter().filter_map(|it| Some(u64::from(it.count.div_ceil(it.per_worker?))));
+    steps.max().unwrap_or(0)
+}
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -59,6 +59,11 @@
             && now >= self.avoid_until
     }
 
+    /// Whether tasks should go elsewhere before it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.reserved || self.seen.state == WorkerState::Draining
+    }
+
     /// The room that is left.
     pub fn free(&self) -> Resources {
         self.seen.capacity.minus(self.used)
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -72,12 +72,7 @@
 impl TaskRecord {
     /// The task's id within `job`.
     pub fn id(&self, job: &Name) -> TaskId {
-        TaskId {
-            job: job.clone(),
-            occurrence: self.occurrence,
-            step: self.step,
-            index: self.index,
-        }
+        TaskId { job: job.clone(), occurrence: self.occurrence, step: self.step, index: self.index }
     }
 }
 
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -14,7 +14,7 @@
     shutdown_pair,
 };
 use fuchsiamill_model::{FastMap, units::Moment};
-use fuchsiamill_platform::Store;
+use fuchsiamill_platform::{Hosts, Store};
 use fuchsiamill_settings::Fleet;
 use http::StatusCode;
 use monoio::{task::JoinHandle, time::timeout};
@@ -31,6 +31,9 @@
 /// The longest call to the store. Its slow days take half a second for an answer.
 const STORE_TIME: Duration = Duration::from_millis(1_500);
 
+/// The longest call to the service that has the hosts.
+const HOSTS_TIME: Duration = Duration::from_millis(1_200);
+
 /// Kept of the longest lease for the way of an order, as a divisor: 10 is a tenth.
 const LEASE_MARGIN_DIVISOR: u64 = 10;
 
@@ -97,6 +100,7 @@
         let candidate = Candidate {
             store,
             clock,
+            hosts: settings.hosts.map(|it| Rc::new(Hosts::new(it, &settings.name, HOSTS_TIME))),
             terms: terms(settings),
             intent,
             own: LeaseRow {
--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -68,7 +68,9 @@
         tracing::info!(event = "cancel-asked", job = %id, outcome = super::outcome_word(&outcome));
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
-            Inserted::Refused => refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer"),
+            Inserted::Refused => {
+                refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer")
+            }
             Inserted::Unknown => Response::empty(StatusCode::GATEWAY_TIMEOUT),
         }
     }
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -123,7 +123,12 @@
         }
     }
 
-    async fn insert(&self, key: fuchsiamill_platform::Key, value: Vec<u8>, deadline: Moment) -> Inserted {
+    async fn insert(
+        &self,
+        key: fuchsiamill_platform::Key,
+        value: Vec<u8>,
+        deadline: Moment,
+    ) -> Inserted {
         let (reply, outcome) = oneshot::channel();
         let give_up = (self.clock.now() + INSERT_PATIENCE_MS).min(deadline);
         let Some(submitter) = self.submitters.get(&key.part) else { return Inserted::Refused };
@@ -154,5 +159,6 @@
 
 /// A refusal of something that has not run, with the time to come back.
 fn refuse(status: StatusCode, text: &str) -> Response {
-    Response::text(status, text).header(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S))
+    Response::text(status, text)
+        .header(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S))
 }
--- /dev/null
+++ b/crates/site/src/lead/hosts.rs
@@ -0,0 +1,73 @@
+//! Calls to the service that has the hosts.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use fuchsiamill_fleet::{
+    HostSeen, Name,
+    coordinator::{DutyReply, HostDuty},
+};
+use fuchsiamill_model::units::Moment;
+use fuchsiamill_platform::{DutyAnswer, Hosts};
+use monoio::time::sleep;
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+
+/// The pause between two reads of the list.
+const LIST_PAUSE: Duration = Duration::from_millis(400);
+
+/// What the service tells the coordinator.
+#[derive(Debug)]
+pub enum HostEvent {
+    /// The list, asked for at this moment.
+    Listed(Vec<HostSeen>, Moment),
+    /// An order was answered.
+    Answered(Name, HostDuty, DutyReply),
+}
+
+/// Reads the list of hosts again and again.
+pub struct HostWatch {
+    /// The service.
+    pub hosts: Rc<Hosts>,
+    /// The clock.
+    pub clock: Clock,
+    /// Where events go.
+    pub tx: mpsc::UnboundedSender<HostEvent>,
+    /// Whether this process still coordinates.
+    pub is_leading: Rc<Cell<bool>>,
+}
+
+impl HostWatch {
+    /// Runs until this process no longer coordinates.
+    pub async fn run(self) {
+        while self.is_leading.get() {
+            let asked = self.clock.now();
+            match self.hosts.list().await {
+                // Nobody listens once this process no longer coordinates.
+                Ok(hosts) => drop(self.tx.send(HostEvent::Listed(hosts, asked))),
+                Err(e) => tracing::debug!(event = "read-failed", what = "hosts", error = %e),
+            }
+            sleep(LIST_PAUSE).await;
+        }
+    }
+}
+
+/// Gives an order to a host.
+pub async fn order(hosts: &Hosts, host: Name, duty: HostDuty, fence: u64) -> HostEvent {
+    let answer = match &duty {
+        HostDuty::Move { pool } => hosts.move_to(&host, pool, fence).await,
+        HostDuty::Maintain { wave } => hosts.maintain(&host, *wave, fence).await,
+    };
+    let reply = match answer {
+        Ok(DutyAnswer::Done) => DutyReply::Done,
+        Ok(DutyAnswer::Refused(reason)) => {
+            tracing::warn!(event = "host-refused", %host, duty = ?duty, %reason);
+            DutyReply::Refused
+        }
+        Err(e) => {
+            tracing::warn!(event = "host-order-failed", %host, duty = ?duty, error = %e);
+            DutyReply::Unknown
+        }
+    };
+    HostEvent::Answered(host, duty, reply)
+}
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -2,9 +2,12 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use fuchsiamill_fleet::{Coordinator, Name, Order};
+use fuchsiamill_fleet::{
+    Coordinator, Name, Order,
+    coordinator::{HostDuty, WaveRecord},
+};
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
-use fuchsiamill_platform::{Key, Row, tables as shared};
+use fuchsiamill_platform::{Key, Row, tables as shared, write_wave_state};
 use futures_util::future::{Either, select};
 use monoio::time::sleep;
 use tokio::sync::mpsc;
@@ -12,6 +15,7 @@
 use super::{
     Candidate, RENEW_MS,
     feeds::{Feed, FeedEvent},
+    hosts::{self, HostEvent, HostWatch},
     lease::{Lease, Lost},
     links::{Link, LinkEvent, LinkTerms},
     load::{Loaded, apply_job, apply_worker, load},
@@ -39,6 +43,7 @@
     Jobs(FeedEvent),
     Workers(FeedEvent),
     Link(LinkEvent),
+    Host(HostEvent),
     Committed(Box<Lease>, Result<(), Lost>),
     Tick,
 }
@@ -55,6 +60,9 @@
     board_written: Moment,
     store_offset: (u64, Moment),
     commits: mpsc::UnboundedSender<(Box<Lease>, Result<(), Lost>)>,
+    host_tx: mpsc::UnboundedSender<HostEvent>,
+    /// What earlier coordinators stored of waves.
+    waves: FastMap<u64, WaveRecord>,
     config_version: u64,
 }
 
@@ -62,12 +70,22 @@
     /// Coordinates until the lease is lost or the process is told to stop.
     pub async fn run(cx: Candidate, lease: Lease) -> Left {
         let taken = cx.clock.now();
-        let Loaded { coordinator, jobs_version, workers_version } = load(&cx).await;
+        let Loaded { coordinator, jobs_version, workers_version, waves } = load(&cx, &lease).await;
         let is_leading = Rc::new(Cell::new(true));
         let (link_tx, mut link_rx) = mpsc::unbounded_channel();
         let (job_tx, mut job_rx) = mpsc::unbounded_channel();
         let (worker_tx, mut worker_rx) = mpsc::unbounded_channel();
         let (commits, mut commit_rx) = mpsc::unbounded_channel();
+        let (host_tx, mut host_rx) = mpsc::unbounded_channel();
+        if let Some(hosts) = cx.hosts.clone() {
+            let watch = HostWatch {
+                hosts,
+                clock: cx.clock,
+                tx: host_tx.clone(),
+                is_leading: is_leading.clone(),
+            };
+            monoio::spawn(watch.run());
+        }
         let feed = |table, parts, tx| Feed {
             store: cx.store.clone(),
             table,
@@ -97,6 +115,8 @@
             store_offset: (lease.store_ms(), taken),
             lease: Some(Box::new(lease)),
             commits,
+            host_tx,
+            waves,
             config_version: 0,
             cx,
         };
@@ -106,10 +126,12 @@
                 let workers = std::pin::pin!(worker_rx.recv());
                 let links = std::pin::pin!(link_rx.recv());
                 let commits = std::pin::pin!(commit_rx.recv());
+                let hosts = std::pin::pin!(host_rx.recv());
                 let tick = std::pin::pin!(sleep(TICK));
                 let feeds = select(jobs, workers);
                 let answers = select(links, commits);
-                match select(select(answers, feeds), tick).await {
+                let others = select(hosts, tick);
+                match select(select(answers, feeds), others).await {
                     Either::Left((Either::Left((Either::Left((it, _)), _)), _)) => {
                         it.map(Event::Link)
                     }
@@ -122,11 +144,14 @@
                     Either::Left((Either::Right((Either::Right((it, _)), _)), _)) => {
                         it.map(Event::Workers)
                     }
-                    Either::Right(_) => Some(Event::Tick),
+                    Either::Right((Either::Left((it, _)), _)) => it.map(Event::Host),
+                    Either::Right((Either::Right(_), _)) => Some(Event::Tick),
                 }
             };
             let mut left = event.and_then(|it| leader.apply(it));
-            while left.is_none() && let Ok(it) = link_rx.try_recv() {
+            while left.is_none()
+                && let Ok(it) = link_rx.try_recv()
+            {
                 left = leader.apply(Event::Link(it));
             }
             if left.is_none() {
@@ -145,7 +170,10 @@
     }
 
     /// Waits for the change under way, then gives the lease back.
-    async fn give_back(mut self, mut commits: mpsc::UnboundedReceiver<(Box<Lease>, Result<(), Lost>)>) {
+    async fn give_back(
+        mut self,
+        mut commits: mpsc::UnboundedReceiver<(Box<Lease>, Result<(), Lost>)>,
+    ) {
         let lease = match self.lease.take() {
             Some(lease) => Some(lease),
             None => commits.recv().await.and_then(|(lease, result)| result.ok().map(|()| lease)),
@@ -167,6 +195,7 @@
             Event::Link(it) => self.apply_link(it),
             Event::Committed(lease, Ok(())) => self.apply_commit(lease),
             Event::Committed(_, Err(Lost)) => return Some(Left::Lost),
+            Event::Host(it) => self.apply_host(it),
             Event::Tick => {}
         }
         None
@@ -245,6 +274,7 @@
         self.apply_config();
         self.coordinator.tick(now, self.cx.clock.wall());
         self.coordinator.place(now);
+        self.coordinator.plan_hosts(now);
         self.begin_commit(now);
         self.carry_out();
         self.close_links();
@@ -252,7 +282,11 @@
     }
 
     fn apply_config(&mut self) {
-        let config = self.cx.intent.borrow().config.clone();
+        let (config, waves) = {
+            let intent = self.cx.intent.borrow();
+            (intent.config.clone(), intent.waves.clone())
+        };
+        self.coordinator.waves_asked(&waves, &self.waves);
         if let Some(config) = config
             && config.version > self.config_version
         {
@@ -266,8 +300,9 @@
             return;
         }
         let records = self.coordinator.next_commit().unwrap_or_default().records;
+        let waves = self.coordinator.take_wave_records();
         let is_due = now.since(self.committed) >= RENEW_MS;
-        if records.is_empty() && !is_due {
+        if records.is_empty() && waves.is_empty() && !is_due {
             // Orders that wait for no record are free to go.
             self.coordinator.committed(now);
             return;
@@ -279,6 +314,17 @@
                 (tables::progress_key(id), value)
             })
             .collect();
+        for (number, record) in &waves {
+            tracing::info!(
+                event = "wave",
+                wave = number,
+                begun = record.begun.len(),
+                completed = record.is_completed
+            );
+            let value = serde_json::to_vec(record).expect("a record serialises to JSON");
+            puts.push((tables::wave_key(*number), value));
+            puts.push((tables::wave_status_key(*number), write_wave_state(record.is_completed)));
+        }
         if now.since(self.board_written) >= BOARD_MS {
             self.board_written = now;
             puts.push((tables::board_key(), self.board(now)));
@@ -294,7 +340,8 @@
 
     fn board(&self, now: Moment) -> Vec<u8> {
         let (store_ms, read) = self.store_offset;
-        let board = Board { at_ms: store_ms + now.since(read), waiting: self.coordinator.waiting() };
+        let board =
+            Board { at_ms: store_ms + now.since(read), waiting: self.coordinator.waiting() };
         serde_json::to_vec(&board).expect("a board serialises to JSON")
     }
 
@@ -312,8 +359,10 @@
                     tracing::info!(event = "task-stopped", %task, run, %worker);
                     monoio::spawn(link.clone().stop(task, run));
                 }
+                Order::Host { host, duty } => self.order_host(host, duty),
                 Order::Seen { worker, born, upto } => {
-                    if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born) {
+                    if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born)
+                    {
                         link.acknowledge(upto);
                     }
                 }
@@ -321,6 +370,28 @@
         }
     }
 
+    fn order_host(&mut self, host: Name, duty: HostDuty) {
+        let Some(hosts) = self.cx.hosts.clone() else { return };
+        tracing::info!(event = "host-ordered", %host, duty = ?duty);
+        let (tx, fence) = (self.host_tx.clone(), self.link_terms.fence);
+        monoio::spawn(async move {
+            let event = hosts::order(&hosts, host, duty, fence).await;
+            // The leader may have stopped.
+            let _ = tx.send(event);
+        });
+    }
+
+    fn apply_host(&mut self, event: HostEvent) {
+        let now = self.cx.clock.now();
+        match event {
+            HostEvent::Listed(hosts, asked) => self.coordinator.hosts_listed(hosts, asked),
+            HostEvent::Answered(host, duty, reply) => {
+                tracing::info!(event = "host-answered", %host, duty = ?duty, reply = ?reply);
+                self.coordinator.host_answered(&host, &duty, reply, now);
+            }
+        }
+    }
+
     fn watch(&mut self, worker: fuchsiamill_fleet::WorkerSeen) {
         if let Some(link) = self.links.get(&worker.id) {
             if link.worker.born == worker.born && link.worker.addr == worker.addr {
--- a/crates/site/src/lead/lease.rs
+++ b/crates/site/src/lead/lease.rs
@@ -68,6 +68,11 @@
         self.row.term
     }
 
+    /// Whether nobody held it before.
+    pub fn is_first(&self) -> bool {
+        self.row.term == 1
+    }
+
     /// The store's clock at the last change.
     pub fn store_ms(&self) -> u64 {
         self.store_ms
@@ -81,11 +86,8 @@
 
     /// Gives the lease back, so that another entry host takes it at once.
     pub async fn give_back(&mut self) -> Result<(), Lost> {
-        let next = LeaseRow {
-            holder: Name::default(),
-            change: self.row.change + 1,
-            ..self.row.clone()
-        };
+        let next =
+            LeaseRow { holder: Name::default(), change: self.row.change + 1, ..self.row.clone() };
         self.write(next, Vec::new(), Vec::new()).await
     }
 
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -10,7 +10,7 @@
 use fuchsiamill_fleet::{Name, Report, TaskId, WorkerSeen, coordinator::Started};
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{LifeError, WorkerClient};
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::Clock;
@@ -18,6 +18,9 @@
 /// How long a look waits for an end while something runs.
 const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 
+/// How long a look waits for the record of ends that were listed.
+const RECORD_WAIT: Duration = Duration::from_millis(300);
+
 /// How long an order or a look may take beyond its wait.
 const ORDER_TIME: Duration = Duration::from_millis(700);
 
@@ -85,6 +88,8 @@
     is_closed: bool,
     seen_upto: u64,
     told_upto: u64,
+    /// The last end that was listed: a look returns at once until it is acknowledged.
+    last_end: u64,
 }
 
 enum Next {
@@ -106,6 +111,7 @@
                 is_closed: false,
                 seen_upto: 0,
                 told_upto: 0,
+                last_end: 0,
             }),
             wake: Notify::new(),
             worker,
@@ -123,8 +129,8 @@
 
     /// Whether something may run on the worker, so that it has to be looked at.
     pub fn set_busy(&self, is_busy: bool) {
-        self.state.borrow_mut().is_busy = is_busy;
-        if is_busy {
+        let was_busy = std::mem::replace(&mut self.state.borrow_mut().is_busy, is_busy);
+        if is_busy && !was_busy {
             self.wake.notify_one();
         }
     }
@@ -145,6 +151,8 @@
                 self.wake.notified().await;
                 continue;
             }
+            // A timeout only means that the store is slow: the lease has to be renewed all the same.
+            let _ = timeout(RECORD_WAIT, self.until_recorded()).await;
             match self.look().await {
                 Next::Look => {}
                 Next::Pause(span) => sleep(span).await,
@@ -152,9 +160,23 @@
         }
     }
 
+    async fn until_recorded(&self) {
+        while self.awaits_record() && !self.is_over() {
+            self.wake.notified().await;
+        }
+    }
+
+    fn awaits_record(&self) -> bool {
+        let state = self.state.borrow();
+        state.seen_upto < state.last_end && !state.is_silent
+    }
+
     fn may_rest(&self) -> bool {
         let state = self.state.borrow();
-        state.clock.is_some() && !state.is_busy && !state.is_silent && state.seen_upto == state.told_upto
+        state.clock.is_some()
+            && !state.is_busy
+            && !state.is_silent
+            && state.seen_upto == state.told_upto
     }
 
     /// The worker's clock now, at the latest, and the end of a lease that begins now.
@@ -189,6 +211,8 @@
                 state.clock = Some((held.clock_ms, self.terms.clock.now()));
                 state.is_silent = false;
                 state.told_upto = seen_upto;
+                let last_end = held.report.ended.iter().map(|it| it.number).max().unwrap_or(0);
+                state.last_end = last_end.max(state.last_end);
                 drop(state);
                 self.tell(LinkEvent::Held(self.worker.id.clone(), held.report));
                 Next::Look
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -2,12 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fuchsiamill_fleet::{Coordinator, JobRecord, JobSpec, Name};
+use fuchsiamill_fleet::{
+    Coordinator, JobRecord, JobSpec, Name, coordinator::WaveRecord, terms::with_drift,
+};
 use fuchsiamill_model::FastMap;
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
-use super::{Candidate, feeds::read_table};
+use super::{Candidate, feeds::read_table, lease::Lease};
 use crate::tables;
 
 /// The pause after a failed read.
@@ -21,17 +23,26 @@
     pub jobs_version: u64,
     /// Of the table of workers.
     pub workers_version: u64,
+    /// What earlier coordinators did of waves.
+    pub waves: FastMap<u64, WaveRecord>,
 }
 
 /// Reads everything; the caller gives up when the lease is lost meanwhile.
-pub async fn load(cx: &Candidate) -> Loaded {
+pub async fn load(cx: &Candidate, lease: &Lease) -> Loaded {
     let parts = [tables::COORDINATOR_PART.to_owned()];
+    // Another coordinator may have given orders to hosts until just now.
+    let hosts_from = match lease.is_first() {
+        true => cx.clock.now(),
+        false => cx.clock.now() + with_drift(cx.terms.holder_change_ms),
+    };
+    let (own, _) = read_patiently(cx, tables::COORDINATOR, &parts).await;
+    let waves = own.iter().filter_map(read_wave_record).collect();
     let (progress, _) = read_patiently(cx, tables::PROGRESS, &parts).await;
     let job_parts: Vec<String> = tables::job_parts().collect();
     let (jobs, jobs_version) = read_patiently(cx, tables::JOBS, &job_parts).await;
     let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
-    let mut coordinator = Coordinator::new(cx.terms.clone(), config);
+    let mut coordinator = Coordinator::new(cx.terms.clone(), config, hosts_from);
     for row in &workers {
         apply_worker(&mut coordinator, row, cx);
     }
@@ -46,7 +57,7 @@
         open = coordinator.open_jobs(),
         workers = workers.len()
     );
-    Loaded { coordinator, jobs_version, workers_version }
+    Loaded { coordinator, jobs_version, workers_version, waves }
 }
 
 async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> (Vec<Row>, u64) {
@@ -59,6 +70,13 @@
     }
 }
 
+fn read_wave_record(row: &Row) -> Option<(u64, WaveRecord)> {
+    let number = row.key.key.strip_prefix(tables::WAVE_PREFIX)?.parse().ok()?;
+    let record = serde_json::from_slice(&row.value)
+        .inspect_err(|e| tracing::error!(event = "wave-unreadable", wave = number, error = %e));
+    Some((number, record.ok()?))
+}
+
 fn read_record(row: &Row) -> Option<JobRecord> {
     serde_json::from_slice(&row.value)
         .inspect_err(|e| {
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -2,6 +2,7 @@
 
 mod election;
 mod feeds;
+mod hosts;
 mod lease;
 mod leader;
 mod links;
@@ -10,7 +11,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use fuchsiamill_fleet::Terms;
-use fuchsiamill_platform::Store;
+use fuchsiamill_platform::{Hosts, Store};
 use tokio::sync::watch;
 
 pub use lease::LeaseRow;
@@ -29,6 +30,8 @@
     pub store: Rc<Store>,
     /// The clock.
     pub clock: Clock,
+    /// The service that has the hosts, if the site has one.
+    pub hosts: Option<Rc<Hosts>>,
     /// Time limits of the site.
     pub terms: Terms,
     /// What the operator has written.
@@ -48,11 +51,8 @@
             return;
         }
         while !self.is_stopping.get() {
-            let election = Election {
-                store: self.store.clone(),
-                clock: self.clock,
-                own: self.own.clone(),
-            };
+            let election =
+                Election { store: self.store.clone(), clock: self.clock, own: self.own.clone() };
             let lease = election.win().await;
             if self.is_stopping.get() {
                 let mut lease = lease;
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -1,7 +1,7 @@
 //! Rows that the product keeps in the platform's store.
 
 use fuchsiamill_fleet::Name;
-use fuchsiamill_platform::Key;
+use fuchsiamill_platform::{Key, tables as shared};
 
 /// Jobs as accepted, and wishes to cancel them. Written by every entry host.
 pub const JOBS: &str = "jobs";
@@ -58,3 +58,17 @@
 pub fn board_key() -> Key {
     Key::new(COORDINATOR, COORDINATOR_PART, "board")
 }
+
+/// The beginning of the keys of what the coordinator stores of waves.
+pub const WAVE_PREFIX: &str = "wave.";
+
+/// What the coordinator stores of a wave.
+pub fn wave_key(number: u64) -> Key {
+    Key::new(COORDINATOR, COORDINATOR_PART, &format!("{WAVE_PREFIX}{number}"))
+}
+
+/// What the operator is told of a wave.
+pub fn wave_status_key(number: u64) -> Key {
+    let key = format!("{}{number}", shared::WAVE_PREFIX);
+    Key::new(shared::STATUS, COORDINATOR_PART, &key)
+}
