Takeover on evidence, not on silence alone

Change: every entry host tells others the term in which it coordinates (peer port, JSON-RPC). A candidate takes the lease at once when the holder's process is over, and counts leases of silent workers from the moment at which the former holder surely gave no more orders. Pools count usable hosts only. A host is taken as gone after 15 s.

Ruled out: a shorter limit on renewals without the store (outages last 9 s, and everything would lapse in them).

--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -13,7 +13,7 @@
 use fuchsiamill_model::{
     Configuration, EntryName, FastMap, Incarnation, Millisecond, Moment, PoolName, Version,
 };
-use fuchsiamill_peer::{Link, Router};
+use fuchsiamill_peer::{Link, Router, Unreached};
 use fuchsiamill_policy::membership::{Membership, Mode, Timing, View};
 use fuchsiamill_settings::Settings;
 use serde::{Serialize, de::DeserializeOwned};
@@ -186,7 +186,7 @@
     ) -> fuchsiamill_peer::Result<R> {
         let Some(link) = self.link(peer) else {
             let cause = format!("no peer address of '{peer}' is known");
-            return Err(fuchsiamill_peer::Error::Unreachable(cause));
+            return Err(fuchsiamill_peer::Error::Unreachable(Unreached::Other(cause)));
         };
         link.call(method, params, time).await
     }
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -15,6 +15,10 @@
     pub seen: HostSeen,
     /// What was ordered and is not known to be over.
     pub duty: Option<Pending>,
+    /// Since when it is up in its pool with the same worker.
+    pub up_since: Moment,
+    /// Since when it is missing in the list, or down.
+    pub away_since: Option<Moment>,
 }
 
 /// An order to a host that is under way.
@@ -75,6 +79,36 @@
     pub is_completed: bool,
 }
 
+impl Host {
+    fn new(seen: &HostSeen, now: Moment) -> Self {
+        Self { seen: seen.clone(), duty: None, up_since: now, away_since: None }
+    }
+
+    fn update(&mut self, seen: HostSeen, now: Moment) {
+        let is_same = seen.state == self.seen.state
+            && seen.pool == self.seen.pool
+            && seen.worker == self.seen.worker;
+        if !is_same {
+            self.up_since = now;
+        }
+        match seen.state {
+            HostState::Down => {
+                self.away_since.get_or_insert(now);
+            }
+            _ => self.away_since = None,
+        }
+        self.seen = seen;
+    }
+
+    /// Whether it has been away for so long that it is taken as gone for good.
+    fn is_lost(&self, now: Moment) -> bool {
+        self.away_since.is_some_and(|since| now.since(since) >= LOST_MS)
+    }
+}
+
+/// A host that is away this long does not come back: crashed hosts are restarted sooner.
+const LOST_MS: Millisecond = 15_000;
+
 /// Covers the time until the list shows the end of a duty.
 const DUTY_SLACK_MS: Millisecond = 300;
 
@@ -85,13 +119,14 @@
     /// Takes the list of hosts in; `asked` is when it was asked for.
     pub fn hosts_listed(&mut self, listed: Vec<HostSeen>, asked: Moment) {
         let names: FastSet<Name> = listed.iter().map(|it| it.host.clone()).collect();
-        self.hosts.retain(|name, _| names.contains(name));
+        for (_, host) in self.hosts.iter_mut().filter(|(name, _)| !names.contains(*name)) {
+            host.seen.state = HostState::Down;
+            host.away_since.get_or_insert(asked);
+        }
         for seen in listed {
-            let host = self
-                .hosts
-                .entry(seen.host.clone())
-                .or_insert_with(|| Host { seen: seen.clone(), duty: None });
-            host.seen = seen;
+            let host =
+                self.hosts.entry(seen.host.clone()).or_insert_with(|| Host::new(&seen, asked));
+            host.update(seen, asked);
             if host.duty.as_ref().is_some_and(|it| is_over(it, &host.seen, asked, &self.terms)) {
                 host.duty = None;
             }
@@ -130,7 +165,7 @@
 
     /// Decides on hosts: maintenance first, then the sizes of pools.
     pub fn plan_hosts(&mut self, now: Moment) {
-        if !self.hosts_known || now < self.hosts_from {
+        if !self.hosts_known || now < self.takeover.hosts_from {
             return;
         }
         self.repeat_duties(now);
@@ -162,7 +197,7 @@
             .wave
             .hosts
             .iter()
-            .filter(|it| !state.begun.contains(*it) && !self.hosts.contains_key(*it))
+            .filter(|it| !state.begun.contains(*it) && self.is_lost(it, now))
             .cloned()
             .collect();
         if !gone.is_empty() {
@@ -181,7 +216,7 @@
             .wave
             .hosts
             .iter()
-            .filter(|it| !state.begun.contains(*it) && self.hosts.contains_key(*it))
+            .filter(|it| !state.begun.contains(*it) && self.is_there(it))
             .cloned()
             .collect();
         left.sort_by_key(|it| (self.work_on(it), it.clone()));
@@ -211,6 +246,18 @@
         state.wave.hosts.iter().filter(is_down).count()
     }
 
+    /// Whether a host is taken as gone for good. One that was never listed may still come.
+    fn is_lost(&self, host: &Name, now: Moment) -> bool {
+        match self.hosts.get(host) {
+            Some(host) => host.is_lost(now),
+            None => now.since(self.takeover.hosts_from) >= LOST_MS,
+        }
+    }
+
+    fn is_there(&self, host: &Name) -> bool {
+        self.hosts.get(host).is_some_and(|it| it.seen.state != HostState::Down)
+    }
+
     /// Tasks on a host; one that is maintained last has most.
     fn work_on(&self, host: &Name) -> usize {
         self.worker_on(host).map_or(0, |it| it.live.len())
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -73,6 +73,15 @@
     },
 }
 
+/// Until when a former coordinator may have given orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Takeover {
+    /// The last moment at which it may have renewed a lease.
+    pub renewals_end: Moment,
+    /// The first moment at which orders to hosts cannot take turns with its own.
+    pub hosts_from: Moment,
+}
+
 /// Records to store, all or none of them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Commit {
@@ -101,15 +110,15 @@
     needs_placing: bool,
     hosts: FastMap<Name, Host>,
     hosts_known: bool,
-    hosts_from: Moment,
+    takeover: Takeover,
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<Name, pools::Demand>,
 }
 
 impl Coordinator {
-    /// A coordinator that knows of nothing yet and gives no order to a host before `hosts_from`.
-    pub fn new(terms: Terms, config: Arc<Config>, hosts_from: Moment) -> Self {
+    /// A coordinator that knows of nothing yet.
+    pub fn new(terms: Terms, config: Arc<Config>, takeover: Takeover) -> Self {
         Self {
             terms,
             config,
@@ -127,7 +136,7 @@
             needs_placing: false,
             hosts: FastMap::default(),
             hosts_known: false,
-            hosts_from,
+            takeover,
             waves: Vec::new(),
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
@@ -186,6 +195,14 @@
         recent.len() as f64 > weight * EXCESS_WINDOW_MS as f64 / 1_000.0 + EXCESS_SLACK_JOBS
     }
 
+    /// The former coordinator surely gives no more orders.
+    pub fn former_over(&mut self, now: Moment) {
+        self.takeover.renewals_end = self.takeover.renewals_end.min(now);
+        for at in self.workers.values_mut().filter(|it| !it.answered) {
+            at.silent = at.silent.map(|it| it.min(now));
+        }
+    }
+
     /// Cancels a job; its tasks are stopped.
     pub fn cancel(&mut self, id: &Name, now: Moment) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -276,7 +293,7 @@
         let ghost = || Worker { gone: true, ..Worker::new(ghost_of(worker), now) };
         let at = self.workers.entry(worker.clone()).or_insert_with(ghost);
         if at.gone && at.silent.is_none() {
-            at.silent = Some(now + self.terms.renewal_ms);
+            at.silent = Some(self.takeover.renewals_end);
         }
         at.take(id.clone(), step.room());
     }
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -10,7 +10,7 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, HostDuty, Job, TaskState};
+use super::{Coordinator, Host, HostDuty, Job, TaskState};
 use crate::{HostState, JobSpec, Name};
 
 /// The window over which arriving work is counted.
@@ -22,6 +22,9 @@
 /// Room beyond the expected demand, since tasks do not fill hosts evenly, in per cent.
 const HEADROOM_PERCENT: u64 = 15;
 
+/// How long a worker of a host that just came up may take until it answers.
+const JOINING_MS: Millisecond = 2_500;
+
 /// The fewest hosts that a pool keeps, so that the first jobs of a peak start at once.
 const LEAST_HOSTS: u64 = 2;
 
@@ -138,7 +141,7 @@
                 None => &host.seen.pool,
             };
             let Some(view) = views.get_mut(pool) else { continue };
-            if host.seen.state == HostState::Down {
+            if !self.is_usable(name, host, now) {
                 continue;
             }
             view.hosts += 1;
@@ -156,6 +159,18 @@
         views
     }
 
+    /// Whether a host runs tasks of its pool, or will soon.
+    fn is_usable(&self, name: &Name, host: &Host, now: Moment) -> bool {
+        if host.duty.is_some() || matches!(host.seen.state, HostState::Moving | HostState::Upkeep) {
+            return true;
+        }
+        match self.worker_on(name) {
+            _ if host.seen.state == HostState::Down => false,
+            Some(it) if it.answered => it.silent.is_none() && !it.gone && !it.is_leaving(),
+            _ => now.since(host.up_since) < JOINING_MS,
+        }
+    }
+
     /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
     fn hosts_wanted(&mut self, pool: &Name, now: Moment) -> u64 {
         let expected = self.demand.get_mut(pool).map_or(0, |it| it.expected(now));
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -144,11 +144,11 @@
     }
 
     /// A worker does not answer; `renewed` is the last moment at which its leases may have been renewed.
-    pub fn worker_silent(&mut self, id: &Name, renewed: Moment, now: Moment) {
+    pub fn worker_silent(&mut self, id: &Name, renewed: Moment) {
         let Some(at) = self.workers.get_mut(id) else { return };
         let inherited = match at.answered {
             // Before its first answer the former coordinator may have renewed them until its own limit.
-            false => now + self.terms.renewal_ms,
+            false => self.takeover.renewals_end.max(renewed),
             true => renewed,
         };
         at.silent.get_or_insert(inherited);
--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -10,7 +10,7 @@
     #[error(
         "The entry host cannot be reached: {0}; check that it runs and its peer address is right."
     )]
-    Unreachable(String),
+    Unreachable(Unreached),
     /// The connection ended or the answer did not come in time; the call may have been carried out.
     #[error("The entry host did not answer; the call may have been carried out.")]
     AnswerLost,
@@ -28,3 +28,30 @@
     )]
     Malformed(String),
 }
+
+/// Why there is no connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unreached {
+    /// Nobody listens at the address: no process of the entry host is there.
+    Closed,
+    /// Any other cause.
+    Other(String),
+}
+
+impl std::fmt::Display for Unreached {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Closed => f.write_str("nobody listens there"),
+            Self::Other(cause) => f.write_str(cause),
+        }
+    }
+}
+
+impl From<&std::io::Error> for Unreached {
+    fn from(e: &std::io::Error) -> Self {
+        match e.kind() {
+            std::io::ErrorKind::ConnectionRefused => Self::Closed,
+            _ => Self::Other(e.to_string()),
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod router;
 pub mod server;
 
-pub use error::{Error, Result};
+pub use error::{Error, Result, Unreached};
 pub use link::Link;
 pub use router::{
     Call, CallReceiver, CallSender, Failure, Notice, NoticeReceiver, NoticeSender, Reply, Router,
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    error::{Error, Result},
+    error::{Error, Result, Unreached},
     frame,
     router::read_answer,
 };
@@ -80,7 +80,7 @@
         let text =
             json!({ "jsonrpc": "2.0", "id": id, "method": method, "params": [params] }).to_string();
         let (reply, answer) = oneshot::channel();
-        let full = || Error::Unreachable("too many calls wait".into());
+        let full = || Error::Unreachable(Unreached::Other("too many calls wait".into()));
         self.tx.try_send(Outgoing { text, reply: Some((id, reply)) }).map_err(|_| full())?;
         match timeout(time, answer).await {
             Ok(Ok(answer)) => read_answer(answer?),
@@ -174,6 +174,6 @@
 
 fn unreachable(outgoing: Outgoing, e: &io::Error) {
     if let Some((_, reply)) = outgoing.reply {
-        let _ = reply.send(Err(Error::Unreachable(e.to_string())));
+        let _ = reply.send(Err(Error::Unreachable(e.into())));
     }
 }
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -24,7 +24,7 @@
     clock::Clock,
     config::{Follower, Intent},
     front::{Front, Submitter},
-    lead::{Candidate, LeaseRow},
+    lead::{Candidate, LeaseRow, serve_standing},
     tables,
 };
 
@@ -44,13 +44,16 @@
 /// How long a former coordinator may go on renewing leases without the store.
 const RENEWAL_MS: u64 = 12_000;
 
+/// Keeps incarnations within the whole numbers that every JSON reader takes.
+const INCARNATION_SHIFT: u32 = 12;
+
 /// The most connections of callers.
 const CALLER_CONNECTIONS: usize = 2_000;
 
 /// A running entry host.
 pub struct Entry {
     is_stopping: Rc<Cell<bool>>,
-    is_holding: Rc<Cell<bool>>,
+    term: Rc<Cell<u64>>,
     callers: Running,
     candidate: JoinHandle<()>,
     grace: Duration,
@@ -97,6 +100,13 @@
         let (stop, shutdown) = shutdown_pair();
         let callers = Running { stop, task: monoio::spawn(server.run(shutdown)) };
 
+        let term = Rc::<Cell<u64>>::default();
+        let incarnation = fastrand::u64(..) >> INCARNATION_SHIFT;
+        if let Some(addr) = settings.peers {
+            serve_standing(addr, incarnation, term.clone())
+                .with_context(|| format!("cannot listen at {addr} for other entry hosts"))?;
+        }
+
         let candidate = Candidate {
             store,
             clock,
@@ -105,17 +115,16 @@
             intent,
             own: LeaseRow {
                 holder: settings.name.clone(),
-                incarnation: fastrand::u64(..) >> 12,
+                incarnation,
                 address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
                 ..LeaseRow::default()
             },
             is_stopping: is_stopping.clone(),
-            is_holding: Rc::default(),
+            term: term.clone(),
         };
-        let is_holding = candidate.is_holding.clone();
         let candidate = monoio::spawn(candidate.run());
         let grace = Duration::from_secs_f64(settings.grace_s * GRACE_SHARE);
-        Ok(Self { is_stopping, is_holding, callers, candidate, grace })
+        Ok(Self { is_stopping, term, callers, candidate, grace })
     }
 
     /// Takes no new callers, answers those in flight and gives the lease back.
@@ -123,7 +132,7 @@
         self.is_stopping.set(true);
         self.callers.stop.stop();
         let drained = timeout(self.grace, self.callers.task).await;
-        if self.is_holding.get() {
+        if self.term.get() != 0 {
             let given_back = timeout(self.grace, self.candidate).await;
             tracing::info!(event = "lease-returned", in_time = given_back.is_ok());
         }
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -1,12 +1,15 @@
 //! Watches the lease and takes it when its holder is silent.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use fuchsiamill_model::units::Moment;
 use fuchsiamill_platform::Store;
 use monoio::time::sleep;
 
-use super::lease::{Lease, LeaseRow, decode};
+use super::{
+    lease::{Lease, LeaseRow, decode},
+    standing::{Holder, ask},
+};
 use crate::{clock::Clock, tables};
 
 /// The pause between two looks at the lease.
@@ -20,8 +23,8 @@
 enum Look {
     /// Somebody holds it.
     Held,
-    /// It is free, or its holder is silent or a former run of this process.
-    Takeable,
+    /// It can be taken; what is known of its former holder.
+    Takeable(Holder),
 }
 
 /// Waits until the lease is taken.
@@ -32,16 +35,28 @@
     pub clock: Clock,
     /// How this process appears in the lease.
     pub own: LeaseRow,
+    /// The term that this process tells others.
+    pub term: Rc<Cell<u64>>,
+}
+
+/// The lease, and what is known of its former holder.
+pub struct Won {
+    /// The lease.
+    pub lease: Lease,
+    /// The former holder.
+    pub former: LeaseRow,
+    /// What is known of it.
+    pub holder: Holder,
 }
 
 impl Election {
-    /// Returns the lease once this process holds it.
-    pub async fn win(&self) -> Lease {
+    /// Returns once this process holds the lease.
+    pub async fn win(&self) -> Won {
         let mut last: Option<(u64, Moment)> = None;
         loop {
             match self.store.read_row(&tables::lease_key()).await {
                 Ok((row, _)) => {
-                    let (lease, version) =
+                    let (row, version) =
                         row.map_or_else(Default::default, |it| (decode(&it.value), it.version));
                     let now = self.clock.now();
                     let since = match last {
@@ -49,10 +64,10 @@
                         _ => now,
                     };
                     last = Some((version, since));
-                    if self.look(&lease, now.since(since)) == Look::Takeable
-                        && let Some(lease) = self.take(lease, version).await
+                    if let Look::Takeable(holder) = self.look(&row, now.since(since)).await
+                        && let Some(lease) = self.take(&row, version).await
                     {
-                        return lease;
+                        return Won { lease, former: row, holder };
                     }
                 }
                 Err(e) => {
@@ -65,19 +80,28 @@
         }
     }
 
-    fn look(&self, row: &LeaseRow, unchanged_ms: u64) -> Look {
+    async fn look(&self, row: &LeaseRow, unchanged_ms: u64) -> Look {
         let was_self = row.holder == self.own.holder && row.incarnation != self.own.incarnation;
-        if row.holder.is_empty() || was_self || unchanged_ms >= SILENCE_MS {
-            Look::Takeable
-        } else {
-            Look::Held
+        if row.holder.is_empty() || was_self {
+            return Look::Takeable(Holder::Over);
+        }
+        match ask(row).await {
+            Holder::Over => Look::Takeable(Holder::Over),
+            _ if unchanged_ms >= SILENCE_MS => Look::Takeable(Holder::Unknown),
+            _ => Look::Held,
         }
     }
 
-    async fn take(&self, seen: LeaseRow, version: u64) -> Option<Lease> {
-        let former = seen.holder.clone();
-        let lease = Lease::take(self.store.clone(), (seen, version), &self.own).await?;
-        tracing::info!(event = "lease-taken", term = lease.term(), former = %former, version);
-        Some(lease)
+    async fn take(&self, seen: &LeaseRow, version: u64) -> Option<Lease> {
+        // Told before it is so: a process that reads the new row must not find a former term.
+        self.term.set(seen.term + 1);
+        let lease = Lease::take(self.store.clone(), (seen, version), &self.own).await;
+        match &lease {
+            Some(it) => {
+                tracing::info!(event = "lease-taken", term = it.term(), former = %seen.holder, version);
+            }
+            None => self.term.set(0),
+        }
+        lease
     }
 }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -4,7 +4,8 @@
 
 use fuchsiamill_fleet::{
     Coordinator, Name, Order,
-    coordinator::{HostDuty, WaveRecord},
+    coordinator::{HostDuty, Takeover, WaveRecord},
+    terms::with_drift,
 };
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
 use fuchsiamill_platform::{Key, Row, tables as shared, write_wave_state};
@@ -14,17 +15,22 @@
 
 use super::{
     Candidate, RENEW_MS,
+    election::Won,
     feeds::{Feed, FeedEvent},
     hosts::{self, HostEvent, HostWatch},
-    lease::{Lease, Lost},
+    lease::{Lease, LeaseRow, Lost},
     links::{Link, LinkEvent, LinkTerms},
     load::{Loaded, apply_job, apply_worker, load},
+    standing::{Holder, ask},
 };
 use crate::{front::Board, tables};
 
 /// The longest pause between two looks at what time alone brings about.
 const TICK: Duration = Duration::from_millis(50);
 
+/// The pause between two questions to a former holder of the lease.
+const FORMER_PAUSE: Duration = Duration::from_millis(300);
+
 /// The board is written with the first change after this time.
 const BOARD_MS: u64 = 800;
 
@@ -44,6 +50,7 @@
     Workers(FeedEvent),
     Link(LinkEvent),
     Host(HostEvent),
+    FormerOver,
     Committed(Box<Lease>, Result<(), Lost>),
     Tick,
 }
@@ -68,15 +75,22 @@
 
 impl Leader {
     /// Coordinates until the lease is lost or the process is told to stop.
-    pub async fn run(cx: Candidate, lease: Lease) -> Left {
+    pub async fn run(cx: Candidate, won: Won) -> Left {
         let taken = cx.clock.now();
-        let Loaded { coordinator, jobs_version, workers_version, waves } = load(&cx, &lease).await;
+        let Won { lease, former, holder } = won;
+        let takeover = takeover(&cx, &lease, holder, taken);
+        let Loaded { coordinator, jobs_version, workers_version, waves } =
+            load(&cx, takeover).await;
         let is_leading = Rc::new(Cell::new(true));
         let (link_tx, mut link_rx) = mpsc::unbounded_channel();
         let (job_tx, mut job_rx) = mpsc::unbounded_channel();
         let (worker_tx, mut worker_rx) = mpsc::unbounded_channel();
         let (commits, mut commit_rx) = mpsc::unbounded_channel();
         let (host_tx, mut host_rx) = mpsc::unbounded_channel();
+        let (over_tx, mut over_rx) = mpsc::unbounded_channel();
+        if holder != Holder::Over {
+            monoio::spawn(watch_former(former, over_tx.clone(), is_leading.clone()));
+        }
         if let Some(hosts) = cx.hosts.clone() {
             let watch = HostWatch {
                 hosts,
@@ -120,6 +134,7 @@
             config_version: 0,
             cx,
         };
+        let _over = over_tx;
         let left = loop {
             let event = {
                 let jobs = std::pin::pin!(job_rx.recv());
@@ -130,7 +145,8 @@
                 let tick = std::pin::pin!(sleep(TICK));
                 let feeds = select(jobs, workers);
                 let answers = select(links, commits);
-                let others = select(hosts, tick);
+                let over = std::pin::pin!(over_rx.recv());
+                let others = select(select(hosts, over), tick);
                 match select(select(answers, feeds), others).await {
                     Either::Left((Either::Left((Either::Left((it, _)), _)), _)) => {
                         it.map(Event::Link)
@@ -144,7 +160,12 @@
                     Either::Left((Either::Right((Either::Right((it, _)), _)), _)) => {
                         it.map(Event::Workers)
                     }
-                    Either::Right((Either::Left((it, _)), _)) => it.map(Event::Host),
+                    Either::Right((Either::Left((Either::Left((it, _)), _)), _)) => {
+                        it.map(Event::Host)
+                    }
+                    Either::Right((Either::Left((Either::Right((it, _)), _)), _)) => {
+                        it.map(|()| Event::FormerOver)
+                    }
                     Either::Right((Either::Right(_), _)) => Some(Event::Tick),
                 }
             };
@@ -196,6 +217,10 @@
             Event::Committed(lease, Ok(())) => self.apply_commit(lease),
             Event::Committed(_, Err(Lost)) => return Some(Left::Lost),
             Event::Host(it) => self.apply_host(it),
+            Event::FormerOver => {
+                tracing::info!(event = "former-coordinator-over");
+                self.coordinator.former_over(self.cx.clock.now());
+            }
             Event::Tick => {}
         }
         None
@@ -241,7 +266,7 @@
             }
             LinkEvent::Silent(id, renewed) => {
                 tracing::info!(event = "worker-silent", worker = %id, renewed = renewed.0, now = now.0);
-                self.coordinator.worker_silent(&id, renewed, now);
+                self.coordinator.worker_silent(&id, renewed);
             }
             LinkEvent::Dead(id, born) => {
                 tracing::info!(event = "worker-over", worker = %id, born);
@@ -415,3 +440,28 @@
         });
     }
 }
+
+/// Until when others may have given orders.
+fn takeover(cx: &Candidate, lease: &Lease, holder: Holder, at: Moment) -> Takeover {
+    let renewals_end = match holder {
+        Holder::Over => at,
+        _ => at + with_drift(cx.terms.renewal_ms),
+    };
+    let hosts_from = match lease.is_first() {
+        true => at,
+        false => at + with_drift(cx.terms.holder_change_ms),
+    };
+    Takeover { renewals_end, hosts_from }
+}
+
+/// Asks the former holder until it surely gives no more orders.
+async fn watch_former(former: LeaseRow, tx: mpsc::UnboundedSender<()>, is_leading: Rc<Cell<bool>>) {
+    while is_leading.get() {
+        if ask(&former).await == Holder::Over {
+            // Nobody listens once this process no longer coordinates.
+            let _ = tx.send(());
+            return;
+        }
+        sleep(FORMER_PAUSE).await;
+    }
+}
--- a/crates/site/src/lead/lease.rs
+++ b/crates/site/src/lead/lease.rs
@@ -44,7 +44,7 @@
 
 impl Lease {
     /// Takes the lease over from what was `seen` (the row and its version; 0 for none).
-    pub async fn take(store: Rc<Store>, seen: (LeaseRow, u64), own: &LeaseRow) -> Option<Self> {
+    pub async fn take(store: Rc<Store>, seen: (&LeaseRow, u64), own: &LeaseRow) -> Option<Self> {
         let row = LeaseRow { term: seen.0.term + 1, change: 0, ..own.clone() };
         let tx = Tx {
             expected: vec![(tables::lease_key(), seen.1)],
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -3,13 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use fuchsiamill_fleet::{
-    Coordinator, JobRecord, JobSpec, Name, coordinator::WaveRecord, terms::with_drift,
+    Coordinator, JobRecord, JobSpec, Name,
+    coordinator::{Takeover, WaveRecord},
 };
 use fuchsiamill_model::FastMap;
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
-use super::{Candidate, feeds::read_table, lease::Lease};
+use super::{Candidate, feeds::read_table};
 use crate::tables;
 
 /// The pause after a failed read.
@@ -28,13 +29,8 @@
 }
 
 /// Reads everything; the caller gives up when the lease is lost meanwhile.
-pub async fn load(cx: &Candidate, lease: &Lease) -> Loaded {
+pub async fn load(cx: &Candidate, takeover: Takeover) -> Loaded {
     let parts = [tables::COORDINATOR_PART.to_owned()];
-    // Another coordinator may have given orders to hosts until just now.
-    let hosts_from = match lease.is_first() {
-        true => cx.clock.now(),
-        false => cx.clock.now() + with_drift(cx.terms.holder_change_ms),
-    };
     let (own, _) = read_patiently(cx, tables::COORDINATOR, &parts).await;
     let waves = own.iter().filter_map(read_wave_record).collect();
     let (progress, _) = read_patiently(cx, tables::PROGRESS, &parts).await;
@@ -42,7 +38,7 @@
     let (jobs, jobs_version) = read_patiently(cx, tables::JOBS, &job_parts).await;
     let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
-    let mut coordinator = Coordinator::new(cx.terms.clone(), config, hosts_from);
+    let mut coordinator = Coordinator::new(cx.terms.clone(), config, takeover);
     for row in &workers {
         apply_worker(&mut coordinator, row, cx);
     }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -7,6 +7,7 @@
 mod leader;
 mod links;
 mod load;
+mod standing;
 
 use std::{cell::Cell, rc::Rc};
 
@@ -15,6 +16,7 @@
 use tokio::sync::watch;
 
 pub use lease::LeaseRow;
+pub use standing::serve as serve_standing;
 
 use crate::{clock::Clock, config::Intent};
 use election::Election;
@@ -40,8 +42,8 @@
     pub own: LeaseRow,
     /// Whether this process was told to stop.
     pub is_stopping: Rc<Cell<bool>>,
-    /// Whether this process holds the lease, so that a stop has to wait for its return.
-    pub is_holding: Rc<Cell<bool>>,
+    /// The term in which this process coordinates or tries to; 0 for none.
+    pub term: Rc<Cell<u64>>,
 }
 
 impl Candidate {
@@ -51,18 +53,16 @@
             return;
         }
         while !self.is_stopping.get() {
-            let election =
-                Election { store: self.store.clone(), clock: self.clock, own: self.own.clone() };
-            let lease = election.win().await;
-            if self.is_stopping.get() {
-                let mut lease = lease;
-                let _ = lease.give_back().await;
-                return;
-            }
-            let term = lease.term();
-            self.is_holding.set(true);
-            let why = Leader::run(self.clone(), lease).await;
-            self.is_holding.set(false);
+            let election = Election {
+                store: self.store.clone(),
+                clock: self.clock,
+                own: self.own.clone(),
+                term: self.term.clone(),
+            };
+            let won = election.win().await;
+            let term = won.lease.term();
+            let why = Leader::run(self.clone(), won).await;
+            self.term.set(0);
             tracing::warn!(event = "lease-left", term, reason = ?why);
         }
     }
