A task counts as at work only by a report of the last two seconds

Change: the moment of the report is kept, and it holds for 2.2 s; workers with tasks are looked at every second.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -343,10 +343,10 @@
         for worker in leaving {
             for (task, live) in self.live_on(&worker) {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
-                if !job.spec.steps[task.step as usize].lasts || !live.at_work {
+                if !job.spec.steps[task.step as usize].lasts || !live.is_serving(now) {
                     continue;
                 }
-                if job.may_stop(&task) {
+                if job.may_stop(&task, now) {
                     self.stop(&task, now);
                 }
             }
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -79,14 +79,18 @@
     pub phase: Phase,
     /// When the last order about it was given.
     pub since: Moment,
-    /// Whether it was seen at work: running, and with its whole speed if it lasts.
-    pub at_work: bool,
+    /// When it was last seen at work: running, and with its whole speed if it lasts.
+    pub at_work: Option<Moment>,
 }
 
+/// How long a report that a task is at work holds; workers with tasks are looked at every second.
+const AT_WORK_MS: Millisecond = 2_200;
+
 impl Live {
     /// Whether its users are served by it.
-    pub fn is_serving(&self) -> bool {
-        self.at_work && self.phase == Phase::Running
+    pub fn is_serving(&self, now: Moment) -> bool {
+        let is_fresh = self.at_work.is_some_and(|it| now.since(it) <= AT_WORK_MS);
+        is_fresh && self.phase == Phase::Running
     }
 }
 
@@ -250,9 +254,9 @@
     }
 
     /// Whether a task may be taken away from its users: enough others of its step are at work.
-    pub fn may_stop(&self, id: &TaskId) -> bool {
+    pub fn may_stop(&self, id: &TaskId, now: Moment) -> bool {
         let allowed = self.spec.steps[id.step as usize].may_miss.unwrap_or(1);
-        let is_away = |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving());
+        let is_away = |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving(now));
         let step = &self.occurrences[id.occurrence as usize].steps[id.step as usize];
         (step.tasks.iter().filter(|it| is_away(it)).count() as u32) < allowed
     }
@@ -307,7 +311,7 @@
                     born: *born,
                     phase: Phase::Inherited,
                     since: now,
-                    at_work: false,
+                    at_work: None,
                 };
                 self.set_state(&id, TaskState::Live(at.clone()));
                 live.push((id, at));
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -150,7 +150,7 @@
             born,
             phase: Phase::Recorded,
             since: now,
-            at_work: false,
+            at_work: None,
         };
         job.set_state(id, TaskState::Live(live));
         let task = job.task_mut(id).expect("the task is being placed");
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -197,7 +197,7 @@
                         live.phase = Phase::Running;
                         live.since = now;
                     }
-                    live.at_work = !lasts || seen.percent >= 100;
+                    live.at_work = (!lasts || seen.percent >= 100).then_some(asked);
                     if !seen.saved.is_empty() {
                         task.saved = seen.saved.clone();
                     }
@@ -206,7 +206,6 @@
                 _ => None,
             }
         });
-        let _ = asked;
         if expected.is_none() {
             let (task, run) = (id.clone(), seen.run);
             self.released.push(Order::Stop { worker: worker.clone(), task, run });
