A refused repeat of a start waits for the end of the first; tests of the coordinator

The task was started elsewhere although its end, which the next report told, was done.

Ruled out: a takeover (none near), the acknowledgement of ends (it follows the record).

Change: a refusal of a repeat says nothing of the first order, and one because of age leaves the run to the next report.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -256,7 +256,8 @@
     /// Whether a task may be taken away from its users: enough others of its step are at work.
     pub fn may_stop(&self, id: &TaskId, now: Moment) -> bool {
         let allowed = self.spec.steps[id.step as usize].may_miss.unwrap_or(1);
-        let is_away = |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving(now));
+        let is_away =
+            |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving(now));
         let step = &self.occurrences[id.occurrence as usize].steps[id.step as usize];
         (step.tasks.iter().filter(|it| is_away(it)).count() as u32) < allowed
     }
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -21,6 +21,18 @@
     Unknown,
 }
 
+impl Started {
+    /// What two orders to start the same run tell together: a refusal of the second says nothing of the first.
+    pub fn after(self, before: Started) -> Started {
+        match (before, self) {
+            (Started::Unknown, Started::Running) => Started::Running,
+            (Started::Unknown, it @ Started::Refused(Refusal::Old)) => it,
+            (Started::Unknown, _) => Started::Unknown,
+            (_, it) => it,
+        }
+    }
+}
+
 /// Why a worker did not start a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -323,6 +335,11 @@
                 self.stop(id, now);
             }
             Started::NotSent => self.free(id, now),
+            // The run, or a later one, was there and is over: the next report tells how it ended.
+            Started::Refused(Refusal::Old) => {
+                live.phase = Phase::Running;
+                live.since = now;
+            }
             Started::Refused(reason) => {
                 match reason {
                     Refusal::Room => self.avoid(&worker, now + NO_ROOM_MS),
--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! A coordinator with workers and a store that answer as a test tells them.
+
+#![allow(dead_code, missing_docs)]
+
+use std::sync::Arc;
+
+use fuchsiamill_fleet::{
+    Config, Coordinator, Ending, HostSeen, HostState, JobSpec, Name, Order, Pool, Report, RunEnd,
+    RunSeen, Schedule, Step, TaskId, Team, Terms, WorkerSeen, WorkerState,
+    coordinator::{Started, Takeover},
+    job::RouteTerms,
+};
+use fuchsiamill_model::{
+    Resources,
+    units::{Moment, WallTime},
+};
+
+pub const START: Moment = Moment(1_000_000);
+pub const WALL: WallTime = WallTime(1_700_000_000_000);
+
+pub fn cores(count: u32) -> Resources {
+    Resources { millicores: count * 1_000, memory_mib: count * 1_024, accelerators: 0 }
+}
+
+/// One pool, a spare pool and a team.
+pub fn config() -> Config {
+    let mut config = Config { version: 1, ..Config::default() };
+    for (name, spare) in [("web", false), ("spare", true)] {
+        let pool = Pool { name: name.into(), rejects_overload: true, spare };
+        config.pools.insert(name.into(), pool);
+    }
+    let team = Team { name: "north".into(), weight: 100.0, limit: Resources::default() };
+    config.teams.insert(team.name.clone(), team);
+    config
+}
+
+pub fn step(count: u32) -> Step {
+    Step { count, size: cores(1), estimate_ms: 1_000, ..Step::default() }
+}
+
+pub fn job(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        queue: "q".into(),
+        team: "north".into(),
+        payload: "work".into(),
+        steps,
+        accepted: WALL,
+        route: RouteTerms {
+            pool: "web".into(),
+            max_attempts: 3,
+            stretch: 1.6,
+            objective_ms: 600,
+            ..RouteTerms::default()
+        },
+        ..JobSpec::default()
+    }
+}
+
+pub fn every(times: u32, interval_ms: u64) -> Schedule {
+    Schedule { times, first: WallTime(WALL.0 + 1_000), interval_ms }
+}
+
+pub fn worker(id: &str) -> WorkerSeen {
+    WorkerSeen {
+        id: id.into(),
+        born: 7,
+        pool: "web".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "a".into(),
+        state: WorkerState::Ready,
+        capacity: cores(8),
+        labels: vec!["kind-a".into(), "rack-1".into()],
+    }
+}
+
+pub fn host(name: &str, pool: &str, worker: Option<&str>) -> HostSeen {
+    HostSeen {
+        host: name.into(),
+        pool: pool.into(),
+        state: HostState::Up,
+        data_centre: "a".into(),
+        labels: Vec::new(),
+        capacity: cores(8),
+        worker: worker.map(Name::from),
+    }
+}
+
+pub fn task(job: &str, step: u16, index: u32) -> TaskId {
+    TaskId { job: job.into(), occurrence: 0, step, index }
+}
+
+/// The coordinator under test and its time.
+pub struct Bench {
+    pub coordinator: Coordinator,
+    pub now: Moment,
+    pub ends: u64,
+    pub orders: Vec<Order>,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Self::with(config())
+    }
+
+    pub fn with(config: Config) -> Self {
+        let takeover = Takeover { renewals_end: START, hosts_from: START };
+        Self::after(config, takeover)
+    }
+
+    pub fn after(config: Config, takeover: Takeover) -> Self {
+        let coordinator = Coordinator::new(Terms::default(), Arc::new(config), takeover);
+        Self { coordinator, now: START, ends: 0, orders: Vec::new() }
+    }
+
+    /// Lists a worker that answers and has nothing.
+    pub fn add(&mut self, seen: WorkerSeen) {
+        let id = seen.id.clone();
+        self.coordinator.worker_listed(seen, self.now);
+        self.report(&id, &[], &[]);
+    }
+
+    pub fn accept(&mut self, id: &str, spec: JobSpec) {
+        self.coordinator.accept(id.into(), Arc::new(spec), None, self.now, WALL);
+    }
+
+    /// Decides; does not store.
+    pub fn decide(&mut self) {
+        self.coordinator.tick(self.now, WALL);
+        self.coordinator.place(self.now);
+        self.coordinator.plan_hosts(self.now);
+    }
+
+    /// Decides, stores and takes the orders.
+    pub fn step(&mut self) -> Vec<Order> {
+        self.decide();
+        while self.coordinator.next_commit().is_some_and(|it| !it.records.is_empty()) {
+            self.coordinator.committed(self.now);
+        }
+        self.coordinator.committed(self.now);
+        let orders = self.coordinator.take_orders();
+        self.orders.extend(orders.clone());
+        orders
+    }
+
+    /// Decides and stores; answers every start with success.
+    pub fn run(&mut self) -> Vec<(TaskId, u32, Name)> {
+        let starts = starts(&self.step());
+        for (id, run, _) in &starts {
+            self.coordinator.start_answered(id, *run, Started::Running, self.now);
+        }
+        starts
+    }
+
+    pub fn wait(&mut self, ms: u64) {
+        self.now = self.now + ms;
+    }
+
+    /// A worker reports ends of runs; its other runs are told in `running`.
+    pub fn report(
+        &mut self,
+        worker: &str,
+        running: &[(TaskId, u32)],
+        ended: &[(TaskId, u32, Ending)],
+    ) {
+        self.wait(1);
+        let ended = ended.iter().map(|(task, run, ending)| {
+            self.ends += 1;
+            RunEnd {
+                number: self.ends,
+                task: task.clone(),
+                run: *run,
+                ending: *ending,
+                saved: Name::default(),
+            }
+        });
+        let report = Report {
+            asked: self.now,
+            born: 7,
+            ended: ended.collect(),
+            running: running.iter().map(|(task, run)| seen(task, *run, 100)).collect(),
+        };
+        self.coordinator.worker_held(&worker.into(), report, self.now);
+    }
+}
+
+pub fn seen(task: &TaskId, run: u32, percent: u32) -> RunSeen {
+    RunSeen { task: task.clone(), run, saved: Name::default(), percent, load: 0 }
+}
+
+pub fn starts(orders: &[Order]) -> Vec<(TaskId, u32, Name)> {
+    let start = |it: &Order| match it {
+        Order::Start { worker, task, run, .. } => Some((task.clone(), *run, worker.clone())),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+pub fn stops(orders: &[Order]) -> Vec<(TaskId, u32)> {
+    let stop = |it: &Order| match it {
+        Order::Stop { task, run, .. } => Some((task.clone(), *run)),
+        _ => None,
+    };
+    orders.iter().filter_map(stop).collect()
+}
+
+pub fn acknowledged(orders: &[Order]) -> Option<u64> {
+    let seen = |it: &Order| match it {
+        Order::Seen { upto, .. } => Some(*upto),
+        _ => None,
+    };
+    orders.iter().filter_map(seen).max()
+}
--- /dev/null
+++ b/crates/fleet/tests/host_duties.rs
@@ -0,0 +1,220 @@
+//! Maintenance waves, and hosts that follow the demand.
+
+mod common;
+
+use common::{Bench, cores, host, job, seen, step, stops, task, worker};
+use fuchsiamill_fleet::{
+    HostSeen, HostState, Order, Report, Step,
+    coordinator::{DutyReply, HostDuty},
+    worker::Wave,
+};
+use fuchsiamill_model::{FastMap, units::Moment};
+
+fn wave(hosts: &[&str], at_once: usize) -> Wave {
+    let hosts = hosts.iter().map(|it| (*it).into()).collect();
+    Wave { number: 1, hosts, within_ms: 20_000, at_once }
+}
+
+fn duties(orders: &[Order]) -> Vec<(String, HostDuty)> {
+    let duty = |it: &Order| match it {
+        Order::Host { host, duty } => Some((host.to_string(), duty.clone())),
+        _ => None,
+    };
+    orders.iter().filter_map(duty).collect()
+}
+
+fn maintained(orders: &[Order]) -> Vec<String> {
+    let all = duties(orders).into_iter();
+    all.filter(|it| matches!(it.1, HostDuty::Maintain { .. })).map(|it| it.0).collect()
+}
+
+fn moves(orders: &[Order]) -> Vec<(String, String)> {
+    let pool = |(host, duty): (String, HostDuty)| match duty {
+        HostDuty::Move { pool } => Some((host, pool.to_string())),
+        HostDuty::Maintain { .. } => None,
+    };
+    duties(orders).into_iter().filter_map(pool).collect()
+}
+
+fn list(bench: &mut Bench, hosts: Vec<HostSeen>) {
+    bench.coordinator.hosts_listed(hosts, bench.now);
+}
+
+fn two_hosts() -> Vec<HostSeen> {
+    vec![host("h1", "web", Some("w1")), host("h2", "web", Some("w2"))]
+}
+
+fn with_wave(at_once: usize) -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    list(&mut bench, two_hosts());
+    bench.coordinator.waves_asked(&[wave(&["h1", "h2"], at_once)], &FastMap::default());
+    bench
+}
+
+fn answer(bench: &mut Bench, host: &str, reply: DutyReply) {
+    let duty = HostDuty::Maintain { wave: 1 };
+    bench.coordinator.host_answered(&host.into(), &duty, reply, bench.now);
+}
+
+#[test]
+fn wave_keeps_its_cap() {
+    let mut bench = with_wave(1);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+    assert!(maintained(&bench.step()).is_empty());
+    answer(&mut bench, "h1", DutyReply::Done);
+    bench.wait(2_000);
+    // The list was asked for too early to show the end.
+    list(&mut bench, two_hosts());
+    assert!(maintained(&bench.step()).is_empty());
+    bench.wait(500);
+    list(&mut bench, two_hosts());
+    assert_eq!(maintained(&bench.step()), ["h2"]);
+}
+
+#[test]
+fn unanswered_maintenance_counts_as_down() {
+    let mut bench = with_wave(1);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+    answer(&mut bench, "h1", DutyReply::Unknown);
+    bench.wait(500);
+    assert!(maintained(&bench.step()).is_empty());
+    bench.wait(1_500);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+}
+
+#[test]
+fn busy_host_is_drained_first() {
+    let mut bench = with_wave(2);
+    bench.accept("j", job(vec![step(1)]));
+    let started = bench.run();
+    let busy = if started[0].2 == "w1" { "h1" } else { "h2" };
+    let maintained = maintained(&bench.orders);
+    assert!(!maintained.contains(&busy.to_string()), "{maintained:?}");
+    bench.accept("k", job(vec![step(1)]));
+    // Both hosts are taken out: nothing starts.
+    assert!(bench.run().is_empty());
+}
+
+#[test]
+fn wave_is_completed_when_all_are_back() {
+    let mut bench = with_wave(2);
+    bench.step();
+    answer(&mut bench, "h1", DutyReply::Done);
+    answer(&mut bench, "h2", DutyReply::Done);
+    bench.step();
+    assert!(bench.coordinator.take_wave_records().iter().all(|it| !it.1.is_completed));
+    bench.wait(2_500);
+    list(&mut bench, two_hosts());
+    bench.step();
+    assert!(bench.coordinator.take_wave_records()[0].1.is_completed);
+}
+
+#[test]
+fn host_that_is_away_is_not_done() {
+    let mut bench = with_wave(2);
+    list(&mut bench, vec![host("h1", "web", Some("w1"))]);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+    answer(&mut bench, "h1", DutyReply::Done);
+    bench.wait(8_000);
+    list(&mut bench, vec![host("h1", "web", Some("w1"))]);
+    bench.step();
+    let records = bench.coordinator.take_wave_records();
+    assert!(records.iter().all(|it| !it.1.is_completed), "{records:?}");
+    let down = HostSeen { state: HostState::Down, ..host("h2", "web", None) };
+    list(&mut bench, vec![host("h1", "web", Some("w1")), down]);
+    assert!(maintained(&bench.step()).is_empty());
+    list(&mut bench, two_hosts());
+    assert_eq!(maintained(&bench.step()), ["h2"]);
+}
+
+fn lasting(bench: &mut Bench, id: &str, running: &[u32]) {
+    bench.wait(1);
+    let running = running.iter().map(|it| seen(&task("j", 0, *it), 1, 100)).collect();
+    let report = Report { asked: bench.now, born: 7, running, ended: Vec::new() };
+    bench.coordinator.worker_held(&id.into(), report, bench.now);
+}
+
+/// A task that lasts is moved only while enough others of its step are seen at work.
+#[test]
+fn lasting_tasks_are_moved_within_their_budget() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    let apart = Step { lasts: true, per_worker: Some(1), may_miss: Some(1), ..step(2) };
+    bench.accept("j", job(vec![apart]));
+    let started = bench.run();
+    let on_w1 = started.iter().find(|it| it.2 == "w1").unwrap().0.index;
+    let on_w2 = started.iter().find(|it| it.2 == "w2").unwrap().0.index;
+    list(&mut bench, two_hosts());
+    lasting(&mut bench, "w1", &[on_w1]);
+    lasting(&mut bench, "w2", &[on_w2]);
+    bench.wait(2_500);
+    lasting(&mut bench, "w1", &[on_w1]);
+    bench.coordinator.waves_asked(&[wave(&["h1"], 1)], &FastMap::default());
+    assert!(stops(&bench.step()).is_empty(), "the other was not seen at work lately");
+    lasting(&mut bench, "w2", &[on_w2]);
+    assert_eq!(stops(&bench.step()), [(task("j", 0, on_w1), 1)]);
+}
+
+#[test]
+fn no_order_soon_after_a_takeover() {
+    let takeover = fuchsiamill_fleet::coordinator::Takeover {
+        renewals_end: common::START,
+        hosts_from: common::START + 3_000,
+    };
+    let mut bench = Bench::after(common::config(), takeover);
+    bench.add(worker("w1"));
+    list(&mut bench, vec![host("h1", "web", Some("w1"))]);
+    bench.coordinator.waves_asked(&[wave(&["h1"], 1)], &FastMap::default());
+    assert!(duties(&bench.step()).is_empty());
+    bench.wait(3_000);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+}
+
+#[test]
+fn peak_brings_hosts_before_tasks_wait() {
+    let mut bench = Bench::new();
+    for it in ["w1", "w2"] {
+        bench.add(worker(it));
+    }
+    let mut hosts = two_hosts();
+    hosts.push(host("s1", "spare", None));
+    hosts.push(host("s2", "spare", None));
+    list(&mut bench, hosts);
+    // 20 cores for a second each, on 16 cores: one more host of 8 is needed.
+    bench.accept("j", job(vec![Step { size: cores(2), ..step(10) }]));
+    let moved = moves(&bench.step());
+    assert!(moved.iter().any(|it| it.1 == "web"), "{moved:?}");
+}
+
+#[test]
+fn idle_hosts_go_to_the_spare_pool() {
+    let mut bench = Bench::new();
+    let mut hosts = Vec::new();
+    for number in 1..=4 {
+        let id = format!("w{number}");
+        bench.add(worker(&id));
+        hosts.push(host(&format!("h{number}"), "web", Some(&id)));
+    }
+    list(&mut bench, hosts);
+    assert!(moves(&bench.step()).is_empty());
+    bench.wait(3_000);
+    let moved = moves(&bench.step());
+    assert_eq!(moved.iter().filter(|it| it.1 == "spare").count(), 2, "{moved:?}");
+}
+
+#[test]
+fn dark_hosts_count_for_nothing() {
+    let mut bench = Bench::new();
+    for it in ["w1", "w2"] {
+        bench.add(worker(it));
+    }
+    let mut hosts = two_hosts();
+    hosts.push(host("s1", "spare", None));
+    list(&mut bench, hosts);
+    assert!(moves(&bench.step()).is_empty());
+    bench.coordinator.worker_silent(&"w1".into(), Moment(bench.now.0));
+    assert_eq!(moves(&bench.step()), [("s1".to_string(), "web".to_string())]);
+}
--- /dev/null
+++ b/crates/fleet/tests/run_answers.rs
@@ -0,0 +1,155 @@
+//! Answers to orders: lost ones, refusals, and ends that are told late.
+
+mod common;
+
+use common::{Bench, acknowledged, job, seen, starts, step, stops, task, worker};
+use fuchsiamill_fleet::{
+    Ending, Report, Stage,
+    coordinator::{Refusal, Started},
+};
+
+fn one_task() -> (Bench, u32) {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    bench.accept("j", job(vec![step(1)]));
+    let started = starts(&bench.step());
+    assert_eq!(started.len(), 1);
+    (bench, started[0].1)
+}
+
+#[test]
+fn start_is_recorded_first() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    bench.decide();
+    assert!(starts(&bench.coordinator.take_orders()).is_empty());
+    let commit = bench.coordinator.next_commit().unwrap();
+    assert_eq!(commit.records[0].1.tasks[0].on.as_ref().unwrap().0, "w1");
+    assert!(starts(&bench.coordinator.take_orders()).is_empty());
+    bench.coordinator.committed(bench.now);
+    assert_eq!(starts(&bench.coordinator.take_orders()).len(), 1);
+}
+
+#[test]
+fn end_is_recorded_first() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, Started::Running, bench.now);
+    bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Done)]);
+    assert_eq!(acknowledged(&bench.coordinator.take_orders()), None);
+    let commit = bench.coordinator.next_commit().unwrap();
+    assert_eq!(commit.records[0].1.stage, Stage::Completed);
+    assert_eq!(acknowledged(&bench.coordinator.take_orders()), None);
+    bench.coordinator.committed(bench.now);
+    assert_eq!(acknowledged(&bench.coordinator.take_orders()), Some(1));
+}
+
+/// The first order ran and its answer was lost; the second is refused, since the run is over. The end is only told
+/// with a later report: nothing may start before it.
+#[test]
+fn refused_repeat_waits_for_the_end() {
+    let (mut bench, run) = one_task();
+    let answer = Started::Refused(Refusal::Old).after(Started::Unknown);
+    bench.coordinator.start_answered(&task("j", 0, 0), run, answer, bench.now);
+    assert!(starts(&bench.step()).is_empty());
+    bench.wait(50);
+    bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Done)]);
+    assert!(starts(&bench.step()).is_empty());
+    assert_eq!(bench.coordinator.open_jobs(), 0);
+}
+
+#[test]
+fn refusal_of_a_repeat_says_nothing_of_the_first() {
+    for second in [
+        Started::NotSent,
+        Started::Unknown,
+        Started::Refused(Refusal::Room),
+        Started::Refused(Refusal::Late),
+        Started::Refused(Refusal::Unhealthy),
+    ] {
+        assert_eq!(second.clone().after(Started::Unknown), Started::Unknown);
+        assert_eq!(second.clone().after(Started::NotSent), second);
+    }
+    assert_eq!(Started::Running.after(Started::Unknown), Started::Running);
+}
+
+#[test]
+fn unanswered_start_is_stopped_before_another() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, Started::Unknown, bench.now);
+    let orders = bench.step();
+    assert_eq!(stops(&orders), [(task("j", 0, 0), run)]);
+    assert!(starts(&orders).is_empty());
+    // Nothing is there, but the order may still be on its way.
+    bench.report("w1", &[], &[]);
+    assert!(starts(&bench.step()).is_empty());
+    bench.coordinator.stop_answered(&task("j", 0, 0), run, bench.now);
+    bench.report("w1", &[], &[]);
+    let again = starts(&bench.step());
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1, run + 1);
+}
+
+#[test]
+fn unanswered_start_is_void_after_its_lease() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, Started::Unknown, bench.now);
+    bench.step();
+    bench.wait(6_000);
+    bench.report("w1", &[], &[]);
+    assert!(starts(&bench.step()).is_empty());
+    bench.wait(300);
+    bench.report("w1", &[], &[]);
+    assert_eq!(starts(&bench.step()).len(), 1);
+}
+
+#[test]
+fn late_start_is_found_running() {
+    let (mut bench, run) = one_task();
+    bench.report("w1", &[(task("j", 0, 0), run)], &[]);
+    bench.coordinator.start_answered(&task("j", 0, 0), run, Started::Unknown, bench.now);
+    assert!(stops(&bench.step()).is_empty());
+}
+
+#[test]
+fn unknown_run_is_stopped() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    let report = Report {
+        asked: bench.now,
+        born: 7,
+        running: vec![seen(&task("other", 0, 0), 3, 10)],
+        ended: Vec::new(),
+    };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+    assert_eq!(stops(&bench.step()), [(task("other", 0, 0), 3)]);
+}
+
+#[test]
+fn ended_number_counts_once() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, Started::Running, bench.now);
+    bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Failed)]);
+    let failed = bench.run();
+    assert_eq!(failed.len(), 1);
+    bench.ends -= 1;
+    bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Failed)]);
+    let job = bench.coordinator.job("j").unwrap();
+    assert_eq!(job.task(&task("j", 0, 0)).unwrap().failures, 1);
+}
+
+#[test]
+fn too_many_failures_end_the_job() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    for attempt in 1..=3 {
+        let started = bench.run();
+        assert_eq!(started.len(), 1, "attempt {attempt}");
+        let (id, run, on) = started[0].clone();
+        bench.report(&on, &[], &[(id, run, Ending::Failed)]);
+    }
+    assert!(bench.run().is_empty());
+    assert_eq!(bench.coordinator.open_jobs(), 0);
+}
--- /dev/null
+++ b/crates/fleet/tests/worker_loss.rs
@@ -0,0 +1,164 @@
+//! Workers that fall silent, die, come back under their id, or are inherited from a former coordinator.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{Bench, START, WALL, config, job, seen, starts, step, stops, task, worker};
+use fuchsiamill_fleet::{
+    JobRecord, Report, Stage, TaskRecord, WorkerSeen, coordinator::Started, coordinator::Takeover,
+};
+
+fn running() -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    bench.add(worker("w2"));
+    bench
+}
+
+#[test]
+fn silent_worker_keeps_its_tasks_for_the_lease() {
+    let mut bench = running();
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(6_000);
+    assert!(starts(&bench.step()).is_empty());
+    bench.wait(300);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+#[test]
+fn unlisted_worker_keeps_its_tasks_for_the_lease() {
+    let mut bench = running();
+    bench.coordinator.worker_unlisted(&"w1".into());
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(5_000);
+    assert!(starts(&bench.step()).is_empty());
+    bench.wait(1_300);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+#[test]
+fn dead_worker_loses_its_tasks_at_once() {
+    let mut bench = running();
+    bench.coordinator.worker_dead(&"w1".into(), 7, bench.now);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+#[test]
+fn death_of_a_former_life_changes_nothing() {
+    let mut bench = running();
+    bench.coordinator.worker_dead(&"w1".into(), 6, bench.now);
+    assert!(bench.run().is_empty());
+}
+
+#[test]
+fn reborn_worker_has_nothing() {
+    let mut bench = running();
+    bench.coordinator.worker_listed(WorkerSeen { born: 8, ..worker("w1") }, bench.now);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+/// An order to the former life may reach the new one: it is stopped there before the task starts elsewhere.
+#[test]
+fn order_to_a_former_life_is_stopped_first() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(starts(&bench.step()).len(), 1);
+    bench.add(worker("w2"));
+    bench.coordinator.worker_listed(WorkerSeen { born: 8, ..worker("w1") }, bench.now);
+    let orders = bench.step();
+    assert_eq!(stops(&orders), [(task("j", 0, 0), 1)]);
+    assert!(starts(&orders).is_empty());
+}
+
+fn inherited(takeover: Takeover) -> Bench {
+    let mut bench = Bench::after(config(), takeover);
+    bench.coordinator.worker_listed(worker("w1"), bench.now);
+    bench.add(worker("w2"));
+    let record = JobRecord {
+        stage: Stage::Running,
+        tasks: vec![TaskRecord {
+            occurrence: 0,
+            step: 0,
+            index: 0,
+            run: 4,
+            failures: 1,
+            done: false,
+            on: Some(("w1".into(), 7)),
+            saved: "half".into(),
+        }],
+        over_ms: 0,
+    };
+    let spec = Arc::new(job(vec![step(1)]));
+    bench.coordinator.accept("j".into(), spec, Some(&record), bench.now, WALL);
+    bench
+}
+
+const AT_ONCE: Takeover = Takeover { renewals_end: START, hosts_from: START };
+
+#[test]
+fn inherited_run_goes_on() {
+    let mut bench = inherited(AT_ONCE);
+    assert!(bench.run().is_empty());
+    bench.report("w1", &[(task("j", 0, 0), 4)], &[]);
+    assert!(bench.run().is_empty());
+}
+
+#[test]
+fn inherited_run_that_is_not_there_starts_anew() {
+    let mut bench = inherited(AT_ONCE);
+    bench.report("w1", &[], &[]);
+    let started = bench.run();
+    assert_eq!(started[0].1, 5);
+}
+
+#[test]
+fn inherited_silent_worker_waits_for_the_last_renewal() {
+    let renewals_end = START + 12_000;
+    let mut bench = inherited(Takeover { renewals_end, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(18_000);
+    assert!(bench.run().is_empty());
+    bench.wait(300);
+    assert_eq!(bench.run().len(), 1);
+}
+
+#[test]
+fn inherited_silent_worker_waits_less_once_the_former_is_over() {
+    let renewals_end = START + 12_000;
+    let mut bench = inherited(Takeover { renewals_end, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.coordinator.former_over(bench.now);
+    bench.wait(6_000);
+    assert!(bench.run().is_empty());
+    bench.wait(300);
+    assert_eq!(bench.run().len(), 1);
+}
+
+#[test]
+fn run_that_vanished_starts_anew() {
+    let mut bench = running();
+    bench.report("w1", &[], &[]);
+    assert_eq!(bench.run().len(), 1);
+}
+
+#[test]
+fn report_asked_before_the_start_proves_nothing() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    let asked = bench.now;
+    bench.wait(5);
+    let started = starts(&bench.step());
+    bench.coordinator.start_answered(&started[0].0, 1, Started::Running, bench.now);
+    let report = Report { asked, born: 7, running: Vec::new(), ended: Vec::new() };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+    assert!(bench.run().is_empty());
+    let running = vec![seen(&task("j", 0, 0), 1, 50)];
+    let report = Report { asked: bench.now, born: 7, running, ended: Vec::new() };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+    assert!(bench.run().is_empty());
+}
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -269,8 +269,7 @@
             let order = (&task, run);
             let sent = self.client.start(order, &payload, &saved, None, deadline, ORDER_TIME).await;
             answer = match (sent, answer) {
-                (Ok(Started::NotSent), Started::Unknown) => Started::Unknown,
-                (Ok(it), _) => it,
+                (Ok(it), before) => it.after(before),
                 (Err(LifeError::OtherLife | LifeError::Closed), _) => {
                     self.tell(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
                     return;
