Changes of the coordinator are paced, records packed

Cause: grown sites: a coordinator on a link of 10 Mbit/s sent a record of some 50 bytes a task with every change, and placed tasks with every event although a start needs a stored record first.

Change: placing goes with the begin of a change, 15 ms apart at least; hosts and time are looked at every 50 ms; done tasks are stored as ranges and workers once a record (a property test reads back what was written).

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -357,6 +357,11 @@
         }
     }
 
+    /// Whether something waits to be placed or stored.
+    pub fn has_work(&self) -> bool {
+        self.needs_placing || !self.dirty.is_empty() || !self.held_back.is_empty()
+    }
+
     /// Orders that may be carried out now.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.released)
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -30,26 +30,18 @@
 
 /// A job's progress. Tasks that never started are left out.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(from = "Packed", into = "Packed")]
 pub struct JobRecord {
     /// Where it stands.
-    #[serde(rename = "s")]
     pub stage: Stage,
     /// Its tasks.
-    #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
     pub tasks: Vec<TaskRecord>,
-    /// When it was over, in store time.
-    #[serde(rename = "o", skip_serializing_if = "is_zero")]
+    /// When it was over, on the store's clock.
     pub over_ms: u64,
 }
 
-fn is_zero(it: &u64) -> bool {
-    *it == 0
-}
-
-/// Progress of one task.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(from = "Row", into = "Row")]
+/// Progress of one task. Of a task that is done nothing else is kept.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct TaskRecord {
     /// The occurrence of its job.
     pub occurrence: u32,
@@ -76,20 +68,107 @@
     }
 }
 
-/// The short form: numbers, then worker, birth and progress where there are any.
-type Row = (u32, u16, u32, u32, u32, bool, Name, u64, Name);
+/// The stored form: records are rewritten with every change, so that their size is most of what is sent to the store.
+#[derive(Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Packed {
+    #[serde(rename = "s")]
+    stage: Stage,
+    /// Workers and their births, named by their place here.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    workers: Vec<(Name, u64)>,
+    /// Runs of done tasks: occurrence, step, first index, how many.
+    #[serde(rename = "d", skip_serializing_if = "Vec::is_empty")]
+    done: Vec<(u32, u16, u32, u32)>,
+    /// Other tasks: occurrence, step, index, run, failures, worker (-1 for none).
+    #[serde(rename = "t", skip_serializing_if = "Vec::is_empty")]
+    tasks: Vec<(u32, u16, u32, u32, u32, i32)>,
+    /// Saved progress, by the place in `tasks`.
+    #[serde(rename = "p", skip_serializing_if = "Vec::is_empty")]
+    saved: Vec<(u32, Name)>,
+    #[serde(rename = "o", skip_serializing_if = "is_zero")]
+    over_ms: u64,
+}
+
+const NO_WORKER: i32 = -1;
 
-impl From<Row> for TaskRecord {
-    fn from((occurrence, step, index, run, failures, done, worker, born, saved): Row) -> Self {
-        let on = (!worker.is_empty()).then_some((worker, born));
-        Self { occurrence, step, index, run, failures, done, on, saved }
+impl From<JobRecord> for Packed {
+    fn from(it: JobRecord) -> Packed {
+        let mut packed = Packed { stage: it.stage, over_ms: it.over_ms, ..Packed::default() };
+        for task in it.tasks {
+            match task.done {
+                true => packed.push_done(&task),
+                false => packed.push(task),
+            }
+        }
+        packed
     }
 }
 
-impl From<TaskRecord> for Row {
-    fn from(it: TaskRecord) -> Row {
-        let (worker, born) = it.on.unwrap_or_default();
-        let TaskRecord { occurrence, step, index, run, failures, done, saved, .. } = it;
-        (occurrence, step, index, run, failures, done, worker, born, saved)
+impl Packed {
+    fn push_done(&mut self, task: &TaskRecord) {
+        match self.done.last_mut() {
+            Some((k, s, first, count))
+                if (*k, *s, *first + *count) == (task.occurrence, task.step, task.index) =>
+            {
+                *count += 1;
+            }
+            _ => self.done.push((task.occurrence, task.step, task.index, 1)),
+        }
+    }
+
+    fn push(&mut self, task: TaskRecord) {
+        let worker = task.on.map_or(NO_WORKER, |on| {
+            let known = self.workers.iter().position(|it| *it == on);
+            known.unwrap_or_else(|| {
+                self.workers.push(on);
+                self.workers.len() - 1
+            }) as i32
+        });
+        if !task.saved.is_empty() {
+            self.saved.push((self.tasks.len() as u32, task.saved));
+        }
+        let TaskRecord { occurrence, step, index, run, failures, .. } = task;
+        self.tasks.push((occurrence, step, index, run, failures, worker));
     }
 }
+
+impl From<Packed> for JobRecord {
+    fn from(it: Packed) -> JobRecord {
+        let mut tasks = Vec::new();
+        for (occurrence, step, first, count) in it.done {
+            let done = |index| TaskRecord {
+                occurrence,
+                step,
+                index,
+                run: 1,
+                done: true,
+                ..TaskRecord::default()
+            };
+            tasks.extend((first..first.saturating_add(count)).map(done));
+        }
+        let first = tasks.len();
+        for (occurrence, step, index, run, failures, worker) in it.tasks {
+            let on = usize::try_from(worker).ok().and_then(|place| it.workers.get(place).cloned());
+            tasks.push(TaskRecord {
+                occurrence,
+                step,
+                index,
+                run,
+                failures,
+                on,
+                ..TaskRecord::default()
+            });
+        }
+        for (place, saved) in it.saved {
+            if let Some(task) = tasks.get_mut(first + place as usize) {
+                task.saved = saved;
+            }
+        }
+        JobRecord { stage: it.stage, tasks, over_ms: it.over_ms }
+    }
+}
+
+fn is_zero(it: &u64) -> bool {
+    *it == 0
+}
--- /dev/null
+++ b/crates/fleet/tests/record_form.rs
@@ -0,0 +1,63 @@
+//! The stored form of a job's progress.
+
+use fuchsiamill_fleet::{JobRecord, Stage, TaskRecord};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+#[derive(Clone, Debug)]
+struct Progress(JobRecord);
+
+impl Arbitrary for Progress {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut tasks = Vec::new();
+        for step in 0..u16::arbitrary(g) % 3 {
+            for index in 0..u32::arbitrary(g) % 9 {
+                tasks.push(task(g, step, index));
+            }
+        }
+        // Done tasks come first: the order within a record says nothing.
+        tasks.sort_by_key(|it| !it.done);
+        let stage = *g.choose(&[Stage::Queued, Stage::Running, Stage::Completed]).unwrap();
+        Progress(JobRecord { stage, tasks, over_ms: u64::arbitrary(g) })
+    }
+}
+
+fn task(g: &mut Gen, step: u16, index: u32) -> TaskRecord {
+    let done = bool::arbitrary(g);
+    let base = TaskRecord { step, index, run: 1, done, ..TaskRecord::default() };
+    if done {
+        return base;
+    }
+    let worker = *g.choose(&["w1", "w2", "w3"]).unwrap();
+    let on = bool::arbitrary(g).then(|| (worker.into(), 7));
+    let saved = if bool::arbitrary(g) { "half" } else { "" };
+    TaskRecord {
+        run: u32::arbitrary(g),
+        failures: u32::arbitrary(g),
+        on,
+        saved: saved.into(),
+        ..base
+    }
+}
+
+quickcheck! {
+    fn reads_back_what_was_written(progress: Progress) -> bool {
+        let text = serde_json::to_string(&progress.0).unwrap();
+        serde_json::from_str::<JobRecord>(&text).unwrap() == progress.0
+    }
+}
+
+#[test]
+fn whole_steps_take_little() {
+    let done = |index| TaskRecord { index, run: 1, done: true, ..TaskRecord::default() };
+    let record =
+        JobRecord { stage: Stage::Running, tasks: (0..1_000).map(done).collect(), over_ms: 0 };
+    let text = serde_json::to_string(&record).unwrap();
+    assert!(text.len() < 60, "{text}");
+}
+
+#[test]
+fn bad_places_name_no_worker() {
+    let text = r#"{"s":"running","t":[[0,0,0,1,0,5]],"p":[[9,"x"]]}"#;
+    let record: JobRecord = serde_json::from_str(text).unwrap();
+    assert_eq!(record.tasks[0].on, None);
+}
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -25,8 +25,11 @@
 };
 use crate::{front::Board, tables};
 
-/// The longest pause between two looks at what time alone brings about.
-const TICK: Duration = Duration::from_millis(50);
+/// The pause between two looks at what time alone brings about, and at hosts.
+const TICK_MS: u64 = 50;
+
+/// The least time between the begins of two changes: what happens in between is stored together.
+const PACE_MS: u64 = 15;
 
 /// The pause between two questions to a former holder of the lease.
 const FORMER_PAUSE: Duration = Duration::from_millis(300);
@@ -64,6 +67,10 @@
     /// The lease while no change is under way.
     lease: Option<Box<Lease>>,
     committed: Moment,
+    /// When the last change was begun.
+    paced: Moment,
+    /// When time was last looked at.
+    ticked: Moment,
     board_written: Moment,
     store_offset: (u64, Moment),
     commits: mpsc::UnboundedSender<(Box<Lease>, Result<(), Lost>)>,
@@ -125,6 +132,8 @@
             links: FastMap::default(),
             link_terms,
             committed: taken,
+            paced: Moment(0),
+            ticked: Moment(0),
             board_written: Moment(0),
             store_offset: (lease.store_ms(), taken),
             lease: Some(Box::new(lease)),
@@ -142,7 +151,7 @@
                 let links = std::pin::pin!(link_rx.recv());
                 let commits = std::pin::pin!(commit_rx.recv());
                 let hosts = std::pin::pin!(host_rx.recv());
-                let tick = std::pin::pin!(sleep(TICK));
+                let tick = std::pin::pin!(sleep(leader.pause()));
                 let feeds = select(jobs, workers);
                 let answers = select(links, commits);
                 let over = std::pin::pin!(over_rx.recv());
@@ -296,16 +305,31 @@
             return Some(Left::Stopping);
         }
         let now = self.cx.clock.now();
-        self.apply_config();
-        self.coordinator.tick(now, self.cx.clock.wall());
-        self.coordinator.place(now);
-        self.coordinator.plan_hosts(now);
-        self.begin_commit(now);
+        if now.since(self.ticked) >= TICK_MS {
+            self.ticked = now;
+            self.apply_config();
+            self.coordinator.tick(now, self.cx.clock.wall());
+            self.coordinator.plan_hosts(now);
+            self.close_links();
+        }
+        // A start needs a stored record: without a change to put it in, placing would only be done again.
+        if self.lease.is_some() && now.since(self.paced) >= PACE_MS {
+            self.coordinator.place(now);
+            self.begin_commit(now);
+        }
         self.carry_out();
-        self.close_links();
         None
     }
 
+    /// How long to wait for an event.
+    fn pause(&self) -> Duration {
+        let ms = match self.lease.is_some() && self.coordinator.has_work() {
+            true => PACE_MS.saturating_sub(self.cx.clock.now().since(self.paced)).max(1),
+            false => TICK_MS,
+        };
+        Duration::from_millis(ms)
+    }
+
     fn apply_config(&mut self) {
         let (config, waves) = {
             let intent = self.cx.intent.borrow();
@@ -321,9 +345,6 @@
     }
 
     fn begin_commit(&mut self, now: Moment) {
-        if self.lease.is_none() {
-            return;
-        }
         let records = self.coordinator.next_commit().unwrap_or_default().records;
         let waves = self.coordinator.take_wave_records();
         let is_due = now.since(self.committed) >= RENEW_MS;
@@ -354,7 +375,8 @@
             self.board_written = now;
             puts.push((tables::board_key(), self.board(now)));
         }
-        let mut lease = self.lease.take().expect("the lease is here");
+        let Some(mut lease) = self.lease.take() else { return };
+        self.paced = now;
         let commits = self.commits.clone();
         monoio::spawn(async move {
             let result = lease.commit(puts, Vec::new()).await;
