Strong entry hosts coordinate

Ruled out: processor time (0.080 of 0.12 at most).

Change: entry hosts tell their processors and links in a row; a weak one leaves a free lease to stronger ones for 0.9 s and gives a held one back once a stronger one tells that it reaches the store.

--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -54,6 +54,10 @@
     pub row_bytes: usize,
     /// Changes a second that one part of the store takes.
     pub part_writes_per_s: u32,
+    /// The processors of this entry host; a part of one is possible.
+    pub processors: f64,
+    /// The bandwidth of this entry host's link, in megabits a second.
+    pub link_mbps: f64,
     /// The least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -103,6 +107,9 @@
             status_s: section.number("status-s", 120, 1..=86_400)?,
             row_bytes: section.number("row-bytes", 65_536, 4_096..=16_777_216)?,
             part_writes_per_s: section.number("part-writes-per-s", 150, 1..=1_000_000)?,
+            processors: section.value_or("processor-share", factor, 1.0)?
+                * section.value_or("processors", factor, 1.0)?,
+            link_mbps: section.value_or("link-mbps", factor, 1_000.0)?,
             log_level: section.value_or(
                 "log-level",
                 "off, error, warn, info, debug or trace",
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -24,7 +24,9 @@
     clock::Clock,
     config::{Follower, Intent},
     front::{Front, Submitter},
-    lead::{Candidate, LeaseRow, serve_standing},
+    lead::{
+        Candidate, EntryRow, LeaseRow, Standing, Stronger, follow_entries, serve_standing, strength,
+    },
     tables,
 };
 
@@ -44,6 +46,9 @@
 /// How long a former coordinator may go on renewing leases without the store.
 const RENEWAL_MS: u64 = 12_000;
 
+/// An answer of the store this long ago shows that it can be reached: its feed is asked every second.
+const STORE_HEARD_MS: u64 = 1_500;
+
 /// Keeps incarnations within the whole numbers that every JSON reader takes.
 const INCARNATION_SHIFT: u32 = 12;
 
@@ -85,7 +90,8 @@
         let is_stopping = Rc::new(Cell::new(false));
         let (tx, intent) = watch::channel(Intent::default());
         let heard = Rc::new(Cell::new(Moment(0)));
-        monoio::spawn(Follower { store: store.clone(), clock, tx, heard }.run());
+        let follower = Follower { store: store.clone(), clock, tx, heard: heard.clone() };
+        monoio::spawn(follower.run());
 
         let ready = Ready { intent: intent.clone(), is_stopping: is_stopping.clone() };
         let (_, shutdown) = shutdown_pair();
@@ -103,10 +109,25 @@
         let term = Rc::<Cell<u64>>::default();
         let incarnation = fastrand::u64(..) >> INCARNATION_SHIFT;
         if let Some(addr) = settings.peers {
-            serve_standing(addr, incarnation, term.clone())
+            let (term, heard) = (term.clone(), heard.clone());
+            let tell = move || Standing {
+                incarnation,
+                term: term.get(),
+                reaches_store: clock.now().since(heard.get()) <= STORE_HEARD_MS,
+            };
+            serve_standing(addr, tell)
                 .with_context(|| format!("cannot listen at {addr} for other entry hosts"))?;
         }
 
+        let stronger = Stronger::default();
+        let own = EntryRow {
+            address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
+            incarnation,
+            strength: strength(settings.processors, settings.link_mbps),
+        };
+        let (name, address) = (settings.name.clone(), own.address.clone());
+        monoio::spawn(follow_entries(store.clone(), name, own, stronger.clone()));
+
         let candidate = Candidate {
             store,
             clock,
@@ -116,11 +137,12 @@
             own: LeaseRow {
                 holder: settings.name.clone(),
                 incarnation,
-                address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
+                address,
                 ..LeaseRow::default()
             },
             is_stopping: is_stopping.clone(),
             term: term.clone(),
+            stronger,
         };
         let candidate = monoio::spawn(candidate.run());
         let grace = Duration::from_secs_f64(settings.grace_s * GRACE_SHARE);
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -7,6 +7,7 @@
 use monoio::time::sleep;
 
 use super::{
+    entries::Stronger,
     lease::{Lease, LeaseRow, decode},
     standing::{Holder, ask},
 };
@@ -18,6 +19,9 @@
 /// A holder changes its row each [`super::RENEW_MS`]; one that misses that several times is silent.
 const SILENCE_MS: u64 = 1_900;
 
+/// How long a weak entry host leaves a free lease to stronger ones: two of their looks.
+const COURTESY_MS: u64 = 900;
+
 /// What a look at the lease suggests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Look {
@@ -37,6 +41,8 @@
     pub own: LeaseRow,
     /// The term that this process tells others.
     pub term: Rc<Cell<u64>>,
+    /// Entry hosts that should rather coordinate.
+    pub stronger: Stronger,
 }
 
 /// The lease, and what is known of its former holder.
@@ -53,6 +59,7 @@
     /// Returns once this process holds the lease.
     pub async fn win(&self) -> Won {
         let mut last: Option<(u64, Moment)> = None;
+        let mut takeable = None;
         loop {
             match self.store.read_row(&tables::lease_key()).await {
                 Ok((row, _)) => {
@@ -64,7 +71,14 @@
                         _ => now,
                     };
                     last = Some((version, since));
-                    if let Look::Takeable(holder) = self.look(&row, now.since(since)).await
+                    let look = self.look(&row, now.since(since)).await;
+                    takeable = match (look, takeable) {
+                        (Look::Held, _) => None,
+                        (Look::Takeable(_), None) => Some(now),
+                        (_, since) => since,
+                    };
+                    if let Look::Takeable(holder) = look
+                        && takeable.is_some_and(|it| now.since(it) >= self.courtesy_ms())
                         && let Some(lease) = self.take(&row, version).await
                     {
                         return Won { lease, former: row, holder };
@@ -80,6 +94,11 @@
         }
     }
 
+    /// How long to leave a free lease to stronger entry hosts.
+    fn courtesy_ms(&self) -> u64 {
+        if self.stronger.borrow().is_empty() { 0 } else { COURTESY_MS }
+    }
+
     async fn look(&self, row: &LeaseRow, unchanged_ms: u64) -> Look {
         let was_self = row.holder == self.own.holder && row.incarnation != self.own.incarnation;
         if row.holder.is_empty() || was_self {
--- /dev/null
+++ b/crates/site/src/lead/entries.rs
@@ -0,0 +1,82 @@
+//! What entry hosts tell of themselves, so that the strongest ones coordinate.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use fuchsiamill_fleet::Name;
+use fuchsiamill_platform::{Store, Tx};
+use monoio::time::sleep;
+use serde::{Deserialize, Serialize};
+
+use crate::tables;
+
+/// The pause between two reads of the other entry hosts' rows.
+const READ_PAUSE: Duration = Duration::from_secs(8);
+
+/// The pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// An entry host is weak beside one that has this much more, in per cent.
+const MUCH_STRONGER_PERCENT: u32 = 130;
+
+/// One entry host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EntryRow {
+    /// Where it takes calls of other entry hosts.
+    pub address: Name,
+    /// One run of its process.
+    pub incarnation: u64,
+    /// What it can carry: thousandths of a processor, or less where its link is narrow.
+    pub strength: u32,
+}
+
+/// Thousandths of a processor that a megabit a second of the link can keep busy.
+const MILLICORES_PER_MBPS: f64 = 5.0;
+
+/// The strength of an entry host.
+pub fn strength(processors: f64, link_mbps: f64) -> u32 {
+    (processors * 1_000.0).min(link_mbps * MILLICORES_PER_MBPS) as u32
+}
+
+/// The entry hosts that are much stronger than this one.
+pub type Stronger = Rc<RefCell<Vec<EntryRow>>>;
+
+/// Tells the others of this entry host, then reads their rows again and again.
+pub async fn follow(store: Rc<Store>, name: Name, own: EntryRow, stronger: Stronger) {
+    let value = serde_json::to_vec(&own).expect("a row serialises to JSON");
+    let puts = vec![(tables::entry_key(&name), value)];
+    let tx = Tx { puts, ..Tx::default() };
+    while let Err(e) = store.commit(&tx).await {
+        tracing::debug!(event = "entry-not-told", error = %e);
+        sleep(RETRY_PAUSE).await;
+    }
+    loop {
+        match read(&store).await {
+            Ok(rows) => {
+                let is_stronger =
+                    |it: &EntryRow| it.strength * 100 > own.strength * MUCH_STRONGER_PERCENT;
+                *stronger.borrow_mut() = rows.into_iter().filter(is_stronger).collect();
+                sleep(READ_PAUSE).await;
+            }
+            Err(e) => {
+                tracing::debug!(event = "read-failed", what = "entries", error = %e);
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read(store: &Store) -> fuchsiamill_platform::Result<Vec<EntryRow>> {
+    let to = format!("{}~", tables::ENTRY_PREFIX);
+    let page = store
+        .read(tables::COORDINATOR, tables::COORDINATOR_PART, tables::ENTRY_PREFIX, Some(&to))
+        .await?;
+    let rows = page.rows.iter().filter_map(|it| {
+        serde_json::from_slice(&it.value)
+            .inspect_err(
+                |e| tracing::error!(event = "entry-unreadable", key = %it.key.key, error = %e),
+            )
+            .ok()
+    });
+    Ok(rows.collect())
+}
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -16,12 +16,13 @@
 use super::{
     Candidate, RENEW_MS,
     election::Won,
+    entries::Stronger,
     feeds::{Feed, FeedEvent},
     hosts::{self, HostEvent, HostWatch},
     lease::{Lease, LeaseRow, Lost},
     links::{Link, LinkEvent, LinkTerms},
     load::{Loaded, apply_job, apply_worker, load},
-    standing::{Holder, ask},
+    standing::{Holder, ask, is_able},
 };
 use crate::{front::Board, tables};
 
@@ -31,6 +32,9 @@
 /// The least time between the begins of two changes: what happens in between is stored together.
 const PACE_MS: u64 = 15;
 
+/// The pause between two questions to stronger entry hosts: a change of the coordinator costs some starts.
+const STRONGER_PAUSE: Duration = Duration::from_secs(4);
+
 /// The pause between two questions to a former holder of the lease.
 const FORMER_PAUSE: Duration = Duration::from_millis(300);
 
@@ -46,6 +50,8 @@
     Fenced,
     /// The process was told to stop.
     Stopping,
+    /// A stronger entry host can coordinate.
+    Yielding,
 }
 
 enum Event {
@@ -54,6 +60,7 @@
     Link(LinkEvent),
     Host(HostEvent),
     FormerOver,
+    StrongerAble,
     Committed(Box<Lease>, Result<(), Lost>),
     Tick,
 }
@@ -94,9 +101,10 @@
         let (worker_tx, mut worker_rx) = mpsc::unbounded_channel();
         let (commits, mut commit_rx) = mpsc::unbounded_channel();
         let (host_tx, mut host_rx) = mpsc::unbounded_channel();
-        let (over_tx, mut over_rx) = mpsc::unbounded_channel();
+        let (notice_tx, mut notice_rx) = mpsc::unbounded_channel();
+        let cx_stronger = cx.stronger.clone();
         if holder != Holder::Over {
-            monoio::spawn(watch_former(former, over_tx.clone(), is_leading.clone()));
+            monoio::spawn(watch_former(former, notice_tx.clone(), is_leading.clone()));
         }
         if let Some(hosts) = cx.hosts.clone() {
             let watch = HostWatch {
@@ -143,7 +151,7 @@
             config_version: 0,
             cx,
         };
-        let _over = over_tx;
+        monoio::spawn(watch_stronger(cx_stronger, notice_tx, is_leading.clone()));
         let left = loop {
             let event = {
                 let jobs = std::pin::pin!(job_rx.recv());
@@ -154,8 +162,8 @@
                 let tick = std::pin::pin!(sleep(leader.pause()));
                 let feeds = select(jobs, workers);
                 let answers = select(links, commits);
-                let over = std::pin::pin!(over_rx.recv());
-                let others = select(select(hosts, over), tick);
+                let notices = std::pin::pin!(notice_rx.recv());
+                let others = select(select(hosts, notices), tick);
                 match select(select(answers, feeds), others).await {
                     Either::Left((Either::Left((Either::Left((it, _)), _)), _)) => {
                         it.map(Event::Link)
@@ -172,9 +180,7 @@
                     Either::Right((Either::Left((Either::Left((it, _)), _)), _)) => {
                         it.map(Event::Host)
                     }
-                    Either::Right((Either::Left((Either::Right((it, _)), _)), _)) => {
-                        it.map(|()| Event::FormerOver)
-                    }
+                    Either::Right((Either::Left((Either::Right((it, _)), _)), _)) => it,
                     Either::Right((Either::Right(_), _)) => Some(Event::Tick),
                 }
             };
@@ -193,7 +199,7 @@
         };
         is_leading.set(false);
         leader.links.values().for_each(|it| it.close());
-        if left == Left::Stopping {
+        if matches!(left, Left::Stopping | Left::Yielding) {
             leader.give_back(commit_rx).await;
         }
         left
@@ -226,6 +232,7 @@
             Event::Committed(lease, Ok(())) => self.apply_commit(lease),
             Event::Committed(_, Err(Lost)) => return Some(Left::Lost),
             Event::Host(it) => self.apply_host(it),
+            Event::StrongerAble => return Some(Left::Yielding),
             Event::FormerOver => {
                 tracing::info!(event = "former-coordinator-over");
                 self.coordinator.former_over(self.cx.clock.now());
@@ -476,12 +483,34 @@
     Takeover { renewals_end, hosts_from }
 }
 
+/// Tells once a stronger entry host could coordinate.
+async fn watch_stronger(
+    stronger: Stronger,
+    tx: mpsc::UnboundedSender<Event>,
+    is_leading: Rc<Cell<bool>>,
+) {
+    loop {
+        sleep(STRONGER_PAUSE).await;
+        if !is_leading.get() {
+            return;
+        }
+        let rows = stronger.borrow().clone();
+        for row in rows {
+            if is_able(&row).await {
+                // Nobody listens once this process no longer coordinates.
+                let _ = tx.send(Event::StrongerAble);
+                break;
+            }
+        }
+    }
+}
+
 /// Asks the former holder until it surely gives no more orders.
-async fn watch_former(former: LeaseRow, tx: mpsc::UnboundedSender<()>, is_leading: Rc<Cell<bool>>) {
+async fn watch_former(former: LeaseRow, tx: mpsc::UnboundedSender<Event>, is_leading: Rc<Cell<bool>>) {
     while is_leading.get() {
         if ask(&former).await == Holder::Over {
             // Nobody listens once this process no longer coordinates.
-            let _ = tx.send(());
+            let _ = tx.send(Event::FormerOver);
             return;
         }
         sleep(FORMER_PAUSE).await;
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -1,6 +1,7 @@
 //! The process that holds the lease: it feeds the coordinator with events and carries out its orders.
 
 mod election;
+mod entries;
 mod feeds;
 mod hosts;
 mod lease;
@@ -15,8 +16,9 @@
 use fuchsiamill_platform::{Hosts, Store};
 use tokio::sync::watch;
 
+pub use entries::{EntryRow, Stronger, follow as follow_entries, strength};
 pub use lease::LeaseRow;
-pub use standing::serve as serve_standing;
+pub use standing::{Standing, serve as serve_standing};
 
 use crate::{clock::Clock, config::Intent};
 use election::Election;
@@ -44,6 +46,8 @@
     pub is_stopping: Rc<Cell<bool>>,
     /// The term in which this process coordinates or tries to; 0 for none.
     pub term: Rc<Cell<u64>>,
+    /// Entry hosts that should rather coordinate.
+    pub stronger: Stronger,
 }
 
 impl Candidate {
@@ -58,6 +62,7 @@
                 clock: self.clock,
                 own: self.own.clone(),
                 term: self.term.clone(),
+                stronger: self.stronger.clone(),
             };
             let won = election.win().await;
             let term = won.lease.term();
--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -1,11 +1,11 @@
 //! Whether a holder of the lease still coordinates, asked of its process.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use fuchsiamill_peer::{Error, Link, PeerServer, Router, Unreached, call_channel};
 use serde::{Deserialize, Serialize};
 
-use super::lease::LeaseRow;
+use super::{entries::EntryRow, lease::LeaseRow};
 
 const METHOD: &str = "standing";
 
@@ -19,6 +19,8 @@
     pub incarnation: u64,
     /// The term in which it coordinates or tries to; 0 for none.
     pub term: u64,
+    /// Whether the store has answered it lately.
+    pub reaches_store: bool,
 }
 
 /// What is known of the process that holds or held the lease.
@@ -32,8 +34,8 @@
     Unknown,
 }
 
-/// Answers other entry hosts for ever.
-pub fn serve(addr: SocketAddr, incarnation: u64, term: Rc<Cell<u64>>) -> std::io::Result<()> {
+/// Answers other entry hosts for ever; `tell` gives the standing.
+pub fn serve(addr: SocketAddr, tell: impl Fn() -> Standing + 'static) -> std::io::Result<()> {
     let (tx, mut rx) = call_channel();
     let mut router = Router::default();
     router.route(METHOD, tx);
@@ -41,18 +43,28 @@
     monoio::spawn(async move {
         while let Some(call) = rx.recv().await {
             if let Some(((), reply)) = call.parse() {
-                reply.send(Ok(Standing { incarnation, term: term.get() }));
+                reply.send(Ok(tell()));
             }
         }
     });
     Ok(())
 }
 
+async fn call(addr: SocketAddr) -> fuchsiamill_peer::Result<Standing> {
+    // A connection of its own: a kept one may have gone silent.
+    Link::start(addr).call::<Standing>(METHOD, &(), ANSWER_TIME).await
+}
+
+/// Whether an entry host could coordinate.
+pub async fn is_able(row: &EntryRow) -> bool {
+    let Ok(addr) = row.address.parse() else { return false };
+    call(addr).await.is_ok_and(|it| it.incarnation == row.incarnation && it.reaches_store)
+}
+
 /// Asks the process that a lease names.
 pub async fn ask(row: &LeaseRow) -> Holder {
     let Ok(addr) = row.address.parse() else { return Holder::Unknown };
-    // A connection of its own: a kept one may have gone silent.
-    match Link::start(addr).call::<Standing>(METHOD, &(), ANSWER_TIME).await {
+    match call(addr).await {
         Ok(it) if it.incarnation == row.incarnation && it.term == row.term => Holder::Leads,
         Ok(_) => Holder::Over,
         Err(Error::Unreachable(Unreached::Closed)) => Holder::Over,
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -72,3 +72,11 @@
     let key = format!("{}{number}", shared::WAVE_PREFIX);
     Key::new(shared::STATUS, COORDINATOR_PART, &key)
 }
+
+/// The beginning of the keys of what entry hosts tell of themselves.
+pub const ENTRY_PREFIX: &str = "entry.";
+
+/// What an entry host tells of itself.
+pub fn entry_key(name: &str) -> Key {
+    Key::new(COORDINATOR, COORDINATOR_PART, &format!("{ENTRY_PREFIX}{name}"))
+}
