--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Coordinator, Order, Worker};
-use crate::{HostSeen, HostState, Name, worker::Wave};
+use crate::{HostSeen, HostState, Name, terms::with_drift, worker::Wave};
 
 /// A host and what was ordered of it.
 #[derive(Clone, Debug)]
@@ -165,7 +165,7 @@
 
     /// Decides on hosts: maintenance first, then the sizes of pools.
     pub fn plan_hosts(&mut self, now: Moment) {
-        if !self.hosts_known || now < self.takeover.hosts_from {
+        if !self.hosts_known {
             return;
         }
         self.repeat_duties(now);
@@ -177,14 +177,41 @@
     }
 
     fn repeat_duties(&mut self, now: Moment) {
+        let mut repeated = Vec::new();
         for (name, host) in &mut self.hosts {
             let Some(pending) = &mut host.duty else { continue };
             if pending.confirmed.is_none() && now.since(pending.since) >= DUTY_RETRY_MS {
                 pending.since = now;
-                let (host, duty) = (name.clone(), pending.duty.clone());
-                self.released.push(Order::Host { host, duty });
+                repeated.push((name.clone(), pending.duty.clone()));
             }
         }
+        for (host, duty) in repeated {
+            self.note_order(&host, now);
+            self.held_back.push(Order::Host { host, duty });
+        }
+    }
+
+    /// Remembers an order, so that another coordinator does not take turns with it.
+    fn note_order(&mut self, host: &Name, now: Moment) {
+        let kept = with_drift(self.terms.holder_change_ms);
+        self.recent_orders.retain(|_, at| now.since(*at) < kept);
+        self.recent_orders.insert(host.clone(), now);
+        self.orders_noted = true;
+    }
+
+    /// Hosts that had orders lately and when, if there are new ones to store.
+    pub fn take_recent_orders(&mut self) -> Option<Vec<(Name, Moment)>> {
+        let is_new = std::mem::take(&mut self.orders_noted);
+        is_new.then(|| self.recent_orders.iter().map(|(host, at)| (host.clone(), *at)).collect())
+    }
+
+    /// Gives no order to a host before a moment, since a former coordinator may just have given one.
+    pub fn keep_off_host(&mut self, host: Name, until: Moment) {
+        self.kept_off.insert(host, until);
+    }
+
+    pub(super) fn may_order(&self, host: &Name, now: Moment) -> bool {
+        self.kept_off.get(host).is_none_or(|until| now >= *until)
     }
 
     fn plan_wave(&mut self, index: usize, now: Moment) {
@@ -225,7 +252,7 @@
                 break;
             }
             room -= 1;
-            if self.is_free(&name) {
+            if self.is_free(&name, now) {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
             } else {
                 self.reserve(&name);
@@ -250,7 +277,7 @@
     fn is_lost(&self, host: &Name, now: Moment) -> bool {
         match self.hosts.get(host) {
             Some(host) => host.is_lost(now),
-            None => now.since(self.takeover.hosts_from) >= LOST_MS,
+            None => now.since(self.takeover.at) >= LOST_MS,
         }
     }
 
@@ -270,9 +297,9 @@
     }
 
     /// Whether a host may be moved or maintained now: it is up, and nothing runs on it.
-    pub(super) fn is_free(&self, name: &Name) -> bool {
+    pub(super) fn is_free(&self, name: &Name, now: Moment) -> bool {
         let Some(host) = self.hosts.get(name) else { return false };
-        if host.duty.is_some() || host.seen.state != HostState::Up {
+        if host.duty.is_some() || host.seen.state != HostState::Up || !self.may_order(name, now) {
             return false;
         }
         let is_spare = self.config.pools.get(&host.seen.pool).is_some_and(|it| it.spare);
@@ -295,7 +322,8 @@
         self.reserve(name);
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.duty = Some(Pending { duty: duty.clone(), since: now, confirmed: None });
-        self.released.push(Order::Host { host: name.clone(), duty });
+        self.note_order(name, now);
+        self.held_back.push(Order::Host { host: name.clone(), duty });
     }
 
     /// An order to a host was answered.
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -78,8 +78,8 @@
 pub struct Takeover {
     /// The last moment at which it may have renewed a lease.
     pub renewals_end: Moment,
-    /// The first moment at which orders to hosts cannot take turns with its own.
-    pub hosts_from: Moment,
+    /// When this coordinator took over.
+    pub at: Moment,
 }
 
 /// Records to store, all or none of them.
@@ -111,6 +111,9 @@
     hosts: FastMap<Name, Host>,
     hosts_known: bool,
     takeover: Takeover,
+    recent_orders: FastMap<Name, Moment>,
+    orders_noted: bool,
+    kept_off: FastMap<Name, Moment>,
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<Name, pools::Demand>,
@@ -137,6 +140,9 @@
             hosts: FastMap::default(),
             hosts_known: false,
             takeover,
+            recent_orders: FastMap::default(),
+            orders_noted: false,
+            kept_off: FastMap::default(),
             waves: Vec::new(),
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
@@ -331,6 +337,7 @@
     fn waits_for_record(&self, order: &Order) -> bool {
         match order {
             Order::Start { task, .. } => self.is_dirty.contains(&task.job),
+            Order::Host { .. } => false,
             _ => !self.is_dirty.is_empty(),
         }
     }
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -84,7 +84,7 @@
     pub(super) fn plan_pools(&mut self, now: Moment) {
         let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
-        let mut free: Vec<Name> = self.spare_hosts(&spare);
+        let mut free: Vec<Name> = self.spare_hosts(&spare, now);
         let mut short: Vec<Name> = views
             .iter()
             .filter(|(name, it)| **name != spare && it.wanted > it.hosts)
@@ -118,8 +118,9 @@
         }
     }
 
-    fn spare_hosts(&self, spare: &Name) -> Vec<Name> {
-        let is_spare = |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name);
+    fn spare_hosts(&self, spare: &Name, now: Moment) -> Vec<Name> {
+        let is_spare =
+            |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name, now);
         let mut hosts: Vec<Name> = self.hosts.keys().filter(is_spare).cloned().collect();
         hosts.sort();
         hosts
@@ -150,6 +151,7 @@
                 && let Some(worker) = self.worker_on(name)
                 && worker.live.is_empty()
                 && !worker.reserved
+                && self.may_order(name, now)
             {
                 view.idle.push((worker.idle_since, name.clone()));
             }
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -30,8 +30,8 @@
     tables,
 };
 
-/// The longest call to the store. Its slow days take half a second for an answer.
-const STORE_TIME: Duration = Duration::from_millis(1_500);
+/// The longest call to the store. Its slow days take over half a second for an answer.
+const STORE_TIME: Duration = Duration::from_millis(2_500);
 
 /// The longest call to the service that has the hosts.
 const HOSTS_TIME: Duration = Duration::from_millis(1_200);
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -17,7 +17,10 @@
 const LOOK_MS: u64 = 400;
 
 /// A holder changes its row each [`super::RENEW_MS`]; one that misses that several times is silent.
-const SILENCE_MS: u64 = 1_900;
+const SILENCE_MS: u64 = 1_000;
+
+/// A slow store delays the holder's changes: this many of its answers are added.
+const SILENCE_ANSWERS: u32 = 6;
 
 /// How long a weak entry host leaves a free lease to stronger ones: two of their looks.
 const COURTESY_MS: u64 = 900;
@@ -94,6 +97,11 @@
         }
     }
 
+    fn silence_ms(&self) -> u64 {
+        let answers = self.store.usual_time() * SILENCE_ANSWERS;
+        SILENCE_MS + answers.as_millis() as u64
+    }
+
     /// How long to leave a free lease to stronger entry hosts.
     fn courtesy_ms(&self) -> u64 {
         if self.stronger.borrow().is_empty() { 0 } else { COURTESY_MS }
@@ -106,7 +114,7 @@
         }
         match ask(row).await {
             Holder::Over => Look::Takeable(Holder::Over),
-            _ if unchanged_ms >= SILENCE_MS => Look::Takeable(Holder::Unknown),
+            _ if unchanged_ms >= self.silence_ms() => Look::Takeable(Holder::Unknown),
             _ => Look::Held,
         }
     }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -92,9 +92,9 @@
     pub async fn run(cx: Candidate, won: Won) -> Left {
         let taken = cx.clock.now();
         let Won { lease, former, holder } = won;
-        let takeover = takeover(&cx, &lease, holder, taken);
+        let takeover = takeover(&cx, holder, taken);
         let Loaded { coordinator, jobs_version, workers_version, waves } =
-            load(&cx, takeover).await;
+            load(&cx, takeover, lease.store_ms()).await;
         let is_leading = Rc::new(Cell::new(true));
         let (link_tx, mut link_rx) = mpsc::unbounded_channel();
         let (job_tx, mut job_rx) = mpsc::unbounded_channel();
@@ -354,8 +354,9 @@
     fn begin_commit(&mut self, now: Moment) {
         let records = self.coordinator.next_commit().unwrap_or_default().records;
         let waves = self.coordinator.take_wave_records();
+        let ordered = self.coordinator.take_recent_orders();
         let is_due = now.since(self.committed) >= RENEW_MS;
-        if records.is_empty() && waves.is_empty() && !is_due {
+        if records.is_empty() && waves.is_empty() && ordered.is_none() && !is_due {
             // Orders that wait for no record are free to go.
             self.coordinator.committed(now);
             return;
@@ -367,6 +368,12 @@
                 (tables::progress_key(id), value)
             })
             .collect();
+        if let Some(ordered) = ordered {
+            let ordered: Vec<(Name, u64)> =
+                ordered.into_iter().map(|(host, at)| (host, self.store_time(at))).collect();
+            let value = serde_json::to_vec(&ordered).expect("a list serialises to JSON");
+            puts.push((tables::host_orders_key(), value));
+        }
         for (number, record) in &waves {
             tracing::info!(
                 event = "wave",
@@ -392,6 +399,12 @@
         });
     }
 
+    /// A moment on the store's clock.
+    fn store_time(&self, at: Moment) -> u64 {
+        let (store_ms, read) = self.store_offset;
+        (store_ms + at.0).saturating_sub(read.0)
+    }
+
     fn board(&self, now: Moment) -> Vec<u8> {
         let (store_ms, read) = self.store_offset;
         let board =
@@ -471,16 +484,12 @@
 }
 
 /// Until when others may have given orders.
-fn takeover(cx: &Candidate, lease: &Lease, holder: Holder, at: Moment) -> Takeover {
+fn takeover(cx: &Candidate, holder: Holder, at: Moment) -> Takeover {
     let renewals_end = match holder {
         Holder::Over => at,
         _ => at + with_drift(cx.terms.renewal_ms),
     };
-    let hosts_from = match lease.is_first() {
-        true => at,
-        false => at + with_drift(cx.terms.holder_change_ms),
-    };
-    Takeover { renewals_end, hosts_from }
+    Takeover { renewals_end, at }
 }
 
 /// Tells once a stronger entry host could coordinate.
@@ -506,7 +515,11 @@
 }
 
 /// Asks the former holder until it surely gives no more orders.
-async fn watch_former(former: LeaseRow, tx: mpsc::UnboundedSender<Event>, is_leading: Rc<Cell<bool>>) {
+async fn watch_former(
+    former: LeaseRow,
+    tx: mpsc::UnboundedSender<Event>,
+    is_leading: Rc<Cell<bool>>,
+) {
     while is_leading.get() {
         if ask(&former).await == Holder::Over {
             // Nobody listens once this process no longer coordinates.
--- a/crates/site/src/lead/lease.rs
+++ b/crates/site/src/lead/lease.rs
@@ -68,11 +68,6 @@
         self.row.term
     }
 
-    /// Whether nobody held it before.
-    pub fn is_first(&self) -> bool {
-        self.row.term == 1
-    }
-
     /// The store's clock at the last change.
     pub fn store_ms(&self) -> u64 {
         self.store_ms
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -22,7 +22,7 @@
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
 /// How long an order or a look may take beyond its wait.
-const ORDER_TIME: Duration = Duration::from_millis(700);
+const ORDER_TIME: Duration = Duration::from_millis(400);
 
 /// The pause after a look that was not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -5,8 +5,9 @@
 use fuchsiamill_fleet::{
     Coordinator, JobRecord, JobSpec, Name,
     coordinator::{Takeover, WaveRecord},
+    terms::with_drift,
 };
-use fuchsiamill_model::FastMap;
+use fuchsiamill_model::{FastMap, units::Moment};
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
@@ -29,7 +30,8 @@
 }
 
 /// Reads everything; the caller gives up when the lease is lost meanwhile.
-pub async fn load(cx: &Candidate, takeover: Takeover) -> Loaded {
+pub async fn load(cx: &Candidate, takeover: Takeover, store_ms: u64) -> Loaded {
+    let begun = cx.clock.now();
     let parts = [tables::COORDINATOR_PART.to_owned()];
     let (own, _) = read_patiently(cx, tables::COORDINATOR, &parts).await;
     let waves = own.iter().filter_map(read_wave_record).collect();
@@ -39,6 +41,7 @@
     let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
     let mut coordinator = Coordinator::new(cx.terms.clone(), config, takeover);
+    keep_off_hosts(&mut coordinator, &own, (store_ms, begun), cx);
     for row in &workers {
         apply_worker(&mut coordinator, row, cx);
     }
@@ -66,6 +69,28 @@
     }
 }
 
+/// Another coordinator's orders to a host must not take turns with ours.
+fn keep_off_hosts(
+    coordinator: &mut Coordinator,
+    rows: &[Row],
+    (store_ms, at): (u64, Moment),
+    cx: &Candidate,
+) {
+    let Some(row) = rows.iter().find(|it| it.key == tables::host_orders_key()) else { return };
+    let ordered: Vec<(Name, u64)> = match serde_json::from_slice(&row.value) {
+        Ok(ordered) => ordered,
+        Err(e) => {
+            tracing::error!(event = "host-orders-unreadable", error = %e);
+            return;
+        }
+    };
+    for (host, ordered_ms) in ordered {
+        let age = store_ms.saturating_sub(ordered_ms);
+        let left = with_drift(cx.terms.holder_change_ms).saturating_sub(age);
+        coordinator.keep_off_host(host, at + left);
+    }
+}
+
 fn read_wave_record(row: &Row) -> Option<(u64, WaveRecord)> {
     let number = row.key.key.strip_prefix(tables::WAVE_PREFIX)?.parse().ok()?;
     let record = serde_json::from_slice(&row.value)
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -25,7 +25,7 @@
 use leader::Leader;
 
 /// The lease row is changed at least this often.
-const RENEW_MS: u64 = 400;
+const RENEW_MS: u64 = 300;
 
 /// What a candidate needs.
 #[derive(Clone)]
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -76,6 +76,11 @@
 /// The beginning of the keys of what entry hosts tell of themselves.
 pub const ENTRY_PREFIX: &str = "entry.";
 
+/// Hosts that had orders lately, and when.
+pub fn host_orders_key() -> Key {
+    Key::new(COORDINATOR, COORDINATOR_PART, "host-orders")
+}
+
 /// What an entry host tells of itself.
 pub fn entry_key(name: &str) -> Key {
     Key::new(COORDINATOR, COORDINATOR_PART, &format!("{ENTRY_PREFIX}{name}"))
