Advice, speed of filling tasks, slow and still workers

Cause: of the platform's kinds of work these were missing: queues whose steps only some workers may run, tasks that fill capacity beside tasks with a latency target, workers that are slow or let tasks stand still.

Change: a step is asked for at the advice service (30 workers at a time, one question under way) and starts carry its ticket; tails in a worker's report set the speed of the tasks that fill there; a task without progress for 1.5 s is stopped and started elsewhere; a worker whose tasks take 2.2 times as long as others of their steps is left out for 5 s.

--- /dev/null
+++ b/crates/fleet/src/coordinator/advice.rs
@@ -0,0 +1,107 @@
+//! Which workers may run a step, where a queue's policy allows only some.
+
+use fuchsiamill_model::{
+    FastMap, FastSet,
+    units::{Millisecond, Moment},
+};
+
+use super::{Coordinator, Order};
+use crate::{Name, TaskId};
+
+/// Workers that one question names: a longer list takes longer to answer.
+const WORKERS_ASKED: usize = 30;
+
+/// A ticket is used only while it is good for this much longer, since the order takes a while to arrive.
+const TICKET_MARGIN_MS: Millisecond = 500;
+
+/// A question without an answer is asked again after this time.
+const QUESTION_MS: Millisecond = 3_000;
+
+/// A step of one occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct StepKey {
+    /// The job.
+    pub job: Name,
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u16,
+}
+
+impl From<&TaskId> for StepKey {
+    fn from(it: &TaskId) -> Self {
+        Self { job: it.job.clone(), occurrence: it.occurrence, step: it.step }
+    }
+}
+
+/// Allows the tasks of a step on one life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// What an order to start carries.
+    pub ticket: Name,
+    /// Until when it is good.
+    pub until: Moment,
+}
+
+/// What is known of a step.
+#[derive(Clone, Debug, Default)]
+pub struct StepAdvice {
+    permits: FastMap<Name, Permit>,
+    refused: FastSet<Name>,
+    asked: Option<Moment>,
+}
+
+impl Coordinator {
+    /// The ticket for a step on a worker, if there is a good one.
+    pub(super) fn ticket(&self, step: &StepKey, worker: &Name, now: Moment) -> Option<Name> {
+        let permit = self.advice.get(step)?.permits.get(worker)?;
+        (permit.until >= now + TICKET_MARGIN_MS).then(|| permit.ticket.clone())
+    }
+
+    /// Asks about workers of a pool for a step, unless a question is under way.
+    pub(super) fn ask_advice(&mut self, step: StepKey, pool: &Name, now: Moment) {
+        let known = self.advice.entry(step.clone()).or_default();
+        if known.asked.is_some_and(|at| now.since(at) < QUESTION_MS) {
+            return;
+        }
+        let is_open = |it: &&super::Worker| {
+            it.seen.pool == *pool && it.takes_tasks(now) && !known.refused.contains(&it.seen.id)
+        };
+        let mut workers: Vec<&super::Worker> = self.workers.values().filter(is_open).collect();
+        // Those that were allowed before still are; then those with most room.
+        workers.sort_by_key(|it| {
+            let is_new = !known.permits.contains_key(&it.seen.id);
+            (is_new, std::cmp::Reverse(it.free().millicores), it.seen.id.clone())
+        });
+        let workers: Vec<Name> =
+            workers.into_iter().take(WORKERS_ASKED).map(|it| it.seen.id.clone()).collect();
+        if workers.is_empty() {
+            return;
+        }
+        known.asked = Some(now);
+        self.released.push(Order::Advise { step, workers });
+    }
+
+    /// A question was answered; `None` when the service did not.
+    pub fn advised(
+        &mut self,
+        step: &StepKey,
+        asked: &[Name],
+        permits: Option<Vec<(Name, Permit)>>,
+    ) {
+        let Some(known) = self.advice.get_mut(step) else { return };
+        known.asked = None;
+        let Some(permits) = permits else { return };
+        let good: FastSet<&Name> = permits.iter().map(|it| &it.0).collect();
+        known.refused.extend(asked.iter().filter(|it| !good.contains(it)).cloned());
+        known.permits.extend(permits);
+        self.needs_placing = true;
+    }
+
+    /// A worker did not accept a ticket.
+    pub(super) fn forget_ticket(&mut self, id: &TaskId, worker: &Name) {
+        if let Some(known) = self.advice.get_mut(&StepKey::from(id)) {
+            known.permits.remove(worker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/coordinator/health.rs
@@ -0,0 +1,110 @@
+//! Workers that fail what they start, are slow, or let tasks stand still.
+
+use fuchsiamill_model::units::{Millisecond, Moment};
+
+use super::{Coordinator, Phase, TaskState};
+use crate::{Ending, Name, RunSeen, TaskId};
+
+/// Failures of tasks in a row after which a worker is left out for a while.
+const FAILURES_TO_AVOID: u32 = 3;
+
+/// How long a worker that fails everything or lets tasks stand still is left out.
+pub(super) const FAILING_MS: Millisecond = 8_000;
+
+/// How long a slow worker is left out; then it is tried again.
+const SLOW_MS: Millisecond = 5_000;
+
+/// A worker is slow when its tasks take this many times as long as others of their steps.
+const SLOW_FACTOR: f64 = 2.2;
+
+/// Tasks that are compared before a worker is called slow.
+const SLOW_SAMPLES: u32 = 4;
+
+/// Tasks of a step that have to be done before another is compared with them.
+const SIBLINGS: u32 = 2;
+
+/// The weight of the newest task in a mean.
+const NEWEST_WEIGHT: f64 = 0.25;
+
+/// A task whose progress does not change for this long stands still.
+const STILL_MS: Millisecond = 1_500;
+
+/// Progress is told in whole per cent: a long task shows none for a while, so that much of its estimate is added.
+const STILL_DIVISOR: u64 = 33;
+
+/// A mean that follows the newest values.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pace {
+    mean: f64,
+    samples: u32,
+}
+
+impl Pace {
+    fn note(&mut self, ratio: f64) {
+        self.samples += 1;
+        self.mean = match self.samples {
+            1 => ratio,
+            _ => self.mean + (ratio - self.mean) * NEWEST_WEIGHT,
+        };
+    }
+}
+
+impl Coordinator {
+    /// Takes note of how a run ended.
+    pub(super) fn note_health(&mut self, worker: &Name, id: &TaskId, ending: Ending, now: Moment) {
+        let ratio = if ending == Ending::Done { self.beside_siblings(id, now) } else { None };
+        let Some(at) = self.workers.get_mut(worker) else { return };
+        match ending {
+            Ending::Done => at.failures = 0,
+            Ending::Failed => at.failures += 1,
+            _ => {}
+        }
+        if at.failures >= FAILURES_TO_AVOID {
+            at.avoid_until = now + FAILING_MS;
+        }
+        if let Some(ratio) = ratio {
+            at.pace.note(ratio);
+            if at.pace.samples >= SLOW_SAMPLES && at.pace.mean > SLOW_FACTOR {
+                at.avoid_until = now + SLOW_MS;
+                at.pace = Pace::default();
+            }
+        }
+    }
+
+    /// How many times as long a run took as the tasks of its step that were done before it. Estimates are too far
+    /// off to compare tasks of different steps.
+    fn beside_siblings(&mut self, id: &TaskId, now: Moment) -> Option<f64> {
+        let job = self.jobs.get_mut(&id.job)?;
+        let begun = match &job.task(id)?.state {
+            TaskState::Live(live) if live.phase == Phase::Running => live.since,
+            _ => return None,
+        };
+        let took = now.since(begun) as f64;
+        let step = job.step_mut(id.occurrence as usize, id.step as usize);
+        let ratio = (step.took.samples >= SIBLINGS).then(|| took / step.took.mean.max(1.0));
+        step.took.note(took);
+        ratio
+    }
+
+    /// Takes note of a run's progress; one that stands still is stopped, to start elsewhere.
+    pub(super) fn note_progress(&mut self, worker: &Name, seen: &RunSeen, now: Moment) {
+        let Some(step) = self.step_of(&seen.task) else { return };
+        let patience = STILL_MS + step.estimate_ms / STILL_DIVISOR;
+        if step.lasts || step.gang {
+            return;
+        }
+        let Some(live) = self.live_mut(&seen.task) else { return };
+        if live.phase != Phase::Running {
+            return;
+        }
+        let (percent, since) = *live.progress.get_or_insert((seen.percent, now));
+        if percent != seen.percent {
+            live.progress = Some((seen.percent, now));
+        } else if seen.percent < 100 && now.since(since) >= patience {
+            if let Some(at) = self.workers.get_mut(worker) {
+                at.avoid_until = now + FAILING_MS;
+            }
+            self.stop(&seen.task, now);
+        }
+    }
+}
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -4,6 +4,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
+use super::health::Pace;
 use crate::{JobRecord, JobSpec, Name, Stage, TaskId, TaskRecord};
 
 /// A job that is not over, or whose last tasks are being stopped.
@@ -41,6 +42,8 @@
     pub done: u32,
     /// Tasks that wait for a worker.
     pub waiting: u32,
+    /// How long its done tasks ran, in milliseconds.
+    pub took: Pace,
 }
 
 /// One task.
@@ -81,6 +84,10 @@
     pub since: Moment,
     /// When it was last seen at work: running, and with its whole speed if it lasts.
     pub at_work: Option<Moment>,
+    /// Its progress in per cent, and since when it is that.
+    pub progress: Option<(u32, Moment)>,
+    /// When its speed was last set.
+    pub paced: Option<Moment>,
 }
 
 /// How long a report that a task is at work holds; workers with tasks are looked at every second.
@@ -113,7 +120,12 @@
 
 impl StepRun {
     fn new(count: u32) -> Self {
-        Self { tasks: vec![Task::default(); count as usize], done: 0, waiting: count }
+        Self {
+            tasks: vec![Task::default(); count as usize],
+            done: 0,
+            waiting: count,
+            took: Pace::default(),
+        }
     }
 
     /// Whether every task is done.
@@ -313,6 +325,8 @@
                     phase: Phase::Inherited,
                     since: now,
                     at_work: None,
+                    progress: None,
+                    paced: None,
                 };
                 self.set_state(&id, TaskState::Live(at.clone()));
                 live.push((id, at));
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -3,12 +3,15 @@
 //! Every start is recorded in the store before it is ordered, and every end before it is acknowledged, so that
 //! another coordinator can go on from the store and from what the workers list.
 
+mod advice;
+mod health;
 mod hosts;
 mod job;
 mod lapse;
 mod place;
 mod pools;
 mod reports;
+mod sharing;
 mod worker;
 
 use std::{collections::VecDeque, sync::Arc};
@@ -18,6 +21,7 @@
     units::{Moment, WallTime},
 };
 
+pub use advice::{Permit, StepKey};
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, TaskState, objective_ms};
 pub use reports::{Refusal, Started};
@@ -45,6 +49,26 @@
         payload: Arc<str>,
         /// Saved progress, empty when there is none.
         saved: Name,
+        /// What the advice service gave for it, empty where none is needed.
+        ticket: Name,
+    },
+    /// Let a run work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: Name,
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// The share, in per cent.
+        percent: u32,
+    },
+    /// Ask which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepKey,
+        /// The workers.
+        workers: Vec<Name>,
     },
     /// Stop a run.
     Stop {
@@ -117,6 +141,7 @@
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<Name, pools::Demand>,
+    advice: FastMap<StepKey, advice::StepAdvice>,
 }
 
 impl Coordinator {
@@ -146,6 +171,7 @@
             waves: Vec::new(),
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
+            advice: FastMap::default(),
         }
     }
 
@@ -242,6 +268,7 @@
         {
             self.over.insert(id.clone(), job.stage);
             self.jobs.remove(id);
+            self.advice.retain(|step, _| step.job != *id);
         }
     }
 
@@ -301,7 +328,7 @@
         if at.gone && at.silent.is_none() {
             at.silent = Some(self.takeover.renewals_end);
         }
-        at.take(id.clone(), step.room());
+        at.take(id.clone(), step);
     }
 
     fn mark(&mut self, id: &Name) {
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -5,8 +5,8 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, Live, Order, Phase, TaskState, Worker};
-use crate::{Name, Stage, Step, TaskId};
+use super::{Coordinator, Live, Order, Phase, StepKey, TaskState, Worker};
+use crate::{Name, Stage, Step, TaskId, job::RouteTerms};
 
 /// Tasks that found no room after which the search in a pool ends until something changes.
 const MISFITS_PER_POOL: u32 = 40;
@@ -30,7 +30,7 @@
 }
 
 /// What a worker would look like with one more task; the smallest value wins.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
     far: bool,
     disturbs: bool,
@@ -98,7 +98,7 @@
             };
             let fits_limit = self.fits_limit(&spec.team, wanted.size);
             let worker = match fits_limit {
-                true => self.find_worker(&task, wanted, &spec.route.pool, now),
+                true => self.find_worker(&task, wanted, &spec.route, now),
                 false => None,
             };
             let Some(worker) = worker else { break };
@@ -111,7 +111,11 @@
             return missing;
         }
         for task in placed {
-            self.order_start(&task);
+            self.order_start(&task, now);
+        }
+        if missing > 0 && spec.route.advised {
+            let key = StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
+            self.ask_advice(key, &spec.route.pool, now);
         }
         missing.min(1)
     }
@@ -126,21 +130,41 @@
             && within(limit.accelerators, used.accelerators)
     }
 
-    fn find_worker(&self, task: &TaskId, step: &Step, pool: &Name, now: Moment) -> Option<Name> {
+    fn find_worker(
+        &self,
+        task: &TaskId,
+        step: &Step,
+        route: &RouteTerms,
+        now: Moment,
+    ) -> Option<Name> {
         let room = step.room();
+        let key = StepKey::from(task);
         let candidates = self.workers.values().filter(|it| {
-            it.seen.pool == *pool
+            it.seen.pool == route.pool
                 && it.takes_tasks(now)
                 && it.free().fits(room)
                 && step.label.as_ref().is_none_or(|label| it.has_label(label))
                 && step.per_worker.is_none_or(|most| siblings_on(it, task) < most)
+                && (!route.advised || self.ticket(&key, &it.seen.id, now).is_some())
         });
+        let rack = step.one_rack.then(|| self.rack_of_step(task)).flatten();
+        let near = step.rack.as_ref().or(rack.as_ref());
         let best = candidates
-            .map(|it| (fit(it, step, room), it))
-            .min_by(|(a, x), (b, y)| a.partial_cmp(b).unwrap().then(x.seen.id.cmp(&y.seen.id)))?;
+            .map(|it| (fit(it, step, near, room), it))
+            .min_by(|(a, x), (b, y)| a.cmp(b).then(x.seen.id.cmp(&y.seen.id)))?;
         Some(best.1.seen.id.clone())
     }
 
+    /// The rack where other tasks of a step are.
+    fn rack_of_step(&self, task: &TaskId) -> Option<Name> {
+        let job = self.jobs.get(&task.job)?;
+        let step = &job.occurrences[task.occurrence as usize].steps[task.step as usize];
+        step.tasks.iter().find_map(|it| match &it.state {
+            TaskState::Live(live) => self.workers.get(&live.worker)?.rack().cloned(),
+            _ => None,
+        })
+    }
+
     fn put(&mut self, id: &TaskId, worker: &Name, run: Option<u32>, now: Moment) {
         let born = self.workers[worker].seen.born;
         let job = self.jobs.get_mut(&id.job).expect("the job is being placed");
@@ -151,6 +175,8 @@
             phase: Phase::Recorded,
             since: now,
             at_work: None,
+            progress: None,
+            paced: None,
         };
         job.set_state(id, TaskState::Live(live));
         let task = job.task_mut(id).expect("the task is being placed");
@@ -166,11 +192,16 @@
         self.free(id, now);
     }
 
-    fn order_start(&mut self, id: &TaskId) {
+    fn order_start(&mut self, id: &TaskId, now: Moment) {
         let Some(job) = self.jobs.get(&id.job) else { return };
         let Some(task) = job.task(id) else { return };
         let TaskState::Live(live) = &task.state else { return };
+        let ticket = match job.spec.route.advised {
+            true => self.ticket(&StepKey::from(id), &live.worker, now).unwrap_or_default(),
+            false => Name::default(),
+        };
         self.held_back.push(Order::Start {
+            ticket,
             worker: live.worker.clone(),
             task: id.clone(),
             run: task.run,
@@ -191,8 +222,14 @@
     worker.live.keys().filter(is_sibling).count() as u32
 }
 
-fn fit(worker: &Worker, step: &Step, room: Resources) -> Fit {
-    let far = step.rack.as_ref().is_some_and(|rack| !worker.has_label(rack));
+fn fit(worker: &Worker, step: &Step, near: Option<&Name>, room: Resources) -> Fit {
+    let far = near.is_some_and(|rack| !worker.has_label(rack));
     let left = worker.free().minus(room).millicores;
-    Fit { far, disturbs: false, empty: worker.live.is_empty(), left }
+    // Tasks that serve and tasks that fill do best on different workers.
+    let disturbs = match (step.fills, step.tail_target_ms) {
+        (true, _) => worker.serving > 0,
+        (_, Some(_)) => worker.filling > 0,
+        _ => false,
+    };
+    Fit { far, disturbs, empty: worker.live.is_empty(), left }
 }
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -5,7 +5,7 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, Live, Order, Phase, TaskState, Worker};
+use super::{Coordinator, Live, Order, Phase, TaskState, Worker, health::FAILING_MS};
 use crate::{Ending, Name, Report, RunEnd, RunSeen, Stage, TaskId, WorkerSeen, terms::with_drift};
 
 /// The answer to the order to start a run.
@@ -52,12 +52,6 @@
     Unhealthy,
 }
 
-/// Failures of different tasks in a row after which a worker is left out for a while.
-const FAILURES_TO_AVOID: u32 = 3;
-
-/// How long a worker that fails everything is left out.
-const FAILING_MS: Millisecond = 8_000;
-
 /// How long a worker that leaves orders unanswered is left out.
 const UNANSWERED_MS: Millisecond = 2_000;
 
@@ -185,7 +179,9 @@
         }
         for run in &report.running {
             self.run_seen(id, run, report.asked, now);
+            self.note_progress(id, run, now);
         }
+        self.share_worker(id, &report, now);
         self.find_missing(id, &report, now);
         if let Some(at) = self.workers.get_mut(id)
             && let Some(last) = report.ended.iter().map(|it| it.number).max()
@@ -256,7 +252,9 @@
         if !end.saved.is_empty() && step.saves {
             task.saved = end.saved.clone();
         }
-        self.note_health(worker, end.ending, now);
+        if is_run {
+            self.note_health(worker, id, end.ending, now);
+        }
         match (end.ending, is_run) {
             (Ending::Done, _) if !step.lasts => self.task_done(id, step.gang, now),
             (Ending::Failed, true) => self.task_failed(id, step.lasts, now),
@@ -265,18 +263,6 @@
         }
     }
 
-    fn note_health(&mut self, worker: &Name, ending: Ending, now: Moment) {
-        let Some(at) = self.workers.get_mut(worker) else { return };
-        match ending {
-            Ending::Done => at.failures = 0,
-            Ending::Failed => at.failures += 1,
-            _ => {}
-        }
-        if at.failures >= FAILURES_TO_AVOID {
-            at.avoid_until = now + FAILING_MS;
-        }
-    }
-
     fn task_done(&mut self, id: &TaskId, gang: bool, now: Moment) {
         let members = match (gang, self.jobs.get(&id.job)) {
             (true, Some(job)) => job.members_of(id),
@@ -344,6 +330,7 @@
                 match reason {
                     Refusal::Room => self.avoid(&worker, now + NO_ROOM_MS),
                     Refusal::Unhealthy => self.avoid(&worker, now + FAILING_MS),
+                    Refusal::Ticket => self.forget_ticket(id, &worker),
                     Refusal::Malformed => self.avoid(&worker, now + UNANSWERED_MS),
                     _ => {}
                 }
--- /dev/null
+++ b/crates/fleet/src/coordinator/sharing.rs
@@ -0,0 +1,84 @@
+//! Keeps tasks that fill unused capacity from harming tasks that serve users of their own.
+
+use fuchsiamill_model::units::Moment;
+
+use super::{Coordinator, Order, Phase, TaskState};
+use crate::{Name, Report, TaskId};
+
+/// A tail above this part of its target slows the tasks that fill, in per cent.
+const TAIL_HIGH_PERCENT: u64 = 85;
+
+/// A tail below this part of its target lets them work more, in per cent.
+const TAIL_LOW_PERCENT: u64 = 60;
+
+/// How much faster they may become with one report, in per cent of their speed.
+const SPEED_UP_PERCENT: u32 = 15;
+
+/// Below this speed they are paused: the target is missed for another cause than their amount.
+const LEAST_PERCENT: u32 = 10;
+
+/// How the tails of a worker's serving tasks compare with their targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tails {
+    /// All are far below.
+    Low,
+    /// None is near, or nothing is known.
+    Fair,
+    /// One is near its target or above it.
+    High,
+}
+
+impl Coordinator {
+    /// Sets the speed of the tasks that fill on a worker by the tails in its report.
+    pub(super) fn share_worker(&mut self, worker: &Name, report: &Report, now: Moment) {
+        let tails = self.tails(report);
+        let fills: Vec<(TaskId, u32, u32)> = report
+            .running
+            .iter()
+            .filter(|it| self.step_of(&it.task).is_some_and(|step| step.fills))
+            .map(|it| (it.task.clone(), it.run, it.percent))
+            .collect();
+        for (task, run, percent) in fills {
+            let Some(live) = self.live_mut(&task) else { continue };
+            if live.phase != Phase::Running || live.paced.is_some_and(|at| report.asked <= at) {
+                continue;
+            }
+            let next = match tails {
+                Tails::High if percent <= LEAST_PERCENT => 0,
+                Tails::High => percent / 2,
+                Tails::Fair => percent,
+                Tails::Low => (percent + SPEED_UP_PERCENT).min(100),
+            };
+            if next != percent {
+                live.paced = Some(now);
+                let worker = worker.clone();
+                self.released.push(Order::Pace { worker, task, run, percent: next });
+            }
+        }
+    }
+
+    fn tails(&self, report: &Report) -> Tails {
+        let tails = report.running.iter().filter_map(|it| {
+            let target = self.step_of(&it.task)?.tail_target_ms?;
+            Some(if it.load * 100 > target * TAIL_HIGH_PERCENT {
+                Tails::High
+            } else if it.load * 100 > target * TAIL_LOW_PERCENT {
+                Tails::Fair
+            } else {
+                Tails::Low
+            })
+        });
+        tails.max().unwrap_or(Tails::Low)
+    }
+
+    pub(super) fn step_of(&self, id: &TaskId) -> Option<&crate::Step> {
+        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
+    }
+
+    pub(super) fn live_mut(&mut self, id: &TaskId) -> Option<&mut super::Live> {
+        match &mut self.jobs.get_mut(&id.job)?.task_mut(id)?.state {
+            TaskState::Live(live) => Some(live),
+            _ => None,
+        }
+    }
+}
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -2,7 +2,16 @@
 
 use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
-use crate::{TaskId, WorkerSeen, WorkerState};
+use super::health::Pace;
+use crate::{Name, Step, TaskId, WorkerSeen, WorkerState};
+
+/// What one run takes of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    room: Resources,
+    serves: u32,
+    fills: u32,
+}
 
 /// A worker and what the coordinator has on it.
 #[derive(Clone, Debug)]
@@ -12,7 +21,7 @@
     /// Room that is taken by runs that may be there.
     pub used: Resources,
     /// Those runs, with the room each takes.
-    pub live: FastMap<TaskId, Resources>,
+    pub live: FastMap<TaskId, Held>,
     /// The highest number of an end that was taken note of in memory.
     pub taken: u64,
     /// Whether it has answered this coordinator in this life.
@@ -25,6 +34,12 @@
     pub avoid_until: Moment,
     /// Failures in a row of different tasks.
     pub failures: u32,
+    /// Tasks on it that serve users of their own.
+    pub serving: u32,
+    /// Tasks on it that fill unused capacity.
+    pub filling: u32,
+    /// How long its tasks take beside others.
+    pub pace: Pace,
     /// Takes no new tasks, since its host is about to leave the pool or to be maintained.
     pub reserved: bool,
     /// When the last task left it.
@@ -44,6 +59,9 @@
             silent: None,
             avoid_until: Moment(0),
             failures: 0,
+            serving: 0,
+            filling: 0,
+            pace: Pace::default(),
             reserved: false,
             idle_since: now,
         }
@@ -70,21 +88,35 @@
     }
 
     /// Takes room for a run.
-    pub fn take(&mut self, id: TaskId, room: Resources) {
-        self.used = self.used.plus(room);
-        self.live.insert(id, room);
+    pub fn take(&mut self, id: TaskId, step: &Step) {
+        let held = Held {
+            room: step.room(),
+            serves: u32::from(step.tail_target_ms.is_some()),
+            fills: u32::from(step.fills),
+        };
+        self.used = self.used.plus(held.room);
+        self.serving += held.serves;
+        self.filling += held.fills;
+        self.live.insert(id, held);
     }
 
     /// Gives the room of a run back.
     pub fn release(&mut self, id: &TaskId, now: Moment) {
-        if let Some(room) = self.live.remove(id) {
-            self.used = self.used.minus(room);
+        if let Some(held) = self.live.remove(id) {
+            self.used = self.used.minus(held.room);
+            self.serving -= held.serves;
+            self.filling -= held.fills;
             if self.live.is_empty() {
                 self.idle_since = now;
             }
         }
     }
 
+    /// The rack of its host: the second of its labels.
+    pub fn rack(&self) -> Option<&Name> {
+        self.seen.labels.get(1)
+    }
+
     /// The value of a label such as a rack: whether the worker has it.
     pub fn has_label(&self, label: &str) -> bool {
         self.seen.labels.iter().any(|it| it == label)
--- /dev/null
+++ b/crates/fleet/tests/shared_workers.rs
@@ -0,0 +1,161 @@
+//! Tasks that fill unused capacity beside tasks that serve, and workers that a queue's policy allows.
+
+mod common;
+
+use common::{Bench, job, starts, step, task, worker};
+use fuchsiamill_fleet::{
+    JobSpec, Order, Report, RunSeen, Step,
+    coordinator::{Permit, StepKey},
+    job::RouteTerms,
+};
+
+fn serving() -> Step {
+    Step { lasts: true, tail_target_ms: Some(100), ..step(1) }
+}
+
+fn filling() -> Step {
+    Step { lasts: true, fills: true, ..step(1) }
+}
+
+fn paces(orders: &[Order]) -> Vec<u32> {
+    let percent = |it: &Order| match it {
+        Order::Pace { percent, .. } => Some(*percent),
+        _ => None,
+    };
+    orders.iter().filter_map(percent).collect()
+}
+
+fn shared() -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("serves", job(vec![serving()]));
+    bench.accept("fills", job(vec![filling()]));
+    assert_eq!(bench.run().len(), 2);
+    bench
+}
+
+fn tail(bench: &mut Bench, tail_ms: u64, percent: u32) -> Vec<u32> {
+    bench.wait(1_000);
+    let run = |id: &str, percent, load| RunSeen {
+        task: task(id, 0, 0),
+        run: 1,
+        saved: Default::default(),
+        percent,
+        load,
+    };
+    let running = vec![run("serves", 100, tail_ms), run("fills", percent, 500)];
+    let report = Report { asked: bench.now, born: 7, running, ended: Vec::new() };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+    paces(&bench.step())
+}
+
+#[test]
+fn filling_tasks_slow_down_before_the_target_is_missed() {
+    let mut bench = shared();
+    assert_eq!(tail(&mut bench, 50, 100), [0; 0]);
+    assert_eq!(tail(&mut bench, 90, 100), [50]);
+    assert_eq!(tail(&mut bench, 130, 50), [25]);
+    assert_eq!(tail(&mut bench, 130, 8), [0]);
+    assert_eq!(tail(&mut bench, 70, 0), [0; 0]);
+    assert_eq!(tail(&mut bench, 40, 0), [15]);
+}
+
+#[test]
+fn speed_is_set_once_a_report() {
+    let mut bench = shared();
+    assert_eq!(tail(&mut bench, 90, 100), [50]);
+    // A report that was asked for before the order took effect says nothing of it.
+    let asked = bench.now;
+    let running = vec![
+        RunSeen {
+            task: task("serves", 0, 0),
+            run: 1,
+            saved: Default::default(),
+            percent: 100,
+            load: 90,
+        },
+        RunSeen {
+            task: task("fills", 0, 0),
+            run: 1,
+            saved: Default::default(),
+            percent: 100,
+            load: 1,
+        },
+    ];
+    let report = Report { asked, born: 7, running, ended: Vec::new() };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+    assert_eq!(paces(&bench.step()), [0; 0]);
+}
+
+#[test]
+fn filling_tasks_keep_off_serving_ones() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    bench.accept("serves", job(vec![serving()]));
+    let first = bench.run();
+    bench.accept("fills", job(vec![filling()]));
+    let second = bench.run();
+    assert_ne!(first[0].2, second[0].2);
+}
+
+fn advised() -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    let spec = job(vec![step(2)]);
+    let route = RouteTerms { advised: true, ..spec.route.clone() };
+    bench.accept("j", JobSpec { route, ..spec });
+    bench
+}
+
+fn key() -> StepKey {
+    StepKey { job: "j".into(), occurrence: 0, step: 0 }
+}
+
+fn asked(orders: &[Order]) -> Vec<Vec<fuchsiamill_fleet::Name>> {
+    let workers = |it: &Order| match it {
+        Order::Advise { workers, .. } => Some(workers.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(workers).collect()
+}
+
+#[test]
+fn only_allowed_workers_run_a_step() {
+    let mut bench = advised();
+    let orders = bench.step();
+    assert!(starts(&orders).is_empty());
+    let workers = asked(&orders).remove(0);
+    assert_eq!(workers.len(), 2);
+    assert!(asked(&bench.step()).is_empty(), "one question at a time");
+    let permit = Permit { ticket: "t".into(), until: bench.now + 3_000 };
+    bench.coordinator.advised(&key(), &workers, Some(vec![("w2".into(), permit)]));
+    let orders = bench.step();
+    assert_eq!(starts(&orders).len(), 2);
+    for order in &orders {
+        if let Order::Start { worker, ticket, .. } = order {
+            assert_eq!((worker.as_str(), ticket.as_str()), ("w2", "t"));
+        }
+    }
+}
+
+#[test]
+fn expired_ticket_is_not_used() {
+    let mut bench = advised();
+    let workers = asked(&bench.step()).remove(0);
+    let permit = Permit { ticket: "t".into(), until: bench.now + 400 };
+    bench.coordinator.advised(&key(), &workers, Some(vec![("w2".into(), permit)]));
+    let orders = bench.step();
+    assert!(starts(&orders).is_empty());
+    assert_eq!(asked(&orders), [[fuchsiamill_fleet::Name::from("w2")]]);
+}
+
+#[test]
+fn unanswered_question_is_asked_again() {
+    let mut bench = advised();
+    let workers = asked(&bench.step()).remove(0);
+    bench.coordinator.advised(&key(), &workers, None);
+    bench.add(worker("w3"));
+    assert_eq!(asked(&bench.step()).len(), 1);
+}
--- /dev/null
+++ b/crates/fleet/tests/slow_workers.rs
@@ -0,0 +1,99 @@
+//! Workers that fail what they start, are slow, or let tasks stand still.
+
+mod common;
+
+use common::{Bench, job, seen, step, stops, task, worker};
+use fuchsiamill_fleet::{Ending, Report, Step};
+
+fn progress(bench: &mut Bench, percent: u32) {
+    let running = vec![seen(&task("j", 0, 0), 1, percent)];
+    let report = Report { asked: bench.now, born: 7, running, ended: Vec::new() };
+    bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+}
+
+#[test]
+fn task_that_stands_still_is_moved() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    bench.run();
+    bench.add(worker("w2"));
+    for percent in [10, 20, 20] {
+        progress(&mut bench, percent);
+        assert!(stops(&bench.step()).is_empty());
+        bench.wait(1_000);
+    }
+    progress(&mut bench, 20);
+    assert_eq!(stops(&bench.step()), [(task("j", 0, 0), 1)]);
+    bench.report("w1", &[], &[(task("j", 0, 0), 1, Ending::Stopped)]);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+#[test]
+fn slow_progress_is_progress() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![Step { estimate_ms: 200_000, ..step(1) }]));
+    bench.run();
+    for percent in [0, 0, 0, 0, 0] {
+        progress(&mut bench, percent);
+        assert!(stops(&bench.step()).is_empty());
+        bench.wait(1_000);
+    }
+}
+
+#[test]
+fn lasting_task_never_stands_still() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![Step { lasts: true, ..step(1) }]));
+    bench.run();
+    for _ in 0..10 {
+        progress(&mut bench, 50);
+        assert!(stops(&bench.step()).is_empty());
+        bench.wait(1_000);
+    }
+}
+
+#[test]
+fn failing_worker_is_left_out_for_a_while() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    for id in ["a", "b", "c"] {
+        bench.accept(id, job(vec![step(1)]));
+        let started = bench.run();
+        bench.report("w1", &[], &[(started[0].0.clone(), started[0].1, Ending::Failed)]);
+    }
+    assert!(bench.run().is_empty());
+    bench.add(worker("w2"));
+    assert!(bench.run().iter().all(|it| it.2 == "w2"));
+    bench.wait(8_000);
+    bench.accept("d", job(vec![step(14)]));
+    assert!(bench.run().iter().any(|it| it.2 == "w1"));
+}
+
+#[test]
+fn slow_worker_is_left_out_for_a_while() {
+    let mut bench = Bench::new();
+    for id in ["w1", "w2"] {
+        bench.add(worker(id));
+    }
+    for round in 0..12 {
+        bench.accept(&format!("j{round}"), job(vec![step(16)]));
+        let started = bench.run();
+        for slow in [false, true] {
+            bench.wait(if slow { 4_000 } else { 1_000 });
+            let on = if slow { "w2" } else { "w1" };
+            let ended: Vec<_> = started
+                .iter()
+                .filter(|it| it.2 == on)
+                .map(|it| (it.0.clone(), it.1, Ending::Done))
+                .collect();
+            bench.report(on, &[], &ended);
+        }
+        if started.iter().all(|it| it.2 == "w1") {
+            return;
+        }
+    }
+    panic!("the slow worker was never left out");
+}
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -14,7 +14,7 @@
     shutdown_pair,
 };
 use fuchsiamill_model::{FastMap, units::Moment};
-use fuchsiamill_platform::{Hosts, Store};
+use fuchsiamill_platform::{Advice, Hosts, Store};
 use fuchsiamill_settings::Fleet;
 use http::StatusCode;
 use monoio::{task::JoinHandle, time::timeout};
@@ -36,6 +36,9 @@
 /// The longest call to the service that has the hosts.
 const HOSTS_TIME: Duration = Duration::from_millis(1_200);
 
+/// The longest question to the advice service, which answers one after another.
+const ADVICE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Kept of the longest lease for the way of an order, as a divisor: 10 is a tenth.
 const LEASE_MARGIN_DIVISOR: u64 = 10;
 
@@ -132,6 +135,7 @@
             store,
             clock,
             hosts: settings.hosts.map(|it| Rc::new(Hosts::new(it, &settings.name, HOSTS_TIME))),
+            advice: settings.advice.map(|it| Rc::new(Advice::new(it, ADVICE_TIME))),
             terms: terms(settings),
             intent,
             own: LeaseRow {
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_fleet::{
     Coordinator, Name, Order,
-    coordinator::{HostDuty, Takeover, WaveRecord},
+    coordinator::{HostDuty, Permit, StepKey, Takeover, WaveRecord},
     terms::with_drift,
 };
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
@@ -14,13 +14,13 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Candidate, RENEW_MS,
+    Candidate, RENEW_MS, advice,
     election::Won,
     entries::Stronger,
     feeds::{Feed, FeedEvent},
     hosts::{self, HostEvent, HostWatch},
     lease::{Lease, LeaseRow, Lost},
-    links::{Link, LinkEvent, LinkTerms},
+    links::{Link, LinkEvent, LinkTerms, StartOrder},
     load::{Loaded, apply_job, apply_worker, load},
     standing::{Holder, ask, is_able},
 };
@@ -61,6 +61,7 @@
     Host(HostEvent),
     FormerOver,
     StrongerAble,
+    Advised(StepKey, Vec<Name>, Option<Vec<(Name, Permit)>>),
     Committed(Box<Lease>, Result<(), Lost>),
     Tick,
 }
@@ -82,6 +83,7 @@
     store_offset: (u64, Moment),
     commits: mpsc::UnboundedSender<(Box<Lease>, Result<(), Lost>)>,
     host_tx: mpsc::UnboundedSender<HostEvent>,
+    advice_tx: mpsc::UnboundedSender<Event>,
     /// What earlier coordinators stored of waves.
     waves: FastMap<u64, WaveRecord>,
     config_version: u64,
@@ -147,6 +149,7 @@
             lease: Some(Box::new(lease)),
             commits,
             host_tx,
+            advice_tx: notice_tx.clone(),
             waves,
             config_version: 0,
             cx,
@@ -232,6 +235,9 @@
             Event::Committed(lease, Ok(())) => self.apply_commit(lease),
             Event::Committed(_, Err(Lost)) => return Some(Left::Lost),
             Event::Host(it) => self.apply_host(it),
+            Event::Advised(step, asked, permits) => {
+                self.coordinator.advised(&step, &asked, permits);
+            }
             Event::StrongerAble => return Some(Left::Yielding),
             Event::FormerOver => {
                 tracing::info!(event = "former-coordinator-over");
@@ -414,29 +420,49 @@
 
     fn carry_out(&mut self) {
         for order in self.coordinator.take_orders() {
-            match order {
-                Order::Watch { worker } => self.watch(worker),
-                Order::Start { worker, task, run, payload, saved } => {
-                    let Some(link) = self.links.get(&worker) else { continue };
-                    tracing::info!(event = "task-started", %task, run, %worker);
-                    monoio::spawn(link.clone().start(task, run, payload, saved));
-                }
-                Order::Stop { worker, task, run } => {
-                    let Some(link) = self.links.get(&worker) else { continue };
-                    tracing::info!(event = "task-stopped", %task, run, %worker);
-                    monoio::spawn(link.clone().stop(task, run));
-                }
-                Order::Host { host, duty } => self.order_host(host, duty),
-                Order::Seen { worker, born, upto } => {
-                    if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born)
-                    {
-                        link.acknowledge(upto);
-                    }
+            self.carry(order);
+        }
+    }
+
+    fn carry(&mut self, order: Order) {
+        match order {
+            Order::Watch { worker } => self.watch(worker),
+            Order::Host { host, duty } => self.order_host(host, duty),
+            Order::Advise { step, workers } => self.ask_advice(step, workers),
+            Order::Start { worker, task, run, payload, saved, ticket } => {
+                let Some(link) = self.links.get(&worker) else { return };
+                tracing::info!(event = "task-started", %task, run, %worker);
+                let start = StartOrder { task, run, payload, saved, ticket };
+                monoio::spawn(link.clone().start(start));
+            }
+            Order::Stop { worker, task, run } => {
+                let Some(link) = self.links.get(&worker) else { return };
+                tracing::info!(event = "task-stopped", %task, run, %worker);
+                monoio::spawn(link.clone().stop(task, run));
+            }
+            Order::Pace { worker, task, run, percent } => {
+                let Some(link) = self.links.get(&worker) else { return };
+                tracing::info!(event = "task-paced", %task, run, %worker, percent);
+                monoio::spawn(link.clone().pace(task, run, percent));
+            }
+            Order::Seen { worker, born, upto } => {
+                if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born) {
+                    link.acknowledge(upto);
                 }
             }
         }
     }
 
+    fn ask_advice(&mut self, step: StepKey, workers: Vec<Name>) {
+        let Some(advice) = self.cx.advice.clone() else { return };
+        let (tx, clock) = (self.advice_tx.clone(), self.cx.clock);
+        monoio::spawn(async move {
+            let permits = advice::ask(&advice, &step, &workers, clock).await;
+            // The leader may have stopped.
+            let _ = tx.send(Event::Advised(step, workers, permits));
+        });
+    }
+
     fn order_host(&mut self, host: Name, duty: HostDuty) {
         let Some(hosts) = self.cx.hosts.clone() else { return };
         tracing::info!(event = "host-ordered", %host, duty = ?duty);
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -50,6 +50,21 @@
     Fenced(Name),
 }
 
+/// An order to start a run.
+#[derive(Clone, Debug)]
+pub struct StartOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+    /// The job's payload.
+    pub payload: Arc<str>,
+    /// Saved progress, empty when there is none.
+    pub saved: Name,
+    /// What the advice service gave, empty where none is needed.
+    pub ticket: Name,
+}
+
 /// What every link shares.
 #[derive(Clone)]
 pub struct LinkTerms {
@@ -252,7 +267,9 @@
     }
 
     /// Sends an order to start; one without an answer is sent once more, since it does nothing twice.
-    pub async fn start(self: Rc<Self>, task: TaskId, run: u32, payload: Arc<str>, saved: Name) {
+    pub async fn start(self: Rc<Self>, start: StartOrder) {
+        let StartOrder { task, run, payload, saved, ticket } = start;
+        let ticket = (!ticket.is_empty()).then_some(ticket.as_str());
         let mut answer = Started::NotSent;
         for _ in 0..2 {
             let now = self.terms.clock.now();
@@ -267,7 +284,8 @@
             }
             self.wake.notify_one();
             let order = (&task, run);
-            let sent = self.client.start(order, &payload, &saved, None, deadline, ORDER_TIME).await;
+            let sent =
+                self.client.start(order, &payload, &saved, ticket, deadline, ORDER_TIME).await;
             answer = match (sent, answer) {
                 (Ok(it), before) => it.after(before),
                 (Err(LifeError::OtherLife | LifeError::Closed), _) => {
@@ -286,6 +304,13 @@
         self.tell(LinkEvent::Started(task, run, answer));
     }
 
+    /// Sets a run's speed. A lost order is made good by the next report of the worker.
+    pub async fn pace(self: Rc<Self>, task: TaskId, run: u32, percent: u32) {
+        if let Err(e) = self.client.pace(&task, run, percent, ORDER_TIME).await {
+            tracing::debug!(event = "pace-failed", task = %task, run, percent, error = %e);
+        }
+    }
+
     /// Stops a run, until the worker confirms it.
     pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
         for _ in 0..STOP_TRIES {
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -1,5 +1,6 @@
 //! The process that holds the lease: it feeds the coordinator with events and carries out its orders.
 
+mod advice;
 mod election;
 mod entries;
 mod feeds;
@@ -13,7 +14,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use fuchsiamill_fleet::Terms;
-use fuchsiamill_platform::{Hosts, Store};
+use fuchsiamill_platform::{Advice, Hosts, Store};
 use tokio::sync::watch;
 
 pub use entries::{EntryRow, Stronger, follow as follow_entries, strength};
@@ -36,6 +37,8 @@
     pub clock: Clock,
     /// The service that has the hosts, if the site has one.
     pub hosts: Option<Rc<Hosts>>,
+    /// The service that knows which workers may run a step, if the site has one.
+    pub advice: Option<Rc<Advice>>,
     /// Time limits of the site.
     pub terms: Terms,
     /// What the operator has written.
