Entry hosts that the store turns away reach it through others

Change: such an entry host makes its calls through another one (peer port); a probe alone tries the direct way until it works. One that reaches nobody answers at once with Retry-After 0, or 504 where the job may be stored, so that the caller's next try reaches another. Readiness follows the store's answers.

--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -1,15 +1,12 @@
 //! Follows the operator's configuration and waves.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use fuchsiamill_fleet::{Config, worker::Wave};
 use fuchsiamill_platform::{Change, Key, Row, Store, read_config, read_wave, tables};
 use monoio::time::sleep;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-use fuchsiamill_model::units::Moment;
-
 /// How long one call to the feed waits: a connection that went silent is noticed after little more.
 const FEED_WAIT: Duration = Duration::from_millis(900);
 
@@ -29,12 +26,8 @@
 pub struct Follower {
     /// The store.
     pub store: Rc<Store>,
-    /// The clock.
-    pub clock: Clock,
     /// Where new intents are told.
     pub tx: watch::Sender<Intent>,
-    /// When the store last answered.
-    pub heard: Rc<Cell<Moment>>,
 }
 
 impl Follower {
@@ -52,7 +45,6 @@
     async fn read_all(&self) -> Option<u64> {
         match self.store.read_part(tables::OPERATOR, "").await {
             Ok(page) => {
-                self.heard.set(self.clock.now());
                 page.rows.iter().for_each(|it| self.apply(it));
                 Some(page.version)
             }
@@ -67,7 +59,6 @@
     async fn follow(&self, version: u64) -> Option<u64> {
         match self.store.feed(tables::OPERATOR, version, FEED_WAIT).await {
             Ok(Change::Rows(page)) => {
-                self.heard.set(self.clock.now());
                 page.rows.iter().for_each(|it| self.apply(it));
                 Some(page.version.max(version))
             }
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -13,7 +13,8 @@
     server::{Handler, Incoming},
     shutdown_pair,
 };
-use fuchsiamill_model::{FastMap, units::Moment};
+use fuchsiamill_model::FastMap;
+use fuchsiamill_peer::{PeerServer, Router};
 use fuchsiamill_platform::{Advice, Hosts, Store};
 use fuchsiamill_settings::Fleet;
 use http::StatusCode;
@@ -25,8 +26,9 @@
     config::{Follower, Intent},
     front::{Front, Submitter},
     lead::{
-        Candidate, EntryRow, LeaseRow, Standing, Stronger, follow_entries, serve_standing, strength,
+        Candidate, Entries, EntryRow, LeaseRow, Standing, follow_entries, serve_standing, strength,
     },
+    relay::{self, Relay},
     tables,
 };
 
@@ -50,7 +52,7 @@
 const RENEWAL_MS: u64 = 12_000;
 
 /// An answer of the store this long ago shows that it can be reached: its feed is asked every second.
-const STORE_HEARD_MS: u64 = 1_500;
+const STORE_HEARD: Duration = Duration::from_millis(1_800);
 
 /// Keeps incarnations within the whole numbers that every JSON reader takes.
 const INCARNATION_SHIFT: u32 = 12;
@@ -75,12 +77,15 @@
 /// Tells whether this entry host takes callers.
 struct Ready {
     intent: watch::Receiver<Intent>,
+    store: Rc<Store>,
     is_stopping: Rc<Cell<bool>>,
 }
 
 impl Handler for Ready {
     async fn handle(&self, _: Incoming) -> Response {
-        let is_ready = !self.is_stopping.get() && self.intent.borrow().config.is_some();
+        let is_ready = !self.is_stopping.get()
+            && self.intent.borrow().config.is_some()
+            && self.store.has_answered_within(STORE_HEARD);
         Response::empty(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
     }
 }
@@ -92,44 +97,53 @@
         let store = Rc::new(Store::new(settings.store, STORE_TIME));
         let is_stopping = Rc::new(Cell::new(false));
         let (tx, intent) = watch::channel(Intent::default());
-        let heard = Rc::new(Cell::new(Moment(0)));
-        let follower = Follower { store: store.clone(), clock, tx, heard: heard.clone() };
-        monoio::spawn(follower.run());
+        monoio::spawn(Follower { store: store.clone(), tx }.run());
 
-        let ready = Ready { intent: intent.clone(), is_stopping: is_stopping.clone() };
+        let ready = Ready {
+            intent: intent.clone(),
+            store: store.clone(),
+            is_stopping: is_stopping.clone(),
+        };
         let (_, shutdown) = shutdown_pair();
         let ready = Server::bind(settings.ready, Bounds::default(), Rc::new(ready))
             .with_context(|| format!("cannot listen at {} for readiness", settings.ready))?;
         monoio::spawn(ready.run(shutdown));
 
-        let front = front(&store, clock, &intent);
-        let bounds = Bounds { connections: CALLER_CONNECTIONS, ..Bounds::default() };
-        let server = Server::bind(settings.callers, bounds, Rc::new(front))
-            .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
-        let (stop, shutdown) = shutdown_pair();
-        let callers = Running { stop, task: monoio::spawn(server.run(shutdown)) };
-
         let term = Rc::<Cell<u64>>::default();
         let incarnation = fastrand::u64(..) >> INCARNATION_SHIFT;
+        let entries = Entries::default();
+        let relay = Relay::new(entries.clone());
+        store.set_detour(relay.clone());
+        monoio::spawn(store.clone().watch_direct());
         if let Some(addr) = settings.peers {
-            let (term, heard) = (term.clone(), heard.clone());
+            let (told, asked) = (term.clone(), store.clone());
             let tell = move || Standing {
                 incarnation,
-                term: term.get(),
-                reaches_store: clock.now().since(heard.get()) <= STORE_HEARD_MS,
+                term: told.get(),
+                reaches_store: asked.is_direct() && asked.has_answered_within(STORE_HEARD),
             };
-            serve_standing(addr, tell)
+            let mut router = Router::default();
+            serve_standing(&mut router, tell);
+            relay::serve(&mut router, store.clone());
+            let server = PeerServer::bind(addr)
                 .with_context(|| format!("cannot listen at {addr} for other entry hosts"))?;
+            monoio::spawn(server.run(Rc::new(router)));
         }
 
-        let stronger = Stronger::default();
+        let front = front(&store, clock, &intent, &relay);
+        let bounds = Bounds { connections: CALLER_CONNECTIONS, ..Bounds::default() };
+        let server = Server::bind(settings.callers, bounds, Rc::new(front))
+            .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
+        let (stop, shutdown) = shutdown_pair();
+        let callers = Running { stop, task: monoio::spawn(server.run(shutdown)) };
+
         let own = EntryRow {
             address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
             incarnation,
             strength: strength(settings.processors, settings.link_mbps),
         };
         let (name, address) = (settings.name.clone(), own.address.clone());
-        monoio::spawn(follow_entries(store.clone(), name, own, stronger.clone()));
+        monoio::spawn(follow_entries(store.clone(), name, own, entries.clone()));
 
         let candidate = Candidate {
             store,
@@ -146,7 +160,7 @@
             },
             is_stopping: is_stopping.clone(),
             term: term.clone(),
-            stronger,
+            entries,
         };
         let candidate = monoio::spawn(candidate.run());
         let grace = Duration::from_secs_f64(settings.grace_s * GRACE_SHARE);
@@ -169,11 +183,16 @@
 /// The part of the time until the process is killed that each step of a graceful stop may take.
 const GRACE_SHARE: f64 = 0.7;
 
-fn front(store: &Rc<Store>, clock: Clock, intent: &watch::Receiver<Intent>) -> Front {
+fn front(
+    store: &Rc<Store>,
+    clock: Clock,
+    intent: &watch::Receiver<Intent>,
+    relay: &Rc<Relay>,
+) -> Front {
     let mut submitters = FastMap::default();
     for part in tables::job_parts() {
         let (tx, rx) = mpsc::unbounded_channel();
-        monoio::spawn(Submitter { store: store.clone(), clock, rx }.run());
+        monoio::spawn(Submitter { store: store.clone(), clock, rx, relay: relay.clone() }.run());
         submitters.insert(Name::from(part), tx);
     }
     Front {
@@ -181,6 +200,7 @@
         clock,
         intent: intent.clone(),
         submitters,
+        relay: relay.clone(),
         board: RefCell::default(),
         in_flight: Cell::new(0),
     }
--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -10,7 +10,7 @@
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
 
-use super::{Front, Inserted, refuse};
+use super::{Front, Inserted};
 use crate::tables;
 
 /// The pause between two tries of a read.
@@ -39,7 +39,7 @@
     /// Tells where a job stands.
     pub(super) async fn state(&self, id: &Name, deadline: Moment) -> Response {
         let Some(progress) = self.read_row(&tables::progress_key(id), deadline).await else {
-            return unreadable();
+            return self.unreadable();
         };
         if let Some(row) = progress {
             return match serde_json::from_slice::<JobRecord>(&row.value) {
@@ -51,7 +51,7 @@
             };
         }
         match self.read_row(&tables::job_key(id), deadline).await {
-            None => unreadable(),
+            None => self.unreadable(),
             Some(Some(_)) => state_reply(Stage::Queued),
             Some(None) => Response::empty(StatusCode::GONE),
         }
@@ -60,7 +60,7 @@
     /// Records the wish to cancel a job.
     pub(super) async fn cancel(&self, id: &Name, deadline: Moment) -> Response {
         match self.read_row(&tables::job_key(id), deadline).await {
-            None => return unreadable(),
+            None => return self.unreadable(),
             Some(None) => return Response::empty(StatusCode::GONE),
             Some(Some(_)) => {}
         }
@@ -68,9 +68,7 @@
         tracing::info!(event = "cancel-asked", job = %id, outcome = super::outcome_word(&outcome));
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
-            Inserted::Refused => {
-                refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer")
-            }
+            Inserted::Refused => self.unreadable(),
             Inserted::Unknown => Response::empty(StatusCode::GATEWAY_TIMEOUT),
         }
     }
@@ -84,7 +82,7 @@
             match self.read_board().await {
                 true if self.fresh_count(queue).is_some() => {}
                 _ if self.clock.now() + READ_PAUSE.as_millis() as u64 >= deadline => {
-                    return unreadable();
+                    return self.unreadable();
                 }
                 _ => sleep(READ_PAUSE).await,
             }
@@ -134,8 +132,8 @@
             sleep(READ_PAUSE).await;
         }
     }
-}
 
-fn unreadable() -> Response {
-    refuse(StatusCode::SERVICE_UNAVAILABLE, "the store does not answer")
+    fn unreadable(&self) -> Response {
+        self.come_back("the store does not answer")
+    }
 }
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -17,7 +17,12 @@
 
 pub use submit::{Insert, Inserted, Submitter};
 
-use crate::{clock::Clock, config::Intent, tables};
+use crate::{
+    clock::Clock,
+    config::Intent,
+    relay::{Reach, Relay},
+    tables,
+};
 
 /// How long a refused insertion is tried again: a quarter of the usual objective.
 const INSERT_PATIENCE_MS: u64 = 400;
@@ -41,6 +46,8 @@
     pub intent: watch::Receiver<Intent>,
     /// Inserts rows, by part.
     pub submitters: FastMap<Name, mpsc::UnboundedSender<Insert>>,
+    /// Tells whether this entry host is cut off.
+    pub relay: Rc<Relay>,
     /// The last board read, and when.
     pub board: lookup::BoardCache,
     /// Requests that are being answered.
@@ -69,7 +76,7 @@
     async fn answer(&self, incoming: &Incoming) -> Response {
         let request = &incoming.request;
         let Some(config) = self.intent.borrow().config.clone() else {
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, "no configuration was read yet");
+            return self.come_back("no configuration was read yet");
         };
         let headers = Headers::from(request);
         let Some(queue) = config.route(headers.host, request.path()) else {
@@ -114,15 +121,21 @@
         );
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
-            Inserted::Refused => {
-                refuse(StatusCode::SERVICE_UNAVAILABLE, "the job was not stored and will not run")
-            }
+            Inserted::Refused => self.come_back("the job was not stored and will not run"),
             Inserted::Unknown => {
                 Response::text(StatusCode::GATEWAY_TIMEOUT, "the job may be stored; ask again")
             }
         }
     }
 
+    /// A refusal of something that has not run, with the time to come back. Another entry host is asked next: it can
+    /// help at once if only this one is cut off.
+    fn come_back(&self, text: &str) -> Response {
+        let is_cut_off = !self.store.is_direct() && self.relay.reach() == Reach::CutOff;
+        let after = HeaderValue::from_static(if is_cut_off { "0" } else { RETRY_AFTER_S });
+        Response::text(StatusCode::SERVICE_UNAVAILABLE, text).header(header::RETRY_AFTER, after)
+    }
+
     async fn insert(
         &self,
         key: fuchsiamill_platform::Key,
@@ -156,9 +169,3 @@
         Inserted::Unknown => "unknown",
     }
 }
-
-/// A refusal of something that has not run, with the time to come back.
-fn refuse(status: StatusCode, text: &str) -> Response {
-    Response::text(status, text)
-        .header(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S))
-}
--- a/crates/site/src/front/submit.rs
+++ b/crates/site/src/front/submit.rs
@@ -7,7 +7,10 @@
 use monoio::time::sleep;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::Clock;
+use crate::{
+    clock::Clock,
+    relay::{Reach, Relay},
+};
 
 /// The most rows in one change.
 const CHANGE_ROWS: usize = 48;
@@ -59,6 +62,8 @@
     pub clock: Clock,
     /// Rows to insert.
     pub rx: mpsc::UnboundedReceiver<Insert>,
+    /// Tells whether this entry host is cut off.
+    pub relay: Rc<Relay>,
 }
 
 impl Submitter {
@@ -89,7 +94,7 @@
             }
             let now = self.clock.now();
             for it in batch.into_iter().rev() {
-                match give_up(&it, now) {
+                match give_up(&it, now, self.is_cut_off()) {
                     Some(outcome) => reply(it, outcome),
                     None => waiting.push_front(it),
                 }
@@ -97,6 +102,11 @@
         }
     }
 
+    /// Whether other entry hosts would rather be asked: the caller's next try reaches one of them.
+    fn is_cut_off(&self) -> bool {
+        !self.store.is_direct() && self.relay.reach() == Reach::CutOff
+    }
+
     async fn fill(&mut self, waiting: &mut VecDeque<Waiting>) -> bool {
         if waiting.is_empty() {
             let Some(insert) = self.rx.recv().await else { return false };
@@ -146,8 +156,10 @@
     left
 }
 
-fn give_up(it: &Waiting, now: Moment) -> Option<Inserted> {
+fn give_up(it: &Waiting, now: Moment, is_cut_off: bool) -> Option<Inserted> {
     match it.maybe_stored {
+        true if is_cut_off => Some(Inserted::Unknown),
+        false if is_cut_off => Some(Inserted::Refused),
         true if now >= it.insert.deadline => Some(Inserted::Unknown),
         false if now >= it.insert.give_up => Some(Inserted::Refused),
         _ => None,
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -7,7 +7,7 @@
 use monoio::time::sleep;
 
 use super::{
-    entries::Stronger,
+    entries::Entries,
     lease::{Lease, LeaseRow, decode},
     standing::{Holder, ask},
 };
@@ -45,7 +45,7 @@
     /// The term that this process tells others.
     pub term: Rc<Cell<u64>>,
     /// Entry hosts that should rather coordinate.
-    pub stronger: Stronger,
+    pub entries: Entries,
 }
 
 /// The lease, and what is known of its former holder.
@@ -104,7 +104,7 @@
 
     /// How long to leave a free lease to stronger entry hosts.
     fn courtesy_ms(&self) -> u64 {
-        if self.stronger.borrow().is_empty() { 0 } else { COURTESY_MS }
+        if self.entries.borrow().stronger.is_empty() { 0 } else { COURTESY_MS }
     }
 
     async fn look(&self, row: &LeaseRow, unchanged_ms: u64) -> Look {
--- a/crates/site/src/lead/entries.rs
+++ b/crates/site/src/lead/entries.rs
@@ -38,11 +38,20 @@
     (processors * 1_000.0).min(link_mbps * MILLICORES_PER_MBPS) as u32
 }
 
-/// The entry hosts that are much stronger than this one.
-pub type Stronger = Rc<RefCell<Vec<EntryRow>>>;
+/// The other entry hosts.
+#[derive(Debug, Default)]
+pub struct Others {
+    /// All of them.
+    pub all: Vec<EntryRow>,
+    /// Those that are much stronger than this one.
+    pub stronger: Vec<EntryRow>,
+}
+
+/// The other entry hosts, as last read.
+pub type Entries = Rc<RefCell<Others>>;
 
 /// Tells the others of this entry host, then reads their rows again and again.
-pub async fn follow(store: Rc<Store>, name: Name, own: EntryRow, stronger: Stronger) {
+pub async fn follow(store: Rc<Store>, name: Name, own: EntryRow, entries: Entries) {
     let value = serde_json::to_vec(&own).expect("a row serialises to JSON");
     let puts = vec![(tables::entry_key(&name), value)];
     let tx = Tx { puts, ..Tx::default() };
@@ -55,7 +64,9 @@
             Ok(rows) => {
                 let is_stronger =
                     |it: &EntryRow| it.strength * 100 > own.strength * MUCH_STRONGER_PERCENT;
-                *stronger.borrow_mut() = rows.into_iter().filter(is_stronger).collect();
+                let stronger = rows.iter().filter(|it| is_stronger(it)).cloned().collect();
+                let all = rows.into_iter().filter(|it| it.address != own.address).collect();
+                *entries.borrow_mut() = Others { all, stronger };
                 sleep(READ_PAUSE).await;
             }
             Err(e) => {
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -16,7 +16,7 @@
 use super::{
     Candidate, RENEW_MS, advice,
     election::Won,
-    entries::Stronger,
+    entries::Entries,
     feeds::{Feed, FeedEvent},
     hosts::{self, HostEvent, HostWatch},
     lease::{Lease, LeaseRow, Lost},
@@ -104,7 +104,7 @@
         let (commits, mut commit_rx) = mpsc::unbounded_channel();
         let (host_tx, mut host_rx) = mpsc::unbounded_channel();
         let (notice_tx, mut notice_rx) = mpsc::unbounded_channel();
-        let cx_stronger = cx.stronger.clone();
+        let entries = cx.entries.clone();
         if holder != Holder::Over {
             monoio::spawn(watch_former(former, notice_tx.clone(), is_leading.clone()));
         }
@@ -154,7 +154,7 @@
             config_version: 0,
             cx,
         };
-        monoio::spawn(watch_stronger(cx_stronger, notice_tx, is_leading.clone()));
+        monoio::spawn(watch_stronger(entries, notice_tx, is_leading.clone()));
         let left = loop {
             let event = {
                 let jobs = std::pin::pin!(job_rx.recv());
@@ -520,7 +520,7 @@
 
 /// Tells once a stronger entry host could coordinate.
 async fn watch_stronger(
-    stronger: Stronger,
+    entries: Entries,
     tx: mpsc::UnboundedSender<Event>,
     is_leading: Rc<Cell<bool>>,
 ) {
@@ -529,7 +529,7 @@
         if !is_leading.get() {
             return;
         }
-        let rows = stronger.borrow().clone();
+        let rows = entries.borrow().stronger.clone();
         for row in rows {
             if is_able(&row).await {
                 // Nobody listens once this process no longer coordinates.
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -17,7 +17,7 @@
 use fuchsiamill_platform::{Advice, Hosts, Store};
 use tokio::sync::watch;
 
-pub use entries::{EntryRow, Stronger, follow as follow_entries, strength};
+pub use entries::{Entries, EntryRow, follow as follow_entries, strength};
 pub use lease::LeaseRow;
 pub use standing::{Standing, serve as serve_standing};
 
@@ -50,7 +50,7 @@
     /// The term in which this process coordinates or tries to; 0 for none.
     pub term: Rc<Cell<u64>>,
     /// Entry hosts that should rather coordinate.
-    pub stronger: Stronger,
+    pub entries: Entries,
 }
 
 impl Candidate {
@@ -65,7 +65,7 @@
                 clock: self.clock,
                 own: self.own.clone(),
                 term: self.term.clone(),
-                stronger: self.stronger.clone(),
+                entries: self.entries.clone(),
             };
             let won = election.win().await;
             let term = won.lease.term();
--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -1,8 +1,8 @@
 //! Whether a holder of the lease still coordinates, asked of its process.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use fuchsiamill_peer::{Error, Link, PeerServer, Router, Unreached, call_channel};
+use fuchsiamill_peer::{Error, Link, Router, Unreached, call_channel};
 use serde::{Deserialize, Serialize};
 
 use super::{entries::EntryRow, lease::LeaseRow};
@@ -34,12 +34,10 @@
     Unknown,
 }
 
-/// Answers other entry hosts for ever; `tell` gives the standing.
-pub fn serve(addr: SocketAddr, tell: impl Fn() -> Standing + 'static) -> std::io::Result<()> {
+/// Answers other entry hosts; `tell` gives the standing.
+pub fn serve(router: &mut Router, tell: impl Fn() -> Standing + 'static) {
     let (tx, mut rx) = call_channel();
-    let mut router = Router::default();
     router.route(METHOD, tx);
-    monoio::spawn(PeerServer::bind(addr)?.run(Rc::new(router)));
     monoio::spawn(async move {
         while let Some(call) = rx.recv().await {
             if let Some(((), reply)) = call.parse() {
@@ -47,7 +45,6 @@
             }
         }
     });
-    Ok(())
 }
 
 async fn call(addr: SocketAddr) -> fuchsiamill_peer::Result<Standing> {
