Full pools: least work left first; durations are learned

Estimates of two queues are far off, so that due times and the forecast of demand were too.

Change: while tasks of a pool find no room, the job with the least work left goes first, and one that cannot be done in time any more after all others; what tasks of a queue take is learned and replaces estimates that are off. A candidate looks again after 0.1 s while the holder of the lease does not tell its standing.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -40,7 +40,18 @@
 }
 
 impl Pace {
-    fn note(&mut self, ratio: f64) {
+    /// How many values there were.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// The mean; 0 before the first value.
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+
+    /// Takes a value in.
+    pub fn note(&mut self, ratio: f64) {
         self.samples += 1;
         self.mean = match self.samples {
             1 => ratio,
@@ -52,7 +63,11 @@
 impl Coordinator {
     /// Takes note of how a run ended.
     pub(super) fn note_health(&mut self, worker: &Name, id: &TaskId, ending: Ending, now: Moment) {
-        let ratio = if ending == Ending::Done { self.beside_siblings(id, now) } else { None };
+        let mut ratio = None;
+        if ending == Ending::Done {
+            self.note_duration(id, now);
+            ratio = self.beside_siblings(id, now);
+        }
         let Some(at) = self.workers.get_mut(worker) else { return };
         match ending {
             Ending::Done => at.failures = 0,
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -16,8 +16,8 @@
     pub spec: Arc<JobSpec>,
     /// Where it stands.
     pub stage: Stage,
-    /// When it should be completed.
-    pub due: Moment,
+    /// When it was accepted.
+    pub accepted: Moment,
     /// Whether its team had sent more than its share when it came.
     pub excess: bool,
     /// Occurrences that are due, by their number.
@@ -138,13 +138,11 @@
     /// A job that was just accepted, or that an earlier coordinator left.
     pub fn new(id: Name, spec: Arc<JobSpec>, now: Moment, wall: WallTime) -> Self {
         let age = wall.0.saturating_sub(spec.accepted.0);
-        let objective = objective_ms(&spec);
-        let due = Moment((now.0 + objective).saturating_sub(age));
         Self {
             id,
             spec,
             stage: Stage::Queued,
-            due,
+            accepted: now - age,
             excess: false,
             occurrences: Vec::new(),
             live: 0,
@@ -184,6 +182,11 @@
         self.spec.steps[step].after.iter().all(|it| run.steps[*it as usize].is_done())
     }
 
+    /// Whether a task waits, its turn come or not.
+    pub fn has_waiting(&self) -> bool {
+        self.occurrences.iter().any(|run| run.steps.iter().any(|it| it.waiting > 0))
+    }
+
     /// Occurrence and step numbers whose tasks may run and that have tasks waiting.
     pub fn open_steps(&self) -> Vec<(usize, usize)> {
         let mut open = Vec::new();
@@ -336,8 +339,7 @@
     }
 }
 
-/// The objective of a job, counted from its acceptance.
-pub fn objective_ms(spec: &JobSpec) -> Millisecond {
-    let chain = spec.chain_ms() as f64 * spec.route.stretch.max(1.0);
-    chain as Millisecond + spec.route.objective_ms
+/// The objective of a job whose longest chain of work takes `chain`, counted from its acceptance.
+pub fn objective_ms(spec: &JobSpec, chain: Millisecond) -> Millisecond {
+    (chain as f64 * spec.route.stretch.max(1.0)) as Millisecond + spec.route.objective_ms
 }
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -10,6 +10,7 @@
 mod lapse;
 mod place;
 mod pools;
+mod rank;
 mod reports;
 mod sharing;
 mod worker;
@@ -142,6 +143,9 @@
     dirty_waves: FastSet<u64>,
     demand: FastMap<Name, pools::Demand>,
     advice: FastMap<StepKey, advice::StepAdvice>,
+    usual: FastMap<Name, rank::Usual>,
+    /// Pools where tasks found no room lately.
+    tight: FastSet<Name>,
 }
 
 impl Coordinator {
@@ -172,6 +176,8 @@
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
             advice: FastMap::default(),
+            usual: FastMap::default(),
+            tight: FastSet::default(),
         }
     }
 
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -1,9 +1,6 @@
 //! Which task runs where.
 
-use fuchsiamill_model::{
-    FastMap, Resources,
-    units::{Millisecond, Moment},
-};
+use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
 use super::{Coordinator, Live, Order, Phase, StepKey, TaskState, Worker};
 use crate::{Name, Stage, Step, TaskId, job::RouteTerms};
@@ -11,24 +8,6 @@
 /// Tasks that found no room after which the search in a pool ends until something changes.
 const MISFITS_PER_POOL: u32 = 40;
 
-/// The order in which jobs get room: a smaller value comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    priority: u32,
-    standing: Standing,
-    due: Moment,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    /// It can still be completed within its objective.
-    InTime,
-    /// It is late already: others gain more from the room.
-    Late,
-    /// Its team sent more than its share.
-    Excess,
-}
-
 /// What a worker would look like with one more task; the smallest value wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fit {
@@ -56,23 +35,7 @@
                 *misfits.entry(pool.clone()).or_insert(0) += failed;
             }
         }
-    }
-
-    fn ranked(&self, now: Moment) -> Vec<Name> {
-        let waiting = self.jobs.values().filter(|it| !it.stage.is_over());
-        let mut ranked: Vec<(Rank, &Name)> = waiting
-            .filter(|it| it.occurrences.iter().any(|k| k.steps.iter().any(|s| s.waiting > 0)))
-            .map(|it| {
-                let standing = match (it.excess, now > it.due) {
-                    (true, _) => Standing::Excess,
-                    (_, true) if !it.spec.lasts() => Standing::Late,
-                    _ => Standing::InTime,
-                };
-                (Rank { priority: it.spec.route.priority, standing, due: it.due }, &it.id)
-            })
-            .collect();
-        ranked.sort();
-        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+        self.tight = misfits.into_iter().filter(|it| it.1 > 0).map(|it| it.0).collect();
     }
 
     /// Places the waiting tasks of a step; returns how many found no room.
@@ -209,11 +172,6 @@
             saved: task.saved.clone(),
         });
     }
-
-    /// When the next objective is missed, at the latest.
-    pub fn earliest_due(&self) -> Option<Millisecond> {
-        self.jobs.values().filter(|it| !it.stage.is_over()).map(|it| it.due.0).min()
-    }
 }
 
 fn siblings_on(worker: &Worker, id: &TaskId) -> u32 {
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -72,12 +72,15 @@
         if spec.schedule.is_some() || spec.lasts() {
             return;
         }
-        let work = spec
-            .steps
-            .iter()
-            .map(|it| u64::from(it.count) * u64::from(it.size.millicores) * it.estimate_ms.max(1));
+        let steps = spec.steps.iter().enumerate();
+        let work: u64 = steps
+            .map(|(number, it)| {
+                let took = self.expected_ms(spec, number).max(1);
+                u64::from(it.count) * u64::from(it.size.millicores) * took
+            })
+            .sum();
         let demand = self.demand.entry(spec.route.pool.clone()).or_default();
-        demand.note(now, work.sum());
+        demand.note(now, work);
     }
 
     /// Moves hosts to the pools that need them and idle ones to the spare pool.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -131,14 +131,4 @@
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|it| it.lasts)
     }
-
-    /// The longest chain of estimated work, in milliseconds.
-    pub fn chain_ms(&self) -> Millisecond {
-        let mut ends: Vec<Millisecond> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin = step.after.iter().filter_map(|it| ends.get(*it as usize)).max();
-            ends.push(begin.copied().unwrap_or(0) + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
-    }
 }
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -16,6 +16,9 @@
 /// The pause between two looks at the lease.
 const LOOK_MS: u64 = 400;
 
+/// The pause between two looks while the holder does not tell its standing.
+const DOUBT_MS: u64 = 100;
+
 /// A holder changes its row each [`super::RENEW_MS`]; one that misses that several times is silent.
 const SILENCE_MS: u64 = 1_000;
 
@@ -30,6 +33,8 @@
 enum Look {
     /// Somebody holds it.
     Held,
+    /// Its holder does not tell, and was not silent for long enough.
+    Doubtful,
     /// It can be taken; what is known of its former holder.
     Takeable(Holder),
 }
@@ -64,6 +69,7 @@
         let mut last: Option<(u64, Moment)> = None;
         let mut takeable = None;
         loop {
+            let mut is_doubtful = false;
             match self.store.read_row(&tables::lease_key()).await {
                 Ok((row, _)) => {
                     let (row, version) =
@@ -75,8 +81,9 @@
                     };
                     last = Some((version, since));
                     let look = self.look(&row, now.since(since)).await;
+                    is_doubtful = look != Look::Held;
                     takeable = match (look, takeable) {
-                        (Look::Held, _) => None,
+                        (Look::Held | Look::Doubtful, _) => None,
                         (Look::Takeable(_), None) => Some(now),
                         (_, since) => since,
                     };
@@ -93,7 +100,8 @@
                     tracing::debug!(event = "read-failed", what = "lease", error = %e);
                 }
             }
-            sleep(Duration::from_millis(LOOK_MS + fastrand::u64(0..LOOK_MS / 4))).await;
+            let pause = if is_doubtful { DOUBT_MS } else { LOOK_MS };
+            sleep(Duration::from_millis(pause + fastrand::u64(0..pause / 4))).await;
         }
     }
 
@@ -115,7 +123,8 @@
         match ask(row).await {
             Holder::Over => Look::Takeable(Holder::Over),
             _ if unchanged_ms >= self.silence_ms() => Look::Takeable(Holder::Unknown),
-            _ => Look::Held,
+            Holder::Unknown => Look::Doubtful,
+            Holder::Leads => Look::Held,
         }
     }
 
--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -10,7 +10,7 @@
 const METHOD: &str = "standing";
 
 /// How long a process may take to tell its standing.
-const ANSWER_TIME: Duration = Duration::from_millis(600);
+const ANSWER_TIME: Duration = Duration::from_millis(300);
 
 /// What a process tells of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
