Stand-in of the platform; ports that tests give out are never taken in between

Change: given ports lie below the range of any port. The stand-in `fleet` speaks the platform's store, workers and hosts, records every run and tells when two of one task were at work.

Ruled out: the product's start (its log ends with the refused listen)."

--- a/crates/daemon/tests/common/net.rs
+++ b/crates/daemon/tests/common/net.rs
@@ -1,8 +1,7 @@
 //! Loopback addresses and blocking HTTP for tests.
 
 use std::{
-    cell::RefCell,
-    collections::BTreeSet,
+    cell::Cell,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -17,10 +16,14 @@
 
 static SITES: AtomicU32 = AtomicU32::new(0);
 
+/// Ports that are given out lie below those that the system gives to sockets bound to port 0: a stand-in or a proxy
+/// that is bound in between cannot take one of them.
+const FIRST_PORT: u16 = 10_000;
+
 /// A loopback address of one site's own.
 pub struct LoopbackNet {
     ip: Ipv4Addr,
-    given: RefCell<BTreeSet<u16>>,
+    next: Cell<u16>,
 }
 
 impl LoopbackNet {
@@ -29,7 +32,7 @@
         let site = SITES.fetch_add(1, Ordering::Relaxed) + 1;
         let pid = std::process::id();
         let ip = Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, site as u8);
-        Self { ip, given: RefCell::default() }
+        Self { ip, next: Cell::new(FIRST_PORT) }
     }
 
     /// The address with port 0.
@@ -40,9 +43,10 @@
     /// The address with a port that is free now and that this site gets once only.
     pub fn free(&self) -> SocketAddr {
         loop {
-            let listener = TcpListener::bind(self.any()).expect("a free port");
-            let addr = listener.local_addr().expect("a bound address");
-            if self.given.borrow_mut().insert(addr.port()) {
+            let port = self.next.get();
+            self.next.set(port + 1);
+            let addr = SocketAddr::new(IpAddr::V4(self.ip), port);
+            if TcpListener::bind(addr).is_ok() {
                 return addr;
             }
         }
--- /dev/null
+++ b/crates/standin/src/fleet/mod.rs
@@ -0,0 +1,87 @@
+//! A stand-in of a site's platform: the store of rows, workers that run tasks, and the service that has the hosts.
+//!
+//! All share one [`World`], which the test reads and changes directly.
+
+mod hosts;
+mod rows;
+mod workers;
+mod world;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
+    thread,
+    time::Duration,
+};
+
+use anyhow::{Context, Result};
+use fuchsiamill_http::Bounds;
+use monoio::time::sleep;
+
+pub use rows::{Rows, StoreFault};
+pub use world::{RunRecord, Worker, WorkerFault, World};
+
+use crate::{reply, run::block_on};
+
+/// How often workers look at their tasks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A running stand-in.
+pub struct FleetSite {
+    /// Where the store listens.
+    pub store: SocketAddr,
+    /// Where the service that has the hosts listens.
+    pub hosts: SocketAddr,
+    world: Arc<Mutex<World>>,
+}
+
+impl FleetSite {
+    /// Starts the stand-in with `count` hosts in each of `pools` and as many in the pool `spare`.
+    pub fn start(listen: SocketAddr, pools: &[&str], count: usize) -> Result<Self> {
+        let world = Arc::new(Mutex::new(World::default()));
+        let pools: Vec<String> = pools.iter().map(|it| (*it).to_owned()).collect();
+        let (tx, rx) = mpsc::channel();
+        let shared = world.clone();
+        thread::Builder::new().name("fleet".into()).spawn(move || {
+            block_on(async move {
+                // The other side waits for it.
+                let _ = tx.send(serve(listen, &shared, &pools, count));
+                loop {
+                    sleep(TICK).await;
+                    lock(&shared).tick();
+                }
+            });
+        })?;
+        let (store, hosts) = rx.recv().context("the stand-in did not start")??;
+        Ok(Self { store, hosts, world })
+    }
+
+    /// The state of everything.
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        lock(&self.world)
+    }
+}
+
+fn serve(
+    listen: SocketAddr,
+    world: &Arc<Mutex<World>>,
+    pools: &[String],
+    count: usize,
+) -> Result<(SocketAddr, SocketAddr)> {
+    let bounds = Bounds { body_bytes: 8 * 1024 * 1024, connections: 4_096, ..Bounds::default() };
+    let store = reply::serve(listen, bounds, std::rc::Rc::new(rows::Port(world.clone())))?;
+    let hosts = reply::serve(listen, bounds, std::rc::Rc::new(hosts::Port(world.clone())))?;
+    for pool in pools {
+        for _ in 0..count {
+            let number = lock(world).add_host(pool);
+            let port = workers::Port { world: world.clone(), host: number };
+            let addr = reply::serve(listen, bounds, std::rc::Rc::new(port))?;
+            lock(world).boot(number, addr);
+        }
+    }
+    Ok((store, hosts))
+}
+
+pub(crate) fn lock(world: &Mutex<World>) -> MutexGuard<'_, World> {
+    world.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/src/fleet/rows.rs
@@ -0,0 +1,237 @@
+//! The store: rows with versions, conditional changes and a feed of them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use fuchsiamill_http::{Handler, Incoming, Response};
+use http::StatusCode;
+use monoio::time::sleep;
+use serde_json::{Value, json};
+
+use super::{lock, world::World};
+use crate::reply;
+
+const FEED_STEP: Duration = Duration::from_millis(5);
+
+/// How the store treats its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It serves.
+    #[default]
+    None,
+    /// It refuses everything.
+    Down,
+    /// It answers nothing.
+    Silent,
+    /// Its answers take longer by so many milliseconds.
+    Slow(u64),
+    /// So many of a hundred changes are made and not answered.
+    LoseAnswers(u32),
+}
+
+type RowKey = (String, String, String);
+
+/// All rows and what changed.
+#[derive(Debug, Default)]
+pub struct Rows {
+    rows: BTreeMap<RowKey, (String, u64)>,
+    log: Vec<(u64, RowKey, Option<String>)>,
+    version: u64,
+    forgotten: u64,
+    /// The fault in force.
+    pub fault: StoreFault,
+    /// Changes made.
+    pub changes: u64,
+}
+
+impl Rows {
+    /// Writes a row as its owner on the platform would.
+    pub fn put(&mut self, table: &str, key: &str, value: &Value) {
+        self.version += 1;
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        self.write(key, Some(base64_of(&value.to_string())));
+    }
+
+    /// Drops a row.
+    pub fn drop_row(&mut self, table: &str, key: &str) {
+        self.version += 1;
+        self.write((table.to_owned(), String::new(), key.to_owned()), None);
+    }
+
+    /// The value of a row.
+    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Value> {
+        let row = self.rows.get(&(table.to_owned(), part.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(&bytes_of(&row.0)?).ok()
+    }
+
+    /// Forgets what changed so far.
+    pub fn forget_history(&mut self) {
+        self.log.clear();
+        self.forgotten = self.version;
+    }
+
+    fn write(&mut self, key: RowKey, value: Option<String>) {
+        match &value {
+            Some(value) => self.rows.insert(key.clone(), (value.clone(), self.version)),
+            None => self.rows.remove(&key),
+        };
+        self.log.push((self.version, key, value));
+    }
+
+    fn change(&mut self, tx: &Value, now_ms: u64) -> Response {
+        let of = |name: &str| tx[name].as_array().cloned().unwrap_or_default();
+        let expected = of("expected_rev");
+        let is_met = |it: &Value| {
+            let found = self.rows.get(&key_of(it)).map_or(0, |row| row.1);
+            Some(found) == it["ver"].as_u64()
+        };
+        if !expected.iter().all(is_met) {
+            let rows: Vec<Value> = expected.iter().filter_map(|it| self.row(&key_of(it))).collect();
+            let body = json!({ "rows": rows, "ver": self.version, "now_ms": now_ms });
+            return with_status(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        self.version += 1;
+        self.changes += 1;
+        for it in of("set_keys") {
+            let value = it["value"].as_str().unwrap_or_default().to_owned();
+            self.write(key_of(&it), Some(value));
+        }
+        for it in of("remove") {
+            self.write(key_of(&it), None);
+        }
+        reply::value(&json!({ "ver": self.version, "now_ms": now_ms }))
+    }
+
+    fn row(&self, key: &RowKey) -> Option<Value> {
+        let (value, version) = self.rows.get(key)?;
+        let (table, part, name) = key;
+        Some(json!({ "table": table, "part": part, "key": name, "value": value, "ver": version }))
+    }
+
+    fn read(&self, query: &BTreeMap<String, String>, now_ms: u64) -> Response {
+        let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let (table, part, from) = (text("table"), text("part"), text("from"));
+        let to = query.get("to");
+        let rows: Vec<Value> = self
+            .rows
+            .range((table.clone(), part.clone(), from)..)
+            .map(|(key, _)| key)
+            .take_while(|key| key.0 == table && key.1 == part && to.is_none_or(|to| key.2 < *to))
+            .filter_map(|key| self.row(key))
+            .collect();
+        let body =
+            json!({ "rows": rows, "has_more": false, "ver": self.version, "now_ms": now_ms });
+        reply::value(&body)
+    }
+
+    fn feed(&self, table: &str, after: u64, now_ms: u64) -> Option<Response> {
+        if after < self.forgotten {
+            return Some(Response::empty(StatusCode::GONE));
+        }
+        let changed = self.log.iter().filter(|it| it.0 > after && it.1.0 == table);
+        let rows: Vec<Value> = changed
+            .map(|(version, (table, part, key), value)| match value {
+                Some(value) => json!({
+                    "table": table, "part": part, "key": key, "value": value, "ver": version
+                }),
+                None => json!({
+                    "table": table, "part": part, "key": key, "ver": version, "removed": true
+                }),
+            })
+            .collect();
+        let body = json!({ "rows": rows, "ver": self.version, "now_ms": now_ms });
+        (!rows.is_empty()).then(|| reply::value(&body))
+    }
+}
+
+/// The store's port.
+pub struct Port(pub Arc<Mutex<World>>);
+
+impl Handler for Port {
+    async fn handle(&self, incoming: Incoming) -> Response {
+        let fault = lock(&self.0).rows.fault;
+        match fault {
+            StoreFault::Down => return Response::empty(StatusCode::SERVICE_UNAVAILABLE),
+            StoreFault::Silent => return reply::never(incoming).await,
+            StoreFault::Slow(ms) => sleep(Duration::from_millis(ms)).await,
+            StoreFault::None | StoreFault::LoseAnswers(_) => {}
+        }
+        let target = incoming.request.target.clone();
+        let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+        let query = read_query(query);
+        match path {
+            "/rows-tx" => {
+                let answer = self.change(&incoming.request.body);
+                match fault {
+                    StoreFault::LoseAnswers(percent) if fastrand::u32(0..100) < percent => {
+                        reply::never(incoming).await
+                    }
+                    _ => answer,
+                }
+            }
+            "/rows-get" => {
+                let world = lock(&self.0);
+                world.rows.read(&query, world.now_ms())
+            }
+            "/rows-feed" => self.feed(&query).await,
+            _ => Response::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Port {
+    fn change(&self, body: &[u8]) -> Response {
+        let Ok(tx) = serde_json::from_slice(body) else {
+            return Response::empty(StatusCode::BAD_REQUEST);
+        };
+        let mut world = lock(&self.0);
+        let now_ms = world.now_ms();
+        world.rows.change(&tx, now_ms)
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>) -> Response {
+        let number = |name: &str| query.get(name).and_then(|it| it.parse().ok()).unwrap_or(0u64);
+        let table = query.get("table").cloned().unwrap_or_default();
+        let until = Instant::now() + Duration::from_millis(number("wait_ms"));
+        loop {
+            {
+                let world = lock(&self.0);
+                if let Some(answer) = world.rows.feed(&table, number("after"), world.now_ms()) {
+                    return answer;
+                }
+                if Instant::now() >= until || world.rows.fault != StoreFault::None {
+                    let (ver, now_ms) = (world.rows.version, world.now_ms());
+                    return reply::value(&json!({ "rows": [], "ver": ver, "now_ms": now_ms }));
+                }
+            }
+            sleep(FEED_STEP).await;
+        }
+    }
+}
+
+fn key_of(it: &Value) -> RowKey {
+    let text = |name: &str| it[name].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("part"), text("key"))
+}
+
+fn with_status(status: StatusCode, body: &Value) -> Response {
+    Response::json(status, body.to_string())
+}
+
+pub(super) fn read_query(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|it| it.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn base64_of(text: &str) -> String {
+    use base64::{Engine, prelude::BASE64_STANDARD};
+    BASE64_STANDARD.encode(text)
+}
+
+fn bytes_of(text: &str) -> Option<Vec<u8>> {
+    use base64::{Engine, prelude::BASE64_STANDARD};
+    BASE64_STANDARD.decode(text).ok()
+}
--- /dev/null
+++ b/crates/standin/src/fleet/workers.rs
@@ -0,0 +1,179 @@
+//! A worker's port: orders under a fence and a lease.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use fuchsiamill_http::{Handler, Incoming, Response};
+use http::StatusCode;
+use monoio::time::sleep;
+use serde_json::{Value, json};
+
+use super::{
+    lock,
+    world::{Worker, WorkerFault, World},
+};
+use crate::reply;
+
+const HOLD_STEP: Duration = Duration::from_millis(5);
+
+/// The longest lease.
+const LONGEST_LEASE_MS: u64 = 10_000;
+
+/// The port of one host, whatever worker lives there.
+pub struct Port {
+    /// The state of everything.
+    pub world: Arc<Mutex<World>>,
+    /// The host.
+    pub host: usize,
+}
+
+enum Verdict {
+    Serve,
+    Silent,
+    Unanswered,
+    Late(u64),
+}
+
+impl Handler for Port {
+    async fn handle(&self, incoming: Incoming) -> Response {
+        let path = incoming.request.path().to_owned();
+        let Ok(body) = serde_json::from_slice::<Value>(&incoming.request.body) else {
+            return Response::empty(StatusCode::BAD_REQUEST);
+        };
+        let meant = incoming.request.text_header("x-fuchsiamill-expect-instance");
+        let meant = meant.unwrap_or_default().to_owned();
+        match self.verdict(&path) {
+            Verdict::Silent => return reply::never(incoming).await,
+            Verdict::Unanswered => {
+                self.answer(&path, &body, &meant);
+                return reply::never(incoming).await;
+            }
+            Verdict::Late(ms) => {
+                let (world, host) = (self.world.clone(), self.host);
+                monoio::spawn(async move {
+                    sleep(Duration::from_millis(ms)).await;
+                    Port { world, host }.answer(&path, &body, &meant);
+                });
+                return reply::never(incoming).await;
+            }
+            Verdict::Serve => {}
+        }
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+        let until = Instant::now() + wait;
+        while path == "/hold" && Instant::now() < until && !self.has_ends(&body) {
+            sleep(HOLD_STEP).await;
+        }
+        self.answer(&path, &body, &meant)
+    }
+}
+
+impl Port {
+    fn verdict(&self, path: &str) -> Verdict {
+        let mut world = lock(&self.world);
+        match world.worker_mut(self.host).map(|it| it.fault) {
+            None | Some(WorkerFault::Silent) => Verdict::Silent,
+            Some(WorkerFault::AnswersLost) if path == "/run-start" => Verdict::Unanswered,
+            Some(WorkerFault::Late(ms)) if path == "/run-start" => Verdict::Late(ms),
+            Some(_) => Verdict::Serve,
+        }
+    }
+
+    fn has_ends(&self, body: &Value) -> bool {
+        let seen = body["seen_upto"].as_u64().unwrap_or(0);
+        let mut world = lock(&self.world);
+        world.worker_mut(self.host).is_some_and(|it| it.ended.iter().any(|end| end.0 > seen))
+    }
+
+    fn answer(&self, path: &str, body: &Value, meant: &str) -> Response {
+        let mut world = lock(&self.world);
+        let Some(worker) = world.worker_mut(self.host) else {
+            return Response::empty(StatusCode::MISDIRECTED_REQUEST);
+        };
+        if worker.id != meant {
+            return Response::empty(StatusCode::MISDIRECTED_REQUEST);
+        }
+        let fence = body["fence_token"].as_u64().unwrap_or(0);
+        if fence < worker.fence {
+            return refuse(worker, "fence");
+        }
+        worker.fence = fence;
+        if let Some(deadline) = body["deadline_ms"].as_u64() {
+            let longest = worker.clock_ms() + LONGEST_LEASE_MS;
+            worker.deadline = worker.deadline.max(deadline.min(longest));
+        }
+        match path {
+            "/hold" => hold(worker, body),
+            "/run-stop" => stop(&mut world, self.host, body),
+            "/run-start" => start(&mut world, self.host, body),
+            "/pace" => reply::value(&json!({ "clock_ms": worker.clock_ms() })),
+            _ => Response::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn refuse(worker: &Worker, reason: &str) -> Response {
+    let body = json!({ "clock_ms": worker.clock_ms(), "reason": reason });
+    Response::json(StatusCode::CONFLICT, body.to_string())
+}
+
+fn hold(worker: &mut Worker, body: &Value) -> Response {
+    let seen = body["seen_upto"].as_u64().unwrap_or(0);
+    worker.ended.retain(|it| it.0 > seen);
+    let running: Vec<Value> = worker
+        .running
+        .iter()
+        .map(|(task, it)| {
+            let left = it.until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let percent = 100 - (left * 100 / it.work_ms.max(1)).min(100);
+            json!([task, it.run, "", percent, 0])
+        })
+        .collect();
+    let ended: Vec<Value> =
+        worker.ended.iter().map(|it| json!([it.0, it.1, it.2, it.3, ""])).collect();
+    reply::value(&json!({
+        "clock_ms": worker.clock_ms(), "born": worker.born, "running": running, "ended": ended
+    }))
+}
+
+fn task_of(body: &Value) -> (String, u64) {
+    let task = body["task"].as_str().unwrap_or_default().to_owned();
+    (task, body["run"].as_u64().unwrap_or(0))
+}
+
+fn stop(world: &mut World, host: usize, body: &Value) -> Response {
+    let (task, run) = task_of(body);
+    let Some(worker) = world.worker_mut(host) else {
+        return Response::empty(StatusCode::MISDIRECTED_REQUEST);
+    };
+    let highest = worker.highest.entry(task.clone()).or_default();
+    *highest = (*highest).max(run);
+    let is_there = worker.running.get(&task).is_some_and(|it| it.run <= run);
+    let record = is_there.then(|| worker.end(&task, "stopped"));
+    let answer = reply::value(&json!({ "clock_ms": worker.clock_ms() }));
+    if let Some(record) = record {
+        world.runs[record].ended = Some((Instant::now(), "stopped".to_owned()));
+    }
+    answer
+}
+
+fn start(world: &mut World, host: usize, body: &Value) -> Response {
+    let (task, run) = task_of(body);
+    let Some(worker) = world.worker_mut(host) else {
+        return Response::empty(StatusCode::MISDIRECTED_REQUEST);
+    };
+    if worker.running.get(&task).is_some_and(|it| it.run == run) {
+        return reply::value(&json!({ "clock_ms": worker.clock_ms() }));
+    }
+    if worker.highest.get(&task).is_some_and(|highest| run <= *highest) {
+        return refuse(worker, "old");
+    }
+    if worker.clock_ms() > body["deadline_ms"].as_u64().unwrap_or(0) {
+        return refuse(worker, "late");
+    }
+    let answer = reply::value(&json!({ "clock_ms": worker.clock_ms() }));
+    let payload = body["spec"].as_str().unwrap_or_default().to_owned();
+    world.begin(host, &task, run, &payload);
+    answer
+}
--- /dev/null
+++ b/crates/standin/src/fleet/world.rs
@@ -0,0 +1,259 @@
+//! What truly happened: hosts, the workers on them and every run.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde_json::json;
+
+use super::rows::Rows;
+
+/// How a worker treats its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WorkerFault {
+    /// It serves.
+    #[default]
+    None,
+    /// It answers nothing and does nothing new; what runs goes on until its lease ends.
+    Silent,
+    /// It carries out orders to start and answers nothing.
+    AnswersLost,
+    /// It carries out orders to start so many milliseconds later and does not answer them.
+    Late(u64),
+}
+
+/// One run, as it truly went.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunRecord {
+    /// The task.
+    pub task: String,
+    /// The run.
+    pub run: u64,
+    /// The worker.
+    pub worker: String,
+    /// When it began.
+    pub began: Instant,
+    /// When and how it ended.
+    pub ended: Option<(Instant, String)>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub run: u64,
+    pub until: Instant,
+    pub work_ms: u64,
+    pub ending: &'static str,
+    pub record: usize,
+}
+
+/// One life of a host.
+#[derive(Debug)]
+pub struct Worker {
+    /// Its id.
+    pub id: String,
+    /// When it was started, in Unix milliseconds.
+    pub born: u64,
+    pub(super) boot: Instant,
+    pub(super) fence: u64,
+    pub(super) deadline: u64,
+    pub(super) running: BTreeMap<String, Running>,
+    pub(super) ended: Vec<(u64, String, u64, String)>,
+    pub(super) highest: BTreeMap<String, u64>,
+    pub(super) next_end: u64,
+    /// The fault in force.
+    pub fault: WorkerFault,
+}
+
+#[derive(Debug)]
+pub(super) struct Host {
+    pub pool: String,
+    pub addr: Option<SocketAddr>,
+    pub worker: Option<Worker>,
+    pub back: Option<Instant>,
+}
+
+/// The state of everything.
+#[derive(Debug)]
+pub struct World {
+    /// The store.
+    pub rows: Rows,
+    /// Every run.
+    pub runs: Vec<RunRecord>,
+    /// Tasks of which two runs were at work at once, or one began after another was done.
+    pub twice: Vec<String>,
+    pub(super) hosts: Vec<Host>,
+    pub(super) began: Instant,
+    lives: u64,
+}
+
+impl Default for World {
+    fn default() -> Self {
+        Self {
+            rows: Rows::default(),
+            runs: Vec::new(),
+            twice: Vec::new(),
+            hosts: Vec::new(),
+            began: Instant::now(),
+            lives: 0,
+        }
+    }
+}
+
+impl World {
+    /// The store's clock.
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    pub(super) fn add_host(&mut self, pool: &str) -> usize {
+        self.hosts.push(Host { pool: pool.to_owned(), addr: None, worker: None, back: None });
+        self.hosts.len() - 1
+    }
+
+    /// Starts a host's worker anew.
+    pub(super) fn boot(&mut self, host: usize, addr: SocketAddr) {
+        self.hosts[host].addr = Some(addr);
+        self.end_life(host, "gone");
+        if self.hosts[host].pool == "spare" {
+            return;
+        }
+        self.lives += 1;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis());
+        let worker = Worker {
+            id: format!("w-{host}-{}", self.lives),
+            born: born as u64,
+            boot: Instant::now(),
+            fence: 0,
+            deadline: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            highest: BTreeMap::new(),
+            next_end: 1,
+            fault: WorkerFault::None,
+        };
+        self.list(host, &worker);
+        self.hosts[host].worker = Some(worker);
+    }
+
+    fn list(&mut self, host: usize, worker: &Worker) {
+        let at = &self.hosts[host];
+        let entry = json!({
+            "service": at.pool,
+            "address": at.addr.map(|it| it.to_string()),
+            "zone": format!("dc-{}", host % 3),
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": { "cpu": 8_000, "mem_mb": 32_768, "gpu": 0 },
+            "labels": ["a", format!("rack-{}", host / 4)],
+            "seq": 1,
+            "born": worker.born,
+        });
+        self.rows.put("servers", &worker.id, &entry);
+    }
+
+    /// Ends a host's worker: everything on it ends, and its entry goes.
+    pub(super) fn end_life(&mut self, host: usize, how: &str) {
+        let Some(worker) = self.hosts[host].worker.take() else { return };
+        for it in worker.running.values() {
+            self.runs[it.record].ended = Some((Instant::now(), how.to_owned()));
+        }
+        self.rows.drop_row("servers", &worker.id);
+    }
+
+    /// A worker crashes; its host starts another one.
+    pub fn crash(&mut self, host: usize) {
+        if let Some(addr) = self.hosts[host].addr {
+            self.boot(host, addr);
+        }
+    }
+
+    /// How many hosts there are.
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// The worker on a host.
+    pub fn worker_mut(&mut self, host: usize) -> Option<&mut Worker> {
+        self.hosts[host].worker.as_mut()
+    }
+
+    /// Ends runs whose work is done or whose lease is over, and brings hosts back.
+    pub(super) fn tick(&mut self) {
+        let now = Instant::now();
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].back.is_some_and(|it| now >= it) {
+                self.hosts[host].back = None;
+                if let Some(addr) = self.hosts[host].addr {
+                    self.boot(host, addr);
+                }
+            }
+            let Some(worker) = &mut self.hosts[host].worker else { continue };
+            let lapsed = worker.clock_ms() > worker.deadline;
+            let over: Vec<String> = worker
+                .running
+                .iter()
+                .filter(|(_, it)| lapsed || now >= it.until)
+                .map(|(task, _)| task.clone())
+                .collect();
+            for task in over {
+                let how = if lapsed { "lapsed" } else { worker.running[&task].ending };
+                let record = worker.end(&task, how);
+                self.runs[record].ended = Some((now, how.to_owned()));
+            }
+        }
+    }
+
+    /// Begins a run and judges it.
+    pub(super) fn begin(&mut self, host: usize, task: &str, run: u64, payload: &str) {
+        let now = Instant::now();
+        let is_bad = self
+            .runs
+            .iter()
+            .any(|it| it.task == task && it.ended.as_ref().is_none_or(|(_, how)| how == "done"));
+        if is_bad {
+            self.twice.push(task.to_owned());
+        }
+        let Some(worker) = &mut self.hosts[host].worker else { return };
+        let work_ms = payload.split('=').nth(1).and_then(|it| it.parse().ok()).unwrap_or(100);
+        let ending = if payload.starts_with("fail") { "failed" } else { "done" };
+        let record = self.runs.len();
+        let until = now + std::time::Duration::from_millis(work_ms);
+        let running = Running { run, until, work_ms, ending, record };
+        worker.running.insert(task.to_owned(), running);
+        self.runs.push(RunRecord {
+            task: task.to_owned(),
+            run,
+            worker: worker.id.clone(),
+            began: now,
+            ended: None,
+        });
+    }
+
+    /// Tasks of a job that are done.
+    pub fn done_tasks(&self, job: &str) -> usize {
+        let is_done = |it: &&RunRecord| {
+            it.task.starts_with(job) && it.ended.as_ref().is_some_and(|(_, how)| how == "done")
+        };
+        self.runs.iter().filter(is_done).count()
+    }
+}
+
+impl Worker {
+    pub(super) fn clock_ms(&self) -> u64 {
+        self.boot.elapsed().as_millis() as u64
+    }
+
+    /// Ends a run; gives the place of its record.
+    pub(super) fn end(&mut self, task: &str, how: &str) -> usize {
+        let it = self.running.remove(task).expect("the run is there");
+        self.ended.push((self.next_end, task.to_owned(), it.run, how.to_owned()));
+        self.next_end += 1;
+        let highest = self.highest.entry(task.to_owned()).or_default();
+        *highest = (*highest).max(it.run);
+        it.record
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod backend;
 pub mod cli;
+pub mod fleet;
 pub mod platform;
 pub mod proxy;
 pub mod record;
