--- /dev/null
+++ b/crates/daemon/tests/common/fleet.rs
@@ -0,0 +1,246 @@
+//! A site on a stand-in of the platform: entry hosts as processes, and callers.
+
+use std::{
+    cell::RefCell,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use fuchsiamill_http::{Request, Response};
+use fuchsiamill_standin::{
+    admin::{Route, RouteFault, SetRouteFault},
+    fleet::FleetSite,
+};
+use http::{HeaderName, HeaderValue, Method};
+use serde_json::{Value, json};
+
+use super::{
+    net::{self, LoopbackNet},
+    wait_until,
+};
+
+/// The key of the only team.
+pub const KEY: &str = "north-key";
+
+/// Entry hosts on a stand-in.
+pub struct Fleet {
+    pub site: FleetSite,
+    pub entries: Vec<Process>,
+    pub jobs: RefCell<Vec<String>>,
+}
+
+/// One entry host.
+pub struct Process {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    /// Its way to the store, through the proxy.
+    route: SocketAddr,
+    file: PathBuf,
+    child: Child,
+}
+
+impl Fleet {
+    /// Starts so many entry hosts, and pools `web` and `spare` of so many hosts each.
+    pub fn start(entries: usize, hosts: usize) -> Self {
+        let net = LoopbackNet::new();
+        let site = FleetSite::start(net.any(), &["web", "spare"], hosts).expect("it starts");
+        let fleet_ip = net.any().ip().to_string();
+        site.world().rows.put("op", "config", &config(1, &fleet_ip, &["/jobs/"]));
+        let entries = (0..entries).map(|it| Process::start(&site, &net, it)).collect();
+        let fleet = Self { site, entries, jobs: RefCell::default() };
+        fleet.wait_ready();
+        fleet
+    }
+
+    pub fn wait_ready(&self) {
+        for it in &self.entries {
+            wait_until("the entry host is ready", || it.is_ready());
+        }
+    }
+
+    /// Puts a newer configuration with these queues in force.
+    pub fn configure(&self, version: u64, prefixes: &[&str]) {
+        let ip = self.entries[0].front.ip().to_string();
+        self.site.world().rows.put("op", "config", &config(version, &ip, prefixes));
+    }
+
+    /// The entry host that coordinates, by the lease.
+    pub fn coordinator(&self) -> Option<usize> {
+        let lease = self.site.world().rows.value("coordinator", "", "lease")?;
+        self.entries.iter().position(|it| lease["holder"] == it.name.as_str())
+    }
+
+    /// Posts a job until it is accepted or `patience` is over.
+    pub fn accept(&self, job: &Value, patience: Duration) -> Option<String> {
+        let id = format!("{:016x}", fastrand::u64(..));
+        let until = Instant::now() + patience;
+        while Instant::now() < until {
+            let entry = &self.entries[fastrand::usize(0..self.entries.len())];
+            if entry.post(&id, job).is_some_and(|it| it.status.is_success()) {
+                self.jobs.borrow_mut().push(id.clone());
+                return Some(id);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// The state of a job, as some entry host tells it.
+    pub fn state(&self, id: &str) -> Option<String> {
+        let entry = &self.entries[fastrand::usize(0..self.entries.len())];
+        let answer = entry.send(Method::GET, id, None)?;
+        if answer.status.as_u16() == 410 {
+            return Some("gone".into());
+        }
+        let state: Value = serde_json::from_slice(&answer.body).ok()?;
+        state["state"].as_str().map(str::to_owned)
+    }
+
+    pub fn wait_state(&self, id: &str, state: &str) {
+        wait_until(&format!("job {id} is {state}"), || self.state(id).as_deref() == Some(state));
+    }
+
+    /// Waits until every accepted job is completed, and checks that no task ran twice.
+    pub fn check(&self) {
+        for id in self.jobs.borrow().iter() {
+            self.wait_state(id, "completed");
+        }
+        assert!(self.site.world().twice.is_empty(), "ran twice: {:?}", self.site.world().twice);
+    }
+
+    /// Puts a fault on the way of one entry host to the store.
+    pub fn store_fault(&self, entry: usize, fault: RouteFault) {
+        let listen = self.entries[entry].route;
+        net::post::<_, ()>(self.site.proxy, "/fault", &SetRouteFault { listen, fault });
+    }
+}
+
+impl Process {
+    fn start(site: &FleetSite, net: &LoopbackNet, number: usize) -> Self {
+        let name = format!("entry-{number}");
+        let (front, ready, peers) = (net.free(), net.free(), net.free());
+        let listen = net.any();
+        let route = net::post(site.proxy, "/route", &Route { listen, to: site.store });
+        let text = format!(
+            "[fleet]\nname = {name}\ncallers = {front}\nready = {ready}\npeers = {peers}\n\
+             store = {route}\nhosts = {}\nmove-s = 0.3\nupkeep-s = 0.3\ngrace-s = 4\n",
+            site.hosts
+        );
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = folder.join(format!("{}.ini", front.to_string().replace(':', "-")));
+        fs::write(&file, text).expect("the settings file");
+        let child = spawn(&file);
+        Self { name, front, ready, route, file, child }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        net::send(self.ready, Request::get("/ready")).is_some_and(|it| it.status.is_success())
+    }
+
+    pub fn post(&self, id: &str, job: &Value) -> Option<Response> {
+        self.send(Method::POST, id, Some(job))
+    }
+
+    /// Sends a request to the queue `/jobs/`.
+    pub fn send(&self, method: Method, id: &str, body: Option<&Value>) -> Option<Response> {
+        self.send_to(method, &format!("/jobs/{id}"), body, KEY)
+    }
+
+    pub fn send_to(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+        key: &str,
+    ) -> Option<Response> {
+        let body = body.map(Value::to_string).unwrap_or_default();
+        let key = HeaderValue::from_str(key).expect("a key");
+        let request = Request { method, ..Request::post(path, body) }
+            .header(HeaderName::from_static("x-api-key"), key);
+        net::send(self.front, request)
+    }
+
+    /// Sends a signal by name, such as `STOP`, `CONT`, `TERM` or `HUP`.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
+        assert!(status.expect("kill runs").success(), "the process takes the signal");
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Ends the process, gracefully or not, and starts it anew.
+    pub fn restart(&mut self, gracefully: bool) {
+        if gracefully {
+            self.signal("TERM");
+            let _ = self.child.wait();
+        } else {
+            self.kill();
+        }
+        self.child = spawn(&self.file);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(file: &PathBuf) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fuchsiamilld"));
+    command.arg("--config").arg(file).stdin(Stdio::null());
+    if std::env::var_os("SHOW_LOGS").is_none() {
+        command.stdout(Stdio::null());
+    }
+    command.spawn().expect("the daemon starts")
+}
+
+/// A job whose steps follow one another; each has so many tasks of so many milliseconds.
+pub fn job(ms: u64, steps: &[u32]) -> Value {
+    let steps: Vec<Value> = steps
+        .iter()
+        .enumerate()
+        .map(|(number, count)| {
+            let after: Vec<usize> = (0..number).collect();
+            json!({
+                "count": count, "cpu": 500, "mem_mb": 64, "estimate_ms": ms, "after": after
+            })
+        })
+        .collect();
+    json!({ "spec": format!("ms={ms}"), "steps": steps })
+}
+
+fn config(version: u64, host: &str, prefixes: &[&str]) -> Value {
+    let routes: Vec<Value> = prefixes
+        .iter()
+        .map(|prefix| {
+            json!({
+                "name": format!("queue{}", prefix.replace('/', "-")), "host": host,
+                "path_prefix": prefix, "service": "web", "kind": "non_idempotent",
+                "timeout_ms": 3000, "target_duration_ms": 600, "priority": 0,
+                "max_attempts": 3, "stretch": 1.6, "public": false
+            })
+        })
+        .collect();
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            { "name": "web", "rejects_overload": true, "spare": false },
+            { "name": "spare", "rejects_overload": true, "spare": true }
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 262144 },
+        "tenants": [{
+            "name": "north", "api_keys": [KEY], "weight": 1000,
+            "cap": { "cpu": 0, "mem_mb": 0, "gpu": 0 }
+        }]
+    })
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,9 +4,10 @@
 //! threads of the test; the entry hosts are processes. Every address is on a loopback address of
 //! this test's own, so that tests side by side never meet.
 
-#![allow(dead_code)]
+#![allow(dead_code, missing_docs)]
 
 pub mod entry;
+pub mod fleet;
 pub mod jobs;
 pub mod load;
 pub mod net;
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 pub use rows::{Rows, StoreFault};
 pub use world::{RunRecord, Worker, WorkerFault, World};
 
-use crate::{reply, run::block_on};
+use crate::{proxy, reply, run::block_on};
 
 /// How often workers look at their tasks.
 const TICK: Duration = Duration::from_millis(10);
@@ -32,6 +32,8 @@
     pub store: SocketAddr,
     /// Where the service that has the hosts listens.
     pub hosts: SocketAddr,
+    /// Where routes of the fault-injecting proxy are opened.
+    pub proxy: SocketAddr,
     world: Arc<Mutex<World>>,
 }
 
@@ -52,8 +54,8 @@
                 }
             });
         })?;
-        let (store, hosts) = rx.recv().context("the stand-in did not start")??;
-        Ok(Self { store, hosts, world })
+        let (store, hosts, proxy) = rx.recv().context("the stand-in did not start")??;
+        Ok(Self { store, hosts, proxy, world })
     }
 
     /// The state of everything.
@@ -67,7 +69,7 @@
     world: &Arc<Mutex<World>>,
     pools: &[String],
     count: usize,
-) -> Result<(SocketAddr, SocketAddr)> {
+) -> Result<(SocketAddr, SocketAddr, SocketAddr)> {
     let bounds = Bounds { body_bytes: 8 * 1024 * 1024, connections: 4_096, ..Bounds::default() };
     let store = reply::serve(listen, bounds, std::rc::Rc::new(rows::Port(world.clone())))?;
     let hosts = reply::serve(listen, bounds, std::rc::Rc::new(hosts::Port(world.clone())))?;
@@ -79,7 +81,7 @@
             lock(world).boot(number, addr);
         }
     }
-    Ok((store, hosts))
+    Ok((store, hosts, proxy::start(listen)?))
 }
 
 pub(crate) fn lock(world: &Mutex<World>) -> MutexGuard<'_, World> {
