The coordinator's loop takes one channel of events; rows of old jobs are dropped

Change: events come through one channel, in the order in which they happened; changes of the store, orders and what is known of other holders are modules of their own. Jobs whose state was told for status-s and a minute more are dropped, the job's row before its progress; a coordinator that takes over drops progress without a job.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -122,7 +122,8 @@
     terms: Terms,
     config: Arc<Config>,
     jobs: FastMap<Name, Job>,
-    over: FastMap<Name, Stage>,
+    /// Jobs that are over, and when that was noted.
+    over: FastMap<Name, Moment>,
     workers: FastMap<Name, Worker>,
     used: FastMap<Name, Resources>,
     recent: FastMap<Name, VecDeque<Moment>>,
@@ -208,7 +209,7 @@
         let inherited = record.map(|it| job.restore(it, now)).unwrap_or_default();
         let over = job.stage.is_over();
         if over && inherited.is_empty() {
-            self.over.insert(id, job.stage);
+            self.over.insert(id, now);
             return;
         }
         let spec = job.spec.clone();
@@ -263,16 +264,16 @@
         for (task, _) in live {
             self.stop(&task, now);
         }
-        self.forget_if_over(id);
+        self.forget_if_over(id, now);
     }
 
-    fn forget_if_over(&mut self, id: &Name) {
+    fn forget_if_over(&mut self, id: &Name, now: Moment) {
         if let Some(job) = self.jobs.get(id)
             && job.stage.is_over()
             && job.live == 0
             && !self.is_dirty.contains(id)
         {
-            self.over.insert(id.clone(), job.stage);
+            self.over.insert(id.clone(), now);
             self.jobs.remove(id);
             self.advice.retain(|step, _| step.job != *id);
         }
@@ -385,7 +386,7 @@
         }
         self.released.extend(orders);
         for id in ids {
-            self.forget_if_over(&id);
+            self.forget_if_over(&id, now);
         }
     }
 
@@ -397,6 +398,17 @@
         }
     }
 
+    /// Jobs whose state was told for long enough, at most `most` of them; they are forgotten.
+    pub fn take_expired(&mut self, now: Moment, most: usize) -> Vec<Name> {
+        let is_expired = |at: &Moment| now.since(*at) >= self.terms.keep_ms;
+        let expired = self.over.iter().filter(|(_, at)| is_expired(at)).take(most);
+        let expired: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
+        for id in &expired {
+            self.over.remove(id);
+        }
+        expired
+    }
+
     /// Whether something waits to be placed or stored.
     pub fn has_work(&self) -> bool {
         self.needs_placing || !self.dirty.is_empty() || !self.held_back.is_empty()
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -23,6 +23,8 @@
     pub holder_change_ms: Millisecond,
     /// How long a former coordinator may go on renewing leases after its last confirmed write.
     pub renewal_ms: Millisecond,
+    /// How long a job that is over is kept.
+    pub keep_ms: Millisecond,
 }
 
 impl Default for Terms {
@@ -37,6 +39,7 @@
             upkeep_ms: 2_000,
             holder_change_ms: 3_000,
             renewal_ms: 12_000,
+            keep_ms: 180_000,
         }
     }
 }
--- a/crates/fleet/tests/job_steps.rs
+++ b/crates/fleet/tests/job_steps.rs
@@ -154,3 +154,18 @@
     bench.coordinator.accept("j".into(), Arc::new(job(vec![step(1)])), None, bench.now, WALL);
     assert!(bench.run().is_empty());
 }
+
+#[test]
+fn finished_job_expires_once() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    let started = bench.run();
+    bench.report("w1", &[], &[(started[0].0.clone(), 1, Ending::Done)]);
+    bench.run();
+    bench.wait(179_000);
+    assert!(bench.coordinator.take_expired(bench.now, 10).is_empty());
+    bench.wait(2_000);
+    assert_eq!(bench.coordinator.take_expired(bench.now, 10), ["j"]);
+    assert!(bench.coordinator.take_expired(bench.now, 10).is_empty());
+}
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -57,6 +57,9 @@
 /// Keeps incarnations within the whole numbers that every JSON reader takes.
 const INCARNATION_SHIFT: u32 = 12;
 
+/// A job that is over is kept longer than its state has to be told: a repeat of its post may be late.
+const KEEP_MARGIN_MS: u64 = 60_000;
+
 /// The most connections of callers.
 const CALLER_CONNECTIONS: usize = 2_000;
 
@@ -218,5 +221,6 @@
         upkeep_ms: (settings.upkeep_s * 1_000.0) as u64,
         holder_change_ms: settings.holder_change_ms,
         renewal_ms: RENEWAL_MS,
+        keep_ms: settings.status_s * 1_000 + KEEP_MARGIN_MS,
     }
 }
--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -4,7 +4,8 @@
 
 use fuchsiamill_platform::{Change, Row, Store};
 use monoio::time::sleep;
-use tokio::sync::mpsc;
+
+use super::event::{Event, Teller};
 
 /// How long one call to a feed waits.
 const FEED_WAIT: Duration = Duration::from_millis(2_000);
@@ -29,8 +30,10 @@
     pub table: &'static str,
     /// Its parts.
     pub parts: Vec<String>,
+    /// What its events are to the coordinator.
+    pub wrap: fn(FeedEvent) -> Event,
     /// Where events go.
-    pub tx: mpsc::UnboundedSender<FeedEvent>,
+    pub teller: Teller,
     /// Whether this process still coordinates.
     pub is_leading: Rc<Cell<bool>>,
 }
@@ -51,7 +54,7 @@
         match self.store.feed(self.table, version, FEED_WAIT).await {
             Ok(Change::Rows(page)) => {
                 if !page.rows.is_empty() {
-                    self.tell(FeedEvent::Rows(page.rows));
+                    self.teller.tell((self.wrap)(FeedEvent::Rows(page.rows)));
                 }
                 Some(page.version.max(version))
             }
@@ -70,7 +73,7 @@
     async fn read_whole(&self) -> Option<u64> {
         match read_table(&self.store, self.table, &self.parts).await {
             Ok((rows, version)) => {
-                self.tell(FeedEvent::Whole(rows));
+                self.teller.tell((self.wrap)(FeedEvent::Whole(rows)));
                 Some(version)
             }
             Err(e) => {
@@ -80,11 +83,6 @@
             }
         }
     }
-
-    fn tell(&self, event: FeedEvent) {
-        // Nobody listens once this process no longer coordinates.
-        let _ = self.tx.send(event);
-    }
 }
 
 /// All rows of a table, and a version after which the feed misses nothing.
--- a/crates/site/src/lead/hosts.rs
+++ b/crates/site/src/lead/hosts.rs
@@ -9,8 +9,8 @@
 use fuchsiamill_model::units::Moment;
 use fuchsiamill_platform::{DutyAnswer, Hosts};
 use monoio::time::sleep;
-use tokio::sync::mpsc;
 
+use super::event::{Event, Teller};
 use crate::clock::Clock;
 
 /// The pause between two reads of the list.
@@ -32,7 +32,7 @@
     /// The clock.
     pub clock: Clock,
     /// Where events go.
-    pub tx: mpsc::UnboundedSender<HostEvent>,
+    pub teller: Teller,
     /// Whether this process still coordinates.
     pub is_leading: Rc<Cell<bool>>,
 }
@@ -43,8 +43,7 @@
         while self.is_leading.get() {
             let asked = self.clock.now();
             match self.hosts.list().await {
-                // Nobody listens once this process no longer coordinates.
-                Ok(hosts) => drop(self.tx.send(HostEvent::Listed(hosts, asked))),
+                Ok(hosts) => self.teller.tell(Event::Host(HostEvent::Listed(hosts, asked))),
                 Err(e) => tracing::debug!(event = "read-failed", what = "hosts", error = %e),
             }
             sleep(LIST_PAUSE).await;
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -11,8 +11,9 @@
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{LifeError, WorkerClient};
 use monoio::time::{sleep, timeout};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
+use super::event::{Event, Teller};
 use crate::clock::Clock;
 
 /// How long a look waits for an end while something runs.
@@ -71,7 +72,7 @@
     /// The clock.
     pub clock: Clock,
     /// Where events go.
-    pub tx: mpsc::UnboundedSender<LinkEvent>,
+    pub teller: Teller,
     /// The fence of all orders.
     pub fence: u64,
     /// How long a lease is renewed for.
@@ -262,8 +263,7 @@
     }
 
     fn tell(&self, event: LinkEvent) {
-        // Nobody listens once this process no longer coordinates.
-        let _ = self.terms.tx.send(event);
+        self.terms.teller.tell(Event::Link(event));
     }
 
     /// Sends an order to start; one without an answer is sent once more, since it does nothing twice.
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -7,7 +7,7 @@
     coordinator::{Takeover, WaveRecord},
     terms::with_drift,
 };
-use fuchsiamill_model::{FastMap, units::Moment};
+use fuchsiamill_model::{FastMap, FastSet, units::Moment};
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
@@ -27,6 +27,8 @@
     pub workers_version: u64,
     /// What earlier coordinators did of waves.
     pub waves: FastMap<u64, WaveRecord>,
+    /// Jobs of which only the progress is left: it has to be dropped.
+    pub orphans: Vec<Name>,
 }
 
 /// Reads everything; the caller gives up when the lease is lost meanwhile.
@@ -50,13 +52,15 @@
     for row in &jobs {
         apply_job(&mut coordinator, row, records.get(&row.key.key), cx);
     }
+    let known: FastSet<&Name> = jobs.iter().map(|it| &it.key.key).collect();
+    let orphans = records.keys().filter(|it| !known.contains(it)).cloned().collect();
     tracing::info!(
         event = "state-loaded",
         jobs = jobs.len(),
         open = coordinator.open_jobs(),
         workers = workers.len()
     );
-    Loaded { coordinator, jobs_version, workers_version, waves }
+    Loaded { coordinator, jobs_version, workers_version, waves, orphans }
 }
 
 async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> (Vec<Row>, u64) {
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -1,15 +1,19 @@
 //! The process that holds the lease: it feeds the coordinator with events and carries out its orders.
 
 mod advice;
+mod changes;
 mod election;
 mod entries;
+mod event;
 mod feeds;
 mod hosts;
 mod lease;
 mod leader;
 mod links;
 mod load;
+mod orders;
 mod standing;
+mod takeover;
 
 use std::{cell::Cell, rc::Rc};
 
