--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -18,7 +18,10 @@
 };
 
 /// Seeds that failed once, each with a line on its cause.
-const REGRESSIONS: &[u64] = &[];
+const REGRESSIONS: &[u64] = &[
+    // The proxy held a guard of the fault over a delay, so that lifting it blocked its thread for ever.
+    914754811545,
+];
 
 const ENTRY_HOSTS: usize = 3;
 const HOSTS: usize = 5;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -22,6 +22,8 @@
     pub callers: SocketAddr,
     /// Where readiness and metrics are told.
     pub ready: SocketAddr,
+    /// Where metrics are served; at `ready` too.
+    pub metrics: Option<SocketAddr>,
     /// Where the other entry hosts connect.
     pub peers: Option<SocketAddr>,
     /// The platform's store.
@@ -91,6 +93,7 @@
             name: section.value("name", "the entry host's name")?,
             callers: section.value("callers", ADDRESS)?,
             ready: section.value("ready", ADDRESS)?,
+            metrics: optional(&mut section, "metrics")?,
             peers: optional(&mut section, "peers")?,
             store: section.value("store", ADDRESS)?,
             hosts: optional(&mut section, "hosts")?,
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -28,6 +28,7 @@
     lead::{
         Candidate, Entries, EntryRow, LeaseRow, Standing, follow_entries, serve_standing, strength,
     },
+    metrics::Metrics,
     relay::{self, Relay},
     tables,
 };
@@ -77,15 +78,24 @@
     task: JoinHandle<()>,
 }
 
-/// Tells whether this entry host takes callers.
+const METRICS_PATH: &str = "/metrics";
+
+/// Tells whether this entry host takes callers, and its metrics.
 struct Ready {
+    metrics: Rc<Metrics>,
     intent: watch::Receiver<Intent>,
     store: Rc<Store>,
     is_stopping: Rc<Cell<bool>>,
 }
 
 impl Handler for Ready {
-    async fn handle(&self, _: Incoming) -> Response {
+    async fn handle(&self, incoming: Incoming) -> Response {
+        if incoming.request.path() == METRICS_PATH {
+            return match self.metrics.text() {
+                Ok(text) => Response::text(StatusCode::OK, text),
+                Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+            };
+        }
         let is_ready = !self.is_stopping.get()
             && self.intent.borrow().config.is_some()
             && self.store.has_answered_within(STORE_HEARD);
@@ -102,15 +112,20 @@
         let (tx, intent) = watch::channel(Intent::default());
         monoio::spawn(Follower { store: store.clone(), tx }.run());
 
+        let metrics = Rc::new(Metrics::new()?);
         let ready = Ready {
+            metrics: metrics.clone(),
             intent: intent.clone(),
             store: store.clone(),
             is_stopping: is_stopping.clone(),
         };
         let (_, shutdown) = shutdown_pair();
-        let ready = Server::bind(settings.ready, Bounds::default(), Rc::new(ready))
-            .with_context(|| format!("cannot listen at {} for readiness", settings.ready))?;
-        monoio::spawn(ready.run(shutdown));
+        let ready = Rc::new(ready);
+        for addr in std::iter::once(settings.ready).chain(settings.metrics) {
+            let server = Server::bind(addr, Bounds::default(), ready.clone())
+                .with_context(|| format!("cannot listen at {addr} for readiness and metrics"))?;
+            monoio::spawn(server.run(shutdown.clone()));
+        }
 
         let term = Rc::<Cell<u64>>::default();
         let incarnation = fastrand::u64(..) >> INCARNATION_SHIFT;
@@ -133,7 +148,7 @@
             monoio::spawn(server.run(Rc::new(router)));
         }
 
-        let front = front(&store, clock, &intent, &relay);
+        let front = front(&store, clock, &intent, &relay, &metrics);
         let bounds = Bounds { connections: CALLER_CONNECTIONS, ..Bounds::default() };
         let server = Server::bind(settings.callers, bounds, Rc::new(front))
             .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
@@ -164,6 +179,7 @@
             is_stopping: is_stopping.clone(),
             term: term.clone(),
             entries,
+            metrics,
         };
         let candidate = monoio::spawn(candidate.run());
         let grace = Duration::from_secs_f64(settings.grace_s * GRACE_SHARE);
@@ -191,6 +207,7 @@
     clock: Clock,
     intent: &watch::Receiver<Intent>,
     relay: &Rc<Relay>,
+    metrics: &Rc<Metrics>,
 ) -> Front {
     let mut submitters = FastMap::default();
     for part in tables::job_parts() {
@@ -205,7 +222,7 @@
         submitters,
         relay: relay.clone(),
         board: RefCell::default(),
-        in_flight: Cell::new(0),
+        metrics: metrics.clone(),
     }
 }
 
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -3,7 +3,7 @@
 mod lookup;
 mod submit;
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc};
 
 use fuchsiamill_fleet::{Config, JobSpec, Name, Queue, job::RouteTerms};
 use fuchsiamill_http::{
@@ -20,6 +20,7 @@
 use crate::{
     clock::Clock,
     config::Intent,
+    metrics::Metrics,
     relay::{Reach, Relay},
     tables,
 };
@@ -50,8 +51,8 @@
     pub relay: Rc<Relay>,
     /// The last board read, and when.
     pub board: lookup::BoardCache,
-    /// Requests that are being answered.
-    pub in_flight: Cell<usize>,
+    /// Counts requests.
+    pub metrics: Rc<Metrics>,
 }
 
 pub use lookup::{Board, BoardCache};
@@ -65,9 +66,10 @@
 
 impl Handler for Front {
     async fn handle(&self, incoming: Incoming) -> Response {
-        self.in_flight.set(self.in_flight.get() + 1);
+        let begun = self.clock.now();
         let response = self.answer(&incoming).await;
-        self.in_flight.set(self.in_flight.get() - 1);
+        let took = self.clock.now().since(begun);
+        self.metrics.answered(response.status.as_u16(), took);
         response
     }
 }
--- a/crates/site/src/lead/changes.rs
+++ b/crates/site/src/lead/changes.rs
@@ -1,6 +1,6 @@
 //! Puts what has to be stored into changes of the store, one at a time.
 
-use fuchsiamill_fleet::{JobRecord, Name, coordinator::WaveRecord};
+use fuchsiamill_fleet::{JobRecord, Name, Stage, coordinator::WaveRecord};
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{Key, Tx, write_wave_state};
 use serde::Serialize;
@@ -31,6 +31,7 @@
             self.coordinator.committed(now);
             return;
         }
+        records.iter().for_each(|it| self.note_end(it));
         let mut puts: Vec<(Key, Vec<u8>)> = records.iter().map(progress_row).collect();
         puts.extend(waves.iter().flat_map(wave_rows));
         if let Some(ordered) = ordered {
@@ -38,6 +39,9 @@
         }
         if now.since(self.board_written) >= BOARD_MS {
             self.board_written = now;
+            let usable =
+                self.coordinator.workers().values().filter(|it| it.takes_tasks(now)).count();
+            self.cx.metrics.sizes(self.coordinator.open_jobs(), usable);
             puts.push((tables::board_key(), encode(&self.board(now))));
         }
         let Some(mut lease) = self.lease.take() else { return };
@@ -50,9 +54,24 @@
         });
     }
 
+    fn note_end(&self, (id, record): &(Name, JobRecord)) {
+        let stage = match record.stage {
+            Stage::Completed => "completed",
+            Stage::Failed => "failed",
+            Stage::Cancelled => "cancelled",
+            Stage::Queued | Stage::Running => return,
+        };
+        // Tasks of a job that is over may still be stopped: its record is written again.
+        if record.tasks.is_empty() {
+            tracing::info!(event = "job-ended", job = %id, stage);
+            self.cx.metrics.job_ended(stage);
+        }
+    }
+
     /// The change under way was made.
     pub(super) fn apply_commit(&mut self, lease: Box<Lease>) {
         let now = self.cx.clock.now();
+        self.cx.metrics.changed(now.since(self.paced));
         self.committed = now;
         self.link_terms.confirmed.set(now);
         self.store_offset = (lease.store_ms(), now);
@@ -122,9 +141,6 @@
 }
 
 fn progress_row((id, record): &(Name, JobRecord)) -> (Key, Vec<u8>) {
-    if record.stage.is_over() {
-        tracing::info!(event = "job-ended", job = %id, stage = ?record.stage);
-    }
     (tables::progress_key(id), encode(record))
 }
 
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -219,10 +219,12 @@
                 }
             }
             LinkEvent::Silent(id, renewed) => {
+                self.cx.metrics.worker_event("silent");
                 tracing::info!(event = "worker-silent", worker = %id, renewed = renewed.0, now = now.0);
                 self.coordinator.worker_silent(&id, renewed);
             }
             LinkEvent::Dead(id, born) => {
+                self.cx.metrics.worker_event("over");
                 tracing::info!(event = "worker-over", worker = %id, born);
                 self.coordinator.worker_dead(&id, born, now);
             }
@@ -288,6 +290,7 @@
             && config.version > self.config_version
         {
             self.config_version = config.version;
+            self.cx.metrics.configured(config.version);
             self.coordinator.configure(config);
         }
     }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -25,7 +25,7 @@
 pub use lease::LeaseRow;
 pub use standing::{Standing, serve as serve_standing};
 
-use crate::{clock::Clock, config::Intent};
+use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
 use leader::Leader;
 
@@ -55,6 +55,8 @@
     pub term: Rc<Cell<u64>>,
     /// Entry hosts that should rather coordinate.
     pub entries: Entries,
+    /// Counts what is done.
+    pub metrics: Rc<Metrics>,
 }
 
 impl Candidate {
@@ -73,7 +75,9 @@
             };
             let won = election.win().await;
             let term = won.lease.term();
+            self.metrics.coordinates(true);
             let why = Leader::run(self.clone(), won).await;
+            self.metrics.coordinates(false);
             self.term.set(0);
             tracing::warn!(event = "lease-left", term, reason = ?why);
         }
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -21,6 +21,7 @@
     }
 
     fn carry(&mut self, order: Order) {
+        self.count(&order);
         match order {
             Order::Watch { worker } => self.watch(worker),
             Order::Host { host, duty } => self.order_host(host, duty),
@@ -49,6 +50,19 @@
         }
     }
 
+    fn count(&self, order: &Order) {
+        let kind = match order {
+            Order::Start { .. } => "start",
+            Order::Stop { .. } => "stop",
+            Order::Pace { .. } => "pace",
+            Order::Advise { .. } => "advise",
+            Order::Host { duty: HostDuty::Move { .. }, .. } => "move",
+            Order::Host { duty: HostDuty::Maintain { .. }, .. } => "maintain",
+            Order::Watch { .. } | Order::Seen { .. } => return,
+        };
+        self.cx.metrics.ordered(kind);
+    }
+
     fn ask_advice(&mut self, step: StepKey, workers: Vec<Name>) {
         let Some(advice) = self.cx.advice.clone() else { return };
         let (teller, clock) = (self.teller.clone(), self.cx.clock);
--- /dev/null
+++ b/crates/site/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters, gauges and latency histograms, through opentelemetry, shown as Prometheus text.
+
+use anyhow::Result;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds: from an answer of a store in the same rack to a caller's patience.
+const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
+
+/// The instruments of one entry host.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_latency: Histogram<f64>,
+    orders: Counter<u64>,
+    jobs_ended: Counter<u64>,
+    worker_events: Counter<u64>,
+    changes: Histogram<f64>,
+    takeovers: Counter<u64>,
+    coordinating: Gauge<u64>,
+    open_jobs: Gauge<u64>,
+    workers: Gauge<u64>,
+    config_version: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Fresh instruments with a registry of their own.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("fuchsiamill");
+        let latency = |name: &'static str| {
+            let built = meter.f64_histogram(name).with_unit("s");
+            built.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: meter.u64_counter("requests").build(),
+            request_latency: latency("request_latency"),
+            orders: meter.u64_counter("orders").build(),
+            jobs_ended: meter.u64_counter("jobs_ended").build(),
+            worker_events: meter.u64_counter("worker_events").build(),
+            changes: latency("change_latency"),
+            takeovers: meter.u64_counter("takeovers").build(),
+            coordinating: meter.u64_gauge("coordinating").build(),
+            open_jobs: meter.u64_gauge("open_jobs").build(),
+            workers: meter.u64_gauge("workers").build(),
+            config_version: meter.u64_gauge("config_version").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A caller was answered after so many milliseconds.
+    pub fn answered(&self, status: u16, ms: u64) {
+        self.requests.add(1, &[KeyValue::new("status", i64::from(status))]);
+        self.request_latency.record(ms as f64 / 1_000.0, &[]);
+    }
+
+    /// An order was given.
+    pub fn ordered(&self, kind: &'static str) {
+        self.orders.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// A job is over.
+    pub fn job_ended(&self, stage: &'static str) {
+        self.jobs_ended.add(1, &[KeyValue::new("stage", stage)]);
+    }
+
+    /// A worker fell silent, died or answered an order late.
+    pub fn worker_event(&self, kind: &'static str) {
+        self.worker_events.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// A change of the store was made within so many milliseconds.
+    pub fn changed(&self, ms: u64) {
+        self.changes.record(ms as f64 / 1_000.0, &[]);
+    }
+
+    /// This process began or ceased to coordinate.
+    pub fn coordinates(&self, is_coordinating: bool) {
+        if is_coordinating {
+            self.takeovers.add(1, &[]);
+        }
+        self.coordinating.record(is_coordinating.into(), &[]);
+    }
+
+    /// What the coordinator has.
+    pub fn sizes(&self, open_jobs: usize, workers: usize) {
+        self.open_jobs.record(open_jobs as u64, &[]);
+        self.workers.record(workers as u64, &[]);
+    }
+
+    /// A configuration is in force.
+    pub fn configured(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// All instruments as Prometheus text.
+    pub fn text(&self) -> Result<String> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -104,7 +104,9 @@
     loop {
         let (read, filled) = from.read(buf).await;
         let Ok(bytes @ 1..) = read else { break };
-        if let RouteFault::Delay { ms } = *fault.borrow() {
+        // Copied out: a guard that is held over the pause blocks the one who lifts the fault.
+        let current = *fault.borrow();
+        if let RouteFault::Delay { ms } = current {
             sleep(Duration::from_millis(ms)).await;
         }
         if fault.wait_for(|it| !holds(*it, way)).await.is_err() {
