A request is held for 1.2 s at most while the store does not answer

Ruled out: an answer at once, which would spend the caller's retries in the first second of an outage.

--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -28,6 +28,10 @@
 /// How long a refused insertion is tried again: a quarter of the usual objective.
 const INSERT_PATIENCE_MS: u64 = 400;
 
+/// The longest time for which a request is held while the store does not answer. The answer of a slow store comes
+/// within it; a caller that is told earlier can still ask another entry host.
+const HOLD_MS: u64 = 1_200;
+
 /// What a caller waits when it does not say so.
 const DEFAULT_PATIENCE_MS: u64 = 3_000;
 
@@ -88,7 +92,8 @@
             return Response::text(StatusCode::UNAUTHORIZED, "the key is not known");
         };
         let patience = headers.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
-        let deadline = self.clock.now() + patience.saturating_sub(ANSWER_MARGIN_MS);
+        let held = patience.saturating_sub(ANSWER_MARGIN_MS).min(HOLD_MS);
+        let deadline = self.clock.now() + held;
         let rest = &request.path()[queue.path_prefix.len()..];
         let admitted = Admitted { queue, team, deadline };
         match read_ask(request, rest, self.clock.wall()) {
