--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -45,6 +45,8 @@
     let bad = json!({ "spec": "x", "steps": [{ "count": 1, "after": [0] }] });
     assert_eq!(status(Method::POST, "/jobs/00000000000000aa", Some(&bad), KEY), Some(400));
     assert_eq!(status(Method::POST, "/jobs/00000000000000aa", None, KEY), Some(400));
+    let large = json!({ "spec": "x".repeat(70_000), "steps": [{ "count": 1 }] });
+    assert_eq!(status(Method::POST, "/jobs/00000000000000aa", Some(&large), KEY), Some(413));
     assert_eq!(status(Method::GET, "/jobs/00000000000000aa", None, KEY), Some(410));
     assert_eq!(status(Method::DELETE, "/jobs/00000000000000aa", None, KEY), Some(410));
     assert_eq!(status(Method::POST, "/jobs/00000000000000aa", Some(&one), KEY), Some(200));
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -2,19 +2,11 @@
 
 use fuchsiamill_model::units::Millisecond;
 
-/// Time limits and factors of a site.
-#[derive(Clone, Debug, PartialEq)]
+/// Time limits of a site.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
     /// How long what runs on a worker may go on without a renewal.
     pub lease_ms: Millisecond,
-    /// The longest time that a worker takes to stop a task.
-    pub stop_ms: Millisecond,
-    /// How long a member of a gang waits for the others.
-    pub gang_ms: Millisecond,
-    /// How many times longer a task takes away from its data.
-    pub far_factor: f64,
-    /// A task that lasts is away from this time on.
-    pub notice_ms: Millisecond,
     /// How long a host takes to change its pool.
     pub move_ms: Millisecond,
     /// How long maintenance of a host takes.
@@ -31,10 +23,6 @@
     fn default() -> Self {
         Self {
             lease_ms: 6_000,
-            stop_ms: 1_000,
-            gang_ms: 3_000,
-            far_factor: 2.0,
-            notice_ms: 4_500,
             move_ms: 1_500,
             upkeep_ms: 2_000,
             holder_change_ms: 3_000,
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -34,14 +34,6 @@
     pub advice: Option<SocketAddr>,
     /// The longest lease that a worker grants.
     pub longest_lease_ms: Millisecond,
-    /// The longest time that a worker takes to stop a task.
-    pub stop_ms: Millisecond,
-    /// How long a member of a gang waits for the others.
-    pub gang_ms: Millisecond,
-    /// How many times longer a task takes away from its data.
-    pub far_factor: f64,
-    /// A task that lasts counts as away from this time on.
-    pub notice_ms: Millisecond,
     /// How long a host takes to change its pool.
     pub move_s: f64,
     /// How long maintenance of a host takes.
@@ -54,8 +46,6 @@
     pub status_s: u64,
     /// The largest row that the store takes, in bytes.
     pub row_bytes: usize,
-    /// Changes a second that one part of the store takes.
-    pub part_writes_per_s: u32,
     /// The processors of this entry host; a part of one is possible.
     pub processors: f64,
     /// The bandwidth of this entry host's link, in megabits a second.
@@ -99,17 +89,12 @@
             hosts: optional(&mut section, "hosts")?,
             advice: optional(&mut section, "advice")?,
             longest_lease_ms: section.number("longest-lease-ms", 10_000, 1_000..=600_000)?,
-            stop_ms: section.number("stop-ms", 1_000, 0..=60_000)?,
-            gang_ms: section.number("gang-ms", 3_000, 0..=60_000)?,
-            far_factor: section.value_or("far-factor", factor, 2.0)?,
-            notice_ms: section.number("notice-ms", 4_500, 0..=600_000)?,
             move_s: section.value_or("move-s", factor, 1.5)?,
             upkeep_s: section.value_or("upkeep-s", factor, 2.0)?,
             holder_change_ms: section.number("holder-change-ms", 3_000, 0..=600_000)?,
             grace_s: section.value_or("grace-s", factor, 6.0)?,
             status_s: section.number("status-s", 120, 1..=86_400)?,
             row_bytes: section.number("row-bytes", 65_536, 4_096..=16_777_216)?,
-            part_writes_per_s: section.number("part-writes-per-s", 150, 1..=1_000_000)?,
             processors: section.value_or("processor-share", factor, 1.0)?
                 * section.value_or("processors", factor, 1.0)?,
             link_mbps: section.value_or("link-mbps", factor, 1_000.0)?,
--- /dev/null
+++ b/crates/settings/tests/fleet_section.rs
@@ -0,0 +1,46 @@
+//! Section `[fleet]`: what is read, what is refused, and what is left to other settings.
+
+use fuchsiamill_settings::Fleet;
+
+const LEAST: &str =
+    "[fleet]\nname = e1\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\nstore = 10.0.0.9:1\n";
+
+fn refusal(text: &str) -> String {
+    Fleet::parse("entry.ini", text).unwrap_err().to_string()
+}
+
+#[test]
+fn least_section_has_defaults() {
+    let settings = Fleet::parse("entry.ini", LEAST).unwrap().unwrap();
+    assert_eq!(settings.name, "e1");
+    assert_eq!((settings.hosts, settings.advice), (None, None));
+    assert_eq!(settings.longest_lease_ms, 10_000);
+}
+
+#[test]
+fn empty_addresses_are_none() {
+    let text = format!("{LEAST}hosts =\nadvice = \npeers = 10.0.0.1:7000\n");
+    let settings = Fleet::parse("entry.ini", &text).unwrap().unwrap();
+    assert_eq!(settings.hosts, None);
+    assert_eq!(settings.peers, Some("10.0.0.1:7000".parse().unwrap()));
+}
+
+#[test]
+fn strength_is_share_times_processors() {
+    let text = format!("{LEAST}processor-share = 0.25\nprocessors = 2\n");
+    assert_eq!(Fleet::parse("entry.ini", &text).unwrap().unwrap().processors, 0.5);
+}
+
+#[test]
+fn mistakes_name_their_key() {
+    assert!(refusal("[fleet]\nname = e1\n").contains("callers"));
+    assert!(refusal(&format!("{LEAST}hosts = nowhere\n")).contains("hosts"));
+    assert!(refusal(&format!("{LEAST}colour = red\n")).contains("colour"));
+    assert!(refusal(&format!("{LEAST}longest-lease-ms = 5\n")).contains("longest-lease-ms"));
+    assert!(refusal(&format!("{LEAST}[entry]\nname = e1\n")).contains("entry"));
+}
+
+#[test]
+fn other_settings_are_not_refused() {
+    assert_eq!(Fleet::parse("entry.ini", "[entry]\nname = e1\n").unwrap(), None);
+}
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -148,7 +148,7 @@
             monoio::spawn(server.run(Rc::new(router)));
         }
 
-        let front = front(&store, clock, &intent, &relay, &metrics);
+        let front = front(&store, clock, &intent, &relay, &metrics, settings.row_bytes);
         let bounds = Bounds { connections: CALLER_CONNECTIONS, ..Bounds::default() };
         let server = Server::bind(settings.callers, bounds, Rc::new(front))
             .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
@@ -208,6 +208,7 @@
     intent: &watch::Receiver<Intent>,
     relay: &Rc<Relay>,
     metrics: &Rc<Metrics>,
+    row_bytes: usize,
 ) -> Front {
     let mut submitters = FastMap::default();
     for part in tables::job_parts() {
@@ -221,6 +222,7 @@
         intent: intent.clone(),
         submitters,
         relay: relay.clone(),
+        row_bytes,
         board: RefCell::default(),
         metrics: metrics.clone(),
     }
@@ -230,10 +232,6 @@
     let longest = settings.longest_lease_ms;
     Terms {
         lease_ms: LEASE_MS.min(longest - longest / LEASE_MARGIN_DIVISOR),
-        stop_ms: settings.stop_ms,
-        gang_ms: settings.gang_ms,
-        far_factor: settings.far_factor,
-        notice_ms: settings.notice_ms,
         move_ms: (settings.move_s * 1_000.0) as u64,
         upkeep_ms: (settings.upkeep_s * 1_000.0) as u64,
         holder_change_ms: settings.holder_change_ms,
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -57,6 +57,8 @@
     pub board: lookup::BoardCache,
     /// Counts requests.
     pub metrics: Rc<Metrics>,
+    /// The largest row of the store, in bytes.
+    pub row_bytes: usize,
 }
 
 pub use lookup::{Board, BoardCache};
@@ -118,6 +120,12 @@
             advised: queue.advised,
         };
         let value = serde_json::to_vec(&spec).expect("a job serialises to JSON");
+        if value.len() > self.row_bytes {
+            return Response::text(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the job is too large to be kept",
+            );
+        }
         let outcome = self.insert(tables::job_key(&id), value, deadline).await;
         tracing::info!(
             event = "job-posted",
