--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -102,7 +102,7 @@
     is_silent: bool,
     is_busy: bool,
     is_closed: bool,
-    seen_upto: u64,
+    recorded_upto: u64,
     told_upto: u64,
     /// The last end that was listed: a look returns at once until it is acknowledged.
     last_end: u64,
@@ -125,7 +125,7 @@
                 is_silent: false,
                 is_busy: false,
                 is_closed: false,
-                seen_upto: 0,
+                recorded_upto: 0,
                 told_upto: 0,
                 last_end: 0,
             }),
@@ -153,7 +153,7 @@
 
     /// Ends up to this number are stored.
     pub fn acknowledge(&self, upto: u64) {
-        self.state.borrow_mut().seen_upto = upto;
+        self.state.borrow_mut().recorded_upto = upto;
         self.wake.notify_one();
     }
 
@@ -184,7 +184,7 @@
 
     fn awaits_record(&self) -> bool {
         let state = self.state.borrow();
-        state.seen_upto < state.last_end && !state.is_silent
+        state.recorded_upto < state.last_end && !state.is_silent
     }
 
     fn may_rest(&self) -> bool {
@@ -192,7 +192,7 @@
         state.clock.is_some()
             && !state.is_busy
             && !state.is_silent
-            && state.seen_upto == state.told_upto
+            && state.recorded_upto == state.told_upto
     }
 
     /// The worker's clock now, at the latest, and the end of a lease that begins now.
@@ -207,9 +207,9 @@
 
     async fn look(&self) -> Next {
         let asked = self.terms.clock.now();
-        let (is_busy, is_silent, seen_upto) = {
+        let (is_busy, is_silent, recorded_upto) = {
             let state = self.state.borrow();
-            (state.is_busy, state.is_silent, state.seen_upto)
+            (state.is_busy, state.is_silent, state.recorded_upto)
         };
         let renews = !is_silent && self.may_renew(asked);
         let deadline = renews.then(|| self.deadline(asked)).flatten();
@@ -217,7 +217,8 @@
             self.state.borrow_mut().renewed = asked;
         }
         let wait = if is_busy && !is_silent { LOOK_WAIT } else { Duration::ZERO };
-        let answer = self.client.hold(asked, deadline, seen_upto, wait, wait + ORDER_TIME).await;
+        let answer =
+            self.client.hold(asked, deadline, recorded_upto, wait, wait + ORDER_TIME).await;
         if self.is_over() {
             return Next::Look;
         }
@@ -226,7 +227,7 @@
                 let mut state = self.state.borrow_mut();
                 state.clock = Some((held.clock_ms, self.terms.clock.now()));
                 state.is_silent = false;
-                state.told_upto = seen_upto;
+                state.told_upto = recorded_upto;
                 let last_end = held.report.ended.iter().map(|it| it.number).max().unwrap_or(0);
                 state.last_end = last_end.max(state.last_end);
                 drop(state);
