--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -281,12 +281,9 @@
             Phase::Recorded => {
                 // The order was not sent: it is withdrawn with its record.
                 self.held_back.retain(|it| !is_start_of(it, id, run));
-                let flying = self.in_flight.as_mut().is_some_and(|(_, orders)| {
-                    let before = orders.len();
+                if let Some((_, orders)) = &mut self.in_flight {
                     orders.retain(|it| !is_start_of(it, id, run));
-                    orders.len() < before
-                });
-                let _ = flying;
+                }
                 self.free(id, now);
             }
             _ => {
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -70,7 +70,7 @@
         }
         let missing = (waiting.len() - placed.len()) as u32;
         if wanted.gang && missing > 0 {
-            placed.iter().for_each(|it| self.take_back(it, now));
+            placed.iter().for_each(|it| self.free(it, now));
             return missing;
         }
         for task in placed {
@@ -151,10 +151,6 @@
         self.mark(&id.job);
     }
 
-    fn take_back(&mut self, id: &TaskId, now: Moment) {
-        self.free(id, now);
-    }
-
     fn order_start(&mut self, id: &TaskId, now: Moment) {
         let Some(job) = self.jobs.get(&id.job) else { return };
         let Some(task) = job.task(id) else { return };
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -17,6 +17,7 @@
 use fuchsiamill_peer::{PeerServer, Router};
 use fuchsiamill_platform::{Advice, Hosts, Store};
 use fuchsiamill_settings::Fleet;
+use futures_util::future::join;
 use http::StatusCode;
 use monoio::{task::JoinHandle, time::timeout};
 use tokio::sync::{mpsc, watch};
@@ -190,16 +191,19 @@
     pub async fn stop(self) {
         self.is_stopping.set(true);
         self.callers.stop.stop();
-        let drained = timeout(self.grace, self.callers.task).await;
-        if self.term.get() != 0 {
-            let given_back = timeout(self.grace, self.candidate).await;
-            tracing::info!(event = "lease-returned", in_time = given_back.is_ok());
-        }
+        let drained = timeout(self.grace, self.callers.task);
+        let given_back = async {
+            if self.term.get() != 0 {
+                let given_back = timeout(self.grace, self.candidate).await;
+                tracing::info!(event = "lease-returned", in_time = given_back.is_ok());
+            }
+        };
+        let (drained, ()) = join(drained, given_back).await;
         tracing::info!(event = "stopped", drained = drained.is_ok());
     }
 }
 
-/// The part of the time until the process is killed that each step of a graceful stop may take.
+/// The part of the time until the process is killed that a graceful stop may take.
 const GRACE_SHARE: f64 = 0.7;
 
 fn front(
