No task that lasts is moved in the first seconds after a takeover

What fits: the former coordinator had stopped the other task, whose worker listed it as at work until the stop ended.

Change: nothing is moved for 3.3 s after a takeover: stops take a second at most, and reports from before are then too old to count. lasting_tasks_stay_for_a_while_after_a_takeover fails without it.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -112,6 +112,10 @@
 /// Covers the time until the list shows the end of a duty.
 const DUTY_SLACK_MS: Millisecond = 300;
 
+/// A former coordinator may have stopped tasks that their workers still list as at work: none is moved until such stops
+/// have ended (a second at most) and reports from before their end are too old to count.
+const SETTLING_MS: Millisecond = 3_300;
+
 /// An order without an answer is given again after this time; it does nothing twice.
 const DUTY_RETRY_MS: Millisecond = 1_500;
 
@@ -362,6 +366,9 @@
 
     /// Moves tasks that last off reserved and draining workers, as many at a time as their step may miss.
     fn evacuate(&mut self, now: Moment) {
+        if now.since(self.takeover.at) < SETTLING_MS {
+            return;
+        }
         let leaving: Vec<Name> = self
             .workers
             .values()
--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -148,6 +148,8 @@
     let on_w1 = started.iter().find(|it| it.2 == "w1").unwrap().0.index;
     let on_w2 = started.iter().find(|it| it.2 == "w2").unwrap().0.index;
     list(&mut bench, two_hosts());
+    // Long after the takeover.
+    bench.wait(10_000);
     lasting(&mut bench, "w1", &[on_w1]);
     lasting(&mut bench, "w2", &[on_w2]);
     bench.wait(2_500);
@@ -158,6 +160,31 @@
     assert_eq!(stops(&bench.step()), [(task("j", 0, on_w1), 1)]);
 }
 
+/// A former coordinator may just have stopped another task of the step, which its worker still lists as running.
+#[test]
+fn lasting_tasks_stay_for_a_while_after_a_takeover() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    let apart = Step { lasts: true, per_worker: Some(1), may_miss: Some(1), ..step(2) };
+    bench.accept("j", job(vec![apart]));
+    let started = bench.run();
+    let on_w1 = started.iter().find(|it| it.2 == "w1").unwrap().0.index;
+    let on_w2 = started.iter().find(|it| it.2 == "w2").unwrap().0.index;
+    list(&mut bench, two_hosts());
+    bench.coordinator.waves_asked(&[wave(&["h1"], 1)], &FastMap::default());
+    for _ in 0..3 {
+        lasting(&mut bench, "w1", &[on_w1]);
+        lasting(&mut bench, "w2", &[on_w2]);
+        assert!(stops(&bench.step()).is_empty());
+        bench.wait(1_000);
+    }
+    bench.wait(500);
+    lasting(&mut bench, "w1", &[on_w1]);
+    lasting(&mut bench, "w2", &[on_w2]);
+    assert_eq!(stops(&bench.step()).len(), 1);
+}
+
 #[test]
 fn host_with_a_former_order_is_kept_off() {
     let mut bench = with_wave(2);
