--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -74,6 +74,16 @@
         self.entries.iter().position(|it| lease["holder"] == it.name.as_str())
     }
 
+    /// The entry host that coordinates; between a graceful return of the lease and the next look there is none.
+    pub fn wait_coordinator(&self) -> usize {
+        let mut found = None;
+        wait_until("somebody coordinates", || {
+            found = self.coordinator();
+            found.is_some()
+        });
+        found.expect("it was found")
+    }
+
     /// Posts a job until it is accepted or `patience` is over.
     pub fn accept(&self, job: &Value, patience: Duration) -> Option<String> {
         let id = format!("{:016x}", fastrand::u64(..));
--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -109,7 +109,7 @@
         for _ in 0..5 {
             fleet.accept(&job(300, &[4, 2]), PATIENCE).expect("accepted");
         }
-        let leader = fleet.coordinator().expect("a coordinator");
+        let leader = fleet.wait_coordinator();
         fleet.entries[leader].restart(round == 1);
     }
     fleet.check();
@@ -158,7 +158,7 @@
 #[test]
 fn turned_away_host_is_served_by_others() {
     let fleet = Fleet::start(3, 3);
-    let cut = (fleet.coordinator().expect("a coordinator") + 1) % 3;
+    let cut = (fleet.wait_coordinator() + 1) % 3;
     // Rows of the other entry hosts are read some seconds after their start.
     std::thread::sleep(Duration::from_secs(9));
     fleet.store_fault(cut, RouteFault::Cut);
@@ -171,7 +171,7 @@
 #[test]
 fn coordinator_cut_from_all_is_replaced() {
     let fleet = Fleet::start(3, 3);
-    let leader = fleet.coordinator().expect("a coordinator");
+    let leader = fleet.wait_coordinator();
     fleet.entries[leader].signal("STOP");
     wait_until("another coordinates", || fleet.coordinator().is_some_and(|it| it != leader));
     for _ in 0..3 {
