One set-up for the tests of tasks that last on two hosts

Cause: the same nine lines stood in two tests of host_duties.

Ruled out: sharing the two metrics modules of daemon and site (other instruments; what they share is the exporter).

--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -136,9 +136,8 @@
     bench.coordinator.worker_held(&id.into(), report, bench.now);
 }
 
-/// A task that lasts is moved only while enough others of its step are seen at work.
-#[test]
-fn lasting_tasks_are_moved_within_their_budget() {
+/// Two tasks that last, one on each of two hosts, of which one may be away; the index of each.
+fn lasting_pair() -> (Bench, u32, u32) {
     let mut bench = Bench::new();
     bench.add(worker("w1"));
     bench.add(worker("w2"));
@@ -148,6 +147,13 @@
     let on_w1 = started.iter().find(|it| it.2 == "w1").unwrap().0.index;
     let on_w2 = started.iter().find(|it| it.2 == "w2").unwrap().0.index;
     list(&mut bench, two_hosts());
+    (bench, on_w1, on_w2)
+}
+
+/// A task that lasts is moved only while enough others of its step are seen at work.
+#[test]
+fn lasting_tasks_are_moved_within_their_budget() {
+    let (mut bench, on_w1, on_w2) = lasting_pair();
     // Long after the takeover.
     bench.wait(10_000);
     lasting(&mut bench, "w1", &[on_w1]);
@@ -163,15 +169,7 @@
 /// A former coordinator may just have stopped another task of the step, which its worker still lists as running.
 #[test]
 fn lasting_tasks_stay_for_a_while_after_a_takeover() {
-    let mut bench = Bench::new();
-    bench.add(worker("w1"));
-    bench.add(worker("w2"));
-    let apart = Step { lasts: true, per_worker: Some(1), may_miss: Some(1), ..step(2) };
-    bench.accept("j", job(vec![apart]));
-    let started = bench.run();
-    let on_w1 = started.iter().find(|it| it.2 == "w1").unwrap().0.index;
-    let on_w2 = started.iter().find(|it| it.2 == "w2").unwrap().0.index;
-    list(&mut bench, two_hosts());
+    let (mut bench, on_w1, on_w2) = lasting_pair();
     bench.coordinator.waves_asked(&[wave(&["h1"], 1)], &FastMap::default());
     for _ in 0..3 {
         lasting(&mut bench, "w1", &[on_w1]);
