A probed port is not inherited by a process that starts meanwhile

Cause: tests look for a port by listening there for a moment. A process that another thread of the test starts in that moment inherits the listener until it runs its own program, and the entry host that gets the port ends with "Address already in use". The tests wait only for entry hosts that run, so nobody saw it: later the port refused connections.

Ruled out: a panic of the daemon, the end of the accept loop, a too small backlog: with the log kept, the ended process shows exit status 1 and the message above. Loopback addresses of two test processes cannot be alike.

Change: the probe connects instead of listening. The start of a site fails loudly when an entry host has ended by itself. A failed test prints how each process ended and the last lines of its log, and why a request got no answer.

--- a/crates/daemon/tests/common/entry.rs
+++ b/crates/daemon/tests/common/entry.rs
@@ -3,18 +3,23 @@
 use std::{
     collections::BTreeMap,
     fmt::Write as _,
-    fs,
+    fs::{self, OpenOptions},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::Mutex,
+    thread,
 };
 
 use fuchsiamill_http::{Request, Response};
 
 use super::{net, wait_until};
 
-/// An entry host as a process; it is killed when the test ends.
+/// The last lines of a process's log that a failed test prints.
+const LAST_LINES: usize = 40;
+
+/// An entry host as a process; it is killed when the test ends. A test that fails prints how the process ended and
+/// the last lines of its log.
 pub struct EntryProcess {
     /// Its name.
     pub name: String,
@@ -39,6 +44,7 @@
         fs::create_dir_all(&folder).expect("a folder for the settings");
         let file = folder.join("entry.ini");
         fs::write(&file, ini(&settings)).expect("the settings file");
+        let _ = fs::remove_file(log_of(&file));
         let child = Mutex::new(spawn(&file));
         Self { name, caller, operator, metrics, file, child }
     }
@@ -97,15 +103,35 @@
 
 impl Drop for EntryProcess {
     fn drop(&mut self) {
+        if thread::panicking() {
+            self.print_end();
+        }
         self.kill();
     }
 }
 
-fn spawn(file: &PathBuf) -> Child {
+impl EntryProcess {
+    fn print_end(&self) {
+        let ended = self.child.lock().map(|mut it| it.try_wait());
+        eprintln!("{} (ports of {}): {ended:?}", self.name, self.caller);
+        let log = fs::read_to_string(log_of(&self.file)).unwrap_or_default();
+        let lines: Vec<_> = log.lines().collect();
+        for line in &lines[lines.len().saturating_sub(LAST_LINES)..] {
+            eprintln!("  {line}");
+        }
+    }
+}
+
+fn log_of(file: &Path) -> PathBuf {
+    file.with_extension("log")
+}
+
+fn spawn(file: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_fuchsiamilld"));
     command.arg("--config").arg(file).stdin(Stdio::null()).stdout(Stdio::null());
     if std::env::var_os("SHOW_LOGS").is_none() {
-        command.stderr(Stdio::null());
+        let log = OpenOptions::new().create(true).append(true).open(log_of(file));
+        command.stderr(log.expect("the file of the log"));
     }
     command.spawn().expect("the daemon starts")
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -201,6 +201,9 @@
     pub fn start(self) -> Site {
         let site = self.start_without_waiting();
         site.wait_ready();
+        for entry in &site.entries {
+            assert!(entry.is_running(), "{} ended by itself at its start", entry.name);
+        }
         site
     }
 
--- a/crates/daemon/tests/common/net.rs
+++ b/crates/daemon/tests/common/net.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
@@ -40,13 +40,16 @@
         SocketAddr::new(IpAddr::V4(self.ip), 0)
     }
 
-    /// The address with a port that is free now and that this site gets once only.
+    /// The address with a port where nobody listens and that this site gets once only.
+    ///
+    /// It is probed by a connection, not by listening there: a process that starts meanwhile would inherit the
+    /// listener and keep the port.
     pub fn free(&self) -> SocketAddr {
         loop {
             let port = self.next.get();
             self.next.set(port + 1);
             let addr = SocketAddr::new(IpAddr::V4(self.ip), port);
-            if TcpListener::bind(addr).is_ok() {
+            if TcpStream::connect(addr).is_err() {
                 return addr;
             }
         }
@@ -59,12 +62,13 @@
     block_on(async { client.post(target, value).await }).expect("the stand-in answers")
 }
 
-/// Sends a request; `None` when no whole answer came.
+/// Sends a request; `None` when no whole answer came, and then the reason is printed.
 pub fn send(addr: SocketAddr, request: Request) -> Option<Response> {
-    block_on(async {
-        let mut connection = Connection::connect(addr, large_bounds(), TIME).await.ok()?;
-        connection.exchange(request, monoio::time::Instant::now() + TIME).await.ok()
-    })
+    let answer = block_on(async {
+        let mut connection = Connection::connect(addr, large_bounds(), TIME).await?;
+        connection.exchange(request, monoio::time::Instant::now() + TIME).await
+    });
+    answer.inspect_err(|error| eprintln!("no answer of {addr}: {error}")).ok()
 }
 
 /// The request with a bearer key.
--- a/crates/daemon/tests/config_changes.rs
+++ b/crates/daemon/tests/config_changes.rs
@@ -189,29 +189,24 @@
     assert_eq!(share_at(&site, 0, "north"), 2);
 }
 
-/// Tests that fail for a fault that stands in KNOWN-RED.txt.
-mod known_red {
-    use super::*;
-
-    #[test]
-    fn lost_answer_of_the_table_acts_once() {
-        let site = Site::of(3)
-            .pool("rota", 1)
-            .team("north", 8)
-            .setting("platform.request-timeout-ms", 300)
-            .start();
-        site.platform_fault(PlatformFault::LoseAnswers { count: 1 });
-        let addr = site.entries[0].operator;
-        let report = operator::change(addr, "ada-key", "c1", None, vec![share("north", 7)]);
-        let version = version_of(&report);
-        assert_eq!(site.platform_record().answers_lost, 1);
-        for entry in [0, 1] {
-            let addr = site.entries[entry].operator;
-            let again = operator::change(addr, "ada-key", "c1", None, vec![share("north", 7)]);
-            assert_eq!(version_of(&again), version, "asked again through entry host {entry}");
-        }
-        assert_eq!(operator::status(addr).config.version, version);
-        let records = audit(&site, 0, AuditFilter::default());
-        assert_eq!(records.len(), 1, "{records:?}");
+#[test]
+fn lost_answer_of_the_table_acts_once() {
+    let site = Site::of(3)
+        .pool("rota", 1)
+        .team("north", 8)
+        .setting("platform.request-timeout-ms", 300)
+        .start();
+    site.platform_fault(PlatformFault::LoseAnswers { count: 1 });
+    let addr = site.entries[0].operator;
+    let report = operator::change(addr, "ada-key", "c1", None, vec![share("north", 7)]);
+    let version = version_of(&report);
+    assert_eq!(site.platform_record().answers_lost, 1);
+    for entry in [0, 1] {
+        let addr = site.entries[entry].operator;
+        let again = operator::change(addr, "ada-key", "c1", None, vec![share("north", 7)]);
+        assert_eq!(version_of(&again), version, "asked again through entry host {entry}");
     }
+    assert_eq!(operator::status(addr).config.version, version);
+    let records = audit(&site, 0, AuditFilter::default());
+    assert_eq!(records.len(), 1, "{records:?}");
 }
--- a/crates/daemon/tests/host_absence.rs
+++ b/crates/daemon/tests/host_absence.rs
@@ -53,7 +53,13 @@
     site.newest().hosts[host].state
 }
 
+/// Plans a wave at entry host 0 and confirms it at entry host 1, once the former knows the newest configuration: a
+/// plan made from an older one is refused as stale, rightly.
 fn start_wave(site: &Site) -> PlanId {
+    let newest = site.newest().version;
+    wait_until("entry host 0 knows the newest configuration", || {
+        operator::status(site.entries[0].operator).config.version >= newest
+    });
     let plan = site.plan(0, "ada-key", Intent::Wave { pool: None });
     match site.confirm(1, "ada-key", &plan.id) {
         PlanReport::Done(done) => done.plan,
@@ -138,61 +144,55 @@
 }
 
 /// See KNOWN-RED.txt.
-mod known_red {
-    use super::*;
-
-    #[test]
-    fn host_that_fails_in_a_wave_is_set_aside_and_the_wave_goes_on() {
-        let site = site().start();
-        let ((), load) = under_load(&site, &["rota", "desk"], CLIENTS, || {
-            let id = start_wave(&site);
-            wait_until("some hosts are done", || {
-                site.view(0, &id).hosts.is_some_and(|it| it[0] >= 1)
-            });
-            site.backend_mode("host-3", BackendMode::Failing);
-            wait_until("it is set aside", || state(&site, "host-3") == HostState::SetAside);
-            wait_until("the wave has ended", || site.has_ended(1, &id));
-        });
-        check_told_of(&site, &load, "host-3");
-        site.check_runs_but(&["host-3"]);
-        site.check_empty();
-        site.check_budgets(&["host-3"]);
-        let newest = site.newest();
-        let serving = newest.hosts.values().filter(|it| it.state == HostState::Serving);
-        assert_eq!(serving.count(), HOSTS - 1);
-        assert!(site.restarts().iter().all(|(host, count)| *count == 1 || host == "host-3"));
-        assert!(site.restarts().len() >= HOSTS - 1);
-        assert_eq!(audit_of(&site, "host-3"), ["host 'host-3' fails everything it starts"]);
-    }
+#[test]
+fn host_that_fails_in_a_wave_is_set_aside_and_the_wave_goes_on() {
+    let site = site().start();
+    let ((), load) = under_load(&site, &["rota", "desk"], CLIENTS, || {
+        let id = start_wave(&site);
+        wait_until("some hosts are done", || site.view(0, &id).hosts.is_some_and(|it| it[0] >= 1));
+        site.backend_mode("host-3", BackendMode::Failing);
+        wait_until("it is set aside", || state(&site, "host-3") == HostState::SetAside);
+        wait_until("the wave has ended", || site.has_ended(1, &id));
+    });
+    check_told_of(&site, &load, "host-3");
+    site.check_runs_but(&["host-3"]);
+    site.check_empty();
+    site.check_budgets(&["host-3"]);
+    let newest = site.newest();
+    let serving = newest.hosts.values().filter(|it| it.state == HostState::Serving);
+    assert_eq!(serving.count(), HOSTS - 1);
+    assert!(site.restarts().iter().all(|(host, count)| *count == 1 || host == "host-3"));
+    assert!(site.restarts().len() >= HOSTS - 1);
+    assert_eq!(audit_of(&site, "host-3"), ["host 'host-3' fails everything it starts"]);
+}
 
-    #[test]
-    fn gone_host_counts_as_out_until_it_is_back() {
-        let site = site().start();
-        list_all(&site, Liveness::Live);
-        let ((), load) = under_load(&site, &["rota", "desk"], CLIENTS, || {
-            list(&site, "host-0", Liveness::Leaving);
-            list(&site, "host-7", Liveness::Gone);
-            for host in ["host-0", "host-7"] {
-                wait_until("it is absent", || state(&site, host) == HostState::Absent);
-            }
-            let id = start_wave(&site);
-            wait_until("the wave has ended", || site.has_ended(1, &id));
-            assert_eq!(state(&site, "host-0"), HostState::Absent);
-            list(&site, "host-0", Liveness::Live);
-            list(&site, "host-7", Liveness::Live);
-            for host in ["host-0", "host-7"] {
-                wait_until("it is back", || state(&site, host) == HostState::Serving);
-            }
-        });
-        assert!(load.lost.is_empty(), "{:?}", load.lost);
-        site.check_runs();
-        // The absent hosts count: the wave keeps the budgets with them.
-        site.check_budgets(&[]);
-        assert_eq!(unplanned(&site, "host-0"), [HostState::Absent, HostState::Serving]);
-        assert_eq!(
-            audit_of(&site, "host-7"),
-            ["host 'host-7' is gone by the host list", &back("host-7")]
-        );
-        assert!(site.restarts().keys().all(|it| it != "host-0" && it != "host-7"));
-    }
+#[test]
+fn gone_host_counts_as_out_until_it_is_back() {
+    let site = site().start();
+    list_all(&site, Liveness::Live);
+    let ((), load) = under_load(&site, &["rota", "desk"], CLIENTS, || {
+        list(&site, "host-0", Liveness::Leaving);
+        list(&site, "host-7", Liveness::Gone);
+        for host in ["host-0", "host-7"] {
+            wait_until("it is absent", || state(&site, host) == HostState::Absent);
+        }
+        let id = start_wave(&site);
+        wait_until("the wave has ended", || site.has_ended(1, &id));
+        assert_eq!(state(&site, "host-0"), HostState::Absent);
+        list(&site, "host-0", Liveness::Live);
+        list(&site, "host-7", Liveness::Live);
+        for host in ["host-0", "host-7"] {
+            wait_until("it is back", || state(&site, host) == HostState::Serving);
+        }
+    });
+    assert!(load.lost.is_empty(), "{:?}", load.lost);
+    site.check_runs();
+    // The absent hosts count: the wave keeps the budgets with them.
+    site.check_budgets(&[]);
+    assert_eq!(unplanned(&site, "host-0"), [HostState::Absent, HostState::Serving]);
+    assert_eq!(
+        audit_of(&site, "host-7"),
+        ["host 'host-7' is gone by the host list", &back("host-7")]
+    );
+    assert!(site.restarts().keys().all(|it| it != "host-0" && it != "host-7"));
 }
--- a/crates/daemon/tests/loopback_net.rs
+++ b/crates/daemon/tests/loopback_net.rs
@@ -2,13 +2,24 @@
 
 mod common;
 
-use std::net::TcpListener;
+use std::{
+    net::TcpListener,
+    process::Command,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+};
 
 use common::net::LoopbackNet;
 
 /// Sockets that the stand-ins and the proxy bind to any port, in a site with many routes.
 const SOCKETS: usize = 2_000;
 
+/// Threads that start processes.
+const STARTERS: usize = 8;
+
+/// Ports that are given out meanwhile.
+const GIVEN: usize = 20_000;
+
 /// Every entry host of a site gets its ports before the proxy binds its own.
 #[test]
 fn given_port_stays_free() {
@@ -21,3 +32,24 @@
     }
     assert_eq!(sockets.len(), SOCKETS);
 }
+
+/// A process that another test starts inherits, until it runs its own program, every socket that is open here: a
+/// probe that listens would keep the port from the entry host that it is for.
+#[test]
+fn given_port_is_not_inherited() {
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..STARTERS {
+            scope.spawn(|| {
+                while !over.load(Ordering::Relaxed) {
+                    let status = Command::new("true").status().expect("a process starts");
+                    assert!(status.success());
+                }
+            });
+        }
+        let net = LoopbackNet::new();
+        let taken = (0..GIVEN).map(|_| net.free()).find(|it| TcpListener::bind(it).is_err());
+        over.store(true, Ordering::Relaxed);
+        assert_eq!(taken, None, "a port that was given out is taken");
+    });
+}
