Log what the sizes of pools were decided from

Cause: on the grown site week-draft is late while hosts wait in the spare pool; no line told what a pool was thought to need.

Change: one line a second for each pool whose need changed (event pool-planned): hosts, wanted, idle, expected and present processors.

--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{
     fleet::{Fleet, KEY, job},
@@ -14,6 +14,9 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Urgent work starts within this time.
+const START_TIME: Duration = Duration::from_millis(2_700);
+
 #[test]
 fn steps_are_done_in_turn() {
     let fleet = Fleet::start(3, 4);
@@ -142,6 +145,25 @@
     assert_eq!(fleet.state("00000000000000bb").as_deref(), Some("gone"));
 }
 
+/// What was asked while the store was silent is asked again as soon as the store answers: nobody waits for the answers
+/// that never come.
+#[test]
+fn silent_store_is_used_again_at_once() {
+    let fleet = Fleet::start(3, 4);
+    for silence in [2_000, 3_500, 5_000].map(Duration::from_millis) {
+        fleet.accept(&job(700, &[3, 3]), PATIENCE).expect("accepted");
+        fleet.site.world().rows.fault = StoreFault::Silent;
+        std::thread::sleep(silence);
+        let before = fleet.site.world().runs.len();
+        fleet.site.world().rows.fault = StoreFault::None;
+        let end = Instant::now();
+        wait_until("the second step starts", || fleet.site.world().runs.len() > before);
+        let took = end.elapsed();
+        assert!(took <= START_TIME, "a task that could run waited {took:?} after {silence:?}");
+    }
+    fleet.check();
+}
+
 #[test]
 fn lost_answers_of_the_store_act_once() {
     let fleet = Fleet::start(2, 3);
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -27,6 +27,7 @@
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, TaskState, objective_ms};
 pub use outbox::Commit;
+pub use pools::PoolNeed;
 pub use reports::{Refusal, Started};
 pub use worker::Worker;
 
@@ -135,6 +136,7 @@
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<Name, pools::Demand>,
+    pool_needs: Vec<PoolNeed>,
     advice: FastMap<StepKey, advice::StepAdvice>,
     usual: FastMap<Name, rank::Usual>,
     /// Pools where tasks found no room lately.
@@ -168,6 +170,7 @@
             waves: Vec::new(),
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
+            pool_needs: Vec::new(),
             advice: FastMap::default(),
             usual: FastMap::default(),
             tight: FastSet::default(),
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -55,6 +55,23 @@
     }
 }
 
+/// How large a pool is and has to be, and what that was decided from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolNeed {
+    /// The pool.
+    pub pool: Name,
+    /// Hosts that are in it or on their way.
+    pub hosts: u64,
+    /// Hosts that it needs.
+    pub wanted: u64,
+    /// Processors for the work that is expected, in millicores.
+    pub expected: u64,
+    /// Processors for the work that is there, in millicores.
+    pub present: u64,
+    /// Hosts that may leave.
+    pub idle: u64,
+}
+
 /// A pool as the plan sees it.
 #[derive(Clone, Debug, Default)]
 struct PoolView {
@@ -62,10 +79,27 @@
     hosts: u64,
     /// Hosts that it needs.
     wanted: u64,
+    /// Processors for the work that is expected, in millicores.
+    expected: u64,
+    /// Processors for the work that is there, in millicores.
+    present: u64,
     /// Hosts that may leave, longest idle first.
     idle: Vec<(Moment, Name)>,
 }
 
+impl PoolView {
+    fn need(&self, pool: &Name) -> PoolNeed {
+        PoolNeed {
+            pool: pool.clone(),
+            hosts: self.hosts,
+            wanted: self.wanted,
+            expected: self.expected,
+            present: self.present,
+            idle: self.idle.len() as u64,
+        }
+    }
+}
+
 impl Coordinator {
     /// Counts a new job's work as demand on its pool.
     pub(super) fn note_demand(&mut self, spec: &JobSpec, now: Moment) {
@@ -87,6 +121,7 @@
     pub(super) fn plan_pools(&mut self, now: Moment) {
         let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
+        self.pool_needs = views.iter().map(|(pool, it)| it.need(pool)).collect();
         let mut free: Vec<Name> = self.spare_hosts(&spare, now);
         let mut short: Vec<Name> = views
             .iter()
@@ -133,8 +168,8 @@
         let mut views: FastMap<Name, PoolView> = FastMap::default();
         let pools: Vec<Name> = self.config.pools.keys().cloned().collect();
         for pool in pools {
-            let wanted = self.hosts_wanted(&pool, now);
-            views.insert(pool, PoolView { wanted, ..PoolView::default() });
+            let view = self.pool_demand(&pool, now);
+            views.insert(pool, view);
         }
         for (name, host) in &self.hosts {
             let pool = match &host.duty {
@@ -177,7 +212,7 @@
     }
 
     /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
-    fn hosts_wanted(&mut self, pool: &Name, now: Moment) -> u64 {
+    fn pool_demand(&mut self, pool: &Name, now: Moment) -> PoolView {
         let expected = self.demand.get_mut(pool).map_or(0, |it| it.expected(now));
         let mut present = 0;
         let mut apart = 0;
@@ -187,7 +222,13 @@
         }
         let host = self.host_millicores(pool);
         let work = expected.max(present) * (100 + HEADROOM_PERCENT) / 100;
-        work.div_ceil(host).max(apart).max(LEAST_HOSTS)
+        let wanted = work.div_ceil(host).max(apart).max(LEAST_HOSTS);
+        PoolView { wanted, expected, present, ..PoolView::default() }
+    }
+
+    /// What each pool needs, as it was planned last.
+    pub fn pool_needs(&self) -> &[PoolNeed] {
+        &self.pool_needs
     }
 
     /// The processors of a usual host of a pool, in millicores.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -20,6 +20,7 @@
     lease::{Lease, Lost},
     links::{Link, LinkEvent, LinkTerms},
     load::{Loaded, apply_job, apply_worker, load},
+    pools::PoolLog,
     standing::Holder,
     takeover::{takeover, watch_former, watch_stronger},
 };
@@ -68,6 +69,7 @@
     /// Jobs whose progress is dropped with the next change.
     pub(super) purged: Vec<Name>,
     config_version: u64,
+    pool_log: PoolLog,
 }
 
 impl Leader {
@@ -138,6 +140,7 @@
             waves,
             purged: orphans,
             config_version: 0,
+            pool_log: PoolLog::default(),
             cx,
         }
     }
@@ -259,6 +262,7 @@
             self.apply_config();
             self.coordinator.tick(now, self.cx.clock.wall());
             self.coordinator.plan_hosts(now);
+            self.pool_log.note(self.coordinator.pool_needs(), now);
             self.close_links();
             self.purge(now);
         }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -12,6 +12,7 @@
 mod links;
 mod load;
 mod orders;
+mod pools;
 mod standing;
 mod takeover;
 
