Pools shrink by what they needed lately, not by long idleness

Change: a pool shrinks to the most that it needed within the last 1.5 s; a host has to be idle for 0.8 s.

--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -16,8 +16,12 @@
 /// The window over which arriving work is counted.
 const ARRIVAL_MS: Millisecond = 1_000;
 
-/// A host that was idle this long is given up when its pool has enough: peaks of arrivals have gaps.
-const IDLE_MS: Millisecond = 2_500;
+/// A pool is shrunk to the most that it needed within this time: arrivals have gaps.
+const HOLD_MS: Millisecond = 1_500;
+
+/// A host that was idle this long is given up when its pool has enough: a host that leaves and comes back costs as much
+/// as about two seconds in a pool.
+const IDLE_MS: Millisecond = 800;
 
 /// Room beyond the expected demand, since tasks do not fill hosts evenly, in per cent.
 const HEADROOM_PERCENT: u64 = 15;
@@ -35,6 +39,8 @@
     arrivals: VecDeque<(Moment, u64)>,
     /// The same summed up.
     arrived: u64,
+    /// Needs of the last while, each larger than those after it.
+    needs: VecDeque<(Moment, u64)>,
 }
 
 impl Demand {
@@ -43,6 +49,18 @@
         self.arrived += work;
     }
 
+    /// The most hosts needed within the last while, with `need` as the newest.
+    fn most_needed(&mut self, need: u64, now: Moment) -> u64 {
+        while self.needs.back().is_some_and(|it| it.1 <= need) {
+            self.needs.pop_back();
+        }
+        self.needs.push_back((now, need));
+        while self.needs.front().is_some_and(|it| now.since(it.0) > HOLD_MS) {
+            self.needs.pop_front();
+        }
+        self.needs.front().map_or(need, |it| it.1)
+    }
+
     /// Processors that the arrivals keep busy if they go on, in millicores.
     fn expected(&mut self, now: Moment) -> u64 {
         while let Some((at, work)) = self.arrivals.front()
@@ -79,6 +97,8 @@
     hosts: u64,
     /// Hosts that it needs.
     wanted: u64,
+    /// The most hosts that it needed lately.
+    held: u64,
     /// Processors for the work that is expected, in millicores.
     expected: u64,
     /// Processors for the work that is there, in millicores.
@@ -144,7 +164,7 @@
             if pool == spare {
                 continue;
             }
-            while view.hosts > view.wanted
+            while view.hosts > view.held
                 && let Some((since, host)) = view.idle.pop()
             {
                 if now.since(since) < IDLE_MS {
@@ -223,7 +243,8 @@
         let host = self.host_millicores(pool);
         let work = expected.max(present) * (100 + HEADROOM_PERCENT) / 100;
         let wanted = work.div_ceil(host).max(apart).max(LEAST_HOSTS);
-        PoolView { wanted, expected, present, ..PoolView::default() }
+        let held = self.demand.entry(pool.clone()).or_default().most_needed(wanted, now);
+        PoolView { wanted, held, expected, present, ..PoolView::default() }
     }
 
     /// What each pool needs, as it was planned last.
