A job waits until a worker is known to have started something of it

A job counted as begun as soon as its first start was recorded, though the order may get lost or be refused.

Ruled out: a board that is too old (it is refused beyond 1.9 s).

Change: a job has begun when a worker confirmed a start or listed a run or an end of it. A worker's silence is logged once, not at every look.

Figures: waiting_counts_jobs_whose_start_is_not_confirmed failed (nobody waited of 3) before and passes after; all tests of the crate pass.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -24,6 +24,8 @@
     pub occurrences: Vec<Occurrence>,
     /// How many tasks are at a worker.
     pub live: u32,
+    /// Whether a worker is known to have started one of its tasks.
+    pub has_begun: bool,
 }
 
 /// One pass through a job's steps.
@@ -146,6 +148,7 @@
             excess: false,
             occurrences: Vec::new(),
             live: 0,
+            has_begun: false,
         }
     }
 
@@ -308,6 +311,7 @@
     /// Takes over what an earlier coordinator stored; returns the tasks that may be at a worker.
     pub fn restore(&mut self, record: &JobRecord, now: Moment) -> Vec<(TaskId, Live)> {
         self.stage = record.stage;
+        self.has_begun = record.tasks.iter().any(|it| it.done || it.failures > 0);
         let mut live = Vec::new();
         for it in &record.tasks {
             let expected = self.spec.schedule.map_or(1, |it| it.times);
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -349,10 +349,11 @@
         expired
     }
 
-    /// The accepted jobs of each queue of which nothing has started.
+    /// The accepted jobs of each queue of which no worker is known to have started anything: an order to start may get
+    /// lost or be refused.
     pub fn waiting(&self) -> FastMap<Name, u64> {
         let mut counts = FastMap::default();
-        for job in self.jobs.values().filter(|it| it.stage == Stage::Queued) {
+        for job in self.jobs.values().filter(|it| !it.stage.is_over() && !it.has_begun) {
             *counts.entry(job.spec.queue.clone()).or_insert(0) += 1;
         }
         counts
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -149,15 +149,18 @@
         }
     }
 
-    /// A worker does not answer; `renewed` is the last moment at which its leases may have been renewed.
-    pub fn worker_silent(&mut self, id: &Name, renewed: Moment) {
-        let Some(at) = self.workers.get_mut(id) else { return };
+    /// A worker does not answer; `renewed` is the last moment at which its leases may have been renewed. Returns whether
+    /// that is new.
+    pub fn worker_silent(&mut self, id: &Name, renewed: Moment) -> bool {
+        let Some(at) = self.workers.get_mut(id) else { return false };
+        let is_new = at.silent.is_none();
         let inherited = match at.answered {
             // Before its first answer the former coordinator may have renewed them until its own limit.
             false => self.takeover.renewals_end.max(renewed),
             true => renewed,
         };
         at.silent.get_or_insert(inherited);
+        is_new
     }
 
     /// A worker answered a look.
@@ -197,10 +200,15 @@
         let id = &seen.task;
         let expected = self.jobs.get_mut(&id.job).and_then(|job| {
             let lasts = job.spec.steps.get(id.step as usize)?.lasts;
-            let task = job.task_mut(id)?;
+            let task = job.task(id)?;
             let is_run = task.run == seen.run;
+            if !is_run || !matches!(&task.state, TaskState::Live(it) if it.worker == *worker) {
+                return None;
+            }
+            job.has_begun = true;
+            let task = job.task_mut(id)?;
             match &mut task.state {
-                TaskState::Live(live) if live.worker == *worker && is_run => {
+                TaskState::Live(live) => {
                     if matches!(live.phase, Phase::Sent | Phase::Inherited) {
                         live.phase = Phase::Running;
                         live.since = now;
@@ -252,6 +260,7 @@
         if !end.saved.is_empty() && step.saves {
             task.saved = end.saved.clone();
         }
+        job.has_begun = true;
         if is_run {
             self.note_health(worker, id, end.ending, now);
         }
@@ -306,26 +315,20 @@
     /// The answer to an order to start.
     pub fn start_answered(&mut self, id: &TaskId, run: u32, answer: Started, now: Moment) {
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
-        let TaskState::Live(live) = &mut task.state else { return };
+        let TaskState::Live(live) = &task.state else { return };
         if task.run != run || live.phase != Phase::Sent {
             return;
         }
         let worker = live.worker.clone();
         match answer {
-            Started::Running => {
-                live.phase = Phase::Running;
-                live.since = now;
-            }
+            Started::Running => self.run_began(id, now),
             Started::Unknown => {
                 self.avoid(&worker, now + UNANSWERED_MS);
                 self.stop(id, now);
             }
             Started::NotSent => self.free(id, now),
             // The run, or a later one, was there and is over: the next report tells how it ended.
-            Started::Refused(Refusal::Old) => {
-                live.phase = Phase::Running;
-                live.since = now;
-            }
+            Started::Refused(Refusal::Old) => self.run_began(id, now),
             Started::Refused(reason) => {
                 match reason {
                     Refusal::Room => self.avoid(&worker, now + NO_ROOM_MS),
@@ -339,6 +342,13 @@
         }
     }
 
+    fn run_began(&mut self, id: &TaskId, now: Moment) {
+        self.set_phase(id, Phase::Running, now);
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.has_begun = true;
+        }
+    }
+
     fn avoid(&mut self, worker: &Name, until: Moment) {
         if let Some(at) = self.workers.get_mut(worker) {
             at.avoid_until = at.avoid_until.max(until);
--- a/crates/fleet/tests/job_steps.rs
+++ b/crates/fleet/tests/job_steps.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 
 use common::{Bench, WALL, config, cores, every, job, step, stops, task, worker};
-use fuchsiamill_fleet::{Ending, Stage, Step};
+use fuchsiamill_fleet::{
+    Ending, Stage, Step,
+    coordinator::{Refusal, Started},
+};
 use fuchsiamill_model::units::WallTime;
 
 #[test]
@@ -141,6 +144,25 @@
     assert_eq!(bench.coordinator.job("j").unwrap().stage, Stage::Running);
 }
 
+/// A job whose first start got lost, or was refused, still waits.
+#[test]
+fn waiting_counts_jobs_whose_start_is_not_confirmed() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    for id in ["lost", "refused", "taken"] {
+        bench.accept(id, job(vec![step(1)]));
+    }
+    bench.step();
+    assert_eq!(bench.coordinator.waiting().get("q"), Some(&3));
+    let mut answer = |id, it| bench.coordinator.start_answered(&task(id, 0, 0), 1, it, bench.now);
+    answer("lost", Started::Unknown);
+    answer("refused", Started::Refused(Refusal::Room));
+    answer("taken", Started::Running);
+    assert_eq!(bench.coordinator.waiting().get("q"), Some(&2));
+    bench.report("w1", &[(task("lost", 0, 0), 1)], &[(task("taken", 0, 0), 1, Ending::Failed)]);
+    assert_eq!(bench.coordinator.waiting().get("q"), Some(&1), "only the refused one");
+}
+
 #[test]
 fn known_job_is_one_job() {
     let mut bench = Bench::new();
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -222,9 +222,11 @@
                 }
             }
             LinkEvent::Silent(id, renewed) => {
-                self.cx.metrics.worker_event("silent");
-                tracing::info!(event = "worker-silent", worker = %id, renewed = renewed.0, now = now.0);
-                self.coordinator.worker_silent(&id, renewed);
+                if self.coordinator.worker_silent(&id, renewed) {
+                    self.cx.metrics.worker_event("silent");
+                    let ago_ms = now.since(renewed);
+                    tracing::info!(event = "worker-silent", worker = %id, renewed_ago_ms = ago_ms);
+                }
             }
             LinkEvent::Dead(id, born) => {
                 self.cx.metrics.worker_event("over");
