Pools grow ahead of demand that grows

Cause: a queue's peak rises over some seconds; demand was taken as that of the last second and a host takes 1.5 s to come, so that on the way up a pool was always two seconds behind and the first jobs of each peak were late.

Change: the expected demand is that of the last second and once more what it had beyond the second before.

--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -37,8 +37,6 @@
 pub struct Demand {
     /// When work arrived, and how much in millicore-milliseconds.
     arrivals: VecDeque<(Moment, u64)>,
-    /// The same summed up.
-    arrived: u64,
     /// Needs of the last while, each larger than those after it.
     needs: VecDeque<(Moment, u64)>,
 }
@@ -46,7 +44,6 @@
 impl Demand {
     fn note(&mut self, now: Moment, work: u64) {
         self.arrivals.push_back((now, work));
-        self.arrived += work;
     }
 
     /// The most hosts needed within the last while, with `need` as the newest.
@@ -61,15 +58,17 @@
         self.needs.front().map_or(need, |it| it.1)
     }
 
-    /// Processors that the arrivals keep busy if they go on, in millicores.
+    /// Processors that arrivals will keep busy when a host that is ordered now is there, in millicores: as many as in
+    /// the last second, and what that second had more than the one before.
     fn expected(&mut self, now: Moment) -> u64 {
-        while let Some((at, work)) = self.arrivals.front()
-            && now.since(*at) > ARRIVAL_MS
-        {
-            self.arrived -= work;
+        while self.arrivals.front().is_some_and(|it| now.since(it.0) > 2 * ARRIVAL_MS) {
             self.arrivals.pop_front();
         }
-        self.arrived / ARRIVAL_MS
+        let is_recent = |it: &&(Moment, u64)| now.since(it.0) <= ARRIVAL_MS;
+        let all: u64 = self.arrivals.iter().map(|it| it.1).sum();
+        let recent: u64 = self.arrivals.iter().filter(is_recent).map(|it| it.1).sum();
+        let growth = (2 * recent).saturating_sub(all);
+        (recent + growth) / ARRIVAL_MS
     }
 }
 
--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -251,3 +251,54 @@
     bench.coordinator.worker_silent(&"w1".into(), Moment(bench.now.0));
     assert_eq!(moves(&bench.step()), [("s1".to_string(), "web".to_string())]);
 }
+
+/// The hosts that the pool 'web' was thought to need when hosts were planned last.
+fn wanted(bench: &Bench) -> u64 {
+    bench.coordinator.pool_needs().iter().find(|it| it.pool == "web").expect("a pool").wanted
+}
+
+/// Four hosts' work a second, then eight: hosts for twelve are asked for, since they take more than a second to come.
+#[test]
+fn growing_demand_is_met_ahead() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    list(&mut bench, vec![host("h1", "web", Some("w1"))]);
+    bench.accept("a", job(vec![step(4 * 8)]));
+    bench.wait(1_100);
+    bench.coordinator.cancel(&"a".into(), bench.now);
+    bench.accept("b", job(vec![step(8 * 8)]));
+    bench.step();
+    let ahead = wanted(&bench);
+    assert!((12..=14).contains(&ahead), "{ahead} hosts, with the room for uneven tasks");
+    bench.coordinator.cancel(&"b".into(), bench.now);
+    bench.wait(1_100);
+    bench.accept("c", job(vec![step(8 * 8)]));
+    bench.step();
+    let steady = wanted(&bench);
+    assert!((8..=10).contains(&steady), "{steady} hosts for demand that grows no more");
+}
+
+/// Arrivals have gaps: idle hosts stay while the pool needed them shortly before.
+#[test]
+fn gap_between_arrivals_gives_no_host_away() {
+    let mut bench = Bench::new();
+    let mut hosts = Vec::new();
+    for number in 1..=4 {
+        let id = format!("w{number}");
+        bench.add(worker(&id));
+        hosts.push(host(&format!("h{number}"), "web", Some(&id)));
+    }
+    list(&mut bench, hosts);
+    bench.accept("j", job(vec![step(32)]));
+    bench.decide();
+    bench.coordinator.cancel(&"j".into(), bench.now);
+    bench.step();
+    bench.wait(1_200);
+    assert!(moves(&bench.step()).is_empty());
+    // The demand of two seconds ago no longer holds them, nor does what the gap itself asked for.
+    bench.wait(1_000);
+    bench.step();
+    bench.wait(1_600);
+    let moved = moves(&bench.step());
+    assert_eq!(moved.iter().filter(|it| it.1 == "spare").count(), 2, "{moved:?}");
+}
