The log tells how each run ended, and counts the lines that a slow reader cost

Cause: on call there are only logs and metrics; how a run ended was told by no line, and lines that were left out by none.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -196,6 +196,18 @@
         }
         self.child = spawn(&self.file);
     }
+
+    /// Ends the process and starts it anew with a log that nobody reads.
+    pub fn restart_unread(&mut self) {
+        self.kill();
+        self.child = command(&self.file).stdout(Stdio::piped()).spawn().expect("the daemon starts");
+    }
+
+    /// A page of the metrics.
+    pub fn metrics(&self) -> String {
+        let answer = net::send(self.ready, Request::get("/metrics")).expect("the metrics");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
 }
 
 impl Drop for Process {
@@ -204,9 +216,14 @@
     }
 }
 
-fn spawn(file: &PathBuf) -> Child {
+fn command(file: &PathBuf) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_fuchsiamilld"));
     command.arg("--config").arg(file).stdin(Stdio::null());
+    command
+}
+
+fn spawn(file: &PathBuf) -> Child {
+    let mut command = command(file);
     if std::env::var_os("SHOW_LOGS").is_none() {
         command.stdout(Stdio::null());
     }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use fuchsiamill_fleet::{Coordinator, Name, coordinator::WaveRecord};
+use fuchsiamill_fleet::{Coordinator, Name, Report, coordinator::WaveRecord};
 use fuchsiamill_model::{
     FastMap, FastSet,
     units::{Millisecond, Moment},
@@ -214,6 +214,7 @@
         let now = self.cx.clock.now();
         match event {
             LinkEvent::Held(id, report) => {
+                self.log_ends(&id, &report);
                 self.coordinator.worker_held(&id, report, now);
                 let at = self.coordinator.workers().get(&id);
                 let is_busy = at.is_some_and(|it| !it.live.is_empty());
@@ -242,6 +243,16 @@
         }
     }
 
+    /// Logs the ends that are new; a worker lists each until it is told that it was recorded.
+    fn log_ends(&self, id: &Name, report: &Report) {
+        let known = self.coordinator.workers().get(id);
+        let taken = known.filter(|it| it.seen.born == report.born).map_or(0, |it| it.taken);
+        for end in report.ended.iter().filter(|it| it.number > taken) {
+            let (task, run, ending) = (&end.task, end.run, end.ending);
+            tracing::info!(event = "task-ended", %task, run, worker = %id, ending = ?ending);
+        }
+    }
+
     fn apply_host(&mut self, event: HostEvent) {
         let now = self.cx.clock.now();
         match event {
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and latency histograms, through opentelemetry, shown as Prometheus text.
 
+use std::cell::Cell;
+
 use anyhow::Result;
 use opentelemetry::{
     KeyValue,
@@ -8,6 +10,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::logging;
+
 /// Bounds of the latency histograms, in seconds: from an answer of a store in the same rack to a caller's patience.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
 
@@ -26,6 +30,9 @@
     open_jobs: Gauge<u64>,
     workers: Gauge<u64>,
     config_version: Gauge<u64>,
+    log_lines_left_out: Counter<u64>,
+    /// How many of them were counted.
+    counted_left_out: Cell<u64>,
 }
 
 impl Metrics {
@@ -52,6 +59,8 @@
             open_jobs: meter.u64_gauge("open_jobs").build(),
             workers: meter.u64_gauge("workers").build(),
             config_version: meter.u64_gauge("config_version").build(),
+            log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
+            counted_left_out: Cell::new(0),
             registry,
             _provider: provider,
         })
@@ -104,6 +113,8 @@
 
     /// All instruments as Prometheus text.
     pub fn text(&self) -> Result<String> {
+        let left_out = logging::lines_left_out();
+        self.log_lines_left_out.add(left_out - self.counted_left_out.replace(left_out), &[]);
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
 }
