--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -6,7 +6,8 @@
 
 use common::{Bench, START, WALL, config, job, seen, starts, step, stops, task, worker};
 use fuchsiamill_fleet::{
-    JobRecord, Report, Stage, TaskRecord, WorkerSeen, coordinator::Started, coordinator::Takeover,
+    JobRecord, Report, Stage, TaskRecord, WorkerSeen, WorkerState, coordinator::Started,
+    coordinator::Takeover,
 };
 
 fn running() -> Bench {
@@ -162,3 +163,20 @@
     bench.coordinator.worker_held(&"w1".into(), report, bench.now);
     assert!(bench.run().is_empty());
 }
+
+/// From the moment at which its entry says that it drains, a worker takes no task; what runs there ends there.
+#[test]
+fn draining_worker_takes_no_tasks() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    let draining = WorkerSeen { state: WorkerState::Draining, ..worker("w1") };
+    bench.coordinator.worker_listed(draining, bench.now);
+    bench.accept("k", job(vec![step(1)]));
+    let orders = bench.step();
+    assert!(starts(&orders).is_empty(), "{orders:?}");
+    assert!(stops(&orders).is_empty(), "{orders:?}");
+    bench.add(worker("w2"));
+    assert_eq!(bench.run()[0].2, "w2");
+}
