--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod job;
 mod lapse;
+mod orders;
 mod outbox;
 mod place;
 mod pools;
@@ -26,6 +27,7 @@
 pub use advice::{Permit, StepKey};
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, Task, TaskState, objective_ms};
+pub use orders::Order;
 pub use outbox::Commit;
 pub use pools::PoolNeed;
 pub use reports::{Refusal, Started};
@@ -33,74 +35,6 @@
 
 use crate::{Config, JobRecord, JobSpec, Name, Stage, TaskId, Terms, WorkerSeen};
 
-/// What the coordinator wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    /// Begin to look at a worker.
-    Watch {
-        /// How it describes itself.
-        worker: WorkerSeen,
-    },
-    /// Start a run.
-    Start {
-        /// The worker.
-        worker: Name,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// The job's payload.
-        payload: Arc<str>,
-        /// Saved progress, empty when there is none.
-        saved: Name,
-        /// What the advice service gave for it, empty where none is needed.
-        ticket: Name,
-    },
-    /// Let a run work at a share of its speed.
-    Pace {
-        /// The worker.
-        worker: Name,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-        /// The share, in per cent.
-        percent: u32,
-    },
-    /// Ask which workers may run a step.
-    Advise {
-        /// The step.
-        step: StepKey,
-        /// The workers.
-        workers: Vec<Name>,
-    },
-    /// Stop a run.
-    Stop {
-        /// The worker.
-        worker: Name,
-        /// The task.
-        task: TaskId,
-        /// The run.
-        run: u32,
-    },
-    /// Ends up to this number are recorded.
-    Seen {
-        /// The worker.
-        worker: Name,
-        /// Its birth.
-        born: u64,
-        /// The number.
-        upto: u64,
-    },
-    /// Move or maintain a host.
-    Host {
-        /// The host.
-        host: Name,
-        /// What it has to do.
-        duty: HostDuty,
-    },
-}
-
 /// Until when a former coordinator may have given orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Takeover {
--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -1,5 +1,4 @@
-//! A world around the coordinator in which anything may happen in any order: orders that get lost or are carried out
-//! late, workers that die and are reborn, coordinators that are replaced with a change under way.
+//! A world around the coordinator in which anything may happen in any order: see `any_order`.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -39,7 +38,7 @@
     deadline: Moment,
 }
 
-/// See the module's documentation.
+/// The coordinator, its store and its workers as they really are.
 pub struct World {
     pub now: Moment,
     pub coordinator: Coordinator,
@@ -211,11 +210,8 @@
 
     /// An order stays on its way, and the coordinator hears that it was not answered.
     pub fn leave_unanswered(&mut self, pick: usize) {
-        if self.flights.is_empty() {
-            return;
-        }
-        let pick = pick % self.flights.len();
-        let flight = &self.flights[pick];
+        let pick = pick % self.flights.len().max(1);
+        let Some(flight) = self.flights.get(pick) else { return };
         if let Order::Start { task, run, .. } = &flight.order
             && flight.fence == self.fence
         {
