--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -275,13 +275,23 @@
     }
 
     fn set_phase(&mut self, id: &TaskId, phase: Phase, now: Moment) {
-        let task = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id));
-        if let Some(TaskState::Live(live)) = task.map(|it| &mut it.state) {
+        if let Some(live) = self.live_mut(id) {
             live.phase = phase;
             live.since = now;
         }
     }
 
+    pub(super) fn step_of(&self, id: &TaskId) -> Option<&crate::Step> {
+        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
+    }
+
+    pub(super) fn live_mut(&mut self, id: &TaskId) -> Option<&mut Live> {
+        match &mut self.jobs.get_mut(&id.job)?.task_mut(id)?.state {
+            TaskState::Live(live) => Some(live),
+            _ => None,
+        }
+    }
+
     /// Jobs whose state was told for long enough, at most `most` of them; they are forgotten.
     pub fn take_expired(&mut self, now: Moment, most: usize) -> Vec<Name> {
         let is_expired = |at: &Moment| now.since(*at) >= self.terms.keep_ms;
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -92,33 +92,18 @@
 /// A pool as the plan sees it.
 #[derive(Clone, Debug, Default)]
 struct PoolView {
-    /// Hosts that are in it or on their way.
-    hosts: u64,
-    /// Hosts that it needs.
-    wanted: u64,
+    /// What is told of it.
+    need: PoolNeed,
     /// The most hosts that it needed lately.
     held: u64,
-    /// Processors for the work that is expected, in millicores.
-    expected: u64,
-    /// Processors for the work that is there, in millicores.
-    present: u64,
+    /// Hosts that the tasks of one of its jobs need because they have to be apart.
+    apart: u64,
+    /// The processors of its largest worker, in millicores; 0 without one.
+    host_millicores: u32,
     /// Hosts that may leave, longest idle first.
     idle: Vec<(Moment, Name)>,
 }
 
-impl PoolView {
-    fn need(&self, pool: &Name) -> PoolNeed {
-        PoolNeed {
-            pool: pool.clone(),
-            hosts: self.hosts,
-            wanted: self.wanted,
-            expected: self.expected,
-            present: self.present,
-            idle: self.idle.len() as u64,
-        }
-    }
-}
-
 impl Coordinator {
     /// Counts a new job's work as demand on its pool.
     pub(super) fn note_demand(&mut self, spec: &JobSpec, now: Moment) {
@@ -140,16 +125,16 @@
     pub(super) fn plan_pools(&mut self, now: Moment) {
         let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
-        self.pool_needs = views.iter().map(|(pool, it)| it.need(pool)).collect();
+        self.pool_needs = views.values().map(|it| it.need.clone()).collect();
         let mut free: Vec<Name> = self.spare_hosts(&spare, now);
         let mut short: Vec<Name> = views
             .iter()
-            .filter(|(name, it)| **name != spare && it.wanted > it.hosts)
+            .filter(|(name, it)| **name != spare && it.need.wanted > it.need.hosts)
             .map(|(name, _)| name.clone())
             .collect();
         short.sort();
         for pool in short {
-            let missing = views[&pool].wanted - views[&pool].hosts;
+            let missing = views[&pool].need.wanted - views[&pool].need.hosts;
             for _ in 0..missing {
                 let Some(host) = free.pop().or_else(|| take_idle(&mut views, &pool)) else { break };
                 self.give_duty(&host, HostDuty::Move { pool: pool.clone() }, now);
@@ -163,13 +148,13 @@
             if pool == spare {
                 continue;
             }
-            while view.hosts > view.held
+            while view.need.hosts > view.held
                 && let Some((since, host)) = view.idle.pop()
             {
                 if now.since(since) < IDLE_MS {
                     break;
                 }
-                view.hosts -= 1;
+                view.need.hosts -= 1;
                 self.give_duty(&host, HostDuty::Move { pool: spare.clone() }, now);
             }
         }
@@ -184,12 +169,50 @@
     }
 
     fn pool_views(&mut self, now: Moment) -> FastMap<Name, PoolView> {
-        let mut views: FastMap<Name, PoolView> = FastMap::default();
-        let pools: Vec<Name> = self.config.pools.keys().cloned().collect();
-        for pool in pools {
-            let view = self.pool_demand(&pool, now);
-            views.insert(pool, view);
+        let mut views = self.present_work();
+        self.size_pools(&mut views, now);
+        self.count_hosts(&mut views, now);
+        views
+    }
+
+    /// The work that is there and the size of workers, by pool: one pass over jobs and workers for all pools.
+    fn present_work(&self) -> FastMap<Name, PoolView> {
+        let new = |pool: &Name| {
+            let need = PoolNeed { pool: pool.clone(), ..PoolNeed::default() };
+            (pool.clone(), PoolView { need, ..PoolView::default() })
+        };
+        let mut views: FastMap<Name, PoolView> = self.config.pools.keys().map(new).collect();
+        for job in self.jobs.values().filter(|it| !it.stage.is_over()) {
+            let Some(view) = views.get_mut(&job.spec.route.pool) else { continue };
+            view.need.present += demand_of(job);
+            view.apart = view.apart.max(apart_of(job));
+        }
+        for worker in self.workers.values() {
+            let Some(view) = views.get_mut(&worker.seen.pool) else { continue };
+            view.host_millicores = view.host_millicores.max(worker.seen.capacity.millicores);
+        }
+        views
+    }
+
+    /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
+    fn size_pools(&mut self, views: &mut FastMap<Name, PoolView>, now: Moment) {
+        let any = self.hosts.values().map(|it| it.seen.capacity.millicores).max().unwrap_or(0);
+        for (pool, view) in views {
+            let demand = self.demand.entry(pool.clone()).or_default();
+            view.need.expected = demand.expected(now);
+            let host = match view.host_millicores {
+                0 => any.max(1),
+                largest => largest,
+            };
+            let most = view.need.expected.max(view.need.present);
+            let work = most * (100 + HEADROOM_PERCENT) / 100;
+            view.need.wanted = work.div_ceil(host.into()).max(view.apart).max(LEAST_HOSTS);
+            view.held = demand.most_needed(view.need.wanted, now);
         }
+    }
+
+    /// Hosts in each pool or on their way, and those that may leave.
+    fn count_hosts(&self, views: &mut FastMap<Name, PoolView>, now: Moment) {
         for (name, host) in &self.hosts {
             let pool = match &host.duty {
                 Some(it) => match &it.duty {
@@ -202,7 +225,7 @@
             if !self.is_usable(name, host, now) {
                 continue;
             }
-            view.hosts += 1;
+            view.need.hosts += 1;
             if host.duty.is_none()
                 && host.seen.state == HostState::Up
                 && let Some(worker) = self.worker_on(name)
@@ -213,9 +236,11 @@
                 view.idle.push((worker.idle_since, name.clone()));
             }
         }
-        // The longest idle host is taken from the end.
-        views.values_mut().for_each(|it| it.idle.sort_by(|a, b| b.cmp(a)));
-        views
+        for view in views.values_mut() {
+            // The longest idle host is taken from the end.
+            view.idle.sort_by(|a, b| b.cmp(a));
+            view.need.idle = view.idle.len() as u64;
+        }
     }
 
     /// Whether a host runs tasks of its pool, or will soon.
@@ -230,50 +255,25 @@
         }
     }
 
-    /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
-    fn pool_demand(&mut self, pool: &Name, now: Moment) -> PoolView {
-        let expected = self.demand.get_mut(pool).map_or(0, |it| it.expected(now));
-        let mut present = 0;
-        let mut apart = 0;
-        for job in self.jobs.values().filter(|it| it.spec.route.pool == *pool) {
-            present += demand_of(job);
-            apart = apart.max(apart_of(job));
-        }
-        let host = self.host_millicores(pool);
-        let work = expected.max(present) * (100 + HEADROOM_PERCENT) / 100;
-        let wanted = work.div_ceil(host).max(apart).max(LEAST_HOSTS);
-        let held = self.demand.entry(pool.clone()).or_default().most_needed(wanted, now);
-        PoolView { wanted, held, expected, present, ..PoolView::default() }
-    }
-
     /// What each pool needs, as it was planned last.
     pub fn pool_needs(&self) -> &[PoolNeed] {
         &self.pool_needs
     }
-
-    /// The processors of a usual host of a pool, in millicores.
-    fn host_millicores(&self, pool: &Name) -> u64 {
-        let of_pool = self.workers.values().filter(|it| it.seen.pool == *pool);
-        let largest = of_pool.map(|it| it.seen.capacity.millicores).max();
-        let any = || self.hosts.values().map(|it| it.seen.capacity.millicores).max();
-        largest.or_else(any).unwrap_or(0).max(1).into()
-    }
 }
 
 fn take_idle(views: &mut FastMap<Name, PoolView>, for_pool: &Name) -> Option<Name> {
     let donor = views
         .iter_mut()
-        .filter(|(name, it)| *name != for_pool && it.hosts > it.wanted && !it.idle.is_empty())
-        .max_by_key(|(name, it)| (it.hosts - it.wanted, (*name).clone()))?;
-    donor.1.hosts -= 1;
+        .filter(|(name, it)| {
+            *name != for_pool && it.need.hosts > it.need.wanted && !it.idle.is_empty()
+        })
+        .max_by_key(|(name, it)| (it.need.hosts - it.need.wanted, (*name).clone()))?;
+    donor.1.need.hosts -= 1;
     donor.1.idle.pop().map(|(_, host)| host)
 }
 
 /// Processors of a job's tasks that run or could run, in millicores.
 fn demand_of(job: &Job) -> u64 {
-    if job.stage.is_over() {
-        return 0;
-    }
     let mut sum = 0;
     for (k, run) in job.occurrences.iter().enumerate() {
         for (s, step) in run.steps.iter().enumerate() {
@@ -288,9 +288,6 @@
 
 /// Hosts that a job's open steps need because of their tasks' distance.
 fn apart_of(job: &Job) -> u64 {
-    if job.stage.is_over() {
-        return 0;
-    }
     let steps =
         job.spec.steps.iter().filter_map(|it| Some(u64::from(it.count.div_ceil(it.per_worker?))));
     steps.max().unwrap_or(0)
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -92,7 +92,7 @@
     fn begin_life(&mut self, seen: WorkerSeen, now: Moment) {
         let id = seen.id.clone();
         let born = seen.born;
-        self.lose_life(&id, now, |it| it.born != born);
+        self.lose_lives_before(&id, born, now);
         let Some(at) = self.workers.get_mut(&id) else { return };
         at.seen = seen;
         at.taken = 0;
@@ -104,9 +104,9 @@
 
     /// Runs of a life that has ended: those that the worker had are gone; an order that was under way may
     /// still reach the new life, so that it is stopped there first.
-    fn lose_life(&mut self, id: &Name, now: Moment, is_lost: impl Fn(&Live) -> bool) {
+    fn lose_lives_before(&mut self, id: &Name, born: u64, now: Moment) {
         for (task, live) in self.live_on(id) {
-            if !is_lost(&live) {
+            if live.born == born {
                 continue;
             }
             match live.phase {
@@ -200,34 +200,26 @@
 
     fn run_seen(&mut self, worker: &Name, seen: &RunSeen, asked: Moment, now: Moment) {
         let id = &seen.task;
-        let expected = self.jobs.get_mut(&id.job).and_then(|job| {
-            let lasts = job.spec.steps.get(id.step as usize)?.lasts;
-            let task = job.task(id)?;
-            let is_run = task.run == seen.run;
-            if !is_run || !matches!(&task.state, TaskState::Live(it) if it.worker == *worker) {
-                return None;
-            }
-            job.has_begun = true;
-            let task = job.task_mut(id)?;
-            match &mut task.state {
-                TaskState::Live(live) => {
-                    if matches!(live.phase, Phase::Sent | Phase::Inherited) {
-                        live.phase = Phase::Running;
-                        live.since = now;
-                    }
-                    live.at_work = (!lasts || seen.percent >= 100).then_some(asked);
-                    if !seen.saved.is_empty() {
-                        task.saved = seen.saved.clone();
-                    }
-                    Some(())
-                }
-                _ => None,
-            }
-        });
-        if expected.is_none() {
+        let lasts = self.step_of(id).is_some_and(|it| it.lasts);
+        let is_expected = self.run_of(id) == seen.run
+            && self.live_mut(id).is_some_and(|live| live.worker == *worker);
+        if !is_expected {
             let (task, run) = (id.clone(), seen.run);
             self.released.push(Order::Stop { worker: worker.clone(), task, run });
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        job.has_begun = true;
+        let Some(task) = job.task_mut(id) else { return };
+        if !seen.saved.is_empty() {
+            task.saved = seen.saved.clone();
+        }
+        let TaskState::Live(live) = &mut task.state else { return };
+        if matches!(live.phase, Phase::Sent | Phase::Inherited) {
+            live.phase = Phase::Running;
+            live.since = now;
         }
+        live.at_work = (!lasts || seen.percent >= 100).then_some(asked);
     }
 
     /// Runs that should be on the worker and that it lists neither as running nor as ended.
@@ -367,13 +359,9 @@
 
     /// A worker has confirmed a stop: the run is not there, or its end will be listed.
     pub fn stop_answered(&mut self, id: &TaskId, run: u32, now: Moment) {
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
-        if task.run == run
-            && let TaskState::Live(live) = &mut task.state
-            && live.phase == Phase::Stopping
-        {
-            live.phase = Phase::StopConfirmed;
-            live.since = now;
+        let is_stopping = self.live_mut(id).is_some_and(|live| live.phase == Phase::Stopping);
+        if is_stopping && self.run_of(id) == run {
+            self.set_phase(id, Phase::StopConfirmed, now);
         }
     }
 }
--- a/crates/fleet/src/coordinator/sharing.rs
+++ b/crates/fleet/src/coordinator/sharing.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::{Coordinator, Order, Phase, TaskState};
+use super::{Coordinator, Order, Phase};
 use crate::{Name, Report, TaskId};
 
 /// A tail above this part of its target slows the tasks that fill, in per cent.
@@ -70,15 +70,4 @@
         });
         tails.max().unwrap_or(Tails::Low)
     }
-
-    pub(super) fn step_of(&self, id: &TaskId) -> Option<&crate::Step> {
-        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
-    }
-
-    pub(super) fn live_mut(&mut self, id: &TaskId) -> Option<&mut super::Live> {
-        match &mut self.jobs.get_mut(&id.job)?.task_mut(id)?.state {
-            TaskState::Live(live) => Some(live),
-            _ => None,
-        }
-    }
 }
--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -44,6 +44,19 @@
     vec![host("h1", "web", Some("w1")), host("h2", "web", Some("w2"))]
 }
 
+/// Four hosts in the pool 'web' whose workers answer.
+fn four_hosts() -> Bench {
+    let mut bench = Bench::new();
+    let mut hosts = Vec::new();
+    for number in 1..=4 {
+        let id = format!("w{number}");
+        bench.add(worker(&id));
+        hosts.push(host(&format!("h{number}"), "web", Some(&id)));
+    }
+    list(&mut bench, hosts);
+    bench
+}
+
 fn with_wave(at_once: usize) -> Bench {
     let mut bench = Bench::new();
     bench.add(worker("w1"));
@@ -224,14 +237,7 @@
 
 #[test]
 fn idle_hosts_go_to_the_spare_pool() {
-    let mut bench = Bench::new();
-    let mut hosts = Vec::new();
-    for number in 1..=4 {
-        let id = format!("w{number}");
-        bench.add(worker(&id));
-        hosts.push(host(&format!("h{number}"), "web", Some(&id)));
-    }
-    list(&mut bench, hosts);
+    let mut bench = four_hosts();
     assert!(moves(&bench.step()).is_empty());
     bench.wait(3_000);
     let moved = moves(&bench.step());
@@ -281,14 +287,7 @@
 /// Arrivals have gaps: idle hosts stay while the pool needed them shortly before.
 #[test]
 fn gap_between_arrivals_gives_no_host_away() {
-    let mut bench = Bench::new();
-    let mut hosts = Vec::new();
-    for number in 1..=4 {
-        let id = format!("w{number}");
-        bench.add(worker(&id));
-        hosts.push(host(&format!("h{number}"), "web", Some(&id)));
-    }
-    list(&mut bench, hosts);
+    let mut bench = four_hosts();
     bench.accept("j", job(vec![step(32)]));
     bench.decide();
     bench.coordinator.cancel(&"j".into(), bench.now);
