Tests start the daemon in one place

The graceful replacement of a fleet's entry host is called replace, since restart ends a process at once. Assertions are as they were.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -2,10 +2,8 @@
 
 use std::{
     cell::RefCell,
-    fs::{self, OpenOptions},
     net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
+    ops::Deref,
     time::{Duration, Instant},
 };
 
@@ -19,6 +17,7 @@
 
 use super::{
     net::{self, LoopbackNet},
+    process::Daemon,
     wait_until,
 };
 
@@ -39,8 +38,7 @@
     pub ready: SocketAddr,
     /// Its way to the store, through the proxy.
     route: SocketAddr,
-    file: PathBuf,
-    child: Child,
+    daemon: Daemon,
 }
 
 impl Fleet {
@@ -138,7 +136,7 @@
         let job = task.split('.').next().unwrap_or(task);
         let words = [job, "lease", "coordinator", "worker-", "state-loaded", "started\""];
         for entry in &self.entries {
-            let log = fs::read_to_string(entry.file.with_extension("log")).unwrap_or_default();
+            let log = entry.log();
             let told = log.lines().filter(|line| words.iter().any(|it| line.contains(it)));
             told.for_each(|line| eprintln!("{} {line}", entry.name));
         }
@@ -162,12 +160,8 @@
              store = {route}\nhosts = {}\nmove-s = 0.3\nupkeep-s = 0.3\ngrace-s = 4\n",
             site.hosts
         );
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("{}.ini", front.to_string().replace(':', "-")));
-        fs::write(&file, text).expect("the settings file");
-        let _ = fs::remove_file(file.with_extension("log"));
-        let child = spawn(&file);
-        Self { name, front, ready, route, file, child }
+        let daemon = Daemon::start(front, &text);
+        Self { name, front, ready, route, daemon }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -197,33 +191,13 @@
         net::send(self.front, request)
     }
 
-    /// Sends a signal by name, such as `STOP`, `CONT`, `TERM` or `HUP`.
-    pub fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
-        assert!(status.expect("kill runs").success(), "the process takes the signal");
-    }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
     /// Ends the process, gracefully or not, and starts it anew.
-    pub fn restart(&mut self, gracefully: bool) {
+    pub fn replace(&self, gracefully: bool) {
         if gracefully {
             self.signal("TERM");
-            let _ = self.child.wait();
-        } else {
-            self.kill();
+            self.wait_end();
         }
-        self.child = spawn(&self.file);
-    }
-
-    /// Ends the process and starts it anew with a log that nobody reads.
-    pub fn restart_unread(&mut self) {
-        self.kill();
-        self.child = command(&self.file).stdout(Stdio::piped()).spawn().expect("the daemon starts");
+        self.restart();
     }
 
     /// A page of the metrics.
@@ -233,25 +207,12 @@
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-fn command(file: &PathBuf) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_fuchsiamilld"));
-    command.arg("--config").arg(file).stdin(Stdio::null());
-    command
-}
+impl Deref for Process {
+    type Target = Daemon;
 
-fn spawn(file: &PathBuf) -> Child {
-    let mut command = command(file);
-    if std::env::var_os("SHOW_LOGS").is_none() {
-        let log = OpenOptions::new().create(true).append(true).open(file.with_extension("log"));
-        command.stdout(log.expect("the file of the log"));
+    fn deref(&self) -> &Daemon {
+        &self.daemon
     }
-    command.spawn().expect("the daemon starts")
 }
 
 /// A job whose steps follow one another; each has so many tasks of so many milliseconds.
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod net;
 pub mod operator;
+pub mod process;
 pub mod session;
 pub mod waves;
 
--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -107,25 +107,25 @@
 
 #[test]
 fn killed_coordinator_loses_nothing() {
-    let mut fleet = Fleet::start(3, 4);
+    let fleet = Fleet::start(3, 4);
     for round in 0..3 {
         for _ in 0..5 {
             fleet.accept(&job(300, &[4, 2]), PATIENCE).expect("accepted");
         }
         let leader = fleet.wait_coordinator();
-        fleet.entries[leader].restart(round == 1);
+        fleet.entries[leader].replace(round == 1);
     }
     fleet.check();
 }
 
 #[test]
 fn all_killed_at_once() {
-    let mut fleet = Fleet::start(3, 4);
+    let fleet = Fleet::start(3, 4);
     for _ in 0..10 {
         fleet.accept(&job(800, &[3]), PATIENCE).expect("accepted");
     }
-    fleet.entries.iter_mut().for_each(|it| it.kill());
-    fleet.entries.iter_mut().for_each(|it| it.restart(false));
+    fleet.entries.iter().for_each(|it| it.kill());
+    fleet.entries.iter().for_each(|it| it.replace(false));
     fleet.check();
 }
 
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -81,11 +81,11 @@
             let span = Duration::from_millis(rng.u64(100..FREEZE_MS));
             frozen.push((Instant::now() + span, entry));
         }
-        1 | 2 if !is_frozen => fleet.entries[entry].restart(rng.bool()),
+        1 | 2 if !is_frozen => fleet.entries[entry].replace(rng.bool()),
         3 => {
             if let Some(leader) = fleet.coordinator().filter(|it| frozen.iter().all(|f| f.1 != *it))
             {
-                fleet.entries[leader].restart(false);
+                fleet.entries[leader].replace(false);
             }
         }
         4 => fleet.entries[entry].signal("HUP"),
--- a/crates/daemon/tests/unread_log.rs
+++ b/crates/daemon/tests/unread_log.rs
@@ -22,7 +22,7 @@
 
 #[test]
 fn stalled_reader_costs_lines_only() {
-    let mut fleet = Fleet::start(1, 4);
+    let fleet = Fleet::start(1, 4);
     fleet.entries[0].restart_unread();
     wait_until("it is ready", || fleet.entries[0].is_ready());
     let (entry, posted) = (&fleet.entries[0], AtomicUsize::new(0));
