Hundreds of entry hosts find their coordinator

The takes queued for longer than the 0.3 s after which a call is given up; the one that got the lease never heard of it and counted as over; and each look at the lease asked its holder as well, 750 times a second in all. Ruled out: reads of the store (a trial with rarer looks and waits for the configuration behaved the same).

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -10,7 +10,7 @@
 use fuchsiamill_http::{Request, Response};
 use fuchsiamill_standin::{
     admin::{Route, RouteFault, SetRouteFault},
-    fleet::FleetSite,
+    fleet::{FleetSite, World},
 };
 use http::{HeaderName, HeaderValue, Method};
 use serde_json::{Value, json};
@@ -44,8 +44,14 @@
 impl Fleet {
     /// Starts so many entry hosts, and pools `web` and `spare` of so many hosts each.
     pub fn start(entries: usize, hosts: usize) -> Self {
+        Self::start_on(entries, hosts, |_| {})
+    }
+
+    /// Starts them after the platform was set up.
+    pub fn start_on(entries: usize, hosts: usize, set_up: impl FnOnce(&mut World)) -> Self {
         let net = LoopbackNet::new();
         let site = FleetSite::start(net.any(), &["web", "spare"], hosts).expect("it starts");
+        set_up(&mut site.world());
         let fleet_ip = net.any().ip().to_string();
         site.world().rows.put("op", "config", &config(1, &fleet_ip, &["/jobs/"]));
         let entries = (0..entries).map(|it| Process::start(&site, &net, it)).collect();
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -8,14 +8,21 @@
 
 use super::{
     entries::Entries,
-    lease::{Lease, LeaseRow, decode},
+    lease::{Lease, LeaseRow, Taken, decode},
     standing::{Holder, ask},
 };
 use crate::{clock::Clock, tables};
 
-/// The pause between two looks at the lease.
+/// The pause between two looks at the lease of up to [`LOOKERS`] entry hosts.
 const LOOK_MS: u64 = 400;
 
+/// Of more entry hosts each looks less often, so that the lease and its holder are asked as often whatever their number.
+const LOOKERS: u64 = 8;
+
+/// Takes of a free lease by many entry hosts are spread over so long: a part of the store makes some 150 changes a
+/// second, and a take that waits behind others is given up as unanswered.
+const SPREAD_MS: u64 = 250;
+
 /// The pause between two looks while the holder does not tell its standing.
 const DOUBT_MS: u64 = 100;
 
@@ -63,48 +70,113 @@
     pub holder: Holder,
 }
 
+/// A try to take the lease that was not answered.
+struct Tried {
+    row: LeaseRow,
+    former: LeaseRow,
+    holder: Holder,
+}
+
+/// What this process has seen of the lease.
+#[derive(Default)]
+struct Watch {
+    /// The version of the row, and since when it is that.
+    last: Option<(u64, Moment)>,
+    /// Since when the lease can be taken.
+    takeable: Option<Moment>,
+    tried: Option<Tried>,
+}
+
+enum Next {
+    Won(Won),
+    Pause(u64),
+}
+
+impl Watch {
+    fn unchanged_ms(&mut self, version: u64, now: Moment) -> u64 {
+        let since = match self.last {
+            Some((seen, since)) if seen == version => since,
+            _ => now,
+        };
+        self.last = Some((version, since));
+        now.since(since)
+    }
+}
+
 impl Election {
     /// Returns once this process holds the lease.
     pub async fn win(&self) -> Won {
-        let mut last: Option<(u64, Moment)> = None;
-        let mut takeable = None;
+        let mut watch = Watch::default();
         loop {
-            let mut is_doubtful = false;
-            match self.store.read_row(&tables::lease_key()).await {
-                Ok((row, _)) => {
-                    let (row, version) =
-                        row.map_or_else(Default::default, |it| (decode(&it.value), it.version));
-                    let now = self.clock.now();
-                    let since = match last {
-                        Some((seen, since)) if seen == version => since,
-                        _ => now,
-                    };
-                    last = Some((version, since));
-                    let look = self.look(&row, now.since(since)).await;
-                    is_doubtful = look != Look::Held;
-                    takeable = match (look, takeable) {
-                        (Look::Held | Look::Doubtful, _) => None,
-                        (Look::Takeable(_), None) => Some(now),
-                        (_, since) => since,
-                    };
-                    if let Look::Takeable(holder) = look
-                        && takeable.is_some_and(|it| now.since(it) >= self.courtesy_ms())
-                        && let Some(lease) = self.take(&row, version).await
-                    {
-                        return Won { lease, former: row, holder };
-                    }
+            let next = match self.read().await {
+                Ok((row, version, store_ms)) => {
+                    self.consider(&mut watch, row, version, store_ms).await
                 }
                 Err(e) => {
                     // The time without the store says nothing of the holder.
-                    last = None;
+                    watch.last = None;
                     tracing::debug!(event = "read-failed", what = "lease", error = %e);
+                    Next::Pause(LOOK_MS)
+                }
+            };
+            match next {
+                Next::Won(won) => return won,
+                Next::Pause(ms) => {
+                    sleep(Duration::from_millis(ms + fastrand::u64(0..ms / 4))).await;
                 }
             }
-            let pause = if is_doubtful { DOUBT_MS } else { LOOK_MS };
-            sleep(Duration::from_millis(pause + fastrand::u64(0..pause / 4))).await;
         }
     }
 
+    /// The row, its version and the store's clock.
+    async fn read(&self) -> fuchsiamill_platform::Result<(LeaseRow, u64, u64)> {
+        let (row, store_ms) = self.store.read_row(&tables::lease_key()).await?;
+        let (row, version) =
+            row.map_or_else(Default::default, |it| (decode(&it.value), it.version));
+        Ok((row, version, store_ms))
+    }
+
+    async fn consider(
+        &self,
+        watch: &mut Watch,
+        row: LeaseRow,
+        version: u64,
+        store_ms: u64,
+    ) -> Next {
+        if let Some(it) = watch.tried.take_if(|it| it.row == row) {
+            let lease = Lease::taken_before(self.store.clone(), row, version, store_ms);
+            return self.won(lease, it.former, it.holder);
+        }
+        let now = self.clock.now();
+        let unchanged_ms = watch.unchanged_ms(version, now);
+        let holder = match self.look(&row, unchanged_ms).await {
+            Look::Takeable(holder) => holder,
+            look => {
+                watch.takeable = None;
+                return Next::Pause(if look == Look::Held { self.look_ms() } else { DOUBT_MS });
+            }
+        };
+        let since = *watch.takeable.get_or_insert(now);
+        if now.since(since) < self.courtesy_ms() || !self.is_still(version).await {
+            return Next::Pause(DOUBT_MS);
+        }
+        self.take(watch, (row, version), holder).await
+    }
+
+    /// The pause between two looks.
+    fn look_ms(&self) -> u64 {
+        LOOK_MS.max(LOOK_MS * self.entries.borrow().count() / LOOKERS)
+    }
+
+    /// Whether the lease is unchanged after a time in which others may take it, if they may be many.
+    async fn is_still(&self, version: u64) -> bool {
+        if self.entries.borrow().are_few(LOOKERS) {
+            return true;
+        }
+        sleep(Duration::from_millis(fastrand::u64(0..SPREAD_MS))).await;
+        self.read().await.is_ok_and(|it| it.1 == version)
+    }
+
     fn silence_ms(&self) -> u64 {
         let answers = self.store.usual_time() * SILENCE_ANSWERS;
         SILENCE_MS + answers.as_millis() as u64
@@ -128,16 +200,29 @@
         }
     }
 
-    async fn take(&self, seen: &LeaseRow, version: u64) -> Option<Lease> {
+    async fn take(
+        &self,
+        watch: &mut Watch,
+        (former, version): (LeaseRow, u64),
+        holder: Holder,
+    ) -> Next {
+        let row = LeaseRow { term: former.term + 1, change: 0, ..self.own.clone() };
         // Told before it is so: a process that reads the new row must not find a former term.
-        self.term.set(seen.term + 1);
-        let lease = Lease::take(self.store.clone(), (seen, version), &self.own).await;
-        match &lease {
-            Some(it) => {
-                tracing::info!(event = "lease-taken", term = it.term(), former = %seen.holder, version);
+        self.term.set(row.term);
+        match Lease::take(self.store.clone(), row.clone(), version).await {
+            Taken::Held(lease) => return self.won(lease, former, holder),
+            Taken::Missed if watch.tried.as_ref().is_some_and(|it| it.row == row) => {}
+            Taken::Missed => {
+                watch.tried = None;
+                self.term.set(0);
             }
-            None => self.term.set(0),
+            Taken::Unanswered => watch.tried = Some(Tried { row, former, holder }),
         }
-        lease
+        Next::Pause(DOUBT_MS)
+    }
+
+    fn won(&self, lease: Lease, former: LeaseRow, holder: Holder) -> Next {
+        tracing::info!(event = "lease-taken", term = lease.term(), former = %former.holder);
+        Next::Won(Won { lease, former, holder })
     }
 }
--- a/crates/site/src/lead/lease.rs
+++ b/crates/site/src/lead/lease.rs
@@ -34,6 +34,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lost;
 
+/// What became of a try to take the lease.
+pub enum Taken {
+    /// It is held.
+    Held(Lease),
+    /// Somebody else was first.
+    Missed,
+    /// Unknown: the lease may name this process now, or do so later.
+    Unanswered,
+}
+
 /// A lease that is held.
 pub struct Lease {
     store: Rc<Store>,
@@ -43,26 +53,30 @@
 }
 
 impl Lease {
-    /// Takes the lease over from what was `seen` (the row and its version; 0 for none).
-    pub async fn take(store: Rc<Store>, seen: (&LeaseRow, u64), own: &LeaseRow) -> Option<Self> {
-        let row = LeaseRow { term: seen.0.term + 1, change: 0, ..own.clone() };
+    /// Writes `row` over what was seen under `version` (0 for none).
+    pub async fn take(store: Rc<Store>, row: LeaseRow, version: u64) -> Taken {
         let tx = Tx {
-            expected: vec![(tables::lease_key(), seen.1)],
+            expected: vec![(tables::lease_key(), version)],
             puts: vec![(tables::lease_key(), encode(&row))],
             drops: Vec::new(),
         };
         match store.commit(&tx).await {
             Ok(TxAnswer::Done { version, now_ms }) => {
-                Some(Self { store, row, version, store_ms: now_ms })
+                Taken::Held(Self { store, row, version, store_ms: now_ms })
             }
-            Ok(TxAnswer::Conflict { .. }) => None,
+            Ok(TxAnswer::Conflict { .. }) => Taken::Missed,
             Err(e) => {
                 tracing::debug!(event = "lease-take-failed", error = %e);
-                None
+                Taken::Unanswered
             }
         }
     }
 
+    /// The lease that an unanswered try took, as read later; nobody has written its row since.
+    pub fn taken_before(store: Rc<Store>, row: LeaseRow, version: u64, store_ms: u64) -> Self {
+        Self { store, row, version, store_ms }
+    }
+
     /// The fence of the holder's orders.
     pub fn term(&self) -> u64 {
         self.row.term
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -73,8 +73,8 @@
     Key::new(shared::STATUS, COORDINATOR_PART, &key)
 }
 
-/// The beginning of the keys of what entry hosts tell of themselves.
-pub const ENTRY_PREFIX: &str = "entry.";
+/// The part of what entry hosts tell of themselves: their changes do not queue with the coordinator's.
+pub const ENTRY_PART: &str = "entries";
 
 /// Hosts that had orders lately, and when.
 pub fn host_orders_key() -> Key {
@@ -83,5 +83,5 @@
 
 /// What an entry host tells of itself.
 pub fn entry_key(name: &str) -> Key {
-    Key::new(COORDINATOR, COORDINATOR_PART, &format!("{ENTRY_PREFIX}{name}"))
+    Key::new(COORDINATOR, ENTRY_PART, name)
 }
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -16,6 +16,9 @@
 
 const FEED_STEP: Duration = Duration::from_millis(5);
 
+/// Changes of a part that wait longer are refused.
+const LONGEST_QUEUE: Duration = Duration::from_secs(1);
+
 /// How the store treats its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -45,6 +48,10 @@
     pub fault: StoreFault,
     /// Changes made.
     pub changes: u64,
+    /// How long a change keeps its part busy; changes of one part are made one after another.
+    pub change_time: Duration,
+    /// Until when parts are busy.
+    busy: BTreeMap<String, Instant>,
 }
 
 impl Rows {
@@ -105,6 +112,18 @@
         reply::value(&json!({ "ver": self.version, "now_ms": now_ms }))
     }
 
+    /// How long a change waits for its turn and is under way; `None` where too many wait.
+    fn queue(&mut self, part: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let busy = self.busy.entry(part.to_owned()).or_insert(now);
+        let begin = now.max(*busy);
+        if begin - now > LONGEST_QUEUE {
+            return None;
+        }
+        *busy = begin + self.change_time;
+        Some(*busy - now)
+    }
+
     fn row(&self, key: &RowKey) -> Option<Value> {
         let (value, version) = self.rows.get(key)?;
         let (table, part, name) = key;
@@ -164,7 +183,7 @@
         let query = read_query(query);
         match path {
             "/rows-tx" => {
-                let answer = self.change(&incoming.request.body);
+                let answer = self.change(&incoming.request.body).await;
                 match fault {
                     StoreFault::LoseAnswers(percent) if fastrand::u32(0..100) < percent => {
                         reply::never(incoming).await
@@ -183,10 +202,16 @@
 }
 
 impl Port {
-    fn change(&self, body: &[u8]) -> Response {
-        let Ok(tx) = serde_json::from_slice(body) else {
+    async fn change(&self, body: &[u8]) -> Response {
+        let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return Response::empty(StatusCode::BAD_REQUEST);
         };
+        let part = tx["set_keys"][0]["part"].as_str().unwrap_or_default();
+        let turn = lock(&self.0).rows.queue(part);
+        let Some(turn) = turn else { return Response::empty(StatusCode::TOO_MANY_REQUESTS) };
+        if !turn.is_zero() {
+            sleep(turn).await;
+        }
         let mut world = lock(&self.0);
         let now_ms = world.now_ms();
         world.rows.change(&tx, now_ms)
