Workers are asked whether they are healthy

Change: the coordinator asks each worker of a pool with a health path once a second. One that tells that it is sick takes no new tasks for 1.6 s, unless a task was done on it half a second after it told so (then it is not believed for 10 s) or more than half of its pool tells so. The stand-in has sick workers, true and false ones.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -10,7 +10,7 @@
 use fuchsiamill_http::{Request, Response};
 use fuchsiamill_standin::{
     admin::{Route, RouteFault, SetRouteFault},
-    fleet::{FleetSite, World},
+    fleet::{FleetSite, HEALTH_PATH, World},
 };
 use http::{HeaderName, HeaderValue, Method};
 use serde_json::{Value, json};
@@ -252,7 +252,9 @@
         "version": version,
         "routes": routes,
         "services": [
-            { "name": "web", "rejects_overload": true, "spare": false },
+            {
+                "name": "web", "rejects_overload": true, "spare": false, "health_path": HEALTH_PATH
+            },
             { "name": "spare", "rejects_overload": true, "spare": true }
         ],
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 262144 },
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -38,6 +38,8 @@
     pub rejects_overload: bool,
     /// Whether its hosts are switched off and cost nothing.
     pub spare: bool,
+    /// Where a worker tells whether it takes itself for healthy; `None` where workers do not tell.
+    pub health_path: Option<Name>,
 }
 
 /// A team of callers.
--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -70,7 +70,10 @@
         }
         let Some(at) = self.workers.get_mut(worker) else { return };
         match ending {
-            Ending::Done => at.failures = 0,
+            Ending::Done => {
+                at.failures = 0;
+                at.health.task_done(now);
+            }
             Ending::Failed => at.failures += 1,
             _ => {}
         }
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 mod rank;
 mod reports;
 mod sharing;
+mod told_health;
 mod worker;
 
 use std::{collections::VecDeque, sync::Arc};
--- a/crates/fleet/src/coordinator/orders.rs
+++ b/crates/fleet/src/coordinator/orders.rs
@@ -13,6 +13,13 @@
         /// How it describes itself.
         worker: WorkerSeen,
     },
+    /// Ask a worker whether it takes itself for healthy.
+    AskHealth {
+        /// The worker.
+        worker: Name,
+        /// Where it tells.
+        path: Name,
+    },
     /// Start a run.
     Start {
         /// The worker.
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -5,7 +5,9 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, Live, Order, Phase, TaskState, Worker, health::FAILING_MS};
+use super::{
+    Coordinator, Live, Order, Phase, TaskState, Worker, health::FAILING_MS, told_health::ToldHealth,
+};
 use crate::{Ending, Name, Report, RunEnd, RunSeen, Stage, TaskId, WorkerSeen, terms::with_drift};
 
 /// The answer to the order to start a run.
@@ -100,6 +102,7 @@
         at.gone = false;
         at.silent = None;
         at.failures = 0;
+        at.health = ToldHealth::default();
     }
 
     /// Runs of a life that has ended: those that the worker had are gone; an order that was under way may
@@ -351,7 +354,7 @@
         }
     }
 
-    fn avoid(&mut self, worker: &Name, until: Moment) {
+    pub(super) fn avoid(&mut self, worker: &Name, until: Moment) {
         if let Some(at) = self.workers.get_mut(worker) {
             at.avoid_until = at.avoid_until.max(until);
         }
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
-use super::health::Pace;
+use super::{health::Pace, told_health::ToldHealth};
 use crate::{Name, Step, TaskId, WorkerSeen, WorkerState};
 
 /// What one run takes of a worker.
@@ -44,6 +44,8 @@
     pub reserved: bool,
     /// When the last task left it.
     pub idle_since: Moment,
+    /// What it tells of its health.
+    pub health: ToldHealth,
 }
 
 impl Worker {
@@ -64,6 +66,7 @@
             pace: Pace::default(),
             reserved: false,
             idle_since: now,
+            health: ToldHealth::default(),
         }
     }
 
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -235,6 +235,12 @@
                     tracing::info!(event = "worker-over", worker = %id, born);
                 }
             }
+            LinkEvent::ToldHealth(id, born, is_healthy) => {
+                if self.coordinator.worker_told_health(&id, born, is_healthy, now) {
+                    self.cx.metrics.worker_event("sick");
+                    tracing::info!(event = "worker-sick", worker = %id, born);
+                }
+            }
             LinkEvent::Started(task, run, answer) => {
                 tracing::debug!(event = "start-answered", %task, run, answer = ?answer);
                 self.coordinator.start_answered(&task, run, answer, now);
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -43,6 +43,8 @@
     Silent(Name, Moment),
     /// The life of a worker that was born then is over.
     Dead(Name, u64),
+    /// A worker that was born then has told whether it takes itself for healthy.
+    ToldHealth(Name, u64, bool),
     /// An order to start was answered.
     Started(TaskId, u32, Started),
     /// A stop was confirmed.
@@ -305,6 +307,19 @@
         self.tell(LinkEvent::Started(task, run, answer));
     }
 
+    /// Asks the worker whether it takes itself for healthy. No answer tells nothing that a look would not tell.
+    pub async fn ask_health(self: Rc<Self>, path: Name) {
+        match self.client.is_healthy(&path, ORDER_TIME).await {
+            Ok(is_healthy) => {
+                let (id, born) = (self.worker.id.clone(), self.worker.born);
+                self.tell(LinkEvent::ToldHealth(id, born, is_healthy));
+            }
+            Err(e) => {
+                tracing::debug!(event = "health-not-told", worker = %self.worker.id, error = %e);
+            }
+        }
+    }
+
     /// Sets a run's speed. A lost order is made good by the next report of the worker.
     pub async fn pace(self: Rc<Self>, task: TaskId, run: u32, percent: u32) {
         if let Err(e) = self.client.pace(&task, run, percent, ORDER_TIME).await {
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -26,6 +26,10 @@
             Order::Watch { worker } => self.watch(worker),
             Order::Host { host, duty } => self.order_host(host, duty),
             Order::Advise { step, workers } => self.ask_advice(step, workers),
+            Order::AskHealth { worker, path } => {
+                let Some(link) = self.links.get(&worker) else { return };
+                monoio::spawn(link.clone().ask_health(path));
+            }
             Order::Start { worker, task, run, payload, saved, ticket } => {
                 let Some(link) = self.links.get(&worker) else { return };
                 tracing::info!(event = "task-started", %task, run, %worker);
@@ -58,6 +62,7 @@
             Order::Advise { .. } => "advise",
             Order::Host { duty: HostDuty::Move { .. }, .. } => "move",
             Order::Host { duty: HostDuty::Maintain { .. }, .. } => "maintain",
+            Order::AskHealth { .. } => "ask-health",
             Order::Watch { .. } | Order::Seen { .. } => return,
         };
         self.cx.metrics.ordered(kind);
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 use monoio::time::sleep;
 
 pub use rows::{Rows, StoreFault};
+pub use workers::HEALTH_PATH;
 pub use world::{RunRecord, Worker, WorkerFault, World};
 
 use crate::{proxy, reply, run::block_on};
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -18,6 +18,9 @@
 
 const HOLD_STEP: Duration = Duration::from_millis(5);
 
+/// Where workers tell whether they are healthy.
+pub const HEALTH_PATH: &str = "/healthz";
+
 /// The longest lease.
 const LONGEST_LEASE_MS: u64 = 10_000;
 
@@ -39,6 +42,9 @@
 impl Handler for Port {
     async fn handle(&self, incoming: Incoming) -> Response {
         let path = incoming.request.path().to_owned();
+        if path == HEALTH_PATH {
+            return self.health(incoming).await;
+        }
         let Ok(body) = serde_json::from_slice::<Value>(&incoming.request.body) else {
             return Response::empty(StatusCode::BAD_REQUEST);
         };
@@ -70,6 +76,17 @@
 }
 
 impl Port {
+    async fn health(&self, incoming: Incoming) -> Response {
+        let fault = lock(&self.world).worker_mut(self.host).map(|it| it.fault);
+        match fault {
+            None | Some(WorkerFault::Silent) => reply::never(incoming).await,
+            Some(WorkerFault::Sick | WorkerFault::SickFalsely) => {
+                Response::empty(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            Some(_) => Response::empty(StatusCode::OK),
+        }
+    }
+
     fn verdict(&self, path: &str) -> Verdict {
         let mut world = lock(&self.world);
         match world.worker_mut(self.host).map(|it| it.fault) {
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -22,6 +22,10 @@
     AnswersLost,
     /// It carries out orders to start so many milliseconds later and does not answer them.
     Late(u64),
+    /// It tells that it is sick, and what it starts fails at once.
+    Sick,
+    /// It tells that it is sick and works well.
+    SickFalsely,
 }
 
 /// One run, as it truly went.
@@ -220,6 +224,12 @@
         }
     }
 
+    /// Hosts of a pool whose workers are up.
+    pub fn hosts_up(&self, pool: &str) -> Vec<usize> {
+        let is_up = |it: &usize| self.hosts[*it].pool == pool && self.hosts[*it].worker.is_some();
+        (0..self.hosts.len()).filter(is_up).collect()
+    }
+
     /// Begins a run and judges it.
     pub(super) fn begin(&mut self, host: usize, task: &str, run: u64, payload: &str) {
         let now = Instant::now();
@@ -232,7 +242,8 @@
         }
         let Some(worker) = &mut self.hosts[host].worker else { return };
         let work_ms = payload.split('=').nth(1).and_then(|it| it.parse().ok()).unwrap_or(100);
-        let ending = if payload.starts_with("fail") { "failed" } else { "done" };
+        let is_sick = worker.fault == WorkerFault::Sick;
+        let ending = if is_sick || payload.starts_with("fail") { "failed" } else { "done" };
         let record = self.runs.len();
         let until = now + std::time::Duration::from_millis(work_ms);
         let running = Running { run, until, work_ms, ending, record };
