--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -34,12 +34,10 @@
 pub struct Pool {
     /// Its name.
     pub name: Name,
-    /// Whether its workers refuse tasks that do not fit.
-    pub rejects_overload: bool,
     /// Whether its hosts are switched off and cost nothing.
     pub spare: bool,
-    /// Where a worker tells whether it takes itself for healthy; `None` where workers do not tell.
-    pub health_path: Option<Name>,
+    /// The path at which a worker tells whether it takes itself for healthy; `None` where workers do not tell.
+    pub health_probe: Option<Name>,
 }
 
 /// A team of callers.
--- a/crates/fleet/src/coordinator/told_health.rs
+++ b/crates/fleet/src/coordinator/told_health.rs
@@ -50,7 +50,7 @@
             .pools
             .values()
             .filter(|it| !it.spare)
-            .filter_map(|it| Some((&it.name, it.health_path.as_ref()?)))
+            .filter_map(|it| Some((&it.name, it.health_probe.as_ref()?)))
             .collect();
         if paths.is_empty() {
             return;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -29,7 +29,7 @@
 pub fn config() -> Config {
     let mut config = Config { version: 1, ..Config::default() };
     for (name, spare) in [("web", false), ("spare", true)] {
-        let pool = Pool { name: name.into(), rejects_overload: true, spare, health_path: None };
+        let pool = Pool { name: name.into(), spare, health_probe: None };
         config.pools.insert(name.into(), pool);
     }
     let team = Team { name: "north".into(), weight: 100.0, limit: Resources::default() };
--- a/crates/fleet/tests/told_health.rs
+++ b/crates/fleet/tests/told_health.rs
@@ -7,7 +7,7 @@
 
 fn bench() -> Bench {
     let mut config = config();
-    config.pools.get_mut("web").expect("the pool").health_path = Some("/health".into());
+    config.pools.get_mut("web").expect("the pool").health_probe = Some("/health".into());
     let mut bench = Bench::with(config);
     ["w1", "w2", "w3"].into_iter().for_each(|it| bench.add(worker(it)));
     bench
