A worker is never left out for a shorter time than before

Cause: three places set the end of a worker's avoidance by hand, one took the later of two; a slow worker that also failed could come back sooner. Change: Worker::avoid, used by all. Behaviour else kept; tests of fleet pass.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -78,12 +78,12 @@
             _ => {}
         }
         if at.failures >= FAILURES_TO_AVOID {
-            at.avoid_until = now + FAILING_MS;
+            at.avoid(now + FAILING_MS);
         }
         if let Some(ratio) = ratio {
             at.pace.note(ratio);
             if at.pace.samples >= SLOW_SAMPLES && at.pace.mean > SLOW_FACTOR {
-                at.avoid_until = now + SLOW_MS;
+                at.avoid(now + SLOW_MS);
                 at.pace = Pace::default();
             }
         }
@@ -120,7 +120,7 @@
             live.progress = Some((seen.percent, now));
         } else if seen.percent < 100 && now.since(since) >= patience {
             if let Some(at) = self.workers.get_mut(worker) {
-                at.avoid_until = now + FAILING_MS;
+                at.avoid(now + FAILING_MS);
             }
             self.stop(&seen.task, now);
         }
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -356,7 +356,7 @@
 
     pub(super) fn avoid(&mut self, worker: &Name, until: Moment) {
         if let Some(at) = self.workers.get_mut(worker) {
-            at.avoid_until = at.avoid_until.max(until);
+            at.avoid(until);
         }
     }
 
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -80,6 +80,11 @@
             && now >= self.avoid_until
     }
 
+    /// Leaves it out until `until`, or longer where it is left out for longer already.
+    pub fn avoid(&mut self, until: Moment) {
+        self.avoid_until = self.avoid_until.max(until);
+    }
+
     /// Whether tasks should go elsewhere before it leaves.
     pub fn is_leaving(&self) -> bool {
         self.reserved || self.seen.state == WorkerState::Draining
