--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,17 +4,15 @@
 
 use anyhow::Result;
 use fuchsiamill_policy::{dispatch::LaneUse, shares::Lane};
+use fuchsiamill_site::meters::Meters;
 use opentelemetry::{
     KeyValue,
-    metrics::{AsyncInstrument, Counter, Gauge, Histogram, MeterProvider, ObservableGauge},
+    metrics::{AsyncInstrument, Counter, Gauge, Histogram, ObservableGauge},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
 
 /// The instruments of one entry host.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    meters: Meters,
     /// Requests answered, by service and outcome.
     pub requests: Counter<u64>,
     /// Refusals, by kind.
@@ -42,11 +40,8 @@
 impl Metrics {
     /// Fresh instruments with a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("fuchsiamill");
+        let meters = Meters::new()?;
+        let meter = meters.meter();
         let lanes = Arc::<Mutex<Vec<LaneUse>>>::default();
         let shown = lanes.clone();
         let nearness = meter.f64_observable_gauge("nearness_to_share");
@@ -68,8 +63,7 @@
             peer_bytes_sent: meter.u64_gauge("peer_bytes_sent").build(),
             serving: meter.u64_gauge("serving").build(),
             events: meter.u64_counter("events").build(),
-            registry,
-            _provider: provider,
+            meters,
         })
     }
 
@@ -87,7 +81,7 @@
 
     /// All instruments as Prometheus text.
     pub fn text(&self) -> Result<String> {
-        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+        self.meters.page()
     }
 }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod lead;
 pub mod logging;
+pub mod meters;
 pub mod metrics;
 pub mod relay;
 pub mod tables;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -5,20 +5,17 @@
 use anyhow::Result;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
 
-use crate::logging;
+use crate::{logging, meters::Meters};
 
 /// Bounds of the latency histograms, in seconds: from an answer of a store in the same rack to a caller's patience.
 const LATENCY_BOUNDS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
 
 /// The instruments of one entry host.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    meters: Meters,
     requests: Counter<u64>,
     request_latency: Histogram<f64>,
     orders: Counter<u64>,
@@ -38,11 +35,8 @@
 impl Metrics {
     /// Fresh instruments with a registry of their own.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("fuchsiamill");
+        let meters = Meters::new()?;
+        let meter = meters.meter();
         let latency = |name: &'static str| {
             let built = meter.f64_histogram(name).with_unit("s");
             built.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
@@ -61,8 +55,7 @@
             config_version: meter.u64_gauge("config_version").build(),
             log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
             counted_left_out: Cell::new(0),
-            registry,
-            _provider: provider,
+            meters,
         })
     }
 
@@ -115,6 +108,6 @@
     pub fn text(&self) -> Result<String> {
         let left_out = logging::lines_left_out();
         self.log_lines_left_out.add(left_out - self.counted_left_out.replace(left_out), &[]);
-        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+        self.meters.page()
     }
 }
