--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -176,6 +176,19 @@
     fleet.check();
 }
 
+/// A job whose storing was not answered may run: its caller is not told that it was refused.
+#[test]
+fn unanswered_job_is_not_refused() {
+    let fleet = Fleet::start(2, 3);
+    fleet.accept(&job(50, &[1]), PATIENCE).expect("accepted");
+    fleet.site.world().rows.fault = StoreFault::LoseAnswers(100);
+    let id = "00000000000000ee";
+    let answer = fleet.entries[0].post(id, &job(50, &[1])).expect("an answer");
+    assert_eq!(answer.status.as_u16(), 504);
+    fleet.site.world().rows.fault = StoreFault::None;
+    fleet.wait_state(id, "completed");
+}
+
 /// The store turns one entry host away: its callers are served through another one.
 #[test]
 fn turned_away_host_is_served_by_others() {
