An overtaken take of the lease delays no stop

Cause, found by reading the diff: an entry host whose take was not answered went on telling that it tries for the lease after somebody else had it, so that its graceful stop waited 70 % of the grace for a lease that it never got. Change: a try is over as soon as the row has another version than the one it was to follow.

--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -73,6 +73,8 @@
 /// A try to take the lease that was not answered.
 struct Tried {
     row: LeaseRow,
+    /// The version that it was to follow on: with another one it never takes effect any more.
+    after: u64,
     former: LeaseRow,
     holder: Holder,
 }
@@ -147,6 +149,9 @@
             let lease = Lease::taken_before(self.store.clone(), row, version, store_ms);
             return self.won(lease, it.former, it.holder);
         }
+        if watch.tried.take_if(|it| it.after != version).is_some() {
+            self.term.set(0);
+        }
         let now = self.clock.now();
         let unchanged_ms = watch.unchanged_ms(version, now);
         let holder = match self.look(&row, unchanged_ms).await {
@@ -211,12 +216,12 @@
         self.term.set(row.term);
         match Lease::take(self.store.clone(), row.clone(), version).await {
             Taken::Held(lease) => return self.won(lease, former, holder),
-            Taken::Missed if watch.tried.as_ref().is_some_and(|it| it.row == row) => {}
-            Taken::Missed => {
-                watch.tried = None;
-                self.term.set(0);
+            // An earlier try may have taken it: the next look tells.
+            Taken::Missed if watch.tried.is_some() => {}
+            Taken::Missed => self.term.set(0),
+            Taken::Unanswered => {
+                watch.tried = Some(Tried { row, after: version, former, holder });
             }
-            Taken::Unanswered => watch.tried = Some(Tried { row, former, holder }),
         }
         Next::Pause(DOUBT_MS)
     }
