--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -118,6 +118,18 @@
         wait_until(&format!("job {id} is {state}"), || self.state(id).as_deref() == Some(state));
     }
 
+    /// Waits until a task of a job has started.
+    pub fn wait_start(&self, id: &str) {
+        wait_until("its task starts", || {
+            self.site.world().runs.iter().any(|it| it.task.starts_with(id))
+        });
+    }
+
+    /// Waits until the entry hosts know each other: they read each other's rows some seconds after their start.
+    pub fn wait_known(&self) {
+        std::thread::sleep(Duration::from_secs(9));
+    }
+
     /// Waits until every accepted job is completed, and checks that no task ran twice.
     pub fn check(&self) {
         for id in self.jobs.borrow().iter() {
--- a/crates/daemon/tests/fleet_path.rs
+++ b/crates/daemon/tests/fleet_path.rs
@@ -194,8 +194,7 @@
 fn turned_away_host_is_served_by_others() {
     let fleet = Fleet::start(3, 3);
     let cut = (fleet.wait_coordinator() + 1) % 3;
-    // Rows of the other entry hosts are read some seconds after their start.
-    std::thread::sleep(Duration::from_secs(9));
+    fleet.wait_known();
     fleet.store_fault(cut, RouteFault::Cut);
     std::thread::sleep(Duration::from_millis(500));
     let answer = fleet.entries[cut].post("00000000000000cc", &job(50, &[1])).expect("an answer");
@@ -208,17 +207,14 @@
 fn coordinator_without_direct_way_starts_new_work() {
     let fleet = Fleet::start(3, 3);
     let leader = fleet.wait_coordinator();
-    // Rows of the other entry hosts are read some seconds after their start.
-    std::thread::sleep(Duration::from_secs(9));
+    fleet.wait_known();
     for round in 0..5 {
         fleet.store_fault(leader, RouteFault::HoldBoth);
         let id = format!("00000000000000d{round}");
         let begin = Instant::now();
         let answer = fleet.entries[(leader + 1) % 3].post(&id, &job(100, &[1]));
         assert_eq!(answer.expect("an answer").status.as_u16(), 200);
-        wait_until("its task starts", || {
-            fleet.site.world().runs.iter().any(|it| it.task.starts_with(&id))
-        });
+        fleet.wait_start(&id);
         let took = begin.elapsed();
         assert!(took <= START_TIME, "the task waited {took:?}");
         fleet.store_fault(leader, RouteFault::None);
