Changes of a slow store are waited for, and jobs spread over 64 parts

Logs of each change (a trial) show two causes. Each change was given up after 0.3 s, or as soon as a later call was answered 0.2 s later: beside such a store a read takes 0.28 s and a change 0.8 s and more, so each change was cut and sent again, and each copy kept its part busy for 0.5 s. And four parts make some nine changes a second then, for eight entry hosts with one change each under way: most got 429.

Ruled out: the rate of the store (no 429 on reads); the order of the coordinator's changes (they were cut as well).

A request is held for 1.2 s while the store does not answer, and to its own deadline while it does, however slowly; one that was never sent is refused, one that was is unknown.

Conclusion: a store that is slow is not one that is away.

--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -10,7 +10,7 @@
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
 
-use super::{Front, Inserted};
+use super::{Front, Inserted, Limits};
 use crate::tables;
 
 /// The pause between two tries of a read.
@@ -58,13 +58,13 @@
     }
 
     /// Records the wish to cancel a job.
-    pub(super) async fn cancel(&self, id: &Name, deadline: Moment) -> Response {
-        match self.read_row(&tables::job_key(id), deadline).await {
+    pub(super) async fn cancel(&self, id: &Name, limits: Limits) -> Response {
+        match self.read_row(&tables::job_key(id), limits.hold).await {
             None => return self.unreadable(),
             Some(None) => return Response::empty(StatusCode::GONE),
             Some(Some(_)) => {}
         }
-        let outcome = self.insert(tables::cancel_key(id), b"{}".to_vec(), deadline).await;
+        let outcome = self.insert(tables::cancel_key(id), b"{}".to_vec(), limits).await;
         tracing::info!(event = "cancel-asked", job = %id, outcome = super::outcome_word(&outcome));
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -3,7 +3,7 @@
 mod lookup;
 mod submit;
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use fuchsiamill_fleet::{Config, JobSpec, Name, Queue, job::RouteTerms};
 use fuchsiamill_http::{
@@ -11,8 +11,9 @@
     server::{Handler, Incoming},
 };
 use fuchsiamill_model::{FastMap, units::Moment};
-use fuchsiamill_platform::{Ask, Headers, Store, read_ask};
+use fuchsiamill_platform::{Ask, Headers, Key, Store, read_ask};
 use http::{HeaderValue, StatusCode, header};
+use monoio::time::timeout;
 use tokio::sync::{mpsc, oneshot, watch};
 
 pub use submit::{Insert, Inserted, Submitter};
@@ -28,10 +29,13 @@
 /// How long a refused insertion is tried again: a quarter of the usual objective.
 const INSERT_PATIENCE_MS: u64 = 400;
 
-/// The longest time for which a request is held while the store does not answer. The answer of a slow store comes
-/// within it; a caller that is told earlier can still ask another entry host.
+/// The longest time for which a request is held while the store does not answer: a caller that is told earlier can
+/// still ask another entry host.
 const HOLD_MS: u64 = 1_200;
 
+/// A store that answered something within this time is slow, and not away.
+const SLOW_ANSWER: Duration = Duration::from_millis(800);
+
 /// What a caller waits when it does not say so.
 const DEFAULT_PATIENCE_MS: u64 = 3_000;
 
@@ -67,6 +71,15 @@
 struct Admitted<'a> {
     queue: &'a Queue,
     team: Name,
+    limits: Limits,
+}
+
+/// How long a request is held.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    /// While the store does not answer.
+    hold: Moment,
+    /// Whatever happens.
     deadline: Moment,
 }
 
@@ -94,21 +107,22 @@
             return Response::text(StatusCode::UNAUTHORIZED, "the key is not known");
         };
         let patience = headers.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
-        let held = patience.saturating_sub(ANSWER_MARGIN_MS).min(HOLD_MS);
-        let deadline = self.clock.now() + held;
+        let patience = patience.saturating_sub(ANSWER_MARGIN_MS);
+        let now = self.clock.now();
+        let limits = Limits { hold: now + patience.min(HOLD_MS), deadline: now + patience };
         let rest = &request.path()[queue.path_prefix.len()..];
-        let admitted = Admitted { queue, team, deadline };
+        let admitted = Admitted { queue, team, limits };
         match read_ask(request, rest, self.clock.wall()) {
             Ok(Ask::Submit { id, spec }) => self.submit(id, *spec, admitted).await,
-            Ok(Ask::State(id)) => self.state(&id, admitted.deadline).await,
-            Ok(Ask::Cancel(id)) => self.cancel(&id, admitted.deadline).await,
-            Ok(Ask::Count) => self.count(&queue.name, admitted.deadline).await,
+            Ok(Ask::State(id)) => self.state(&id, limits.hold).await,
+            Ok(Ask::Cancel(id)) => self.cancel(&id, limits).await,
+            Ok(Ask::Count) => self.count(&queue.name, limits.hold).await,
             Err(e) => Response::text(e.status(), e.to_string()),
         }
     }
 
     async fn submit(&self, id: Name, mut spec: JobSpec, admitted: Admitted<'_>) -> Response {
-        let Admitted { queue, team, deadline } = admitted;
+        let Admitted { queue, team, limits } = admitted;
         spec.queue = queue.name.clone();
         spec.team = team;
         spec.route = RouteTerms {
@@ -126,7 +140,7 @@
                 "the job is too large to be kept",
             );
         }
-        let outcome = self.insert(tables::job_key(&id), value, deadline).await;
+        let outcome = self.insert(tables::job_key(&id), value, limits).await;
         tracing::info!(
             event = "job-posted",
             job = %id,
@@ -151,20 +165,28 @@
         Response::text(StatusCode::SERVICE_UNAVAILABLE, text).header(header::RETRY_AFTER, after)
     }
 
-    async fn insert(
-        &self,
-        key: fuchsiamill_platform::Key,
-        value: Vec<u8>,
-        deadline: Moment,
-    ) -> Inserted {
-        let (reply, outcome) = oneshot::channel();
-        let give_up = (self.clock.now() + INSERT_PATIENCE_MS).min(deadline);
+    async fn insert(&self, key: Key, value: Vec<u8>, limits: Limits) -> Inserted {
+        let (reply, mut outcome) = oneshot::channel();
+        let give_up = (self.clock.now() + INSERT_PATIENCE_MS).min(limits.hold);
         let Some(submitter) = self.submitters.get(&key.part) else { return Inserted::Refused };
-        let insert = Insert { key, value, give_up, deadline, reply };
+        let is_sent = Rc::new(Cell::new(false));
+        let deadline = limits.deadline;
+        let insert = Insert { key, value, give_up, deadline, is_sent: is_sent.clone(), reply };
         if submitter.send(insert).is_err() {
             return Inserted::Refused;
         }
-        outcome.await.unwrap_or(Inserted::Unknown)
+        let mut until = limits.hold;
+        loop {
+            let left = Duration::from_millis(until.since(self.clock.now()));
+            match timeout(left, &mut outcome).await {
+                Ok(outcome) => return outcome.unwrap_or(Inserted::Unknown),
+                Err(_) if until < deadline && self.store.has_answered_within(SLOW_ANSWER) => {
+                    until = deadline;
+                }
+                Err(_) if is_sent.get() => return Inserted::Unknown,
+                Err(_) => return Inserted::Refused,
+            }
+        }
     }
 }
 
--- a/crates/site/src/front/submit.rs
+++ b/crates/site/src/front/submit.rs
@@ -1,6 +1,6 @@
 //! Writes accepted jobs and cancellations into the store, several in one change.
 
-use std::{collections::VecDeque, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::VecDeque, rc::Rc, time::Duration};
 
 use fuchsiamill_model::units::Moment;
 use fuchsiamill_platform::{Key, Row, Store, Tx, TxAnswer};
@@ -45,6 +45,8 @@
     pub give_up: Moment,
     /// When to give up if an attempt had no answer.
     pub deadline: Moment,
+    /// Whether a change with it was sent. Until then who waits may go, and it is never stored.
+    pub is_sent: Rc<Cell<bool>>,
     /// Who waits for the outcome.
     pub reply: oneshot::Sender<Inserted>,
 }
@@ -54,6 +56,13 @@
     maybe_stored: bool,
 }
 
+impl Waiting {
+    /// Whether nobody waits for it and no change with it was sent.
+    fn is_withdrawn(&self) -> bool {
+        self.insert.reply.is_closed() && !self.insert.is_sent.get()
+    }
+}
+
 /// Inserts rows of one part, one change at a time.
 pub struct Submitter {
     /// The store.
@@ -72,7 +81,12 @@
         let mut waiting = VecDeque::new();
         let mut pause = FIRST_PAUSE;
         while self.fill(&mut waiting).await {
+            waiting.retain(|it: &Waiting| !it.is_withdrawn());
             let mut batch = take_batch(&mut waiting);
+            if batch.is_empty() {
+                continue;
+            }
+            batch.iter().for_each(|it| it.insert.is_sent.set(true));
             let answer = self.store.commit(&change_of(&batch)).await;
             match answer {
                 Ok(TxAnswer::Done { .. }) => {
--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use fuchsiamill_platform::{Change, Row, Store};
+use futures_util::{StreamExt, stream};
 use monoio::time::sleep;
 
 use super::event::{Event, Teller};
@@ -13,6 +14,9 @@
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Parts that are read at once: all of a table within a few answers of the store, on some connections.
+const READS_AT_ONCE: usize = 8;
+
 /// What a feed tells.
 #[derive(Debug)]
 pub enum FeedEvent {
@@ -91,12 +95,15 @@
     table: &str,
     parts: &[String],
 ) -> fuchsiamill_platform::Result<(Vec<Row>, u64)> {
+    let mut pages = stream::iter(parts)
+        .map(|part| store.read_part(table, part))
+        .buffer_unordered(READS_AT_ONCE);
     let mut rows = Vec::new();
-    let mut first = None;
-    for part in parts {
-        let page = store.read_part(table, part).await?;
-        first.get_or_insert(page.version);
+    let mut version = None;
+    while let Some(page) = pages.next().await {
+        let page = page?;
+        version = Some(version.map_or(page.version, |it: u64| it.min(page.version)));
         rows.extend(page.rows);
     }
-    Ok((rows, first.unwrap_or(0)))
+    Ok((rows, version.unwrap_or(0)))
 }
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -12,8 +12,9 @@
 /// The part of all rows that the coordinator writes, so that one change can carry any of them with the lease.
 pub const COORDINATOR_PART: &str = "";
 
-/// Parts of the jobs' table: one part takes only so many changes a second.
-pub const JOB_PARTS: u64 = 4;
+/// Parts of the jobs' table. One part makes its changes one after another; beside a slow store that is two a second,
+/// and the entry hosts store several tens of jobs a second at a peak.
+pub const JOB_PARTS: u64 = 64;
 
 /// The end of the key of a wish to cancel.
 const CANCEL_SUFFIX: &str = ".cancel";
