Strong entry hosts take a free lease first, and renew it while they load the state

Two reasons: each of 29 entry hosts looked at the lease every 1.45 s since looks are paced by their number, longer than the 0.9 s that weak ones leave to strong ones; and a holder that loads for over a second changed its row in none of it, so that the next one took the lease and began to load anew.

Ruled out: the pace of looks alone.

Change: the strongest entry hosts are paced by their own number, weak ones wait for two and a half of their looks, who is strong is read before the first look, and a holder renews its lease while it loads.

--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -7,18 +7,12 @@
 use monoio::time::sleep;
 
 use super::{
-    entries::Entries,
+    entries::{Entries, LOOK_MS, LOOKERS},
     lease::{Lease, LeaseRow, Taken, decode},
     standing::{Holder, ask},
 };
 use crate::{clock::Clock, tables};
 
-/// The pause between two looks at the lease of up to [`LOOKERS`] entry hosts.
-const LOOK_MS: u64 = 400;
-
-/// Of more entry hosts each looks less often, so that the lease and its holder are asked as often whatever their number.
-const LOOKERS: u64 = 8;
-
 /// Takes of a free lease by many entry hosts are spread over so long: a part of the store makes some 150 changes a
 /// second, and a take that waits behind others is given up as unanswered.
 const SPREAD_MS: u64 = 250;
@@ -32,9 +26,6 @@
 /// A slow store delays the holder's changes: this many of its answers are added.
 const SILENCE_ANSWERS: u32 = 6;
 
-/// How long a weak entry host leaves a free lease to stronger ones: two of their looks.
-const COURTESY_MS: u64 = 900;
-
 /// What a look at the lease suggests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Look {
@@ -158,21 +149,18 @@
             Look::Takeable(holder) => holder,
             look => {
                 watch.takeable = None;
-                return Next::Pause(if look == Look::Held { self.look_ms() } else { DOUBT_MS });
+                let look_ms = self.entries.borrow().look_ms();
+                return Next::Pause(if look == Look::Held { look_ms } else { DOUBT_MS });
             }
         };
         let since = *watch.takeable.get_or_insert(now);
-        if now.since(since) < self.courtesy_ms() || !self.is_still(version).await {
+        let courtesy_ms = self.entries.borrow().courtesy_ms();
+        if now.since(since) < courtesy_ms || !self.is_still(version).await {
             return Next::Pause(DOUBT_MS);
         }
         self.take(watch, (row, version), holder).await
     }
 
-    /// The pause between two looks.
-    fn look_ms(&self) -> u64 {
-        LOOK_MS.max(LOOK_MS * self.entries.borrow().count() / LOOKERS)
-    }
-
     /// Whether the lease is unchanged after a time in which others may take it, if they may be many.
     async fn is_still(&self, version: u64) -> bool {
         if self.entries.borrow().are_few(LOOKERS) {
@@ -187,11 +175,6 @@
         SILENCE_MS + answers.as_millis() as u64
     }
 
-    /// How long to leave a free lease to stronger entry hosts.
-    fn courtesy_ms(&self) -> u64 {
-        if self.entries.borrow().stronger.is_empty() { 0 } else { COURTESY_MS }
-    }
-
     async fn look(&self, row: &LeaseRow, unchanged_ms: u64) -> Look {
         let was_self = row.holder == self.own.holder && row.incarnation != self.own.incarnation;
         if row.holder.is_empty() || was_self {
--- a/crates/site/src/lead/entries.rs
+++ b/crates/site/src/lead/entries.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use fuchsiamill_fleet::Name;
+use fuchsiamill_model::units::Millisecond;
 use fuchsiamill_platform::{Store, Tx};
 use monoio::time::sleep;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,16 @@
 /// An entry host is weak beside one that has this much more, in per cent.
 const MUCH_STRONGER_PERCENT: u32 = 130;
 
+/// The pause between two looks at the lease of up to [`LOOKERS`] entry hosts.
+pub const LOOK_MS: Millisecond = 400;
+
+/// Of more entry hosts each looks less often, so that the lease and its holder are asked as often whatever their
+/// number. The strongest ones are paced by their own number: weak ones leave a free lease to them.
+pub const LOOKERS: u64 = 8;
+
+/// Weak entry hosts leave a free lease for two looks of the stronger ones, each of which may take a quarter longer.
+const COURTESY_PERCENT: u64 = 250;
+
 /// One entry host.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -54,9 +65,22 @@
     pub all: Vec<EntryRow>,
     /// Those that are much stronger than this one.
     pub stronger: Vec<EntryRow>,
+    /// How many entry hosts have none that is much stronger, this one included if it is one of them.
+    strongest: u64,
 }
 
 impl Others {
+    /// What `own` makes of the rows of all entry hosts.
+    pub fn of(own: &EntryRow, rows: Vec<EntryRow>) -> Self {
+        let all: Vec<_> = rows.into_iter().filter(|it| it.address != own.address).collect();
+        let best = all.iter().map(|it| it.strength).fold(own.strength, u32::max);
+        let is_strongest = |it: &&EntryRow| !is_much_stronger(best, it.strength);
+        let strongest = all.iter().chain([own]).filter(is_strongest).count() as u64;
+        let is_stronger = |it: &&EntryRow| is_much_stronger(it.strength, own.strength);
+        let stronger = all.iter().filter(is_stronger).cloned().collect();
+        Self { is_read: true, all, stronger, strongest }
+    }
+
     /// Entry hosts in all, this one included, as far as is known.
     pub fn count(&self) -> u64 {
         self.all.len() as u64 + 1
@@ -66,13 +90,40 @@
     pub fn are_few(&self, most: u64) -> bool {
         self.is_read && self.count() <= most
     }
+
+    /// The pause between two looks at the lease.
+    pub fn look_ms(&self) -> Millisecond {
+        match self.stronger.is_empty() {
+            true => look_ms_of(self.strongest),
+            false => look_ms_of(self.count()),
+        }
+    }
+
+    /// How long this entry host leaves a free lease to stronger ones. Until it has read who they are, there may be
+    /// some.
+    pub fn courtesy_ms(&self) -> Millisecond {
+        match self.is_read && self.stronger.is_empty() {
+            true => 0,
+            false => look_ms_of(self.strongest) * COURTESY_PERCENT / 100,
+        }
+    }
+}
+
+fn look_ms_of(lookers: u64) -> Millisecond {
+    LOOK_MS.max(LOOK_MS * lookers / LOOKERS)
+}
+
+fn is_much_stronger(one: u32, other: u32) -> bool {
+    one * 100 > other * MUCH_STRONGER_PERCENT
 }
 
 /// The other entry hosts, as last read.
 pub type Entries = Rc<RefCell<Others>>;
 
-/// Tells the others of this entry host, then reads their rows again and again.
+/// Reads the rows of the other entry hosts, tells them of this one, then reads again and again.
 pub async fn follow(store: Rc<Store>, name: Name, own: EntryRow, entries: Entries) {
+    // Those of an earlier life tell who is strong before anybody has told again.
+    read_into(&store, &own, &entries).await;
     let value = serde_json::to_vec(&own).expect("a row serialises to JSON");
     let puts = vec![(tables::entry_key(&name), value)];
     let tx = Tx { puts, ..Tx::default() };
@@ -82,16 +133,20 @@
         sleep(retry_pause()).await;
     }
     loop {
-        match read(&store).await {
+        let others = read_into(&store, &own, &entries).await;
+        sleep(READ_PAUSE + ROW_PAUSE * others).await;
+    }
+}
+
+/// Reads until it is answered; gives the number of other entry hosts.
+async fn read_into(store: &Store, own: &EntryRow, entries: &Entries) -> u32 {
+    loop {
+        match read(store).await {
             Ok(rows) => {
-                let is_stronger =
-                    |it: &EntryRow| it.strength * 100 > own.strength * MUCH_STRONGER_PERCENT;
-                let stronger = rows.iter().filter(|it| is_stronger(it)).cloned().collect();
-                let all = rows.into_iter().filter(|it| it.address != own.address).collect();
-                let others = Others { is_read: true, all, stronger };
-                let pause = READ_PAUSE + ROW_PAUSE * others.all.len() as u32;
+                let others = Others::of(own, rows);
+                let count = others.all.len() as u32;
                 *entries.borrow_mut() = others;
-                sleep(pause).await;
+                return count;
             }
             Err(e) => {
                 tracing::debug!(event = "read-failed", what = "entries", error = %e);
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -1,6 +1,6 @@
 //! The loop of the coordinator.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use fuchsiamill_fleet::{Coordinator, Name, Report, coordinator::WaveRecord};
 use fuchsiamill_model::{
@@ -8,11 +8,12 @@
     units::{Millisecond, Moment},
 };
 use fuchsiamill_platform::{Row, tables as shared};
+use futures_util::future::{Either, select};
 use monoio::time::timeout;
 use tokio::sync::mpsc;
 
 use super::{
-    Candidate,
+    Candidate, RENEW_MS,
     election::Won,
     event::{Event, Teller},
     feeds::{Feed, FeedEvent},
@@ -75,7 +76,7 @@
 impl Leader {
     /// Coordinates until the lease is lost or the process is told to stop.
     pub async fn run(cx: Candidate, won: Won) -> Left {
-        let mut leader = Self::start(cx, won).await;
+        let Some(mut leader) = Self::start(cx, won).await else { return Left::Lost };
         let left = loop {
             if let Some(left) = leader.step().await {
                 break left;
@@ -89,10 +90,13 @@
         left
     }
 
-    async fn start(cx: Candidate, won: Won) -> Self {
+    /// Loads the state; `None` if the lease is lost meanwhile.
+    async fn start(cx: Candidate, won: Won) -> Option<Self> {
         let taken = cx.clock.now();
-        let Won { lease, former, holder } = won;
-        let loaded = load(&cx, takeover(&cx, holder, taken), lease.store_ms()).await;
+        let Won { mut lease, former, holder } = won;
+        let store_offset = (lease.store_ms(), taken);
+        let state = load(&cx, takeover(&cx, holder, taken), store_offset.0);
+        let loaded = renewing(&mut lease, state).await?;
         let Loaded { coordinator, jobs_version, workers_version, waves, orphans } = loaded;
         let is_leading = Rc::new(Cell::new(true));
         let (teller, events) = Teller::channel();
@@ -125,7 +129,7 @@
             confirmed: Rc::new(Cell::new(taken)),
             renewal_ms: cx.terms.renewal_ms,
         };
-        Self {
+        Some(Self {
             coordinator,
             links: FastMap::default(),
             link_terms,
@@ -133,7 +137,7 @@
             paced: Moment(0),
             ticked: Moment(0),
             board_written: Moment(0),
-            store_offset: (lease.store_ms(), taken),
+            store_offset,
             lease: Some(Box::new(lease)),
             teller,
             events,
@@ -142,7 +146,7 @@
             config_version: 0,
             pool_log: PoolLog::default(),
             cx,
-        }
+        })
     }
 
     /// Takes the events in that are there, or waits for one, and acts on them.
@@ -319,3 +323,24 @@
         }
     }
 }
+
+/// Renews the lease until the work is done: a weak entry host takes seconds for the state of thousands of jobs.
+async fn renewing<T>(lease: &mut Lease, work: impl Future<Output = T>) -> Option<T> {
+    let mut work = pin!(work);
+    loop {
+        if let Ok(done) = timeout(Duration::from_millis(RENEW_MS), &mut work).await {
+            return Some(done);
+        }
+        let (renewed, done) = {
+            let mut renewal = pin!(lease.commit(Vec::new(), Vec::new()));
+            match select(&mut work, &mut renewal).await {
+                Either::Left((done, renewal)) => (renewal.await, Some(done)),
+                Either::Right((renewed, _)) => (renewed, None),
+            }
+        };
+        renewed.ok()?;
+        if done.is_some() {
+            return done;
+        }
+    }
+}
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -22,7 +22,7 @@
 use fuchsiamill_platform::{Advice, Hosts, Store};
 use tokio::sync::watch;
 
-pub use entries::{Entries, EntryRow, follow as follow_entries, strength};
+pub use entries::{Entries, EntryRow, Others, follow as follow_entries, strength};
 pub use lease::LeaseRow;
 pub use standing::{Standing, serve as serve_standing};
 
