A new owner of a pool leaves the slots of a leaving entry host alone

Its successor asked only members of the new view what they run, so that it took the slots of the leaving host as free and granted them; the backend server answered busy and the caller got 502 'backend-refused', not run. In the test that failed, a queued request of the leaving host was asked for again at the successor in that time.

A host that is leaving answers at once: it is in no later view and owns nothing. Tests take a site's owner of a pool from one place.

--- a/crates/daemon/src/cluster/mod.rs
+++ b/crates/daemon/src/cluster/mod.rs
@@ -151,6 +151,12 @@
         live.map(|(name, mode, version)| LivePeer { name: name.clone(), mode, version }).collect()
     }
 
+    /// The peers that are shutting down and were heard within the suspicion time.
+    pub fn leaving_peers(&self) -> Vec<EntryName> {
+        let leaving = self.live_peers().into_iter().filter(|it| it.mode == Mode::Leaving);
+        leaving.map(|it| it.name).collect()
+    }
+
     /// How this host counts for the others.
     pub fn mode(&self) -> Mode {
         self.membership.borrow().mode(self.clock.now())
--- a/crates/daemon/src/dispatch/task.rs
+++ b/crates/daemon/src/dispatch/task.rs
@@ -244,9 +244,10 @@
         self.dispatch.release(now, release)
     }
 
-    /// Tells a new owner what this host still runs, once this host has installed that view too.
+    /// Tells a new owner what this host still runs, once this host has installed that view too. A host that is leaving
+    /// is in no later view and grants nothing any more.
     fn tell_in_flight(&self, now: Moment, of: &InFlightOf, reply: Reply) {
-        if self.cx.cluster.view().id < of.view {
+        if self.leaving.is_none() && self.cx.cluster.view().id < of.view {
             let (tx, of) = (self.tx.clone(), of.clone());
             monoio::spawn(async move {
                 sleep(TICK).await;
--- a/crates/daemon/src/dispatch/tenures.rs
+++ b/crates/daemon/src/dispatch/tenures.rs
@@ -1,6 +1,6 @@
 //! Keeps the dispatch's idea of what it owns in step with the cluster's.
 
-use fuchsiamill_model::{FastMap, FastSet, HostName, PoolName};
+use fuchsiamill_model::{EntryName, FastMap, FastSet, HostName, PoolName};
 use fuchsiamill_policy::{dispatch::Hold, membership::View, slots::Intake};
 
 use super::{
@@ -69,7 +69,11 @@
             Tenure::Mine(id) => {
                 self.known.tenures.insert(pool.clone(), id.clone());
                 let actions = self.dispatch.own(now, pool);
-                self.ask_in_flight(pool, &id);
+                let leaving = self.cx.cluster.leaving_peers();
+                for entry in &leaving {
+                    self.dispatch.await_leaving(pool, entry.clone());
+                }
+                self.ask_in_flight(pool, &id, leaving);
                 actions
             }
             Tenure::Suspended => self.dispatch.hold(now, pool, Hold::Suspended),
@@ -83,10 +87,12 @@
         self.carry_out(actions);
     }
 
-    /// Asks every member of the view, this host included, what it still runs in the pool.
-    fn ask_in_flight(&self, pool: &PoolName, tenure: &TenureId) {
+    /// Asks every member of the view, this host included, and those that are leaving what they still run in the pool.
+    fn ask_in_flight(&self, pool: &PoolName, tenure: &TenureId, leaving: Vec<EntryName>) {
         let of = InFlightOf { pool: pool.clone(), view: self.known.view.id.clone() };
-        for entry in self.known.view.members.clone() {
+        let members = self.known.view.members.clone();
+        let leaving = leaving.into_iter().filter(|it| !self.known.view.members.contains(it));
+        for entry in members.into_iter().chain(leaving) {
             let (cx, tx) = (self.cx.clone(), self.tx.clone());
             let (of, tenure) = (of.clone(), tenure.clone());
             monoio::spawn(async move {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -26,6 +26,7 @@
 use fuchsiamill_model::{
     Configuration, EntryName, KeyDigest, Pool, PoolName, Slots, Team, Units, config::PoolRole,
 };
+use fuchsiamill_policy::membership::View;
 use fuchsiamill_standin::{
     admin::{BackendMode, PlatformFault, Route, RouteFault, SetMode, SetRouteFault},
     record::{BackendRecord, PlatformRecord},
@@ -137,6 +138,16 @@
         }
     }
 
+    /// The owner of a pool while every entry host is in the view.
+    pub fn owner_of(&self, pool: &str) -> usize {
+        let mut members: Vec<EntryName> =
+            self.entries.iter().map(|it| it.name.as_str().try_into().unwrap()).collect();
+        members.sort();
+        let view = View { members, ..View::default() };
+        let owner = view.owner(&pool.try_into().unwrap()).expect("an owner").clone();
+        self.entries.iter().position(|it| it.name == owner.as_str()).expect("an entry host")
+    }
+
     /// Starts an entry host anew that was killed or stopped.
     pub fn restart(&mut self, entry: usize) {
         self.entries[entry].restart();
--- a/crates/daemon/tests/limits_hold.rs
+++ b/crates/daemon/tests/limits_hold.rs
@@ -9,8 +9,8 @@
 
 use common::{Site, operator, wait_until};
 use fuchsiamill_api::ChangeReport;
-use fuchsiamill_model::{Change, EntryName, Units};
-use fuchsiamill_policy::{escrow::EscrowRow, membership::View};
+use fuchsiamill_model::{Change, Units};
+use fuchsiamill_policy::escrow::EscrowRow;
 use fuchsiamill_ports::{Range, Row};
 use fuchsiamill_standin::{
     admin::PlatformFault,
@@ -105,16 +105,6 @@
     assert!(slots <= SLOTS, "{slots} ran on one backend server");
 }
 
-/// The owner of a pool while every entry host is in the view.
-fn owner_of(site: &Site, pool: &str) -> usize {
-    let mut members: Vec<EntryName> =
-        site.entries.iter().map(|it| it.name.as_str().try_into().unwrap()).collect();
-    members.sort();
-    let view = View { members, ..View::default() };
-    let owner = view.owner(&pool.try_into().unwrap()).expect("an owner").clone();
-    site.entries.iter().position(|it| it.name == owner.as_str()).expect("an entry host")
-}
-
 fn escrow_row(site: &Site) -> EscrowRow {
     let range = Range::prefix("escrow/north", 1);
     let rows: Vec<Row> = common::net::post(site.platform(), "/table/range", &range);
@@ -140,7 +130,7 @@
 #[test]
 fn killed_owner_takes_no_limit_along() {
     let mut site = site(3);
-    let owner = owner_of(&site, "rota");
+    let owner = site.owner_of("rota");
     let record = under_load(&site, |control| {
         site.entries[owner].kill();
         control.left_out.store(owner, Ordering::Relaxed);
@@ -155,7 +145,7 @@
 #[test]
 fn stopped_owner_gives_its_units_back() {
     let site = site(3);
-    let owner = owner_of(&site, "rota");
+    let owner = site.owner_of("rota");
     let before = escrow_row(&site);
     let held_by = |row: &EscrowRow| -> Units {
         let name = site.entries[owner].name.as_str();
@@ -171,7 +161,7 @@
 #[test]
 fn paused_owner_overruns_nothing_when_it_resumes() {
     let site = site(3);
-    let owner = owner_of(&site, "rota");
+    let owner = site.owner_of("rota");
     let record = under_load(&site, |control| {
         for _ in 0..2 {
             site.entries[owner].signal("STOP");
--- a/crates/daemon/tests/queued_work.rs
+++ b/crates/daemon/tests/queued_work.rs
@@ -148,31 +148,50 @@
     assert!(!ran(&site, "late"));
 }
 
-/// Tests that fail for a fault that stands in KNOWN-RED.txt.
-mod known_red {
-    use super::*;
+#[test]
+fn a_shutdown_refuses_what_is_queued_and_finishes_what_runs() {
+    let site = site(3).setting("timing.shutdown-notice-ms", 300).start();
+    thread::scope(|scope| {
+        let filling = fill(scope, &site, 0, "south");
+        let queued = fill_queue(scope, &site, 0);
+        site.entries[0].signal("TERM");
+        for queued in queued {
+            let refused = queued.join().unwrap();
+            let found = (refused.status.as_u16(), refusal(&refused));
+            assert_eq!(found, (503, not_run("shutting-down")));
+        }
+        assert_eq!(running(&site), SLOTS, "the refusals wait for no slot");
+        for running in filling {
+            assert_eq!(running.join().unwrap().status, 200, "what runs is finished");
+        }
+    });
+    assert!(site.entries[0].wait_end().success());
+    assert_eq!(send(&site, 1, request("north", "next")).status, 200);
+    assert!((0..3).all(|number| !ran(&site, &format!("queued-{number}"))));
+}
 
-    #[test]
-    fn a_shutdown_refuses_what_is_queued_and_finishes_what_runs() {
-        let site = site(3).setting("timing.shutdown-notice-ms", 300).start();
-        thread::scope(|scope| {
-            let filling = fill(scope, &site, 0, "south");
-            let queued = fill_queue(scope, &site, 0);
-            site.entries[0].signal("TERM");
-            for queued in queued {
-                let refused = queued.join().unwrap();
-                let found = (refused.status.as_u16(), refusal(&refused));
-                assert_eq!(found, (503, not_run("shutting-down")));
-            }
-            assert_eq!(running(&site), SLOTS, "the refusals wait for no slot");
-            for running in filling {
-                assert_eq!(running.join().unwrap().status, 200, "what runs is finished");
-            }
-        });
-        assert!(site.entries[0].wait_end().success());
-        assert_eq!(send(&site, 1, request("north", "next")).status, 200);
-        assert!((0..3).all(|number| !ran(&site, &format!("queued-{number}"))));
-    }
+/// While a pool changes hands, what its leaving owner still runs keeps its slots: nobody else is granted them.
+#[test]
+fn work_of_a_leaving_owner_keeps_its_slots() {
+    let site = site(3).setting("timing.shutdown-notice-ms", 3_000).start();
+    let owner = site.owner_of("rota");
+    let other = (owner + 1) % 3;
+    thread::scope(|scope| {
+        let filling = fill(scope, &site, owner, "south");
+        site.entries[owner].signal("TERM");
+        for _ in 0..3 {
+            let early = with(request("north", "early"), "request-timeout-ms", 700);
+            let early = send(&site, other, early);
+            let found = (early.status.as_u16(), refusal(&early));
+            assert_eq!(found, (504, not_run("deadline-passed")));
+        }
+        assert_eq!(running(&site), SLOTS, "the requests are asked for while all slots are in use");
+        filling.into_iter().for_each(|it| assert_eq!(it.join().unwrap().status, 200));
+    });
+    assert_eq!(send(&site, other, request("north", "next")).status, 200);
+    let record = site.backend_record();
+    assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
+    assert!(!ran(&site, "early"));
 }
 
 #[test]
--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -165,6 +165,14 @@
         actions
     }
 
+    /// Waits in a tenure that just began for the report of an entry host that is leaving, too: the view no longer has
+    /// it, and what it runs goes on.
+    pub fn await_leaving(&mut self, pool: &PoolName, entry: EntryName) {
+        if let Some(owned) = self.pools.get_mut(pool) {
+            owned.await_report(entry);
+        }
+    }
+
     /// Ends a tenure: the queue is sent to the new owner; what is granted stays charged.
     pub fn drop_pool(&mut self, pool: &PoolName) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Waits for the report of one more entry host before anything is granted.
+    pub(super) fn await_report(&mut self, entry: EntryName) {
+        if let Stage::TakingOver { missing, .. } = &mut self.stage {
+            missing.insert(entry);
+        }
+    }
+
     /// Takes what an entry host still runs in the pool.
     pub(super) fn report(
         &mut self,
