Pools count arriving jobs, not their sizes, when they look ahead

Cause: sizes of jobs are spread widely and estimates are far off, so that one large job within a second looked like the beginning of a peak: hosts came for work that nobody sent.

Ruled out: the most that was needed lately as the cause (the work that is there counts as before).

Change: the forecast is the number of jobs of the last second and its growth, times the usual work of a job of the pool (a mean of 64 jobs).

Tests: large_job_is_no_growth fails first (58 hosts). growing_demand_is_met_ahead told growth by one job twice as large as the one before, which is no growth now; it plays four and eight jobs of one size instead, bounds as they were.

--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -16,6 +16,9 @@
 /// The window over which arriving work is counted.
 const ARRIVAL_MS: Millisecond = 1_000;
 
+/// The newest job has at least this part of the mean of jobs.
+const MEAN_JOBS: u64 = 64;
+
 /// A pool is shrunk to the most that it needed within this time: arrivals have gaps.
 const HOLD_MS: Millisecond = 1_500;
 
@@ -37,6 +40,10 @@
 pub struct Demand {
     /// When work arrived, and how much in millicore-milliseconds.
     arrivals: VecDeque<(Moment, u64)>,
+    /// The usual work of a job, in millicore-milliseconds.
+    mean_work: u64,
+    /// Jobs that the mean is made of.
+    jobs: u64,
     /// Needs of the last while, each larger than those after it.
     needs: VecDeque<(Moment, u64)>,
 }
@@ -44,6 +51,9 @@
 impl Demand {
     fn note(&mut self, now: Moment, work: u64) {
         self.arrivals.push_back((now, work));
+        self.jobs = (self.jobs + 1).min(MEAN_JOBS);
+        let change = (work as i64 - self.mean_work as i64) / self.jobs as i64;
+        self.mean_work = self.mean_work.saturating_add_signed(change);
     }
 
     /// The most hosts needed within the last while, with `need` as the newest.
@@ -65,10 +75,10 @@
             self.arrivals.pop_front();
         }
         let is_recent = |it: &&(Moment, u64)| now.since(it.0) <= ARRIVAL_MS;
-        let all: u64 = self.arrivals.iter().map(|it| it.1).sum();
-        let recent: u64 = self.arrivals.iter().filter(is_recent).map(|it| it.1).sum();
+        let all = self.arrivals.len() as u64;
+        let recent = self.arrivals.iter().filter(is_recent).count() as u64;
         let growth = (2 * recent).saturating_sub(all);
-        (recent + growth) / ARRIVAL_MS
+        (recent + growth) * self.mean_work / ARRIVAL_MS
     }
 }
 
