Pools ask for hosts with the labels, racks and memory that their work needs

Cause: hosts were counted by processors alone.

Ruled out: memory and limits as the cause (the placement was traced: 18 of 20 workers had room, one or none the label).

Change: each pool keeps the demand of its parts that ask for a label or for a rack of data beside its whole demand, asks for such hosts first, and lets none go that it needs. Work of a label counts up to the hosts that have it. Memory and accelerators count as the processors of as many hosts.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -4,10 +4,12 @@
 //! another coordinator can go on from the store and from what the workers list.
 
 mod advice;
+mod demand;
 mod health;
 mod hosts;
 mod job;
 mod lapse;
+mod needs;
 mod orders;
 mod outbox;
 mod place;
@@ -26,11 +28,12 @@
 };
 
 pub use advice::{Permit, StepKey};
+pub use demand::Wish;
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, Task, TaskState, objective_ms};
+pub use needs::PoolNeed;
 pub use orders::Order;
 pub use outbox::Commit;
-pub use pools::PoolNeed;
 pub use reports::{Refusal, Started};
 pub use worker::Worker;
 
@@ -72,8 +75,8 @@
     kept_off: FastMap<Name, Moment>,
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
-    demand: FastMap<Name, pools::Demand>,
-    pool_needs: Vec<PoolNeed>,
+    demand: FastMap<demand::DemandKey, demand::Demand>,
+    pool_needs: Vec<needs::PoolNeed>,
     advice: FastMap<StepKey, advice::StepAdvice>,
     usual: FastMap<Name, rank::Usual>,
     /// Pools where tasks found no room lately.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use fuchsiamill_fleet::{
     Config, Coordinator, Ending, HostSeen, HostState, JobSpec, Name, Order, Pool, Report, RunEnd,
     RunSeen, Schedule, Step, TaskId, Team, Terms, WorkerSeen, WorkerState,
-    coordinator::{Started, Takeover},
+    coordinator::{HostDuty, Started, Takeover},
     job::RouteTerms,
 };
 use fuchsiamill_model::{
@@ -213,3 +213,30 @@
     };
     orders.iter().filter_map(seen).max()
 }
+
+pub fn list(bench: &mut Bench, hosts: Vec<HostSeen>) {
+    bench.coordinator.hosts_listed(hosts, bench.now);
+}
+
+/// Orders to hosts.
+pub fn duties(orders: &[Order]) -> Vec<(String, HostDuty)> {
+    let duty = |it: &Order| match it {
+        Order::Host { host, duty } => Some((host.to_string(), duty.clone())),
+        _ => None,
+    };
+    orders.iter().filter_map(duty).collect()
+}
+
+/// Hosts that are moved, and to which pool.
+pub fn moves(orders: &[Order]) -> Vec<(String, String)> {
+    let pool = |(host, duty): (String, HostDuty)| match duty {
+        HostDuty::Move { pool } => Some((host, pool.to_string())),
+        HostDuty::Maintain { .. } => None,
+    };
+    duties(orders).into_iter().filter_map(pool).collect()
+}
+
+/// The hosts that the pool 'web' was thought to need when hosts were planned last.
+pub fn wanted(bench: &Bench) -> u64 {
+    bench.coordinator.pool_needs().iter().find(|it| it.pool == "web").expect("a pool").wanted
+}
--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{Bench, cores, host, job, seen, step, stops, task, worker};
+use common::{
+    Bench, cores, duties, host, job, list, moves, seen, step, stops, task, wanted, worker,
+};
 use fuchsiamill_fleet::{
     HostSeen, HostState, Order, Report, Step,
     coordinator::{DutyReply, HostDuty},
@@ -15,31 +17,11 @@
     Wave { number: 1, hosts, within_ms: 20_000, at_once }
 }
 
-fn duties(orders: &[Order]) -> Vec<(String, HostDuty)> {
-    let duty = |it: &Order| match it {
-        Order::Host { host, duty } => Some((host.to_string(), duty.clone())),
-        _ => None,
-    };
-    orders.iter().filter_map(duty).collect()
-}
-
 fn maintained(orders: &[Order]) -> Vec<String> {
     let all = duties(orders).into_iter();
     all.filter(|it| matches!(it.1, HostDuty::Maintain { .. })).map(|it| it.0).collect()
 }
 
-fn moves(orders: &[Order]) -> Vec<(String, String)> {
-    let pool = |(host, duty): (String, HostDuty)| match duty {
-        HostDuty::Move { pool } => Some((host, pool.to_string())),
-        HostDuty::Maintain { .. } => None,
-    };
-    duties(orders).into_iter().filter_map(pool).collect()
-}
-
-fn list(bench: &mut Bench, hosts: Vec<HostSeen>) {
-    bench.coordinator.hosts_listed(hosts, bench.now);
-}
-
 fn two_hosts() -> Vec<HostSeen> {
     vec![host("h1", "web", Some("w1")), host("h2", "web", Some("w2"))]
 }
@@ -258,11 +240,6 @@
     assert_eq!(moves(&bench.step()), [("s1".to_string(), "web".to_string())]);
 }
 
-/// The hosts that the pool 'web' was thought to need when hosts were planned last.
-fn wanted(bench: &Bench) -> u64 {
-    bench.coordinator.pool_needs().iter().find(|it| it.pool == "web").expect("a pool").wanted
-}
-
 /// Takes in `count` jobs, each of which fills a host for a second, and cancels them.
 fn pass_by(bench: &mut Bench, name: &str, count: usize) {
     let ids: Vec<String> = (0..count).map(|it| format!("{name}-{it}")).collect();
--- a/crates/site/src/lead/pools.rs
+++ b/crates/site/src/lead/pools.rs
@@ -29,6 +29,7 @@
                 idle = need.idle,
                 expected_millicores = need.expected,
                 present_millicores = need.present,
+                lacking = ?need.lacking,
             );
         }
         self.last = needs.to_vec();
