--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod jobs;
 pub mod plans;
 pub mod report;
+pub mod story;
 
 pub use audit::{AuditFilter, AuditOutcome, AuditRecord};
 pub use catalogue::{Catalogue, HostFilter};
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -65,8 +65,7 @@
     }
 
     fn call_one(&self, entry: SocketAddr, call: &Value) -> Result<Value> {
-        let bounds = Bounds { body_bytes: LARGEST_ANSWER_BYTES, ..Bounds::default() };
-        let client = JsonClient::new(entry, bounds, CALL_TIME).bearer(&self.access.key);
+        let client = JsonClient::new(entry, bounds(), CALL_TIME).bearer(&self.access.key);
         let answer: std::result::Result<Answer, _> =
             block_on(async { client.post("/rpc", call).await });
         match answer {
@@ -77,6 +76,19 @@
     }
 }
 
+/// Gets a value from a port that needs no key.
+pub fn get<R: DeserializeOwned>(entry: SocketAddr, target: &str) -> Result<R> {
+    let client = JsonClient::new(entry, bounds(), CALL_TIME);
+    block_on(async { client.get(target).await }).map_err(|e| match e {
+        CallError::Status { status: StatusCode::NOT_FOUND, body } => Error::Refused(body),
+        other => error_of(entry, other),
+    })
+}
+
+fn bounds() -> Bounds {
+    Bounds { body_bytes: LARGEST_ANSWER_BYTES, ..Bounds::default() }
+}
+
 fn read<R: DeserializeOwned>(entry: SocketAddr, result: Value) -> Result<R> {
     serde_json::from_value(result).map_err(|e| Error::Malformed { entry, cause: e.to_string() })
 }
--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -1,5 +1,7 @@
 //! The arguments of the commands for jobs.
 
+use std::net::SocketAddr;
+
 use argh::FromArgs;
 use fuchsiamill_model::{JobId, PoolName, TeamName};
 
@@ -51,6 +53,9 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "show")]
 pub struct JobShow {
+    /// on a platform: the metrics port of any entry host, IP:PORT, which needs no key
+    #[argh(option)]
+    pub metrics: Option<SocketAddr>,
     /// the job
     #[argh(positional)]
     pub job: JobId,
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,11 +1,14 @@
 //! Runs one command.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    net::SocketAddr,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use fuchsiamill_api::{
     AuditFilter, AuditOutcome, AuditRecord, Catalogue, ChangeReport, ChangeRequest, HostFilter,
     JobFilter, JobRef, JobReport, JobState, JobView, PlanRef, PlanReport, PlanView, Reason,
-    SetPlanState, SiteReport, SiteStatus,
+    SetPlanState, SiteReport, SiteStatus, story::JobStory,
 };
 use fuchsiamill_model::{Change, ChangeId, Host, HostState, JobId, PlanId, PlanState, WallTime};
 use fuchsiamill_policy::planner::Plan;
@@ -18,7 +21,7 @@
     cli::{
         self, Args, Command, EntryHostCommand, HostCommand, KeyCommand, PoolCommand, TeamCommand,
     },
-    client::Client,
+    client::{self, Client},
     error::{Error, ExitStatus, Result},
     intents,
     jobs::{JobCommand, JobList},
@@ -50,7 +53,10 @@
         },
         Command::Job(job) => match &job.command {
             JobCommand::List(list) => cx.jobs(list),
-            JobCommand::Show(it) => cx.job("job.show", &it.job),
+            JobCommand::Show(it) => match it.metrics {
+                Some(entry) => cx.story(entry, &it.job),
+                None => cx.job("job.show", &it.job),
+            },
             JobCommand::Cancel(it) => cx.job("job.cancel", &it.job),
         },
         Command::EntryHost(entry) => match &entry.command {
@@ -215,6 +221,12 @@
         }
     }
 
+    /// What an entry host on a platform tells of a job.
+    fn story(&self, entry: SocketAddr, job: &JobId) -> Result<Outcome> {
+        let story: JobStory = client::get(entry, &format!("/jobs/{job}"))?;
+        Ok(Outcome::done(self.text(&story, show::story::story)))
+    }
+
     fn audit(&self, args: &cli::Audit) -> Result<Outcome> {
         let outcome = args.outcome.as_deref();
         let outcome = outcome.map(|raw| word::<AuditOutcome>("outcome", raw)).transpose()?;
--- a/crates/daemon/tests/unread_log.rs
+++ b/crates/daemon/tests/unread_log.rs
@@ -40,7 +40,9 @@
         }
     });
     let metrics = entry.metrics();
-    let line = metrics.lines().find(|it| it.starts_with("log_lines_left_out")).expect("a count");
+    let is_count =
+        |it: &&str| it.starts_with("log_lines_left_out_total") && it.contains("kind=\"unread\"");
+    let line = metrics.lines().find(is_count).expect("a count");
     let left_out: f64 = line.rsplit(' ').next().unwrap().parse().unwrap();
     assert!(left_out > 0.0, "{line}");
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -26,6 +26,17 @@
     pub fn is_over(self) -> bool {
         matches!(self, Stage::Completed | Stage::Failed | Stage::Cancelled)
     }
+
+    /// The stage in a word.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Stage::Queued => "queued",
+            Stage::Running => "running",
+            Stage::Completed => "completed",
+            Stage::Failed => "failed",
+            Stage::Cancelled => "cancelled",
+        }
+    }
 }
 
 /// A job's progress. Tasks that never started are left out.
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -7,6 +7,8 @@
 use monoio::time::sleep;
 use tokio::sync::watch;
 
+use crate::dependency::Dependency;
+
 /// How long one call to the feed waits: a connection that went silent is noticed after little more.
 const FEED_WAIT: Duration = Duration::from_millis(900);
 
@@ -28,6 +30,8 @@
     pub store: Rc<Store>,
     /// Where new intents are told.
     pub tx: watch::Sender<Intent>,
+    /// Whether the store answers.
+    pub health: Dependency,
 }
 
 impl Follower {
@@ -45,11 +49,12 @@
     async fn read_all(&self) -> Option<u64> {
         match self.store.read_part(tables::OPERATOR, "").await {
             Ok(page) => {
+                self.health.answered();
                 page.rows.iter().for_each(|it| self.apply(it));
                 Some(page.version)
             }
             Err(e) => {
-                tracing::warn!(event = "store-lost", what = "operator table", error = %e);
+                self.health.failed(&e);
                 sleep(RETRY_PAUSE).await;
                 None
             }
@@ -59,12 +64,13 @@
     async fn follow(&self, version: u64) -> Option<u64> {
         match self.store.feed(tables::OPERATOR, version, FEED_WAIT).await {
             Ok(Change::Rows(page)) => {
+                self.health.answered();
                 page.rows.iter().for_each(|it| self.apply(it));
                 Some(page.version.max(version))
             }
             Ok(Change::HistoryLost) => None,
             Err(e) => {
-                tracing::debug!(event = "store-lost", what = "operator feed", error = %e);
+                self.health.failed(&e);
                 sleep(RETRY_PAUSE).await;
                 Some(version)
             }
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -25,13 +25,14 @@
 use crate::{
     clock::Clock,
     config::{Follower, Intent},
+    dependency::Dependency,
     front::{Front, Submitter},
     lead::{
         Candidate, Entries, EntryRow, LeaseRow, Standing, follow_entries, serve_standing, strength,
     },
     metrics::Metrics,
     relay::{self, Relay},
-    tables,
+    story, tables,
 };
 
 /// The longest call to the store. Its slow days take over half a second for an answer.
@@ -81,7 +82,7 @@
 
 const METRICS_PATH: &str = "/metrics";
 
-/// Tells whether this entry host takes callers, and its metrics.
+/// Tells whether this entry host takes callers, its metrics, and what is stored of a job.
 struct Ready {
     metrics: Rc<Metrics>,
     intent: watch::Receiver<Intent>,
@@ -91,12 +92,16 @@
 
 impl Handler for Ready {
     async fn handle(&self, incoming: Incoming) -> Response {
-        if incoming.request.path() == METRICS_PATH {
+        let path = incoming.request.path();
+        if path == METRICS_PATH {
             return match self.metrics.text() {
                 Ok(text) => Response::text(StatusCode::OK, text),
                 Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             };
         }
+        if let Some(job) = path.strip_prefix(story::PATH_PREFIX) {
+            return story::reply(&self.store, &job.into()).await;
+        }
         let is_ready = !self.is_stopping.get()
             && self.intent.borrow().config.is_some()
             && self.store.has_answered_within(STORE_HEARD);
@@ -111,7 +116,8 @@
         let store = Rc::new(Store::new(settings.store, STORE_TIME));
         let is_stopping = Rc::new(Cell::new(false));
         let (tx, intent) = watch::channel(Intent::default());
-        monoio::spawn(Follower { store: store.clone(), tx }.run());
+        let health = Dependency::new("store");
+        monoio::spawn(Follower { store: store.clone(), tx, health }.run());
 
         let metrics = Rc::new(Metrics::new()?);
         let ready = Ready {
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -45,6 +45,9 @@
 /// When a caller that was refused should come back, in seconds: outages of the store last seconds.
 const RETRY_AFTER_S: &str = "1";
 
+/// The first status of answers that refuse.
+const FIRST_REFUSAL: u16 = 400;
+
 /// Answers callers.
 pub struct Front {
     /// The store.
@@ -89,6 +92,17 @@
         let response = self.answer(&incoming).await;
         let took = self.clock.now().since(begun);
         self.metrics.answered(response.status.as_u16(), took);
+        if response.status.as_u16() >= FIRST_REFUSAL {
+            let request = &incoming.request;
+            tracing::info!(
+                event = "request-refused",
+                method = %request.method,
+                path = request.path(),
+                status = response.status.as_u16(),
+                config = self.config_version(),
+                took_ms = took,
+            );
+        }
         response
     }
 }
@@ -140,13 +154,17 @@
                 "the job is too large to be kept",
             );
         }
+        let begun = self.clock.now();
         let outcome = self.insert(tables::job_key(&id), value, limits).await;
         tracing::info!(
             event = "job-posted",
             job = %id,
             queue = %queue.name,
             team = %spec.team,
-            outcome = outcome_word(&outcome)
+            outcome = outcome_word(&outcome),
+            config = self.config_version(),
+            took_ms = self.clock.now().since(begun),
+            store_heard_ms = self.store.heard_ago().map(|it| it.as_millis() as u64),
         );
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
@@ -157,6 +175,11 @@
         }
     }
 
+    /// The version of the configuration in force; 0 before the first.
+    fn config_version(&self) -> u64 {
+        self.intent.borrow().config.as_ref().map_or(0, |it| it.version)
+    }
+
     /// A refusal of something that has not run, with the time to come back. Another entry host is asked next: it can
     /// help at once if only this one is cut off.
     fn come_back(&self, text: &str) -> Response {
--- a/crates/site/src/lead/changes.rs
+++ b/crates/site/src/lead/changes.rs
@@ -1,6 +1,6 @@
 //! Puts what has to be stored into changes of the store, one at a time.
 
-use fuchsiamill_fleet::{JobRecord, Name, Stage, coordinator::WaveRecord};
+use fuchsiamill_fleet::{JobRecord, Name, coordinator::WaveRecord};
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{Key, Tx, write_wave_state};
 use serde::Serialize;
@@ -55,14 +55,9 @@
     }
 
     fn note_end(&self, (id, record): &(Name, JobRecord)) {
-        let stage = match record.stage {
-            Stage::Completed => "completed",
-            Stage::Failed => "failed",
-            Stage::Cancelled => "cancelled",
-            Stage::Queued | Stage::Running => return,
-        };
         // Tasks of a job that is over may still be stopped: its record is written again.
-        if record.tasks.is_empty() {
+        if record.stage.is_over() && record.tasks.is_empty() {
+            let stage = record.stage.as_str();
             tracing::info!(event = "job-ended", job = %id, stage);
             self.cx.metrics.job_ended(stage);
         }
--- a/crates/site/src/lead/hosts.rs
+++ b/crates/site/src/lead/hosts.rs
@@ -11,7 +11,7 @@
 use monoio::time::sleep;
 
 use super::event::{Event, Teller};
-use crate::clock::Clock;
+use crate::{clock::Clock, dependency::Dependency};
 
 /// The pause between two reads of the list.
 const LIST_PAUSE: Duration = Duration::from_millis(400);
@@ -40,11 +40,15 @@
 impl HostWatch {
     /// Runs until this process no longer coordinates.
     pub async fn run(self) {
+        let health = Dependency::new("hosts");
         while self.is_leading.get() {
             let asked = self.clock.now();
             match self.hosts.list().await {
-                Ok(hosts) => self.teller.tell(Event::Host(HostEvent::Listed(hosts, asked))),
-                Err(e) => tracing::debug!(event = "read-failed", what = "hosts", error = %e),
+                Ok(hosts) => {
+                    health.answered();
+                    self.teller.tell(Event::Host(HostEvent::Listed(hosts, asked)));
+                }
+                Err(e) => health.failed(&e),
             }
             sleep(LIST_PAUSE).await;
         }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -5,13 +5,16 @@
 
 pub mod clock;
 pub mod config;
+pub mod dependency;
 pub mod entry;
 pub mod front;
 pub mod lead;
+pub mod log_bound;
 pub mod logging;
 pub mod meters;
 pub mod metrics;
 pub mod relay;
+pub mod story;
 pub mod tables;
 
 pub use entry::Entry;
--- a/crates/site/src/logging.rs
+++ b/crates/site/src/logging.rs
@@ -1,19 +1,40 @@
 //! Structured log lines on standard output.
 
-use std::{io, sync::OnceLock};
+use std::{
+    io,
+    sync::{LazyLock, OnceLock},
+};
 
+use fuchsiamill_model::FastMap;
 use tracing::Level;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::{
+    Layer,
+    filter::{FilterExt, LevelFilter},
+    layer::SubscriberExt,
+    util::SubscriberInitExt,
+};
+
+use crate::log_bound::LineBound;
 
 /// Lines that wait for a slow reader; more are left out and counted.
 const WAITING_LINES: usize = 4_096;
 
-/// Counts the lines that were left out; there is one log a process.
-static LEFT_OUT: OnceLock<ErrorCounter> = OnceLock::new();
+/// Counts the lines that a slow reader cost; there is one log a process.
+static UNREAD: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Bounds the lines of each kind.
+static BOUND: LazyLock<LineBound> = LazyLock::new(LineBound::default);
+
+/// The kind under which lines are counted that a slow reader cost.
+const UNREAD_KIND: &str = "unread";
 
-/// How many lines were left out since the process started.
-pub fn lines_left_out() -> u64 {
-    LEFT_OUT.get().map_or(0, |it| it.dropped_lines() as u64)
+/// How many lines of each kind were left out since the process started.
+pub fn lines_left_out() -> FastMap<String, u64> {
+    let unread = UNREAD.get().map_or(0, |it| it.dropped_lines() as u64);
+    let mut left_out = BOUND.left_out();
+    left_out.insert(UNREAD_KIND.into(), unread);
+    left_out
 }
 
 /// Starts logging at `level`. Lines are written by a thread of their own, so that a reader that stalls costs lines
@@ -29,13 +50,13 @@
     };
     let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES);
     let (writer, guard) = builder.finish(io::stdout());
-    LEFT_OUT.get_or_init(|| writer.error_counter());
-    tracing_subscriber::fmt()
+    UNREAD.get_or_init(|| writer.error_counter());
+    let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_target(false)
-        .with_max_level(level)
         .with_writer(writer)
-        .init();
+        .with_filter(LevelFilter::from_level(level).and(&*BOUND));
+    tracing_subscriber::registry().with(lines).init();
     Some(guard)
 }
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters, gauges and latency histograms, through opentelemetry, shown as Prometheus text.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 
 use anyhow::Result;
+use fuchsiamill_model::FastMap;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -28,8 +29,8 @@
     workers: Gauge<u64>,
     config_version: Gauge<u64>,
     log_lines_left_out: Counter<u64>,
-    /// How many of them were counted.
-    counted_left_out: Cell<u64>,
+    /// How many of each kind were counted.
+    counted_left_out: RefCell<FastMap<String, u64>>,
 }
 
 impl Metrics {
@@ -54,7 +55,7 @@
             workers: meter.u64_gauge("workers").build(),
             config_version: meter.u64_gauge("config_version").build(),
             log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
-            counted_left_out: Cell::new(0),
+            counted_left_out: RefCell::default(),
             meters,
         })
     }
@@ -106,8 +107,11 @@
 
     /// All instruments as Prometheus text.
     pub fn text(&self) -> Result<String> {
-        let left_out = logging::lines_left_out();
-        self.log_lines_left_out.add(left_out - self.counted_left_out.replace(left_out), &[]);
+        let mut counted = self.counted_left_out.borrow_mut();
+        for (kind, left_out) in logging::lines_left_out() {
+            let before = counted.insert(kind.clone(), left_out).unwrap_or(0);
+            self.log_lines_left_out.add(left_out - before, &[KeyValue::new("kind", kind)]);
+        }
         self.meters.page()
     }
 }
--- /dev/null
+++ b/crates/site/src/story.rs
@@ -0,0 +1,87 @@
+//! Tells what is stored of a job.
+
+use anyhow::{Context, Result};
+use fuchsiamill_api::story::{JobStory, StepStory, TaskStory};
+use fuchsiamill_fleet::{JobRecord, JobSpec, Name, TaskRecord};
+use fuchsiamill_http::Response;
+use fuchsiamill_platform::{Key, Store};
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::tables;
+
+/// The beginning of the paths at which jobs are told.
+pub const PATH_PREFIX: &str = "/jobs/";
+
+/// The answer to the question for a job.
+pub async fn reply(store: &Store, id: &Name) -> Response {
+    match read(store, id).await {
+        Ok(Some(story)) => match serde_json::to_vec(&story) {
+            Ok(body) => Response::json(StatusCode::OK, body),
+            Err(e) => Response::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+        },
+        Ok(None) => Response::text(StatusCode::NOT_FOUND, format!("no job '{id}' is stored")),
+        Err(e) => Response::text(StatusCode::SERVICE_UNAVAILABLE, format!("{e:#}")),
+    }
+}
+
+/// What the store has of a job; `None` when it has nothing.
+pub async fn read(store: &Store, id: &Name) -> Result<Option<JobStory>> {
+    let Some(spec) = row::<JobSpec>(store, &tables::job_key(id)).await? else { return Ok(None) };
+    let progress = row::<JobRecord>(store, &tables::progress_key(id)).await?;
+    let (cancel, _) = store.read_row(&tables::cancel_key(id)).await?;
+    Ok(Some(JobStory { cancel_asked: cancel.is_some(), ..story(id, &spec, progress.as_ref()) }))
+}
+
+async fn row<T: DeserializeOwned>(store: &Store, key: &Key) -> Result<Option<T>> {
+    let (row, _) = store.read_row(key).await?;
+    let value = row.map(|it| serde_json::from_slice(&it.value)).transpose();
+    value.with_context(|| format!("the row '{}' of table '{}' cannot be read", key.key, key.table))
+}
+
+/// The story of a job as it was accepted, with its progress if there is any.
+pub fn story(id: &Name, spec: &JobSpec, progress: Option<&JobRecord>) -> JobStory {
+    let nothing = JobRecord::default();
+    let progress = progress.unwrap_or(&nothing);
+    let steps = if progress.stage.is_over() { Vec::new() } else { steps(spec, progress) };
+    JobStory {
+        id: id.to_string(),
+        queue: spec.queue.to_string(),
+        team: spec.team.to_string(),
+        pool: spec.route.pool.to_string(),
+        accepted: spec.accepted,
+        stage: progress.stage.as_str().into(),
+        cancel_asked: false,
+        max_attempts: spec.route.max_attempts,
+        steps,
+    }
+}
+
+/// The steps of every occurrence of which something was started, and of the first one.
+fn steps(spec: &JobSpec, progress: &JobRecord) -> Vec<StepStory> {
+    let last = progress.tasks.iter().map(|it| it.occurrence).max().unwrap_or(0);
+    let occurrences = 0..=last;
+    let all = occurrences.flat_map(|k| spec.steps.iter().enumerate().map(move |it| (k, it)));
+    all.map(|(occurrence, (number, step))| {
+        let step_number = number as u16;
+        let of_step = || {
+            let tasks = progress.tasks.iter();
+            tasks.filter(move |it| it.occurrence == occurrence && it.step == step_number)
+        };
+        let task = |it: &TaskRecord| TaskStory {
+            index: it.index,
+            run: it.run,
+            failures: it.failures,
+            worker: it.on.as_ref().map(|(worker, _)| worker.to_string()),
+        };
+        StepStory {
+            occurrence,
+            step: step_number,
+            count: step.count,
+            done: of_step().filter(|it| it.done).count() as u32,
+            after: step.after.clone(),
+            tasks: of_step().filter(|it| !it.done).map(task).collect(),
+        }
+    })
+    .collect()
+}
