While hosts are short, what teams are owed goes before what they sent beyond their weight

Pools took free hosts in the order of their names, and no pool with tasks waiting ever gave one away.

Ruled out: the order of jobs within a pool (excess is last there already); the outage of the store as the only cause (the shortage began at 16.9 s, the outage at 18.0 s).

Change: the work of jobs beyond their team's weight is counted apart and makes no forecast. Free hosts go to what is owed in every pool first. Where that is not enough, hosts of the pool with most beyond its own owed need take no more tasks, finish what they have and move; none with tasks that last. They stay if the other pool has enough meanwhile.

Tests: owed_hosts; hosts_of_excess_are_emptied_for_what_is_owed fails on the former code. Conclusion: a hot team no longer takes the hosts of others' pools. Not pursued: tasks of excess that are stopped.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -290,7 +290,7 @@
     }
 
     /// Tasks on a host; one that is maintained last has most.
-    fn work_on(&self, host: &Name) -> usize {
+    pub(super) fn work_on(&self, host: &Name) -> usize {
         self.worker_on(host).map_or(0, |it| it.live.len())
     }
 
@@ -356,7 +356,7 @@
         }
     }
 
-    fn unreserve(&mut self, host: &Name) {
+    pub(super) fn unreserve(&mut self, host: &Name) {
         let worker = self.hosts.get(host).and_then(|it| it.seen.worker.clone());
         if let Some(at) = worker.and_then(|it| self.workers.get_mut(&it)) {
             at.reserved = false;
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -77,6 +77,8 @@
     dirty_waves: FastSet<u64>,
     demand: FastMap<demand::DemandKey, demand::Demand>,
     pool_needs: Vec<needs::PoolNeed>,
+    /// Hosts that finish their tasks before they go to another pool, and that pool.
+    emptied: FastMap<Name, Name>,
     advice: FastMap<StepKey, advice::StepAdvice>,
     usual: FastMap<Name, rank::Usual>,
     /// Pools where tasks found no room lately.
@@ -112,6 +114,7 @@
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
             pool_needs: Vec::new(),
+            emptied: FastMap::default(),
             advice: FastMap::default(),
             usual: FastMap::default(),
             tight: FastSet::default(),
@@ -138,10 +141,10 @@
         }
         let mut job = Job::new(id.clone(), spec, now, wall);
         job.open_due(wall);
-        if record.is_none() {
+        job.excess = self.is_excess(&job.spec.team, now);
+        if record.is_none() && !job.excess {
             self.note_demand(&job.spec, now);
         }
-        job.excess = self.is_excess(&job.spec.team, now);
         let inherited = record.map(|it| job.restore(it, now)).unwrap_or_default();
         let over = job.stage.is_over();
         if over && inherited.is_empty() {
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -32,6 +32,10 @@
     pub hosts: u64,
     /// Hosts that it needs.
     pub wanted: u64,
+    /// Hosts that it needs without the jobs that teams sent beyond their weight.
+    pub owed: u64,
+    /// The part of those for work that is there.
+    pub pressing: u64,
     /// Processors for the work that is expected, in millicores; memory counts as the processors of as many hosts.
     pub expected: u64,
     /// Processors for the work that is there, in millicores.
@@ -49,6 +53,8 @@
     pub(super) need: PoolNeed,
     /// The work that is there.
     load: Load,
+    /// The part of it that teams sent beyond their weight.
+    excess: Load,
     /// The most hosts that it needed lately.
     pub(super) held: u64,
     /// Hosts that the tasks of one of its jobs need because they have to be apart.
@@ -92,11 +98,11 @@
         }
     }
 
-    /// Takes a host out of the pool.
+    /// Takes a host out of the pool. One whose worker fell silent meanwhile was not counted.
     pub(super) fn discount(&mut self, labels: &[Name]) {
-        self.need.hosts -= 1;
+        self.need.hosts = self.need.hosts.saturating_sub(1);
         for (_, part) in self.wishes.iter_mut().filter(|it| it.0.is_met_by(labels)) {
-            part.hosts -= 1;
+            part.hosts = part.hosts.saturating_sub(1);
         }
     }
 
@@ -185,6 +191,9 @@
                 }
                 let load = Load::of(wanted.room(), live + waiting);
                 view.load = view.load.plus(load);
+                if job.excess {
+                    view.excess = view.excess.plus(load);
+                }
                 for wish in Wish::all_of(wanted) {
                     // A task that runs far from its data does not move any more.
                     let live = step.tasks.iter().filter(|it| self.is_live_at(it, &wish)).count();
@@ -231,9 +240,15 @@
             let demand = self.demand_for(pool, None);
             view.need.expected = demand.expected(now).millicores_on(host);
             view.need.present = view.load.millicores_on(host);
-            let work = with_headroom(view.need.expected.max(view.need.present));
-            let work = work.div_ceil(u64::from(host.millicores.max(1)));
-            view.need.wanted = work.max(view.apart).max(LEAST_HOSTS);
+            let owed = view.load.minus(view.excess).millicores_on(host);
+            let least = view.apart.max(LEAST_HOSTS);
+            let hosts = |work: u64| {
+                let hosts = with_headroom(work).div_ceil(u64::from(host.millicores.max(1)));
+                hosts.max(least)
+            };
+            view.need.wanted = hosts(view.need.expected.max(view.need.present));
+            view.need.owed = hosts(view.need.expected.max(owed));
+            view.need.pressing = hosts(owed);
             view.held = demand.most_needed(view.need.wanted, now);
             for (wish, part) in &mut view.wishes {
                 let demand = self.demand_for(pool, Some(wish));
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -9,7 +9,7 @@
     demand::Wish,
     needs::{PoolNeed, PoolView, Views},
 };
-use crate::Name;
+use crate::{HostState, Name, TaskId};
 
 /// A host that was idle this long is given up when its pool has enough: a host that leaves and comes back costs as much
 /// as about two seconds in a pool.
@@ -21,7 +21,9 @@
         let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
         self.pool_needs = views.values().map(|it| it.need.clone()).collect();
-        let mut moves = self.grow(&mut views, &spare, now);
+        let mut moves = self.move_emptied(&mut views, now);
+        moves.extend(self.grow(&mut views, &spare, now));
+        self.empty_hosts(&mut views, &spare);
         moves.extend(self.shrink(&mut views, &spare, now));
         for (host, pool) in moves {
             self.give_duty(&host, HostDuty::Move { pool }, now);
@@ -45,11 +47,14 @@
                 }
             }
         }
-        for pool in &short {
-            while views[pool].need.wanted > views[pool].need.hosts
-                && let Some(host) = self.take_host(&mut free, views, pool, None)
-            {
-                moves.push((host, pool.clone()));
+        // What teams are owed first, in every pool; then what they sent beyond their weight.
+        for need in [|it: &PoolNeed| it.owed, |it: &PoolNeed| it.wanted] {
+            for pool in &short {
+                while need(&views[pool].need) > views[pool].need.hosts
+                    && let Some(host) = self.take_host(&mut free, views, pool, None)
+                {
+                    moves.push((host, pool.clone()));
+                }
             }
         }
         moves
@@ -112,6 +117,85 @@
         moves
     }
 
+    /// Hosts that were emptied for a pool and may go there now. Those for pools that have enough meanwhile stay.
+    fn move_emptied(&mut self, views: &mut Views, now: Moment) -> Vec<(Name, Name)> {
+        let mut moves = Vec::new();
+        let mut emptied: Vec<(Name, Name)> =
+            std::mem::take(&mut self.emptied).into_iter().collect();
+        emptied.sort();
+        for (host, pool) in emptied {
+            // One that was ordered to do something else stays reserved for that.
+            if !self.may_be_emptied(&host) {
+                continue;
+            }
+            if !views.get(&pool).is_some_and(|it| it.need.pressing > it.need.hosts) {
+                self.unreserve(&host);
+                continue;
+            }
+            self.hand_over(views, &host, &pool);
+            match self.is_free(&host, now) {
+                true => moves.push((host, pool)),
+                false => drop(self.emptied.insert(host, pool)),
+            }
+        }
+        moves
+    }
+
+    /// Whether a host is up and has no order.
+    fn may_be_emptied(&self, host: &Name) -> bool {
+        let Some(host) = self.hosts.get(host) else { return false };
+        host.duty.is_none() && host.seen.state == HostState::Up
+    }
+
+    /// Lets hosts of pools that have more than they are owed finish their tasks, for pools that have less work there
+    /// than they are owed.
+    fn empty_hosts(&mut self, views: &mut Views, spare: &Name) {
+        let is_short =
+            |it: &(&Name, &PoolView)| it.0 != spare && it.1.need.pressing > it.1.need.hosts;
+        let mut short: Vec<Name> =
+            views.iter().filter(is_short).map(|(it, _)| it.clone()).collect();
+        short.sort();
+        for pool in short {
+            while views[&pool].need.pressing > views[&pool].need.hosts
+                && let Some(host) = self.host_to_empty(views, spare)
+            {
+                self.hand_over(views, &host, &pool);
+                self.reserve(&host);
+                self.emptied.insert(host, pool.clone());
+            }
+        }
+    }
+
+    /// The host with the fewest tasks in the pool that has most beyond what it is owed; none with tasks that last.
+    fn host_to_empty(&self, views: &Views, spare: &Name) -> Option<Name> {
+        let surplus = |it: &PoolView| it.need.hosts.saturating_sub(it.need.owed);
+        let donors = views.iter().filter(|(name, it)| *name != spare && surplus(it) > 0);
+        let (donor, view) = donors.max_by_key(|(name, it)| (surplus(it), (*name).clone()))?;
+        let may_go = |host: &&Name| {
+            let Some(worker) = self.worker_on(host) else { return false };
+            let lasts = |it: &TaskId| self.step_of(it).is_some_and(|step| step.lasts);
+            self.hosts[*host].seen.pool == *donor
+                && self.may_be_emptied(host)
+                && worker.answered
+                && !worker.is_leaving()
+                && !worker.live.keys().any(lasts)
+                && view.can_spare(self.labels_of(host))
+        };
+        let hosts = self.hosts.keys().filter(may_go);
+        hosts.min_by_key(|it| (self.work_on(it), (*it).clone())).cloned()
+    }
+
+    /// Counts a host for the pool that it is about to go to.
+    fn hand_over(&self, views: &mut Views, host: &Name, pool: &Name) {
+        let labels = self.labels_of(host);
+        if let Some(from) = self.hosts.get(host).and_then(|it| views.get_mut(&it.seen.pool)) {
+            from.discount(labels);
+        }
+        if let Some(to) = views.get_mut(pool) {
+            to.count(labels);
+        }
+    }
+
     fn labels_of(&self, host: &Name) -> &[Name] {
         self.hosts.get(host).map_or(&[], |it| &it.seen.labels)
     }
--- /dev/null
+++ b/crates/fleet/tests/owed_hosts.rs
@@ -0,0 +1,82 @@
+//! While hosts are short, pools get what teams are owed before what teams sent beyond their weight.
+
+mod common;
+
+use common::{Bench, config, cores, host, job, list, moves, starts, step, worker};
+use fuchsiamill_fleet::{
+    Config, Ending, JobSpec, Name, Pool, Step, TaskId, Team, WorkerSeen, job::RouteTerms,
+};
+use fuchsiamill_model::Resources;
+
+/// The pools 'web' and 'draft', and a team that is owed one job a second.
+fn two_pools() -> Config {
+    let mut config = config();
+    let pool = Pool { name: "draft".into(), spare: false, health_probe: None };
+    config.pools.insert(pool.name.clone(), pool);
+    let team = Team { name: "hot".into(), weight: 1.0, limit: Resources::default() };
+    config.teams.insert(team.name.clone(), team);
+    config
+}
+
+fn posted(team: &str, pool: &str, tasks: u32) -> JobSpec {
+    let spec = job(vec![Step { size: cores(8), ..step(tasks) }]);
+    let route = RouteTerms { pool: pool.into(), ..spec.route };
+    JobSpec { team: team.into(), route, ..spec }
+}
+
+/// Six hosts in 'web' that are full of a team's excess, two in 'draft', and no spare one; and what runs.
+fn overloaded() -> (Bench, Vec<(TaskId, u32, Name)>) {
+    let mut bench = Bench::with(two_pools());
+    let mut hosts = Vec::new();
+    for number in 0..8 {
+        let pool = if number < 6 { "web" } else { "draft" };
+        let (name, id) = (format!("h{number}"), format!("w{number}"));
+        bench.add(WorkerSeen { pool: pool.into(), ..worker(&id) });
+        hosts.push(host(&name, pool, Some(&id)));
+    }
+    list(&mut bench, hosts);
+    for number in 0..20 {
+        bench.accept(&format!("hot-{number}"), posted("hot", "web", 1));
+    }
+    let running = bench.run();
+    assert_eq!(running.len(), 6);
+    // The first two were owed: they are no forecast any more.
+    bench.wait(2_100);
+    (bench, running)
+}
+
+fn end_all(bench: &mut Bench, running: Vec<(TaskId, u32, Name)>) {
+    for (task, run, worker) in running {
+        bench.report(&worker, &[], &[(task, run, Ending::Done)]);
+    }
+}
+
+#[test]
+fn hosts_of_excess_are_emptied_for_what_is_owed() {
+    let (mut bench, running) = overloaded();
+    bench.accept("owed", posted("north", "draft", 4));
+    let begun = bench.run();
+    assert_eq!(begun.len(), 2, "'draft' has two hosts");
+    assert!(moves(&bench.orders).is_empty(), "no task is stopped");
+    // Whatever ends in 'web' now, three hosts get no more of the excess, and go to 'draft'.
+    end_all(&mut bench, running);
+    let orders = bench.step();
+    let moved = moves(&orders);
+    assert_eq!(moved.iter().filter(|it| it.1 == "draft").count(), 3, "{moved:?}");
+    let more = starts(&orders).into_iter().filter(|it| it.0.job.starts_with("hot-")).count();
+    assert_eq!(more, 3, "the others go on with the excess");
+}
+
+/// A host that was to be emptied stays when the other pool has enough, and takes tasks again.
+#[test]
+fn emptied_host_stays_when_it_is_no_longer_needed() {
+    let (mut bench, running) = overloaded();
+    bench.accept("owed", posted("north", "draft", 4));
+    bench.run();
+    bench.coordinator.cancel(&"owed".into(), bench.now);
+    bench.step();
+    end_all(&mut bench, running);
+    let orders = bench.step();
+    assert!(moves(&orders).iter().all(|it| it.1 != "draft"));
+    assert_eq!(starts(&orders).len(), 6);
+}
--- a/crates/site/src/lead/pools.rs
+++ b/crates/site/src/lead/pools.rs
@@ -26,6 +26,8 @@
                 pool = %need.pool,
                 hosts = need.hosts,
                 wanted = need.wanted,
+                owed = need.owed,
+                pressing = need.pressing,
                 idle = need.idle,
                 expected_millicores = need.expected,
                 present_millicores = need.present,
