A coordinator that takes over owes all jobs that it finds

Cause: a new coordinator gets all open jobs within a moment, so that most of them counted as sent beyond their team's weight and got hosts last. Second, a host that was being emptied for another pool was taken off its own pool's count once more at each look, though a reserved host does not count there any more.

Ruled out: the time of acceptance as the measure of excess for old jobs (what the team sent beside them is not known).

Change: only a job that is no older than the window of a second can be in excess. A host that is being emptied counts for its new pool and is not taken off the former one again.

Tests: jobs_of_a_former_coordinator_are_owed fails first (all 20 but the slack in excess).

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -141,7 +141,9 @@
         }
         let mut job = Job::new(id.clone(), spec, now, wall);
         job.open_due(wall);
-        job.excess = self.is_excess(&job.spec.team, now);
+        // Nothing is known of what was sent beside older jobs, which come all at once after a takeover.
+        let is_new = now.since(job.accepted) <= EXCESS_WINDOW_MS;
+        job.excess = is_new && self.is_excess(&job.spec.team, now);
         if record.is_none() && !job.excess {
             self.note_demand(&job.spec, now);
         }
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -132,7 +132,10 @@
                 self.unreserve(&host);
                 continue;
             }
-            self.hand_over(views, &host, &pool);
+            // Its own pool does not count it any more.
+            if let Some(to) = views.get_mut(&pool) {
+                to.count(self.labels_of(&host));
+            }
             match self.is_free(&host, now) {
                 true => moves.push((host, pool)),
                 false => drop(self.emptied.insert(host, pool)),
--- a/crates/fleet/tests/owed_hosts.rs
+++ b/crates/fleet/tests/owed_hosts.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
-use common::{Bench, config, cores, host, job, list, moves, starts, step, worker};
+use std::sync::Arc;
+
+use common::{Bench, WALL, config, cores, host, job, list, moves, starts, step, worker};
 use fuchsiamill_fleet::{
     Config, Ending, JobSpec, Name, Pool, Step, TaskId, Team, WorkerSeen, job::RouteTerms,
 };
-use fuchsiamill_model::Resources;
+use fuchsiamill_model::{Resources, units::WallTime};
 
 /// The pools 'web' and 'draft', and a team that is owed one job a second.
 fn two_pools() -> Config {
@@ -80,3 +82,16 @@
     assert!(moves(&orders).iter().all(|it| it.1 != "draft"));
     assert_eq!(starts(&orders).len(), 6);
 }
+
+/// A coordinator that takes over gets all open jobs at once: that is no excess of their teams.
+#[test]
+fn jobs_of_a_former_coordinator_are_owed() {
+    let mut bench = Bench::with(two_pools());
+    let later = WallTime(WALL.0 + 5_000);
+    for number in 0..20 {
+        let spec = Arc::new(posted("hot", "web", 1));
+        bench.coordinator.accept(format!("j{number}").into(), spec, None, bench.now, later);
+    }
+    let is_excess = |it: &usize| bench.coordinator.job(&format!("j{it}")).unwrap().excess;
+    assert_eq!((0..20).filter(is_excess).count(), 0);
+}
