Tasks wait for room near their data while that gains time

Tasks went far as soon as the near workers were full, which alone makes a short job late and takes three times the room; pools held no host in a rack until half of one was in use; workers with far tasks were taken for slow and left out; the time of far runs was learned as that of the queue.

Change: a task for which there is room far away only waits until the last moment at which it is in time there, or else near its data, 2 s at most, if its pool has or gets a host near. Racks are asked for a host by the time that work loses far away. Far runs teach nothing. Steps that are slow when spread over racks start in the fullest rack with room for all. The factor comes from the settings (`far-factor`).

--- a/crates/fleet/src/coordinator/demand.rs
+++ b/crates/fleet/src/coordinator/demand.rs
@@ -18,6 +18,9 @@
 /// A pool is shrunk to the most that it needed within this time: arrivals have gaps.
 const HOLD_MS: Millisecond = 1_500;
 
+/// A rack is asked for a host by as much work as loses this much of a host's time far away, in per cent.
+const RACK_EXTRA_PERCENT: u64 = 25;
+
 /// What work takes: sums of sizes, or sizes times milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -112,12 +115,15 @@
         labels.contains(wanted)
     }
 
-    /// Hosts of `host` millicores to ask for. A rack is asked for a host that will be half full at least: less work is
-    /// done far from its data at a lower price than the host's.
-    pub fn hosts_for(&self, millicores: u64, host: u64) -> u64 {
+    /// Hosts of `host` millicores to ask for, where work far from its data takes `far_percent` of its time near it. A rack
+    /// is asked for a host that will be full enough: less work is done far away at a lower price than the host's.
+    pub fn hosts_for(&self, millicores: u64, host: u64, far_percent: u64) -> u64 {
         match self {
             Wish::Label(_) => millicores.div_ceil(host),
-            Wish::Rack(_) => (millicores + host / 2) / host,
+            Wish::Rack(_) => {
+                let extra = far_percent.saturating_sub(100).max(RACK_EXTRA_PERCENT);
+                (millicores + host - host * RACK_EXTRA_PERCENT / extra) / host
+            }
         }
     }
 }
--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -92,6 +92,9 @@
     /// How many times as long a run took as the tasks of its step that were done before it. Estimates are too far
     /// off to compare tasks of different steps.
     fn beside_siblings(&mut self, id: &TaskId, now: Moment) -> Option<f64> {
+        if self.is_far(id) {
+            return None;
+        }
         let job = self.jobs.get_mut(&id.job)?;
         let begun = match &job.task(id)?.state {
             TaskState::Live(live) if live.phase == Phase::Running => live.since,
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -46,6 +46,8 @@
     pub waiting: u32,
     /// How long its done tasks ran, in milliseconds.
     pub took: Pace,
+    /// Since when its tasks wait for room near their data though there is room elsewhere.
+    pub near_since: Option<Moment>,
 }
 
 /// One task.
@@ -122,6 +124,16 @@
     Inherited,
 }
 
+impl Task {
+    /// Its run at a worker, if there may be one.
+    pub fn live(&self) -> Option<&Live> {
+        match &self.state {
+            TaskState::Live(it) => Some(it),
+            _ => None,
+        }
+    }
+}
+
 impl StepRun {
     fn new(count: u32) -> Self {
         Self {
@@ -129,6 +141,7 @@
             done: 0,
             waiting: count,
             took: Pace::default(),
+            near_since: None,
         }
     }
 
--- a/crates/fleet/src/coordinator/lapse.rs
+++ b/crates/fleet/src/coordinator/lapse.rs
@@ -10,6 +10,7 @@
     pub fn tick(&mut self, now: Moment, wall: WallTime) {
         self.open_occurrences(wall);
         self.end_avoidance(now);
+        self.end_near_waits(now);
         self.ask_health(now);
         let lease = with_drift(self.terms.lease_ms);
         let lapsed: Vec<Name> = self
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod job;
 mod lapse;
+mod near;
 mod needs;
 mod orders;
 mod outbox;
@@ -83,6 +84,8 @@
     usual: FastMap<Name, rank::Usual>,
     /// Pools where tasks found no room lately.
     tight: FastSet<Name>,
+    /// When the first task that waits for room near its data may go elsewhere.
+    near_wait_ends: Option<Moment>,
 }
 
 impl Coordinator {
@@ -118,6 +121,7 @@
             advice: FastMap::default(),
             usual: FastMap::default(),
             tight: FastSet::default(),
+            near_wait_ends: None,
         }
     }
 
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -233,6 +233,7 @@
 
     /// Hosts for the work that is there and that is expected, and for tasks that have to be apart.
     fn size_pools(&mut self, views: &mut Views, now: Moment) {
+        let far_percent = self.terms.far_percent;
         let all = self.hosts.values().map(|it| it.seen.capacity);
         let any = all.max_by_key(|it| it.millicores).unwrap_or_default();
         for (pool, view) in views {
@@ -254,7 +255,7 @@
                 let demand = self.demand_for(pool, Some(wish));
                 let expected = demand.expected(now).millicores_on(host);
                 let work = with_headroom(expected.max(part.load.millicores_on(host)));
-                part.wanted = wish.hosts_for(work, host.millicores.max(1).into());
+                part.wanted = wish.hosts_for(work, host.millicores.max(1).into(), far_percent);
                 part.held = demand.most_needed(part.wanted, now);
             }
             let is_lacking = |it: &(&Wish, &WishView)| it.1.wanted > it.1.hosts;
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -3,7 +3,7 @@
 use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
 use super::{Coordinator, Live, Order, Phase, StepKey, TaskState, Worker};
-use crate::{Name, Stage, Step, TaskId, job::RouteTerms};
+use crate::{JobSpec, Name, Stage, Step, TaskId, job::RouteTerms};
 
 /// Tasks that found no room after which the search in a pool ends until something changes.
 const MISFITS_PER_POOL: u32 = 40;
@@ -17,12 +17,23 @@
     left: u32,
 }
 
+/// Where a task goes.
+enum Spot {
+    /// To this worker.
+    On(Name),
+    /// It waits for room near its data, until this moment at most.
+    NearLater(Moment),
+    /// There is no room for it.
+    Full,
+}
+
 impl Coordinator {
     /// Places what fits, the most urgent first.
     pub fn place(&mut self, now: Moment) {
         if !std::mem::take(&mut self.needs_placing) {
             return;
         }
+        self.near_wait_ends = None;
         let mut misfits: FastMap<Name, u32> = FastMap::default();
         for id in self.ranked(now) {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -51,7 +62,9 @@
         if wanted.gang && waiting.len() < tasks.len() {
             return 0;
         }
+        let near = self.near_rack(id, occurrence, step, waiting.len());
         let mut placed = Vec::new();
+        let mut is_full = false;
         for index in &waiting {
             let task = TaskId {
                 job: id.clone(),
@@ -59,17 +72,21 @@
                 step: step as u16,
                 index: *index,
             };
-            let fits_limit = self.fits_limit(&spec.team, wanted.size);
-            let worker = match fits_limit {
-                true => self.find_worker(&task, wanted, &spec.route, now),
-                false => None,
-            };
-            let Some(worker) = worker else { break };
-            self.put(&task, &worker, wanted.gang.then_some(run), now);
+            match self.find_spot(&task, &spec, near.as_ref(), now) {
+                Spot::On(worker) => self.put(&task, &worker, wanted.gang.then_some(run), now),
+                Spot::NearLater(until) => {
+                    self.note_near_wait(&task, until, now);
+                    break;
+                }
+                Spot::Full => {
+                    is_full = true;
+                    break;
+                }
+            }
             placed.push(task);
         }
-        let missing = (waiting.len() - placed.len()) as u32;
-        if wanted.gang && missing > 0 {
+        let missing = if is_full { (waiting.len() - placed.len()) as u32 } else { 0 };
+        if wanted.gang && placed.len() < waiting.len() {
             placed.iter().for_each(|it| self.free(it, now));
             return missing;
         }
@@ -93,13 +110,29 @@
             && within(limit.accelerators, used.accelerators)
     }
 
-    fn find_worker(
+    /// The best place for a task, `near` being the rack where it is fast.
+    fn find_spot(&self, task: &TaskId, spec: &JobSpec, near: Option<&Name>, now: Moment) -> Spot {
+        let step = &spec.steps[task.step as usize];
+        if !self.fits_limit(&spec.team, step.size) {
+            return Spot::Full;
+        }
+        let Some((fit, worker)) = self.best_worker(task, step, &spec.route, near, now) else {
+            return Spot::Full;
+        };
+        match fit.far.then(|| self.near_wait(task, now)).flatten() {
+            Some(until) => Spot::NearLater(until),
+            None => Spot::On(worker),
+        }
+    }
+
+    fn best_worker(
         &self,
         task: &TaskId,
         step: &Step,
         route: &RouteTerms,
+        near: Option<&Name>,
         now: Moment,
-    ) -> Option<Name> {
+    ) -> Option<(Fit, Name)> {
         let room = step.room();
         let key = StepKey::from(task);
         let candidates = self.workers.values().filter(|it| {
@@ -110,22 +143,10 @@
                 && step.per_worker.is_none_or(|most| siblings_on(it, task) < most)
                 && (!route.advised || self.ticket(&key, &it.seen.id, now).is_some())
         });
-        let rack = step.one_rack.then(|| self.rack_of_step(task)).flatten();
-        let near = step.rack.as_ref().or(rack.as_ref());
-        let best = candidates
+        let (fit, worker) = candidates
             .map(|it| (fit(it, step, near, room), it))
             .min_by(|(a, x), (b, y)| a.cmp(b).then(x.seen.id.cmp(&y.seen.id)))?;
-        Some(best.1.seen.id.clone())
-    }
-
-    /// The rack where other tasks of a step are.
-    fn rack_of_step(&self, task: &TaskId) -> Option<Name> {
-        let job = self.jobs.get(&task.job)?;
-        let step = &job.occurrences[task.occurrence as usize].steps[task.step as usize];
-        step.tasks.iter().find_map(|it| match &it.state {
-            TaskState::Live(live) => self.workers.get(&live.worker)?.rack().cloned(),
-            _ => None,
-        })
+        Some((fit, worker.seen.id.clone()))
     }
 
     fn put(&mut self, id: &TaskId, worker: &Name, run: Option<u32>, now: Moment) {
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -128,7 +128,7 @@
             if !self.may_be_emptied(&host) {
                 continue;
             }
-            if !views.get(&pool).is_some_and(|it| it.need.pressing > it.need.hosts) {
+            if views.get(&pool).is_none_or(|it| it.need.pressing <= it.need.hosts) {
                 self.unreserve(&host);
                 continue;
             }
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -72,7 +72,7 @@
     }
 
     /// When a job should be completed, by what its queue's tasks are known to take.
-    fn due(&self, job: &Job) -> Moment {
+    pub(super) fn due(&self, job: &Job) -> Moment {
         let chain = chain_of(&job.spec, |step| self.expected_ms(&job.spec, step));
         job.accepted + objective_ms(&job.spec, chain)
     }
@@ -89,7 +89,7 @@
     }
 
     /// The longest chain of work that is left, in milliseconds, and all of it in millicore-milliseconds.
-    fn left(&self, job: &Job) -> (Millisecond, u64) {
+    pub(super) fn left(&self, job: &Job) -> (Millisecond, u64) {
         let mut work = 0;
         let chain = chain_of(&job.spec, |step| {
             let run = job.occurrences.first().map(|it| &it.steps[step]);
@@ -108,7 +108,7 @@
         let Some(task) = job.task(id) else { return };
         let TaskState::Live(live) = &task.state else { return };
         let step = &job.spec.steps[id.step as usize];
-        if step.lasts || task.run > 1 {
+        if step.lasts || task.run > 1 || self.is_far(id) {
             return;
         }
         let took = now.since(live.since).max(1) as f64;
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -111,7 +111,17 @@
     }
 
     pub fn after(config: Config, takeover: Takeover) -> Self {
-        let coordinator = Coordinator::new(Terms::default(), Arc::new(config), takeover);
+        Self::of(Terms::default(), config, takeover)
+    }
+
+    /// Tasks take `far_percent` of their time far from their data.
+    pub fn far(far_percent: u64) -> Self {
+        let takeover = Takeover { renewals_end: START, at: START };
+        Self::of(Terms { far_percent, ..Terms::default() }, config(), takeover)
+    }
+
+    fn of(terms: Terms, config: Config, takeover: Takeover) -> Self {
+        let coordinator = Coordinator::new(terms, Arc::new(config), takeover);
         Self { coordinator, now: START, ends: 0, orders: Vec::new() }
     }
 
--- a/crates/model/src/resources.rs
+++ b/crates/model/src/resources.rs
@@ -40,6 +40,14 @@
         }
     }
 
+    /// How often `size` fits into this amount; as often as one likes where it needs nothing.
+    pub fn times(self, size: Resources) -> u64 {
+        let part = |has: u32, needs: u32| has.checked_div(needs).map_or(u64::MAX, u64::from);
+        part(self.millicores, size.millicores)
+            .min(part(self.memory_mib, size.memory_mib))
+            .min(part(self.accelerators, size.accelerators))
+    }
+
     /// The smaller amount in every dimension.
     pub fn min_of(self, other: Resources) -> Resources {
         Resources {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -42,6 +42,8 @@
     pub holder_change_ms: Millisecond,
     /// How long a stop waits for requests in flight, in seconds.
     pub grace_s: f64,
+    /// How many times as long a task takes far from its data.
+    pub far_factor: f64,
     /// How long a finished job's state is told, in seconds.
     pub status_s: u64,
     /// The largest row that the store takes, in bytes.
@@ -92,6 +94,7 @@
             move_s: section.value_or("move-s", factor, 1.5)?,
             upkeep_s: section.value_or("upkeep-s", factor, 2.0)?,
             holder_change_ms: section.number("holder-change-ms", 3_000, 0..=600_000)?,
+            far_factor: section.value_or("far-factor", factor, 1.5)?,
             grace_s: section.value_or("grace-s", factor, 6.0)?,
             status_s: section.number("status-s", 120, 1..=86_400)?,
             row_bytes: section.number("row-bytes", 65_536, 4_096..=16_777_216)?,
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -247,5 +247,6 @@
         holder_change_ms: settings.holder_change_ms,
         renewal_ms: RENEWAL_MS,
         keep_ms: settings.status_s * 1_000 + KEEP_MARGIN_MS,
+        far_percent: (settings.far_factor * 100.0) as u64,
     }
 }
