While the store is silent, what would be asked of it is refused at once

Ruled out: a shorter hold of posts that were sent (whether they are stored stays unknown); the time of the last answer alone (a feed without news is silent for 0.9 s).

Then posts and questions get 503 at once, also those that wait for their turn and were not sent.

--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -122,6 +122,9 @@
     /// A row, tried until the deadline; `None` when the store gave no answer.
     async fn read_row(&self, key: &Key, deadline: Moment) -> Option<Option<Row>> {
         loop {
+            if self.store.is_silent() {
+                return None;
+            }
             match self.store.read_row(key).await {
                 Ok((row, _)) => return Some(row),
                 Err(e) => tracing::debug!(event = "read-failed", key = %key.key, error = %e),
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -36,6 +36,9 @@
 /// A store that answered something within this time is slow, and not away.
 const SLOW_ANSWER: Duration = Duration::from_millis(800);
 
+/// How often a request that waits for its turn looks whether the store has become silent.
+const SILENCE_LOOK: Duration = Duration::from_millis(100);
+
 /// What a caller waits when it does not say so.
 const DEFAULT_PATIENCE_MS: u64 = 3_000;
 
@@ -189,6 +192,9 @@
     }
 
     async fn insert(&self, key: Key, value: Vec<u8>, limits: Limits) -> Inserted {
+        if self.store.is_silent() {
+            return Inserted::Refused;
+        }
         let (reply, mut outcome) = oneshot::channel();
         let give_up = (self.clock.now() + INSERT_PATIENCE_MS).min(limits.hold);
         let Some(submitter) = self.submitters.get(&key.part) else { return Inserted::Refused };
@@ -201,8 +207,11 @@
         let mut until = limits.hold;
         loop {
             let left = Duration::from_millis(until.since(self.clock.now()));
-            match timeout(left, &mut outcome).await {
+            match timeout(left.min(SILENCE_LOOK), &mut outcome).await {
                 Ok(outcome) => return outcome.unwrap_or(Inserted::Unknown),
+                // What waits for its turn was not sent: the caller may try again.
+                Err(_) if !is_sent.get() && self.store.is_silent() => return Inserted::Refused,
+                Err(_) if self.clock.now() < until => {}
                 Err(_) if until < deadline && self.store.has_answered_within(SLOW_ANSWER) => {
                     until = deadline;
                 }
--- a/crates/site/src/relay.rs
+++ b/crates/site/src/relay.rs
@@ -75,8 +75,9 @@
 
     async fn try_all(&self, call: DetourCall) -> Detoured {
         let time = Duration::from_millis(call.within_ms) + WAY_TIME;
-        let mut reach = Reach::CutOff;
-        for addr in self.candidates() {
+        let candidates = self.candidates();
+        let mut reach = if candidates.is_empty() { Reach::default() } else { Reach::CutOff };
+        for addr in candidates {
             let link =
                 self.links.borrow_mut().entry(addr).or_insert_with(|| Link::start(addr)).clone();
             match link.call::<Option<DetourAnswer>>(METHOD, &call, time).await {
@@ -87,10 +88,15 @@
                 }
                 Ok(None) => reach = Reach::StoreAway,
                 Err(Error::Unreachable(_)) => self.drop_link(addr),
+                Err(Error::Refused { message, .. }) => {
+                    tracing::debug!(event = "relay-failed", %addr, error = message);
+                    self.reach.set(Reach::StoreAway);
+                    return Detoured::Unanswered;
+                }
+                // Whether the other entry host or the store did not answer is not known.
                 Err(e) => {
                     tracing::debug!(event = "relay-failed", %addr, error = %e);
                     self.drop_link(addr);
-                    self.reach.set(reach);
                     return Detoured::Unanswered;
                 }
             }
