Tasks that are paused, or much longer than estimated, are not taken for standing still

Cause, found by reading: a task whose progress, told in whole per cent, did not change for 1.5 s and a thirtieth of its estimate was stopped and started elsewhere. One that takes a hundred times its estimate was stopped again and again and never done. A filling task that was paused made no progress either; and of one that ends, the report tells its progress, which was taken for its speed.

Ruled out: a longer patience for all (tasks that really stand still are the kind hang of the sick workers).

Change: each stop for standing still doubles the time that the task's next run gets. The speed of a filling task that ends is what was ordered; while it is below the full one its progress is not looked at.

Tests, both fail first: long_task_with_a_low_estimate_goes_on (stopped 9 times in 90 s, at most 2 now), speed_of_a_task_that_ends_is_what_was_ordered.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -29,6 +29,10 @@
 /// A task whose progress does not change for this long stands still.
 const STILL_MS: Millisecond = 1_500;
 
+/// Each stop of a task for standing still doubles the time that its next run gets, at most so often: its estimate may be
+/// far too low.
+const STALLS_COUNTED: u32 = 10;
+
 /// Progress is told in whole per cent: a long task shows none for a while, so that much of its estimate is added.
 const STILL_DIVISOR: u64 = 33;
 
@@ -114,18 +118,32 @@
         if step.lasts || step.gang {
             return;
         }
+        let task = self.jobs.get(&seen.task.job).and_then(|it| it.task(&seen.task));
+        let stalls = task.map_or(0, |it| it.stalls).min(STALLS_COUNTED);
         let Some(live) = self.live_mut(&seen.task) else { return };
         if live.phase != Phase::Running {
             return;
         }
+        // A task whose speed was lowered makes less progress, or none.
+        if live.pace.is_some_and(|it| it.percent < 100) {
+            live.progress = None;
+            return;
+        }
         let (percent, since) = *live.progress.get_or_insert((seen.percent, now));
         if percent != seen.percent {
             live.progress = Some((seen.percent, now));
-        } else if seen.percent < 100 && now.since(since) >= patience {
+        } else if seen.percent < 100 && now.since(since) >= patience << stalls {
             if let Some(at) = self.workers.get_mut(worker) {
                 at.avoid(now + FAILING_MS);
             }
+            self.note_stall(&seen.task);
             self.stop(&seen.task, now);
         }
     }
+
+    fn note_stall(&mut self, id: &TaskId) {
+        if let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) {
+            task.stalls += 1;
+        }
+    }
 }
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -59,6 +59,8 @@
     pub run: u32,
     /// How often it has failed.
     pub failures: u32,
+    /// How often a run of it was stopped because it stood still.
+    pub stalls: u32,
     /// Saved progress.
     pub saved: Name,
     /// An earlier run turned out to have done the work: the run that is under way is stopped.
@@ -92,8 +94,17 @@
     pub at_work: Option<Moment>,
     /// Its progress in per cent, and since when it is that.
     pub progress: Option<(u32, Moment)>,
-    /// When its speed was last set.
-    pub paced: Option<Moment>,
+    /// The speed that was last ordered.
+    pub pace: Option<PaceSet>,
+}
+
+/// An order to work at a part of the full speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PaceSet {
+    /// When it was given.
+    pub at: Moment,
+    /// The part, in per cent.
+    pub percent: u32,
 }
 
 /// How long a report that a task is at work holds; workers with tasks are looked at every second.
@@ -356,7 +367,7 @@
                     since: now,
                     at_work: None,
                     progress: None,
-                    paced: None,
+                    pace: None,
                 };
                 self.set_state(&id, TaskState::Live(at.clone()));
                 live.push((id, at));
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -160,7 +160,7 @@
             since: now,
             at_work: None,
             progress: None,
-            paced: None,
+            pace: None,
         };
         job.set_state(id, TaskState::Live(live));
         let task = job.task_mut(id).expect("the task is being placed");
--- a/crates/fleet/src/coordinator/sharing.rs
+++ b/crates/fleet/src/coordinator/sharing.rs
@@ -2,8 +2,8 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::{Coordinator, Order, Phase};
-use crate::{Name, Report, TaskId};
+use super::{Coordinator, Order, Phase, job::PaceSet};
+use crate::{Name, Report, RunSeen};
 
 /// A tail above this part of its target slows the tasks that fill, in per cent.
 const TAIL_HIGH_PERCENT: u64 = 85;
@@ -32,17 +32,22 @@
     /// Sets the speed of the tasks that fill on a worker by the tails in its report.
     pub(super) fn share_worker(&mut self, worker: &Name, report: &Report, now: Moment) {
         let tails = self.tails(report);
-        let fills: Vec<(TaskId, u32, u32)> = report
+        let fills: Vec<&RunSeen> = report
             .running
             .iter()
             .filter(|it| self.step_of(&it.task).is_some_and(|step| step.fills))
-            .map(|it| (it.task.clone(), it.run, it.percent))
             .collect();
-        for (task, run, percent) in fills {
-            let Some(live) = self.live_mut(&task) else { continue };
-            if live.phase != Phase::Running || live.paced.is_some_and(|at| report.asked <= at) {
+        for seen in fills {
+            let lasts = self.step_of(&seen.task).is_some_and(|it| it.lasts);
+            let Some(live) = self.live_mut(&seen.task) else { continue };
+            if live.phase != Phase::Running || live.pace.is_some_and(|it| report.asked <= it.at) {
                 continue;
             }
+            // Of a task that ends, the report tells its progress, not its speed.
+            let percent = match lasts {
+                true => seen.percent,
+                false => live.pace.map_or(100, |it| it.percent),
+            };
             let next = match tails {
                 Tails::High if percent <= LEAST_PERCENT => 0,
                 Tails::High => percent / 2,
@@ -50,8 +55,8 @@
                 Tails::Low => (percent + SPEED_UP_PERCENT).min(100),
             };
             if next != percent {
-                live.paced = Some(now);
-                let worker = worker.clone();
+                live.pace = Some(PaceSet { at: now, percent: next });
+                let (worker, task, run) = (worker.clone(), seen.task.clone(), seen.run);
                 self.released.push(Order::Pace { worker, task, run, percent: next });
             }
         }
--- a/crates/fleet/tests/shared_workers.rs
+++ b/crates/fleet/tests/shared_workers.rs
@@ -60,6 +60,27 @@
     assert_eq!(tail(&mut bench, 40, 0), [15]);
 }
 
+/// Of a task that ends, a report tells the progress: its speed is what was ordered, and a paused one does not stand still.
+#[test]
+fn speed_of_a_task_that_ends_is_what_was_ordered() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("serves", job(vec![serving()]));
+    bench.accept("fills", job(vec![Step { lasts: false, ..filling() }]));
+    assert_eq!(bench.run().len(), 2);
+    assert_eq!(tail(&mut bench, 90, 30), [50]);
+    assert_eq!(tail(&mut bench, 130, 30), [25]);
+    for expected in [vec![12], vec![6], vec![0]] {
+        assert_eq!(tail(&mut bench, 130, 30), expected);
+    }
+    for _ in 0..6 {
+        assert_eq!(tail(&mut bench, 70, 30), [0; 0]);
+    }
+    let stopped = bench.orders.iter().any(|it| matches!(it, Order::Stop { .. }));
+    assert!(!stopped, "a paused task was stopped");
+    assert_eq!(tail(&mut bench, 40, 30), [15]);
+}
+
 #[test]
 fn speed_is_set_once_a_report() {
     let mut bench = shared();
--- a/crates/fleet/tests/slow_workers.rs
+++ b/crates/fleet/tests/slow_workers.rs
@@ -4,6 +4,7 @@
 
 use common::{Bench, job, seen, step, stops, task, worker};
 use fuchsiamill_fleet::{Ending, Report, Step};
+use fuchsiamill_model::units::Moment;
 
 fn progress(bench: &mut Bench, percent: u32) {
     let running = vec![seen(&task("j", 0, 0), 1, percent)];
@@ -55,6 +56,35 @@
     }
 }
 
+/// It makes a per cent of progress in 4 s, and its estimate is 1 s: it must not be started anew for ever.
+#[test]
+fn long_task_with_a_low_estimate_goes_on() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    let mut stopped = 0;
+    let mut current: Option<(u32, Moment)> = None;
+    for _ in 0..90 {
+        bench.wait(1_000);
+        if let Some(start) = bench.run().first() {
+            current = Some((start.1, bench.now));
+        }
+        let Some((run, begun)) = current else { continue };
+        let percent = (bench.now.since(begun) / 4_000) as u32;
+        let running = vec![seen(&task("j", 0, 0), run, percent)];
+        let report = Report { asked: bench.now, born: 7, running, ended: Vec::new() };
+        bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+        if !stops(&bench.step()).is_empty() {
+            stopped += 1;
+            bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Stopped)]);
+            current = None;
+        }
+    }
+    assert!(stopped <= 2, "stopped {stopped} times");
+    let (_, begun) = current.expect("it runs");
+    assert!(bench.now.since(begun) > 40_000, "it runs since {begun:?}");
+}
+
 #[test]
 fn failing_worker_is_left_out_for_a_while() {
     let mut bench = Bench::new();
