--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 mod entry_hosts;
+mod fleet;
 mod jobs;
 mod plans;
 mod share_meter;
@@ -24,6 +25,7 @@
 #[argh(subcommand)]
 enum Command {
     Capacity(capacity::CapacityArgs),
+    Fleet(fleet::FleetArgs),
     Jobs(jobs::JobsArgs),
     Plans(plans::PlansArgs),
     Sites(sites::SitesArgs),
@@ -36,6 +38,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Capacity(args) => capacity::run(&args),
+        Command::Fleet(args) => fleet::run(&args),
         Command::Jobs(args) => jobs::run(&args),
         Command::Plans(args) => plans::run(&args),
         Command::Sites(args) => sites::run(&args),
