Orders of former coordinators to hosts count for a wave's cap, and are handed on

Cause: any_wave with orders that come up to twelve seconds late, as where fences are checked: a new coordinator kept off a host that had an order of the former one, but began maintenance of others up to the cap; the former order then came as one too many (LIMIT). And the record of orders that a new coordinator stored did not name those of the former one: a third, within three seconds, could take turns with the first (ONE).

Ruled out: the list of hosts as the only evidence (it shows an order when it was carried out).

Change: what a former coordinator ordered within the time in which it may still be carried out counts as down. A host that counts already may be maintained if all together are within the cap. The record of orders names those that still matter. The setting `fenced-hosts` tells whether orders are checked for their fence. Orders to hosts have a file of their own.

--- /dev/null
+++ b/crates/fleet/src/coordinator/host_orders.rs
@@ -0,0 +1,66 @@
+//! Orders to hosts that were given lately, by this coordinator and by those before it.
+
+use fuchsiamill_model::units::{Millisecond, Moment};
+
+use super::{Coordinator, Order};
+use crate::{Name, terms::with_drift};
+
+/// An order without an answer is given again after this time; it does nothing twice.
+const DUTY_RETRY_MS: Millisecond = 1_500;
+
+impl Coordinator {
+    /// Gives orders again that were not answered.
+    pub(super) fn repeat_duties(&mut self, now: Moment) {
+        let mut repeated = Vec::new();
+        for (name, host) in &mut self.hosts {
+            let Some(pending) = &mut host.duty else { continue };
+            if pending.confirmed.is_none() && now.since(pending.since) >= DUTY_RETRY_MS {
+                pending.since = now;
+                pending.calls += 1;
+                repeated.push((name.clone(), pending.duty.clone()));
+            }
+        }
+        for (host, duty) in repeated {
+            self.note_order(&host, now);
+            self.held_back.push(Order::Host { host, duty });
+        }
+    }
+
+    /// Remembers an order, so that another coordinator does not take turns with it.
+    pub(super) fn note_order(&mut self, host: &Name, now: Moment) {
+        let kept = with_drift(self.terms.holder_change_ms.max(self.terms.late_order_ms));
+        for orders in [&mut self.recent_orders, &mut self.former_orders] {
+            orders.retain(|_, at| now.since(*at) < kept);
+        }
+        self.recent_orders.insert(host.clone(), now);
+        self.orders_noted = true;
+    }
+
+    /// Hosts that had orders lately and when, if there are new ones to store. Orders of former coordinators that still
+    /// matter are among them: yet another one may take over soon.
+    pub fn take_recent_orders(&mut self) -> Option<Vec<(Name, Moment)>> {
+        if !std::mem::take(&mut self.orders_noted) {
+            return None;
+        }
+        let former = self.former_orders.iter().filter(|it| !self.recent_orders.contains_key(it.0));
+        let all = former.chain(&self.recent_orders);
+        Some(all.map(|(host, at)| (host.clone(), *at)).collect())
+    }
+
+    /// A former coordinator gave a host an order at this moment.
+    pub fn note_former_order(&mut self, host: Name, at: Moment) {
+        self.former_orders.insert(host, at);
+    }
+
+    /// Whether an order would take turns with one that a former coordinator has just given.
+    pub(super) fn may_order(&self, host: &Name, now: Moment) -> bool {
+        let kept = with_drift(self.terms.holder_change_ms);
+        self.former_orders.get(host).is_none_or(|at| now >= *at + kept)
+    }
+
+    /// Whether an order of a former coordinator to a host may still be carried out.
+    pub(super) fn may_be_under_order(&self, host: &Name, now: Moment) -> bool {
+        let late = with_drift(self.terms.late_order_ms.max(self.terms.holder_change_ms));
+        self.former_orders.get(host).is_some_and(|at| now < *at + late)
+    }
+}
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Coordinator, Order, Worker};
-use crate::{HostSeen, HostState, Name, terms::with_drift, worker::Wave};
+use crate::{HostSeen, HostState, Name, worker::Wave};
 
 /// A host and what was ordered of it.
 #[derive(Clone, Debug)]
@@ -118,9 +118,6 @@
 /// have ended (a second at most) and reports from before their end are too old to count.
 const SETTLING_MS: Millisecond = 3_300;
 
-/// An order without an answer is given again after this time; it does nothing twice.
-const DUTY_RETRY_MS: Millisecond = 1_500;
-
 impl Coordinator {
     /// Takes the list of hosts in; `asked` is when it was asked for.
     pub fn hosts_listed(&mut self, listed: Vec<HostSeen>, asked: Moment) {
@@ -199,45 +196,6 @@
         self.evacuate(now);
     }
 
-    fn repeat_duties(&mut self, now: Moment) {
-        let mut repeated = Vec::new();
-        for (name, host) in &mut self.hosts {
-            let Some(pending) = &mut host.duty else { continue };
-            if pending.confirmed.is_none() && now.since(pending.since) >= DUTY_RETRY_MS {
-                pending.since = now;
-                pending.calls += 1;
-                repeated.push((name.clone(), pending.duty.clone()));
-            }
-        }
-        for (host, duty) in repeated {
-            self.note_order(&host, now);
-            self.held_back.push(Order::Host { host, duty });
-        }
-    }
-
-    /// Remembers an order, so that another coordinator does not take turns with it.
-    fn note_order(&mut self, host: &Name, now: Moment) {
-        let kept = with_drift(self.terms.holder_change_ms);
-        self.recent_orders.retain(|_, at| now.since(*at) < kept);
-        self.recent_orders.insert(host.clone(), now);
-        self.orders_noted = true;
-    }
-
-    /// Hosts that had orders lately and when, if there are new ones to store.
-    pub fn take_recent_orders(&mut self) -> Option<Vec<(Name, Moment)>> {
-        let is_new = std::mem::take(&mut self.orders_noted);
-        is_new.then(|| self.recent_orders.iter().map(|(host, at)| (host.clone(), *at)).collect())
-    }
-
-    /// Gives no order to a host before a moment, since a former coordinator may just have given one.
-    pub fn keep_off_host(&mut self, host: Name, until: Moment) {
-        self.kept_off.insert(host, until);
-    }
-
-    pub(super) fn may_order(&self, host: &Name, now: Moment) -> bool {
-        self.kept_off.get(host).is_none_or(|until| now >= *until)
-    }
-
     fn plan_wave(&mut self, index: usize, now: Moment) {
         let state = &self.waves[index];
         if state.is_completed {
@@ -256,13 +214,14 @@
             self.dirty_waves.insert(number);
         }
         let state = &self.waves[index];
-        let down = self.down_for(state);
+        let down = self.down_for(state, now);
         if down == 0 && state.wave.hosts.iter().all(|it| state.begun.contains(it)) {
             self.waves[index].is_completed = true;
             self.dirty_waves.insert(number);
             return;
         }
-        let mut room = state.wave.at_once.saturating_sub(down);
+        let at_once = state.wave.at_once;
+        let mut room = at_once.saturating_sub(down);
         let mut left: Vec<Name> = state
             .wave
             .hosts
@@ -272,10 +231,13 @@
             .collect();
         left.sort_by_key(|it| (self.work_on(it), it.clone()));
         for name in left {
-            if room == 0 {
-                break;
+            // One that may be under a former order counts as down already.
+            match self.may_be_under_order(&name, now) {
+                true if down > at_once => continue,
+                true => {}
+                false if room == 0 => continue,
+                false => room -= 1,
             }
-            room -= 1;
             if self.is_free(&name, now) {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
             } else {
@@ -285,14 +247,16 @@
     }
 
     /// Hosts of a wave that are down for it, or may be.
-    fn down_for(&self, state: &WaveState) -> usize {
+    fn down_for(&self, state: &WaveState, now: Moment) -> usize {
         let is_down = |name: &&Name| {
-            self.hosts.get(*name).is_some_and(|host| {
-                let ordered = host.duty.as_ref().is_some_and(
+            let may_be = !state.begun.contains(*name) && self.may_be_under_order(name, now);
+            may_be
+                || self.hosts.get(*name).is_some_and(|host| {
+                    let ordered = host.duty.as_ref().is_some_and(
                     |it| matches!(it.duty, Duty::Maintain { wave } if wave == state.wave.number),
                 );
-                ordered || host.seen.state == HostState::Upkeep
-            })
+                    ordered || host.seen.state == HostState::Upkeep
+                })
         };
         state.wave.hosts.iter().filter(is_down).count()
     }
@@ -364,6 +328,8 @@
             }
             DutyReply::Done => {
                 pending.confirmed = Some(now);
+                // From now on orders of former coordinators are refused there.
+                self.former_orders.remove(name);
                 if let Duty::Maintain { wave } = duty
                     && let Some(state) = self.waves.iter_mut().find(|it| it.wave.number == *wave)
                 {
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -6,6 +6,7 @@
 mod advice;
 mod demand;
 mod health;
+mod host_orders;
 mod hosts;
 mod job;
 mod lapse;
@@ -73,7 +74,7 @@
     takeover: Takeover,
     recent_orders: FastMap<Name, Moment>,
     orders_noted: bool,
-    kept_off: FastMap<Name, Moment>,
+    former_orders: FastMap<Name, Moment>,
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<demand::DemandKey, demand::Demand>,
@@ -112,7 +113,7 @@
             takeover,
             recent_orders: FastMap::default(),
             orders_noted: false,
-            kept_off: FastMap::default(),
+            former_orders: FastMap::default(),
             waves: Vec::new(),
             dirty_waves: FastSet::default(),
             demand: FastMap::default(),
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -17,6 +17,8 @@
     pub renewal_ms: Millisecond,
     /// How long a job that is over is kept.
     pub keep_ms: Millisecond,
+    /// How long after it was given an order to a host may be carried out, where its answer was lost.
+    pub late_order_ms: Millisecond,
     /// How long a task takes far from its data, in per cent of what it takes near it.
     pub far_percent: u64,
 }
@@ -30,6 +32,7 @@
             holder_change_ms: 3_000,
             renewal_ms: 12_000,
             keep_ms: 180_000,
+            late_order_ms: 0,
             far_percent: 150,
         }
     }
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -40,6 +40,8 @@
     pub upkeep_s: f64,
     /// How long a former holder of the lease may still have given orders to a host.
     pub holder_change_ms: Millisecond,
+    /// Whether orders to hosts are checked for their fence: then one that was not answered may come late.
+    pub fenced_hosts: bool,
     /// How long a stop waits for requests in flight, in seconds.
     pub grace_s: f64,
     /// How many times as long a task takes far from its data.
@@ -95,6 +97,7 @@
             upkeep_s: section.value_or("upkeep-s", factor, 2.0)?,
             holder_change_ms: section.number("holder-change-ms", 3_000, 0..=600_000)?,
             far_factor: section.value_or("far-factor", factor, 1.5)?,
+            fenced_hosts: section.value_or("fenced-hosts", "true or false", false)?,
             grace_s: section.value_or("grace-s", factor, 6.0)?,
             status_s: section.number("status-s", 120, 1..=86_400)?,
             row_bytes: section.number("row-bytes", 65_536, 4_096..=16_777_216)?,
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -54,6 +54,9 @@
 /// How long a former coordinator may go on renewing leases without the store.
 const RENEWAL_MS: u64 = 12_000;
 
+/// Where fences of orders to hosts are checked, one without an answer is carried out within this time or never.
+const LATE_ORDER_MS: u64 = 12_000;
+
 /// An answer of the store this long ago shows that it can be reached: its feed is asked every second.
 const STORE_HEARD: Duration = Duration::from_millis(1_800);
 
@@ -247,6 +250,7 @@
         holder_change_ms: settings.holder_change_ms,
         renewal_ms: RENEWAL_MS,
         keep_ms: settings.status_s * 1_000 + KEEP_MARGIN_MS,
+        late_order_ms: if settings.fenced_hosts { LATE_ORDER_MS } else { 0 },
         far_percent: (settings.far_factor * 100.0) as u64,
     }
 }
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -5,7 +5,6 @@
 use fuchsiamill_fleet::{
     Coordinator, JobRecord, JobSpec, Name,
     coordinator::{Takeover, WaveRecord},
-    terms::with_drift,
 };
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
@@ -43,7 +42,7 @@
     let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
     let mut coordinator = Coordinator::new(cx.terms.clone(), config, takeover);
-    keep_off_hosts(&mut coordinator, &own, (store_ms, begun), cx);
+    note_former_orders(&mut coordinator, &own, (store_ms, begun));
     for row in &workers {
         apply_worker(&mut coordinator, row, cx);
     }
@@ -74,12 +73,7 @@
 }
 
 /// Another coordinator's orders to a host must not take turns with ours.
-fn keep_off_hosts(
-    coordinator: &mut Coordinator,
-    rows: &[Row],
-    (store_ms, at): (u64, Moment),
-    cx: &Candidate,
-) {
+fn note_former_orders(coordinator: &mut Coordinator, rows: &[Row], (store_ms, at): (u64, Moment)) {
     let Some(row) = rows.iter().find(|it| it.key == tables::host_orders_key()) else { return };
     let ordered: Vec<(Name, u64)> = match serde_json::from_slice(&row.value) {
         Ok(ordered) => ordered,
@@ -89,9 +83,7 @@
         }
     };
     for (host, ordered_ms) in ordered {
-        let age = store_ms.saturating_sub(ordered_ms);
-        let left = with_drift(cx.terms.holder_change_ms).saturating_sub(age);
-        coordinator.keep_off_host(host, at + left);
+        coordinator.note_former_order(host, at - store_ms.saturating_sub(ordered_ms));
     }
 }
 
