A gang without room waits until something changes

Cause, found by reading: a gang that is not placed whole gives back what it took, which counted as new room, so that the coordinator placed again and again without a pause while a gang waited.

Change: giving back within a pass leaves nothing to place.

Tests: gang_without_room_gives_no_work fails first.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -248,19 +248,18 @@
 
     /// Hosts of a wave that are down for it, or may be.
     fn down_for(&self, state: &WaveState, now: Moment) -> usize {
-        let is_down = |name: &&Name| {
-            let may_be = !state.begun.contains(*name) && self.may_be_under_order(name, now);
-            may_be
-                || self.hosts.get(*name).is_some_and(|host| {
-                    let ordered = host.duty.as_ref().is_some_and(
-                    |it| matches!(it.duty, Duty::Maintain { wave } if wave == state.wave.number),
-                );
-                    ordered || host.seen.state == HostState::Upkeep
-                })
-        };
+        let may_be = |it: &Name| !state.begun.contains(it) && self.may_be_under_order(it, now);
+        let is_down = |it: &&Name| self.is_down_for(state.wave.number, it) || may_be(it);
         state.wave.hosts.iter().filter(is_down).count()
     }
 
+    /// Whether a host was ordered to be maintained for a wave, or is being maintained.
+    fn is_down_for(&self, number: u64, host: &Name) -> bool {
+        let Some(host) = self.hosts.get(host) else { return false };
+        let ordered = host.duty.as_ref().map(|it| &it.duty);
+        ordered == Some(&Duty::Maintain { wave: number }) || host.seen.state == HostState::Upkeep
+    }
+
     /// Whether a host is taken as gone for good. One that was never listed may still come.
     fn is_lost(&self, host: &Name, now: Moment) -> bool {
         match self.hosts.get(host) {
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -46,6 +46,8 @@
                 *misfits.entry(pool.clone()).or_insert(0) += failed;
             }
         }
+        // Gangs that found no room have given back what they took: nothing has changed.
+        self.needs_placing = false;
         self.tight = misfits.into_iter().filter(|it| it.1 > 0).map(|it| it.0).collect();
     }
 
--- a/crates/fleet/tests/job_steps.rs
+++ b/crates/fleet/tests/job_steps.rs
@@ -93,6 +93,17 @@
     assert_eq!(bench.coordinator.open_jobs(), 0);
 }
 
+/// It is tried again when something changes, not all the time.
+#[test]
+fn gang_without_room_gives_no_work() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![Step { gang: true, ..step(10) }]));
+    bench.run();
+    bench.step();
+    assert!(!bench.coordinator.has_work());
+}
+
 #[test]
 fn occurrence_waits_for_its_time() {
     let mut bench = Bench::new();
