--- a/crates/fleet/tests/common/machines.rs
+++ b/crates/fleet/tests/common/machines/mod.rs
@@ -1,5 +1,7 @@
 //! Hosts around the coordinator that are moved, maintained and lost while tasks that last run on them: see `any_wave`.
 
+mod rules;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -16,16 +18,9 @@
     units::{Millisecond, Moment},
 };
 
-use super::{START, WALL, host, seen, work::Work, worker};
-
-/// A task counts as away when it has not been at work for this long.
-const NOTICE_MS: Millisecond = 4_500;
+use rules::is_held_up;
 
-/// A task is at work this long after its start.
-const STARTUP_MS: Millisecond = 400;
-
-/// An order that took longer to arrive was held up.
-const HELD_UP_MS: Millisecond = 300;
+use super::{START, WALL, host, seen, work::Work, worker};
 
 /// A call without an answer is carried out within this time, or not at all.
 const LATE_MS: Millisecond = 12_000;
@@ -356,61 +351,6 @@
         self.machines.values().filter(|it| it.state == HostState::Upkeep).count()
     }
 
-    /// A stop of a task that lasts leaves its users enough others.
-    fn check_stop(&mut self, flight: &Flight, worker: &Name, task: &TaskId) {
-        let now = self.now;
-        let runs = self.work_of(worker).is_some_and(|it| it.running.contains_key(task));
-        if !runs || !self.lasts(task) || !self.is_at_work(task) {
-            return;
-        }
-        let allowed = self.specs[&task.job].steps[task.step as usize].may_miss.unwrap_or(1);
-        let is_out = |(it, away): &(&TaskId, &Away)| {
-            (&it.job, it.step) == (&task.job, task.step)
-                && *it != task
-                && (away.by_order || now.since(away.since) >= NOTICE_MS)
-        };
-        let out = self.away.iter().filter(is_out).count() as u32;
-        if out >= allowed && !is_held_up(flight, now) {
-            self.fail(format!("{task:?} is stopped while {out} others are away"));
-        }
-        self.away.insert(task.clone(), Away { since: now, by_order: true });
-    }
-
-    /// Whether a task that runs has started long enough ago.
-    fn is_at_work(&self, task: &TaskId) -> bool {
-        self.begun.get(task).is_some_and(|it| self.now.since(*it) >= STARTUP_MS)
-    }
-
-    fn lasts(&self, task: &TaskId) -> bool {
-        self.specs[&task.job].steps[task.step as usize].lasts
-    }
-
-    fn running(&self) -> impl Iterator<Item = &TaskId> {
-        let up = self.machines.values().filter(|it| it.state == HostState::Up);
-        up.flat_map(|it| it.work.running.keys())
-    }
-
-    /// Notes which tasks that last are not at work.
-    fn note_away(&mut self) {
-        let running: BTreeSet<TaskId> =
-            self.running().filter(|it| self.is_at_work(it)).cloned().collect();
-        let now = self.now;
-        for (id, spec) in &self.specs {
-            for (step, wanted) in spec.steps.iter().enumerate().filter(|it| it.1.lasts) {
-                for index in 0..wanted.count {
-                    let task = TaskId { job: id.clone(), occurrence: 0, step: step as u16, index };
-                    match running.contains(&task) {
-                        true => drop(self.away.remove(&task)),
-                        false => {
-                            let new = Away { since: now, by_order: false };
-                            self.away.entry(task).or_insert(new);
-                        }
-                    }
-                }
-            }
-        }
-    }
-
     /// A worker that the coordinator knows is looked at; one whose life is over refuses the connection, or is silent.
     pub fn look(&mut self, pick: usize) {
         let mut known: Vec<(Name, u64)> =
@@ -542,38 +482,6 @@
         self.ask_wave();
     }
 
-    fn check_twice(&mut self) {
-        let mut seen = BTreeSet::new();
-        let twice = self.running().find(|it| !seen.insert((*it).clone())).cloned();
-        if let Some(task) = twice {
-            self.fail(format!("{task:?} runs twice"));
-        }
-    }
-
-    /// A wave is over only when each of its hosts was maintained, or is away.
-    fn check_completion(&mut self, waves: &[(u64, WaveRecord)]) {
-        let is_left = |it: &&Name| {
-            let machine = &self.machines[*it];
-            !machine.is_maintained && machine.state != HostState::Down
-        };
-        let left = self.wave.hosts.iter().find(is_left).cloned();
-        if let Some(host) = left
-            && waves.iter().any(|it| it.1.is_completed)
-        {
-            self.fail(format!("the wave is told to be over without {host}"));
-        }
-    }
-
-    fn tell(&mut self, what: String) {
-        let ms = self.now.since(START);
-        self.story.push(format!("{ms:>6} {what}"));
-    }
-
-    fn fail(&mut self, what: String) {
-        self.tell(what.clone());
-        self.wrong.get_or_insert(what);
-    }
-
     /// Everything works for long enough; tells what is still not as it should be.
     pub fn calm_down(&mut self) -> Option<String> {
         for round in 0..CALM_ROUNDS {
@@ -602,7 +510,3 @@
         }
     }
 }
-
-fn is_held_up(flight: &Flight, now: Moment) -> bool {
-    now.since(flight.sent) > HELD_UP_MS
-}
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -2,11 +2,14 @@
 
 use anyhow::Result;
 use argh::FromArgs;
-use fuchsiamill_simulate::{Fault, Load, Outcome, QueueLoad, SiteSize, play};
+use fuchsiamill_simulate::{Fault, Load, Outcome, SiteSize, play};
 
 /// Seeds that are played one after the other.
 const SEEDS: u64 = 5;
 
+/// How long jobs come: two peaks of each queue.
+const LENGTH_MS: u64 = 40_000;
+
 /// measure what callers of a site get, in virtual time
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet")]
@@ -31,9 +34,10 @@
          | Thrown away | Longest wait, ms |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
-    for (site, size) in [("Ruiyuan", size(150)), ("Sathorn", size(300))] {
-        for (name, load) in [("plain", load(args.load, 0.0)), ("near", load(args.load, args.near))]
-        {
+    for (site, far_percent) in [("Ruiyuan", 150), ("Sathorn", 300)] {
+        let size = SiteSize::of_tens(far_percent);
+        for (name, near) in [("plain", 0.0), ("near", args.near)] {
+            let load = Load::of_four_queues(args.load, near, LENGTH_MS);
             for (trouble, faults) in troubles() {
                 let plays = (0..args.seeds).map(|seed| play(&size, &load, &faults, seed));
                 print_row([site, name, trouble], &plays.collect::<Vec<_>>());
@@ -43,35 +47,6 @@
     Ok(())
 }
 
-/// Four pools of ten hosts and eight spare ones, four in a rack.
-fn size(far_percent: u64) -> SiteSize {
-    SiteSize { hosts: 10, spare: 8, rack: 4, cores: 16, far_percent, told_far_percent: far_percent }
-}
-
-/// Two queues of many short jobs and two of fewer long ones, which peak in turn for five seconds.
-fn load(times: f64, near: f64) -> Load {
-    let queue = |pool: &str, per_s: f64, tasks: f64, millicores: f64, task_ms: f64| QueueLoad {
-        pool: pool.into(),
-        per_s: per_s * times,
-        tasks,
-        millicores,
-        task_ms,
-        near,
-    };
-    Load {
-        queues: vec![
-            queue("checks", 7.1, 6.0, 880.0, 800.0),
-            queue("drafts", 1.4, 8.0, 1_900.0, 1_300.0),
-            queue("notices", 8.9, 6.0, 880.0, 800.0),
-            queue("plans", 1.7, 8.0, 1_900.0, 1_300.0),
-        ],
-        peak_ms: 5_000,
-        length_ms: 40_000,
-        stretch: 1.6,
-        objective_ms: 600,
-    }
-}
-
 fn troubles() -> [(&'static str, Vec<Fault>); 3] {
     [
         ("none", Vec::new()),
--- a/crates/simulate/src/load.rs
+++ b/crates/simulate/src/load.rs
@@ -70,6 +70,31 @@
 }
 
 impl Load {
+    /// Two queues of many short jobs and two of fewer long ones, which peak in turn for five seconds; `times` the usual
+    /// number of jobs, a part `near` of the steps with their data in a rack.
+    pub fn of_four_queues(times: f64, near: f64, length_ms: Millisecond) -> Self {
+        let queue = |pool: &str, per_s: f64, tasks: f64, millicores: f64, task_ms: f64| QueueLoad {
+            pool: pool.into(),
+            per_s: per_s * times,
+            tasks,
+            millicores,
+            task_ms,
+            near,
+        };
+        Self {
+            queues: vec![
+                queue("checks", 7.1, 6.0, 880.0, 800.0),
+                queue("drafts", 1.4, 8.0, 1_900.0, 1_300.0),
+                queue("notices", 8.9, 6.0, 880.0, 800.0),
+                queue("plans", 1.7, 8.0, 1_900.0, 1_300.0),
+            ],
+            peak_ms: 5_000,
+            length_ms,
+            stretch: 1.6,
+            objective_ms: 600,
+        }
+    }
+
     /// The jobs that come, by time; the same for the same seed.
     pub fn arrivals(&self, seed: u64, racks: u32) -> Vec<Arrival> {
         let mut rng = Rng::with_seed(seed);
--- a/crates/simulate/src/site.rs
+++ b/crates/simulate/src/site.rs
@@ -58,6 +58,13 @@
     pub told_far_percent: u64,
 }
 
+impl SiteSize {
+    /// Ten hosts for each queue and eight that are switched off, four in a rack.
+    pub fn of_tens(far_percent: u64) -> Self {
+        Self { hosts: 10, spare: 8, rack: 4, cores: 16, far_percent, told_far_percent: far_percent }
+    }
+}
+
 /// What goes wrong.
 #[derive(Clone, Debug)]
 pub enum Fault {
--- a/crates/simulate/tests/peak_load.rs
+++ b/crates/simulate/tests/peak_load.rs
@@ -1,6 +1,6 @@
 //! What callers get while queues peak in turn far above what their pools hold.
 
-use fuchsiamill_simulate::{Fault, Load, Outcome, QueueLoad, SiteSize, play};
+use fuchsiamill_simulate::{Fault, Load, Outcome, SiteSize, play};
 
 /// On a calm day nine of ten jobs are in time.
 const CALM_PART: f64 = 0.9;
@@ -11,31 +11,12 @@
 const SEEDS: std::ops::Range<u64> = 0..3;
 
 fn size(far_percent: u64) -> SiteSize {
-    SiteSize { hosts: 10, spare: 8, rack: 4, cores: 16, far_percent, told_far_percent: far_percent }
+    SiteSize::of_tens(far_percent)
 }
 
-/// Four queues, the first and the third with many short jobs.
+/// One peak of each queue.
 fn load(near: f64) -> Load {
-    let queue = |pool: &str, per_s, tasks, millicores, task_ms| QueueLoad {
-        pool: pool.into(),
-        per_s,
-        tasks,
-        millicores,
-        task_ms,
-        near,
-    };
-    Load {
-        queues: vec![
-            queue("checks", 7.1, 6.0, 880.0, 800.0),
-            queue("drafts", 1.4, 8.0, 1_900.0, 1_300.0),
-            queue("notices", 8.9, 6.0, 880.0, 800.0),
-            queue("plans", 1.7, 8.0, 1_900.0, 1_300.0),
-        ],
-        peak_ms: 5_000,
-        length_ms: 20_000,
-        stretch: 1.6,
-        objective_ms: 600,
-    }
+    Load::of_four_queues(1.0, near, 20_000)
 }
 
 fn in_time(size: &SiteSize, load: &Load) -> u64 {
