--- a/crates/policy/src/dispatch/machine.rs
+++ b/crates/policy/src/dispatch/machine.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_model::{
     Configuration, EntryName, FastMap, HostName, Incarnation, Millisecond, Moment, PoolName,
-    Problem, ProblemKind, TeamName,
+    TeamName,
 };
 
 use super::{
@@ -19,11 +19,10 @@
     slots::Intake,
 };
 
+mod answers;
 mod grants;
 mod upkeep;
 
-const RETRY_AFTER: Millisecond = 1_000;
-
 /// The bounds of dispatch that every entry host of a site shares.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -395,11 +394,3 @@
         self.teams.iter()
     }
 }
-
-pub(super) fn answer(ticket: Ticket, answer: Answer) -> Action {
-    Action::Answer { ticket, answer }
-}
-
-pub(super) fn refused(kind: ProblemKind, detail: impl Into<String>) -> Answer {
-    Answer::Refused { problem: Problem::not_run(kind, detail).retry_after(RETRY_AFTER) }
-}
--- a/crates/policy/src/dispatch/machine/grants.rs
+++ b/crates/policy/src/dispatch/machine/grants.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::{Moment, PoolName, TeamName, Units};
 
-use super::{Action, Dispatch, Given, answer};
+use super::{Action, Dispatch, Given, answers::answer};
 use crate::{
     dispatch::{Answer, Ending, GrantRef, Granted, pool::Use},
     escrow::{GrantId, Step},
--- a/crates/policy/src/dispatch/machine/upkeep.rs
+++ b/crates/policy/src/dispatch/machine/upkeep.rs
@@ -2,7 +2,10 @@
 
 use fuchsiamill_model::{Millisecond, Moment, PoolName, ProblemKind};
 
-use super::{Action, Dispatch, answer, refused};
+use super::{
+    Action, Dispatch,
+    answers::{answer, refused},
+};
 use crate::{
     dispatch::{Acquire, Answer},
     shares::{Lane, Waiting},
