An order to a host whose record took long is not sent

It woke 3.8 s later, read that the change was made, and sent the order 15 ms after waking, 0.7 s after its successor had given one to the same host. The successor had kept off the host for three seconds from the time of the record, which were over.

Ruled out: the record (it named the host); workers (they check fences; the service that has the hosts does not here).

Change: an order is sent within 1.5 s of the decision or not at all; one that was never sent is decided anew.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -30,6 +30,8 @@
     pub since: Moment,
     /// When it was confirmed.
     pub confirmed: Option<Moment>,
+    /// Whether a call with it was made.
+    pub is_sent: bool,
     /// Calls with it that are not answered yet: each of them may still be carried out.
     pub calls: u32,
 }
@@ -308,7 +310,13 @@
     pub(super) fn give_duty(&mut self, name: &Name, duty: Duty, now: Moment) {
         self.reserve(name);
         let Some(host) = self.hosts.get_mut(name) else { return };
-        host.duty = Some(Pending { duty: duty.clone(), since: now, confirmed: None, calls: 1 });
+        host.duty = Some(Pending {
+            duty: duty.clone(),
+            since: now,
+            confirmed: None,
+            is_sent: false,
+            calls: 1,
+        });
         self.note_order(name, now);
         self.held_back.push(Order::Host { host: name.clone(), duty });
     }
--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -62,6 +62,7 @@
                 self.set_phase(task, Phase::Sent, now);
             }
         }
+        let orders = orders.into_iter().filter(|it| self.may_send(it, now)).collect::<Vec<_>>();
         self.released.extend(orders);
         for id in ids {
             self.forget_if_over(&id, now);
