--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -276,7 +276,7 @@
     pub fn live_tasks(&self) -> Vec<(TaskId, Live)> {
         let mut live = Vec::new();
         self.each_task(|id, task| {
-            if let TaskState::Live(it) = &task.state {
+            if let Some(it) = task.live() {
                 live.push((id, it.clone()));
             }
         });
@@ -308,8 +308,7 @@
     /// Whether a task may be taken away from its users: enough others of its step are at work.
     pub fn may_stop(&self, id: &TaskId, now: Moment) -> bool {
         let allowed = self.spec.steps[id.step as usize].may_miss.unwrap_or(1);
-        let is_away =
-            |it: &Task| !matches!(&it.state, TaskState::Live(live) if live.is_serving(now));
+        let is_away = |it: &Task| !it.live().is_some_and(|live| live.is_serving(now));
         let step = &self.occurrences[id.occurrence as usize].steps[id.step as usize];
         (step.tasks.iter().filter(|it| is_away(it)).count() as u32) < allowed
     }
@@ -324,10 +323,7 @@
             if task.run == 0 {
                 return;
             }
-            let on = match &task.state {
-                TaskState::Live(it) => Some((it.worker.clone(), it.born)),
-                _ => None,
-            };
+            let on = task.live().map(|it| (it.worker.clone(), it.born));
             record.tasks.push(TaskRecord {
                 occurrence: id.occurrence,
                 step: id.step,
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    Coordinator, Host, HostDuty, Job, Task, TaskState,
+    Coordinator, Host, HostDuty, Job, Task,
     demand::{Demand, DemandKey, Load, Wish},
 };
 use crate::{HostState, JobSpec, Name, Step};
@@ -183,8 +183,7 @@
         for (k, run) in job.occurrences.iter().enumerate() {
             for (s, step) in run.steps.iter().enumerate() {
                 let wanted = &job.spec.steps[s];
-                let is_live = |it: &&Task| matches!(it.state, TaskState::Live(_));
-                let live = step.tasks.iter().filter(is_live).count() as u64;
+                let live = step.tasks.iter().filter_map(Task::live).count() as u64;
                 let waiting = if job.is_open(k, s) { u64::from(step.waiting) } else { 0 };
                 if live + waiting == 0 {
                     continue;
@@ -204,12 +203,8 @@
     }
 
     fn is_live_at(&self, task: &Task, wish: &Wish) -> bool {
-        match &task.state {
-            TaskState::Live(it) => {
-                self.workers.get(&it.worker).is_some_and(|it| wish.is_met_by(&it.seen.labels))
-            }
-            _ => false,
-        }
+        let worker = task.live().and_then(|it| self.workers.get(&it.worker));
+        worker.is_some_and(|it| wish.is_met_by(&it.seen.labels))
     }
 
     /// Work that needs a label asks for no more hosts than there are with it.
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -33,10 +33,7 @@
     /// Hosts for pools that are short: those with a label that is lacking first, since no others will do.
     fn grow(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<(Name, Name)> {
         let mut free = self.spare_hosts(spare, now);
-        let is_short = |it: &(&Name, &PoolView)| it.0 != spare && it.1.is_short();
-        let mut short: Vec<Name> =
-            views.iter().filter(is_short).map(|(name, _)| name.clone()).collect();
-        short.sort();
+        let short = pools_where(views, |name, it| name != spare && it.is_short());
         let mut moves = Vec::new();
         for pool in &short {
             for wish in views[pool].need.lacking.clone() {
@@ -153,12 +150,8 @@
     /// Lets hosts of pools that have more than they are owed finish their tasks, for pools that have less work there
     /// than they are owed.
     fn empty_hosts(&mut self, views: &mut Views, spare: &Name) {
-        let is_short =
-            |it: &(&Name, &PoolView)| it.0 != spare && it.1.need.pressing > it.1.need.hosts;
-        let mut short: Vec<Name> =
-            views.iter().filter(is_short).map(|(it, _)| it.clone()).collect();
-        short.sort();
-        for pool in short {
+        let is_short = |it: &PoolView| it.need.pressing > it.need.hosts;
+        for pool in pools_where(views, |name, it| name != spare && is_short(it)) {
             while views[&pool].need.pressing > views[&pool].need.hosts
                 && let Some(host) = self.host_to_empty(views, spare)
             {
@@ -216,3 +209,11 @@
         &self.pool_needs
     }
 }
+
+/// The names of some pools, in a fixed order.
+fn pools_where(views: &Views, is_meant: impl Fn(&Name, &PoolView) -> bool) -> Vec<Name> {
+    let meant = views.iter().filter(|(name, it)| is_meant(name, it));
+    let mut names: Vec<Name> = meant.map(|(name, _)| name.clone()).collect();
+    names.sort();
+    names
+}
