Logs and metrics tell how far the stop of a run is

What callers saw: work of a cancelled job ran on; nothing in the logs told which of three hypotheses was true. Cause of the gap: an order without a link was dropped without a line, unanswered stops were told at debug level only, confirmed ones not at all, and neither a takeover nor a look said that a run is there that should not be. Change: lines stop-not-sent, stop-confirmed and run-overdue; stop-failed at the usual level; state-loaded tells the inherited runs that have to end; gauges runs_to_end and longest_run_to_end. No decision is changed.

--- /dev/null
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -0,0 +1,67 @@
+//! Runs that must not go on, and how far their stop is.
+
+use fuchsiamill_model::units::{Millisecond, Moment};
+
+use super::{Coordinator, Job, Live, Phase, Task};
+use crate::{Stage, TaskId};
+
+/// A run that takes room on a worker and has to end.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunToEnd {
+    /// Its task.
+    pub task: TaskId,
+    /// Its number.
+    pub run: u32,
+    /// Where its job stands.
+    pub stage: Stage,
+    /// How far its stop is.
+    pub phase: Phase,
+    /// How long it has been in that phase, in milliseconds.
+    pub age_ms: Millisecond,
+}
+
+/// Every run that has to end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunsToEnd {
+    /// How many there are.
+    pub count: usize,
+    /// How long the one that has waited longest has been in its phase, in milliseconds.
+    pub longest_ms: Millisecond,
+}
+
+impl Coordinator {
+    /// The runs of one worker that have to end.
+    pub fn to_end_on(&self, worker: &str, now: Moment) -> Vec<RunToEnd> {
+        let Some(at) = self.workers.get(worker) else { return Vec::new() };
+        at.live.keys().filter_map(|id| self.to_end(id, now)).collect()
+    }
+
+    /// All runs that have to end.
+    pub fn all_to_end(&self, now: Moment) -> RunsToEnd {
+        let runs = self.workers.values().flat_map(|it| it.live.keys());
+        let ages = runs.filter_map(|id| self.to_end(id, now)).map(|it| it.age_ms);
+        ages.fold(RunsToEnd::default(), |all, age| RunsToEnd {
+            count: all.count + 1,
+            longest_ms: all.longest_ms.max(age),
+        })
+    }
+
+    fn to_end(&self, id: &TaskId, now: Moment) -> Option<RunToEnd> {
+        let job = self.jobs.get(&id.job)?;
+        let task = job.task(id)?;
+        let live = task.live().filter(|it| has_to_end(job, task, it))?;
+        Some(RunToEnd {
+            task: id.clone(),
+            run: task.run,
+            stage: job.stage,
+            phase: live.phase,
+            age_ms: now.since(live.since),
+        })
+    }
+}
+
+/// Whether a run must not go on: its stop was ordered, or nobody needs it any more.
+fn has_to_end(job: &Job, task: &Task, live: &Live) -> bool {
+    let is_stopping = matches!(live.phase, Phase::Stopping | Phase::StopConfirmed);
+    is_stopping || task.is_superseded || job.stage.is_over()
+}
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod demand;
+mod ending;
 mod health;
 mod host_orders;
 mod hosts;
@@ -31,6 +32,7 @@
 
 pub use advice::{Permit, StepKey};
 pub use demand::Wish;
+pub use ending::{RunToEnd, RunsToEnd};
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Live, Phase, Task, TaskState, objective_ms};
 pub use needs::PoolNeed;
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -2,7 +2,10 @@
 
 use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
-use fuchsiamill_fleet::{Coordinator, Name, Report, coordinator::WaveRecord};
+use fuchsiamill_fleet::{
+    Coordinator, Name, Report,
+    coordinator::{RunToEnd, WaveRecord},
+};
 use fuchsiamill_model::{
     FastMap, FastSet,
     units::{Millisecond, Moment},
@@ -33,6 +36,9 @@
 /// The least time between the begins of two changes: what happens in between is stored together.
 const PACE_MS: Millisecond = 15;
 
+/// Runs end within a second of their stop; one that takes longer is told of at each look.
+const OVERDUE_MS: Millisecond = 2_000;
+
 /// Why a process stopped coordinating.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Left {
@@ -220,6 +226,7 @@
             LinkEvent::Held(id, report) => {
                 self.log_ends(&id, &report);
                 self.coordinator.worker_held(&id, report, now);
+                self.log_overdue(&id, now);
                 let at = self.coordinator.workers().get(&id);
                 let is_busy = at.is_some_and(|it| !it.live.is_empty());
                 if let Some(link) = self.links.get(&id) {
@@ -264,6 +271,16 @@
         }
     }
 
+    /// Logs runs that were to be stopped long ago and are still listed.
+    fn log_overdue(&self, id: &Name, now: Moment) {
+        let overdue = self.coordinator.to_end_on(id, now);
+        for it in overdue.into_iter().filter(|it| it.age_ms >= OVERDUE_MS) {
+            let RunToEnd { task, run, stage, phase, age_ms } = it;
+            let stage = stage.as_str();
+            tracing::warn!(event = "run-overdue", %task, run, worker = %id, stage, phase = ?phase, age_ms);
+        }
+    }
+
     fn apply_host(&mut self, event: HostEvent) {
         let now = self.cx.clock.now();
         match event {
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -331,16 +331,21 @@
     pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
         for _ in 0..STOP_TRIES {
             if self.is_over() {
+                let worker = &self.worker.id;
+                tracing::info!(event = "stop-not-sent", %task, run, %worker, cause = "link closed");
                 return;
             }
             self.set_busy(true);
             match self.client.stop(&task, run, ORDER_TIME).await {
-                Ok(()) => return self.tell(LinkEvent::Stopped(task, run)),
+                Ok(()) => {
+                    tracing::info!(event = "stop-confirmed", task = %task, run);
+                    return self.tell(LinkEvent::Stopped(task, run));
+                }
                 Err(LifeError::OtherLife | LifeError::Closed) => {
                     self.tell(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
                     return;
                 }
-                Err(e) => tracing::debug!(event = "stop-failed", task = %task, run, error = %e),
+                Err(e) => tracing::info!(event = "stop-failed", task = %task, run, error = %e),
             }
             sleep(RETRY_PAUSE).await;
         }
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -57,7 +57,8 @@
         event = "state-loaded",
         jobs = jobs.len(),
         open = coordinator.open_jobs(),
-        workers = workers.len()
+        workers = workers.len(),
+        runs_to_end = coordinator.all_to_end(cx.clock.now()).count
     );
     Loaded { coordinator, jobs_version, workers_version, waves, orphans }
 }
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -37,7 +37,10 @@
                 monoio::spawn(link.clone().start(start));
             }
             Order::Stop { worker, task, run } => {
-                let Some(link) = self.links.get(&worker) else { return };
+                let Some(link) = self.links.get(&worker) else {
+                    tracing::warn!(event = "stop-not-sent", %task, run, %worker, cause = "no link");
+                    return;
+                };
                 tracing::info!(event = "task-stopped", %task, run, %worker);
                 monoio::spawn(link.clone().stop(task, run));
             }
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 
 use anyhow::Result;
+use fuchsiamill_fleet::coordinator::RunsToEnd;
 use fuchsiamill_model::FastMap;
 use opentelemetry::{
     KeyValue,
@@ -27,6 +28,8 @@
     coordinating: Gauge<u64>,
     open_jobs: Gauge<u64>,
     workers: Gauge<u64>,
+    runs_to_end: Gauge<u64>,
+    longest_to_end: Gauge<f64>,
     config_version: Gauge<u64>,
     log_lines_left_out: Counter<u64>,
     /// How many of each kind were counted.
@@ -53,6 +56,8 @@
             coordinating: meter.u64_gauge("coordinating").build(),
             open_jobs: meter.u64_gauge("open_jobs").build(),
             workers: meter.u64_gauge("workers").build(),
+            runs_to_end: meter.u64_gauge("runs_to_end").build(),
+            longest_to_end: meter.f64_gauge("longest_run_to_end").with_unit("s").build(),
             config_version: meter.u64_gauge("config_version").build(),
             log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
             counted_left_out: RefCell::default(),
@@ -100,6 +105,12 @@
         self.workers.record(workers as u64, &[]);
     }
 
+    /// Runs at workers that must not go on.
+    pub fn runs_to_end(&self, runs: RunsToEnd) {
+        self.runs_to_end.record(runs.count as u64, &[]);
+        self.longest_to_end.record(runs.longest_ms as f64 / 1_000.0, &[]);
+    }
+
     /// A configuration is in force.
     pub fn configured(&self, version: u64) {
         self.config_version.record(version, &[]);
