Runs that have to end are stopped whenever a worker lists them

What callers saw: work of a cancelled job ran on (UNASKED), for as long as its worker was looked at and its lease renewed. Cause: a stop was ordered once, at the moment at which the coordinator decided on it, and from then on only its phase told of it. A coordinator that took over restored the run as one that goes on although the record's stage was cancelled; a stop for a worker whose entry had lapsed had no link and was dropped; one whose link closed or that failed 30 times was forgotten. Class of fault: a wish that is carried by one message and is not compared with what is there. Change: with each look the coordinator goes through the runs of the worker that have to end (of a job that is over, with a result already, or being stopped) and orders what was not ordered, is known to have failed, or was not answered for 2 s. A link tries a stop three times and tells when it gives up.

--- a/crates/fleet/src/coordinator/ending.rs
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -2,8 +2,8 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use super::{Coordinator, Job, Live, Phase, Task};
-use crate::{Stage, TaskId};
+use super::{Coordinator, Job, Live, Order, Phase, Task};
+use crate::{Name, Stage, TaskId};
 
 /// A run that takes room on a worker and has to end.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,7 +29,50 @@
     pub longest_ms: Millisecond,
 }
 
+/// A stop that is not known to have failed is ordered again after this time, longer than a link tries one.
+const STOP_AGAIN_MS: Millisecond = 2_000;
+
 impl Coordinator {
+    /// Stops what a worker has and should not have. Whether that was ordered before, by this coordinator or a former one,
+    /// proves nothing: orders get lost.
+    pub(super) fn end_unwanted(&mut self, worker: &Name, now: Moment) {
+        for it in self.to_end_on(worker, now) {
+            match it.phase {
+                Phase::Stopping | Phase::StopConfirmed => self.stop_again(&it.task, now),
+                _ => self.stop(&it.task, now),
+            }
+        }
+    }
+
+    fn stop_again(&mut self, id: &TaskId, now: Moment) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(task) = job.task(id) else { return };
+        let Some(live) = task.live() else { return };
+        let is_tried = live.stop_ordered.is_some_and(|at| now.since(at) < STOP_AGAIN_MS);
+        let is_needed = !job.stage.is_over() && !task.is_superseded;
+        // Others of its step may have gone away since the first order.
+        if !is_tried && (!is_needed || job.may_stop(id, now)) {
+            self.order_stop(id, now);
+        }
+    }
+
+    pub(super) fn order_stop(&mut self, id: &TaskId, now: Moment) {
+        let run = self.run_of(id);
+        let Some(live) = self.live_mut(id) else { return };
+        live.stop_ordered = Some(now);
+        let worker = live.worker.clone();
+        self.released.push(Order::Stop { worker, task: id.clone(), run });
+    }
+
+    /// A stop was not carried out: it is ordered again once the worker answers.
+    pub fn stop_failed(&mut self, id: &TaskId, run: u32) {
+        if self.run_of(id) == run
+            && let Some(live) = self.live_mut(id)
+        {
+            live.stop_ordered = None;
+        }
+    }
+
     /// The runs of one worker that have to end.
     pub fn to_end_on(&self, worker: &str, now: Moment) -> Vec<RunToEnd> {
         let Some(at) = self.workers.get(worker) else { return Vec::new() };
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -96,6 +96,8 @@
     pub progress: Option<(u32, Moment)>,
     /// The speed that was last ordered.
     pub pace: Option<PaceSet>,
+    /// When its stop was last ordered, unless that is known to have failed.
+    pub stop_ordered: Option<Moment>,
 }
 
 /// An order to work at a part of the full speed.
@@ -305,12 +307,14 @@
         (0..count).map(|index| TaskId { index, ..id.clone() }).collect()
     }
 
-    /// Whether a task may be taken away from its users: enough others of its step are at work.
+    /// Whether a task may be taken away from those it serves: enough others of its step are at work.
     pub fn may_stop(&self, id: &TaskId, now: Moment) -> bool {
-        let allowed = self.spec.steps[id.step as usize].may_miss.unwrap_or(1);
+        let wanted = &self.spec.steps[id.step as usize];
         let is_away = |it: &Task| !it.live().is_some_and(|live| live.is_serving(now));
-        let step = &self.occurrences[id.occurrence as usize].steps[id.step as usize];
-        (step.tasks.iter().filter(|it| is_away(it)).count() as u32) < allowed
+        let tasks = &self.occurrences[id.occurrence as usize].steps[id.step as usize].tasks;
+        let others = tasks.iter().enumerate().filter(|it| it.0 != id.index as usize);
+        let away = others.filter(|it| is_away(it.1)).count() as u32;
+        !wanted.lasts || away < wanted.may_miss.unwrap_or(1)
     }
 
     /// What is stored of the job.
@@ -364,6 +368,7 @@
                     at_work: None,
                     progress: None,
                     pace: None,
+                    stop_ordered: None,
                 };
                 self.set_state(&id, TaskState::Live(at.clone()));
                 live.push((id, at));
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -229,17 +229,14 @@
 
     /// Orders a run to be stopped.
     fn stop(&mut self, id: &TaskId, now: Moment) {
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
-        let run = task.run;
-        let TaskState::Live(live) = &mut task.state else { return };
+        let Some(live) = self.live_mut(id) else { return };
         match live.phase {
             Phase::Stopping | Phase::StopConfirmed => {}
             Phase::Recorded => self.free(id, now),
             _ => {
                 live.phase = Phase::Stopping;
                 live.since = now;
-                let worker = live.worker.clone();
-                self.released.push(Order::Stop { worker, task: id.clone(), run });
+                self.order_stop(id, now);
             }
         }
     }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -163,6 +163,7 @@
             at_work: None,
             progress: None,
             pace: None,
+            stop_ordered: None,
         };
         job.set_state(id, TaskState::Live(live));
         let task = job.task_mut(id).expect("the task is being placed");
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -122,15 +122,14 @@
             match live.phase {
                 Phase::Sent | Phase::Stopping if !self.workers[id].gone => {
                     self.set_phase(&task, Phase::Stopping, now);
-                    let run = self.run_of(&task);
-                    self.released.push(Order::Stop { worker: id.clone(), task, run });
+                    self.order_stop(&task, now);
                 }
                 _ => self.free(&task, now),
             }
         }
     }
 
-    fn run_of(&self, id: &TaskId) -> u32 {
+    pub(super) fn run_of(&self, id: &TaskId) -> u32 {
         self.jobs.get(&id.job).and_then(|it| it.task(id)).map_or(0, |it| it.run)
     }
 
@@ -198,6 +197,7 @@
         }
         self.share_worker(id, &report, now);
         self.find_missing(id, &report, now);
+        self.end_unwanted(id, now);
         if let Some(at) = self.workers.get_mut(id)
             && let Some(last) = report.ended.iter().map(|it| it.number).max()
             && last > before
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -257,6 +257,7 @@
                 self.coordinator.start_answered(&task, run, answer, now);
             }
             LinkEvent::Stopped(task, run) => self.coordinator.stop_answered(&task, run, now),
+            LinkEvent::NotStopped(task, run) => self.coordinator.stop_failed(&task, run),
             LinkEvent::Fenced(_) => {}
         }
     }
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -31,8 +31,8 @@
 /// The pause after a look that found the worker's life over.
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
-/// Tries of a stop before it is left to the end of the lease.
-const STOP_TRIES: u32 = 30;
+/// Tries of a stop before the coordinator, which knows what else became of the worker, orders it anew.
+const STOP_TRIES: u32 = 3;
 
 /// What links tell the coordinator.
 #[derive(Debug)]
@@ -49,6 +49,8 @@
     Started(TaskId, u32, Started),
     /// A stop was confirmed.
     Stopped(TaskId, u32),
+    /// A stop was given up: it may have been carried out or not.
+    NotStopped(TaskId, u32),
     /// Another coordinator gives orders.
     Fenced(Name),
 }
@@ -327,13 +329,13 @@
         }
     }
 
-    /// Stops a run, until the worker confirms it.
+    /// Stops a run: tells whether the worker has confirmed it.
     pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
         for _ in 0..STOP_TRIES {
             if self.is_over() {
                 let worker = &self.worker.id;
                 tracing::info!(event = "stop-not-sent", %task, run, %worker, cause = "link closed");
-                return;
+                return self.tell(LinkEvent::NotStopped(task, run));
             }
             self.set_busy(true);
             match self.client.stop(&task, run, ORDER_TIME).await {
@@ -350,5 +352,6 @@
             sleep(RETRY_PAUSE).await;
         }
         tracing::warn!(event = "stop-given-up", task = %task, run, worker = %self.worker.id);
+        self.tell(LinkEvent::NotStopped(task, run));
     }
 }
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -39,7 +39,7 @@
             Order::Stop { worker, task, run } => {
                 let Some(link) = self.links.get(&worker) else {
                     tracing::warn!(event = "stop-not-sent", %task, run, %worker, cause = "no link");
-                    return;
+                    return self.coordinator.stop_failed(&task, run);
                 };
                 tracing::info!(event = "task-stopped", %task, run, %worker);
                 monoio::spawn(link.clone().stop(task, run));
