The speed of a run is taken for unknown after a takeover or a lost order

What callers saw: tasks that fill unused capacity stood still after a change of the coordinator until they were stopped as standing still, or worked at less than they could after an order to speed up got lost. Cause: the class of the incident, a wish that is carried once and not compared with what is there. Of a task that ends a worker lists its progress, not its speed; a coordinator that took over assumed the full speed, one whose order got lost assumed what it had ordered, and neither ordered it again. Ruled out: tasks that last, whose speed the worker lists. Change: a speed is full, ordered or unknown; an unknown one is ordered with the next report. Live has a file of its own.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -2,7 +2,10 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use super::{Coordinator, Phase, TaskState};
+use super::{
+    Coordinator, Phase, TaskState,
+    live::{FULL_PERCENT, Speed},
+};
 use crate::{Ending, Name, RunSeen, TaskId};
 
 /// Failures of tasks in a row after which a worker is left out for a while.
@@ -125,7 +128,7 @@
             return;
         }
         // A task whose speed was lowered makes less progress, or none.
-        if live.pace.is_some_and(|it| it.percent < 100) {
+        if live.speed == Speed::Unknown || live.speed.percent() < FULL_PERCENT {
             live.progress = None;
             return;
         }
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
-use super::health::Pace;
+use super::{Live, Phase, health::Pace, live::Speed};
 use crate::{JobRecord, JobSpec, Name, Stage, TaskId, TaskRecord};
 
 /// A job that is not over, or whose last tasks are being stopped.
@@ -79,64 +79,6 @@
     Done,
 }
 
-/// A run that takes room on a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Live {
-    /// The worker.
-    pub worker: Name,
-    /// The worker's birth.
-    pub born: u64,
-    /// What is known of the run.
-    pub phase: Phase,
-    /// When the last order about it was given.
-    pub since: Moment,
-    /// When it was last seen at work: running, and with its whole speed if it lasts.
-    pub at_work: Option<Moment>,
-    /// Its progress in per cent, and since when it is that.
-    pub progress: Option<(u32, Moment)>,
-    /// The speed that was last ordered.
-    pub pace: Option<PaceSet>,
-    /// When its stop was last ordered, unless that is known to have failed.
-    pub stop_ordered: Option<Moment>,
-}
-
-/// An order to work at a part of the full speed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PaceSet {
-    /// When it was given.
-    pub at: Moment,
-    /// The part, in per cent.
-    pub percent: u32,
-}
-
-/// How long a report that a task is at work holds; workers with tasks are looked at every second.
-const AT_WORK_MS: Millisecond = 2_200;
-
-impl Live {
-    /// Whether its users are served by it.
-    pub fn is_serving(&self, now: Moment) -> bool {
-        let is_fresh = self.at_work.is_some_and(|it| now.since(it) <= AT_WORK_MS);
-        is_fresh && self.phase == Phase::Running
-    }
-}
-
-/// What is known of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// The order waits for its record to be stored.
-    Recorded,
-    /// The order was sent and not answered.
-    Sent,
-    /// The worker has it.
-    Running,
-    /// A stop was sent and not answered.
-    Stopping,
-    /// The worker has confirmed a stop at this moment; the end is not listed yet.
-    StopConfirmed,
-    /// An earlier coordinator recorded it; the worker was not asked yet.
-    Inherited,
-}
-
 impl Task {
     /// Its run at a worker, if there may be one.
     pub fn live(&self) -> Option<&Live> {
@@ -367,7 +309,7 @@
                     since: now,
                     at_work: None,
                     progress: None,
-                    pace: None,
+                    speed: Speed::Unknown,
                     stop_ordered: None,
                 };
                 self.set_state(&id, TaskState::Live(at.clone()));
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
-use super::{Coordinator, Live, Order, Phase, StepKey, TaskState, Worker};
+use super::{Coordinator, Live, Order, Phase, StepKey, TaskState, Worker, live::Speed};
 use crate::{JobSpec, Name, Stage, Step, TaskId, job::RouteTerms};
 
 /// Tasks that found no room after which the search in a pool ends until something changes.
@@ -162,7 +162,7 @@
             since: now,
             at_work: None,
             progress: None,
-            pace: None,
+            speed: Speed::Full,
             stop_ordered: None,
         };
         job.set_state(id, TaskState::Live(live));
--- a/crates/fleet/src/coordinator/sharing.rs
+++ b/crates/fleet/src/coordinator/sharing.rs
@@ -2,8 +2,11 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::{Coordinator, Order, Phase, job::PaceSet};
-use crate::{Name, Report, RunSeen};
+use super::{
+    Coordinator, Order, Phase,
+    live::{FULL_PERCENT, PaceSet, Speed},
+};
+use crate::{Name, Report, RunSeen, TaskId};
 
 /// A tail above this part of its target slows the tasks that fill, in per cent.
 const TAIL_HIGH_PERCENT: u64 = 85;
@@ -40,28 +43,38 @@
         for seen in fills {
             let lasts = self.step_of(&seen.task).is_some_and(|it| it.lasts);
             let Some(live) = self.live_mut(&seen.task) else { continue };
-            if live.phase != Phase::Running || live.pace.is_some_and(|it| report.asked <= it.at) {
+            let is_older = matches!(live.speed, Speed::Ordered(it) if report.asked <= it.at);
+            if live.phase != Phase::Running || is_older {
                 continue;
             }
             // Of a task that ends, the report tells its progress, not its speed.
-            let percent = match lasts {
-                true => seen.percent,
-                false => live.pace.map_or(100, |it| it.percent),
+            let (percent, is_known) = match lasts {
+                true => (seen.percent, true),
+                false => (live.speed.percent(), live.speed != Speed::Unknown),
             };
             let next = match tails {
                 Tails::High if percent <= LEAST_PERCENT => 0,
                 Tails::High => percent / 2,
                 Tails::Fair => percent,
-                Tails::Low => (percent + SPEED_UP_PERCENT).min(100),
+                Tails::Low => (percent + SPEED_UP_PERCENT).min(FULL_PERCENT),
             };
-            if next != percent {
-                live.pace = Some(PaceSet { at: now, percent: next });
+            if next != percent || !is_known {
+                live.speed = Speed::Ordered(PaceSet { at: now, percent: next });
                 let (worker, task, run) = (worker.clone(), seen.task.clone(), seen.run);
                 self.released.push(Order::Pace { worker, task, run, percent: next });
             }
         }
     }
 
+    /// An order to set a run's speed was not answered.
+    pub fn pace_failed(&mut self, id: &TaskId, run: u32) {
+        if self.run_of(id) == run
+            && let Some(live) = self.live_mut(id)
+        {
+            live.speed = Speed::Unknown;
+        }
+    }
+
     fn tails(&self, report: &Report) -> Tails {
         let tails = report.running.iter().filter_map(|it| {
             let target = self.step_of(&it.task)?.tail_target_ms?;
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -258,6 +258,7 @@
             }
             LinkEvent::Stopped(task, run) => self.coordinator.stop_answered(&task, run, now),
             LinkEvent::NotStopped(task, run) => self.coordinator.stop_failed(&task, run),
+            LinkEvent::NotPaced(task, run) => self.coordinator.pace_failed(&task, run),
             LinkEvent::Fenced(_) => {}
         }
     }
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -51,6 +51,8 @@
     Stopped(TaskId, u32),
     /// A stop was given up: it may have been carried out or not.
     NotStopped(TaskId, u32),
+    /// An order to set a run's speed was not answered.
+    NotPaced(TaskId, u32),
     /// Another coordinator gives orders.
     Fenced(Name),
 }
@@ -322,10 +324,11 @@
         }
     }
 
-    /// Sets a run's speed. A lost order is made good by the next report of the worker.
+    /// Sets a run's speed.
     pub async fn pace(self: Rc<Self>, task: TaskId, run: u32, percent: u32) {
         if let Err(e) = self.client.pace(&task, run, percent, ORDER_TIME).await {
             tracing::debug!(event = "pace-failed", task = %task, run, percent, error = %e);
+            self.tell(LinkEvent::NotPaced(task, run));
         }
     }
 
