--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -93,6 +93,10 @@
             None | Some(WorkerFault::Silent) => Verdict::Silent,
             Some(WorkerFault::AnswersLost) if path == "/run-start" => Verdict::Unanswered,
             Some(WorkerFault::Late(ms)) if path == "/run-start" => Verdict::Late(ms),
+            Some(WorkerFault::StopsLate(ms)) if path == "/run-stop" => Verdict::Late(ms),
+            Some(WorkerFault::OrdersLate(ms)) if matches!(path, "/run-start" | "/run-stop") => {
+                Verdict::Late(ms)
+            }
             Some(_) => Verdict::Serve,
         }
     }
@@ -167,7 +171,7 @@
     let highest = worker.highest.entry(task.clone()).or_default();
     *highest = (*highest).max(run);
     let is_there = worker.running.get(&task).is_some_and(|it| it.run <= run);
-    let record = is_there.then(|| worker.end(&task, "stopped"));
+    let record = is_there.then(|| worker.stop(&task)).flatten();
     let answer = reply::value(&json!({ "clock_ms": worker.clock_ms() }));
     if let Some(record) = record {
         world.runs[record].ended = Some((Instant::now(), "stopped".to_owned()));
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::json;
@@ -22,6 +22,10 @@
     AnswersLost,
     /// It carries out orders to start so many milliseconds later and does not answer them.
     Late(u64),
+    /// It carries out orders to stop so many milliseconds later and does not answer them.
+    StopsLate(u64),
+    /// It does so with orders to start and to stop.
+    OrdersLate(u64),
     /// It tells that it is sick, and what it starts fails at once.
     Sick,
     /// It tells that it is sick and works well.
@@ -71,6 +75,8 @@
     pub(super) next_end: u64,
     /// The fault in force.
     pub fault: WorkerFault,
+    /// How long a run goes on after the order to stop it.
+    pub stop_time: Duration,
 }
 
 #[derive(Debug)]
@@ -127,9 +133,13 @@
             return;
         }
         self.lives += 1;
+        self.begin_life(host, format!("w-{host}-{}", self.lives));
+    }
+
+    fn begin_life(&mut self, host: usize, id: String) {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis());
         let worker = Worker {
-            id: format!("w-{host}-{}", self.lives),
+            id,
             born: born as u64,
             boot: Instant::now(),
             fence: 0,
@@ -139,13 +149,16 @@
             highest: BTreeMap::new(),
             next_end: 1,
             fault: WorkerFault::None,
+            stop_time: Duration::ZERO,
         };
-        self.list(host, &worker);
         self.hosts[host].worker = Some(worker);
+        self.list(host);
     }
 
-    fn list(&mut self, host: usize, worker: &Worker) {
+    /// Puts the entry of a host's worker into the table, with a new row version if it is there.
+    pub fn list(&mut self, host: usize) {
         let at = &self.hosts[host];
+        let Some(worker) = &at.worker else { return };
         let entry = json!({
             "service": at.pool,
             "address": at.addr.map(|it| it.to_string()),
@@ -162,6 +175,12 @@
         self.rows.put("servers", &worker.id, &entry);
     }
 
+    /// The entry of a host's worker lapses; the worker lives on.
+    pub fn lapse(&mut self, host: usize) {
+        let Some(worker) = &self.hosts[host].worker else { return };
+        self.rows.drop_row("servers", &worker.id);
+    }
+
     /// Ends a host's worker: everything on it ends, and its entry goes.
     pub(super) fn end_life(&mut self, host: usize, how: &str) {
         let Some(worker) = self.hosts[host].worker.take() else { return };
@@ -188,6 +207,13 @@
         }
     }
 
+    /// A worker crashes and is started anew under its id, at its address.
+    pub fn rebirth(&mut self, host: usize) {
+        let Some(id) = self.hosts[host].worker.as_ref().map(|it| it.id.clone()) else { return };
+        self.end_life(host, "gone");
+        self.begin_life(host, id);
+    }
+
     /// How many hosts there are.
     pub fn host_count(&self) -> usize {
         self.hosts.len()
@@ -245,7 +271,7 @@
         let is_sick = worker.fault == WorkerFault::Sick;
         let ending = if is_sick || payload.starts_with("fail") { "failed" } else { "done" };
         let record = self.runs.len();
-        let until = now + std::time::Duration::from_millis(work_ms);
+        let until = now + Duration::from_millis(work_ms);
         let running = Running { run, until, work_ms, ending, record };
         worker.running.insert(task.to_owned(), running);
         self.runs.push(RunRecord {
@@ -274,6 +300,20 @@
         self.boot.elapsed().as_millis() as u64
     }
 
+    /// Stops a run at once, or lets it end as stopped a while later; gives the place of its record if it has ended.
+    pub(super) fn stop(&mut self, task: &str) -> Option<usize> {
+        if self.stop_time.is_zero() {
+            return Some(self.end(task, "stopped"));
+        }
+        let until = Instant::now() + self.stop_time;
+        let it = self.running.get_mut(task).expect("the run is there");
+        if until < it.until {
+            it.until = until;
+            it.ending = "stopped";
+        }
+        None
+    }
+
     /// Ends a run; gives the place of its record.
     pub(super) fn end(&mut self, task: &str, how: &str) -> usize {
         let it = self.running.remove(task).expect("the run is there");
