--- a/crates/daemon/tests/cancelled_work.rs
+++ b/crates/daemon/tests/cancelled_work.rs
@@ -156,67 +156,63 @@
     assert!(fleet.site.world().twice.is_empty());
 }
 
-mod known_red {
-    use super::*;
-
-    #[test]
-    fn stop_unanswered_at_a_shutdown_is_ordered_anew() {
-        let fleet = start();
-        for lead in LEADS {
-            let id = at_work(&fleet, 3);
-            set_fault(&fleet, WorkerFault::StopsLate(KEPT_MS));
-            let leader = fleet.wait_coordinator();
-            cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
-            thread::sleep(lead);
-            fleet.entries[leader].replace(true);
-            fleet.wait_coordinator();
-            thread::sleep(SETTLE_TIME);
-            set_fault(&fleet, WorkerFault::None);
-            check_end(&fleet, &id, &format!("shutdown {lead:?} after the answer"));
-        }
-    }
-
-    #[test]
-    fn stop_unanswered_at_a_kill_is_ordered_anew() {
-        let fleet = start();
-        for lead in LEADS {
-            let id = at_work(&fleet, 3);
-            set_fault(&fleet, WorkerFault::StopsLate(KEPT_MS));
-            let leader = fleet.wait_coordinator();
-            cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
-            thread::sleep(lead);
-            kill_coordinator(&fleet, leader);
-            set_fault(&fleet, WorkerFault::None);
-            check_end(&fleet, &id, &format!("killed {lead:?} after the answer"));
-        }
-    }
-
-    /// A worker that is not listed has no link that would carry the order.
-    #[test]
-    fn stop_for_a_lapsed_entry_is_ordered_when_it_is_back() {
-        let fleet = start();
-        for lead in LEADS {
-            let id = at_work(&fleet, 3);
-            let leader = fleet.wait_coordinator();
-            each_worker(&fleet, World::lapse);
-            thread::sleep(lead);
-            kill_coordinator(&fleet, leader);
-            cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
-            thread::sleep(SETTLE_TIME);
-            each_worker(&fleet, World::list);
-            check_end(&fleet, &id, &format!("killed {lead:?} after the entries lapsed"));
-        }
+#[test]
+fn stop_unanswered_at_a_shutdown_is_ordered_anew() {
+    let fleet = start();
+    for lead in LEADS {
+        let id = at_work(&fleet, 3);
+        set_fault(&fleet, WorkerFault::StopsLate(KEPT_MS));
+        let leader = fleet.wait_coordinator();
+        cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
+        thread::sleep(lead);
+        fleet.entries[leader].replace(true);
+        fleet.wait_coordinator();
+        thread::sleep(SETTLE_TIME);
+        set_fault(&fleet, WorkerFault::None);
+        check_end(&fleet, &id, &format!("shutdown {lead:?} after the answer"));
     }
+}
 
-    /// A carrier of stops that gave up leaves nobody who orders them.
-    #[test]
-    fn stop_unanswered_for_long_is_ordered_on() {
-        let fleet = start();
+#[test]
+fn stop_unanswered_at_a_kill_is_ordered_anew() {
+    let fleet = start();
+    for lead in LEADS {
         let id = at_work(&fleet, 3);
         set_fault(&fleet, WorkerFault::StopsLate(KEPT_MS));
-        cancel(&fleet, 0, &id);
-        thread::sleep(LONG_SILENCE);
+        let leader = fleet.wait_coordinator();
+        cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
+        thread::sleep(lead);
+        kill_coordinator(&fleet, leader);
         set_fault(&fleet, WorkerFault::None);
-        check_end(&fleet, &id, &format!("stops unanswered for {LONG_SILENCE:?}"));
+        check_end(&fleet, &id, &format!("killed {lead:?} after the answer"));
+    }
+}
+
+/// A worker that is not listed has no link that would carry the order.
+#[test]
+fn stop_for_a_lapsed_entry_is_ordered_when_it_is_back() {
+    let fleet = start();
+    for lead in LEADS {
+        let id = at_work(&fleet, 3);
+        let leader = fleet.wait_coordinator();
+        each_worker(&fleet, World::lapse);
+        thread::sleep(lead);
+        kill_coordinator(&fleet, leader);
+        cancel(&fleet, (leader + 1) % ENTRY_HOSTS, &id);
+        thread::sleep(SETTLE_TIME);
+        each_worker(&fleet, World::list);
+        check_end(&fleet, &id, &format!("killed {lead:?} after the entries lapsed"));
     }
 }
+
+/// A carrier of stops that gave up leaves nobody who orders them.
+#[test]
+fn stop_unanswered_for_long_is_ordered_on() {
+    let fleet = start();
+    let id = at_work(&fleet, 3);
+    set_fault(&fleet, WorkerFault::StopsLate(KEPT_MS));
+    cancel(&fleet, 0, &id);
+    thread::sleep(LONG_SILENCE);
+    set_fault(&fleet, WorkerFault::None);
+    check_end(&fleet, &id, &format!("stops unanswered for {LONG_SILENCE:?}"));
+}
