any_order cancels jobs, loses stops and lets entries of workers lapse

Callers saw: UNASKED, a run of a cancelled job at work long after the cancellation was acknowledged (docs/incidents/unasked-after-cancel.md).

Cause of the miss: the explorer cancelled no job, its stops were sent until confirmed even across takeovers, workers were always in the list, and at its end runs that nobody needs ended as done. A look at a dead worker told a birth that was not the one that the coordinator knew, so that it had no effect.

Change: cancellations that are told at once, later or in a takeover; links that are opened and closed as in the process, and stops that end with them or after 18 s; entries that lapse and come back; clocks that begin anew with a life; starts that are sent twice; further jobs, most of which last. New checks: room of each worker, no start after a cancellation was told, and in calm no run that nobody needs for over 2 s of looks each second and none that has to end for over 8 s.

Both faults of the incident come out as scripts of four and five events.

Ruled out: that the new model itself fails; the events of before still pass in 1,500 scripts with all new checks.

--- a/crates/fleet/tests/any_order.rs
+++ b/crates/fleet/tests/any_order.rs
@@ -1,10 +1,16 @@
-//! Whatever happens in whatever order, no task runs twice, no limit is passed and no accepted job is lost.
+//! Whatever happens in whatever order, no task runs twice, no limit is passed, no accepted job is lost, and nothing runs
+//! on that nobody needs.
 
 mod common;
 
-use common::{config, cores, job, step, world::World};
-use fuchsiamill_fleet::{Config, Ending, Stage, Step};
-use quickcheck::{Gen, QuickCheck};
+use std::fmt::Debug;
+
+use common::{
+    config, cores, job, step,
+    world::{Late, World},
+};
+use fuchsiamill_fleet::{Config, Ending, JobSpec, Stage, Step};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 /// Scripts that one run of the test plays.
 const SCRIPTS: u64 = 1_500;
@@ -12,6 +18,12 @@
 /// The largest script, in steps.
 const STEPS: usize = 400;
 
+/// What may happen next; the rest of an entry chooses to whom.
+const KINDS: u32 = 64;
+
+/// The most jobs that a script adds.
+const MORE_JOBS: usize = 6;
+
 /// The team may run less than the workers have room for.
 fn limited(mut config: Config) -> Config {
     let team = config.teams.values_mut().next().expect("a team");
@@ -19,31 +31,54 @@
     config
 }
 
+/// A job that is accepted while others run; most of them last.
+fn further(kind: usize) -> JobSpec {
+    match kind % 4 {
+        0 => job(vec![step(2), Step { after: vec![0], ..step(2) }]),
+        1 => job(vec![Step { lasts: true, size: cores(3), ..step(1) }]),
+        _ => job(vec![Step { lasts: true, ..step(2) }]),
+    }
+}
+
 /// Plays a script: each entry chooses what happens next and to whom.
-fn play(script: &[u16]) -> World {
-    let mut world = World::new(limited(config()), 3);
+fn play(script: &[u32], late: Late) -> World {
+    let mut world = World::new(limited(config()), 3, late);
     world.accept("a", job(vec![step(3), Step { after: vec![0], ..step(2) }]));
     world.accept("b", job(vec![Step { size: cores(4), ..step(3) }]));
     world.accept("c", job(vec![Step { gang: true, ..step(4) }]));
     (0..3).for_each(|it| world.look(it, true, true));
+    let mut more = 0;
     for it in script {
-        let (what, whom) = (it % 32, usize::from(it / 32));
+        let (what, whom) = (it % KINDS, (it / KINDS) as usize);
         match what {
-            0..6 => world.deliver(whom, true),
+            0..6 | 32..38 => world.deliver(whom, true),
             6 => world.deliver(whom, false),
             7 => world.leave_unanswered(whom),
-            8..14 => world.look(whom, true, true),
+            8..14 | 38..43 => world.look(whom, true, true),
             14 => world.look(whom, false, true),
             15 => world.look(whom, true, false),
-            16..18 => world.finish(whom, Ending::Done),
+            16..18 | 47..49 => world.finish(whom, Ending::Done),
             18 => world.finish(whom, Ending::Failed),
-            19..22 => world.pass(20),
+            19..22 | 49 => world.pass(20),
             22 => world.pass(700),
             23 => world.pass(4_000),
             24 => world.pass(9_000),
-            25 => world.crash(whom),
-            26 => world.take_over(whom % 2 == 0, whom % 4 < 2),
+            25 => world.crash(whom, true),
+            26 | 62 => world.take_over(whom % 2 == 0, whom % 4 < 2),
             27 => world.ghost_look(whom),
+            50 => world.pass(300),
+            51 => world.cancel(whom, true),
+            52 => world.cancel(whom, false),
+            53 => world.hear(),
+            54 | 55 => world.unlist(whom),
+            56 | 57 => world.list(whom),
+            58 => world.crash(whom, false),
+            59 => world.repeat(whom),
+            60 => world.lose(whom),
+            61 if more < MORE_JOBS => {
+                more += 1;
+                world.accept(&format!("d{more}"), further(whom));
+            }
             _ => world.store(),
         }
         world.decide();
@@ -54,8 +89,8 @@
     world
 }
 
-fn holds(script: Vec<u16>) -> bool {
-    let mut world = play(&script);
+fn holds(script: &[u32], late: Late) -> bool {
+    let mut world = play(script, late);
     if world.wrong.is_none() {
         world.calm_down();
     }
@@ -67,25 +102,63 @@
     world.wrong.is_none() && lost.is_empty()
 }
 
+fn explore<T: Arbitrary + Debug + PartialEq>(holds: fn(Vec<T>) -> bool) {
+    QuickCheck::new().rng(Gen::new(STEPS)).tests(SCRIPTS).quickcheck(holds);
+}
+
 #[test]
 fn nothing_runs_twice_or_is_lost() {
-    QuickCheck::new().rng(Gen::new(STEPS)).tests(SCRIPTS).quickcheck(holds as fn(Vec<u16>) -> bool);
+    explore(|script: Vec<u16>| holds_as_before(&script));
+}
+
+/// Plays a script of the first 32 kinds: no cancellations, and entries of workers are read at once.
+fn holds_as_before(script: &[u16]) -> bool {
+    let entry = |it: &u16| u32::from(it / 32) * KINDS + u32::from(it % 32);
+    let script: Vec<u32> = script.iter().map(entry).collect();
+    holds(&script, Late::EndsWithLife)
 }
 
 /// A worker is reborn while the record of starts on it is being stored: the orders are withdrawn.
 #[test]
 fn orders_for_a_past_life_are_withdrawn() {
-    assert!(holds(vec![7_545]));
+    assert!(holds_as_before(&[7_545]));
 }
 
 /// Workers that left orders unanswered are used again though nothing else happens.
 #[test]
 fn workers_left_out_are_used_again() {
-    assert!(holds(vec![19_801, 25_436, 18_839, 19_767, 0, 29_734, 7_072, 348, 0, 0, 54_438]));
+    let script = [19_801, 25_436, 18_839, 19_767, 0, 29_734, 7_072, 348, 0, 0, 54_438];
+    assert!(holds_as_before(&script));
 }
 
 /// An earlier run turns out to have done the work: the later one takes room until it is stopped.
 #[test]
 fn needless_run_takes_room_until_stopped() {
-    assert!(holds(vec![0, 924, 96, 21_262, 10_032, 48_472]));
+    assert!(holds_as_before(&[0, 924, 96, 21_262, 10_032, 48_472]));
+}
+
+mod known_red {
+    use super::{Late, explore, holds};
+
+    #[test]
+    fn nothing_needless_runs_on() {
+        explore(|script: Vec<u32>| holds(&script, Late::EndsWithLife));
+    }
+
+    #[test]
+    fn late_orders_reach_next_lives() {
+        explore(|script: Vec<u32>| holds(&script, Late::ReachesNextLife));
+    }
+
+    /// A job is stored as cancelled while the stop of its run is unanswered; the next coordinator leaves the run alone.
+    #[test]
+    fn stop_is_lost_in_a_takeover() {
+        assert!(holds(&[31, 31, 51, 62], Late::EndsWithLife));
+    }
+
+    /// A takeover finds no entry of a worker that lives; without a link to it the stop is lost.
+    #[test]
+    fn stop_is_lost_without_an_entry() {
+        assert!(holds(&[22, 118, 43, 51, 62], Late::EndsWithLife));
+    }
 }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod calls;
+pub mod calm;
+pub mod events;
 pub mod machines;
 pub mod work;
 pub mod world;
--- a/crates/fleet/tests/common/work.rs
+++ b/crates/fleet/tests/common/work.rs
@@ -12,6 +12,8 @@
 pub struct Work {
     pub born: u64,
     pub is_up: bool,
+    /// Whether its entry is in the list of workers.
+    pub is_listed: bool,
     pub fence: u64,
     pub running: BTreeMap<TaskId, u32>,
     /// When all that runs here ends unless it is put off; it never goes back.
@@ -26,6 +28,7 @@
         Self {
             born,
             is_up: true,
+            is_listed: false,
             fence: 0,
             running: BTreeMap::new(),
             deadline: Moment(0),
@@ -58,6 +61,8 @@
             return Started::Running;
         }
         if self.highest.get(task).is_some_and(|it| *it >= run) {
+            // The deadline is taken all the same.
+            self.deadline = self.deadline.max(deadline);
             return Started::Refused(Refusal::Old);
         }
         if now > deadline {
