A worker that lists runs is looked at until it lists none

What callers would see: work that nobody knows of any more ran on until its lease was over, if the one stop got lost. Cause: whether a worker is looked at was decided by what the coordinator has on it, not by what it lists. Evidence: cancelled_runs unknown_run_is_left_alone_after_one_stop fails without the change.

--- a/crates/fleet/src/coordinator/ending.rs
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether a worker has or may have runs, known ones or not, so that it has to be looked at.
+    pub fn has_runs(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_some_and(|it| !it.live.is_empty() || it.lists_runs)
+    }
+
     /// The runs of one worker that have to end.
     pub fn to_end_on(&self, worker: &str, now: Moment) -> Vec<RunToEnd> {
         let Some(at) = self.workers.get(worker) else { return Vec::new() };
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -191,6 +191,7 @@
         }
         at.answered = true;
         at.silent = None;
+        at.lists_runs = !report.running.is_empty();
         let before = at.taken;
         for end in report.ended.iter().filter(|it| it.number > before) {
             self.run_ended(id, end, now);
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -22,6 +22,8 @@
     pub used: Resources,
     /// Those runs, with the room each takes.
     pub live: FastMap<TaskId, Held>,
+    /// Whether its last report listed runs.
+    pub lists_runs: bool,
     /// The highest number of an end that was taken note of in memory.
     pub taken: u64,
     /// Whether it has answered this coordinator in this life.
@@ -55,6 +57,7 @@
             seen,
             used: Resources::default(),
             live: FastMap::default(),
+            lists_runs: false,
             taken: 0,
             answered: false,
             gone: false,
--- a/crates/fleet/tests/cancelled_runs.rs
+++ b/crates/fleet/tests/cancelled_runs.rs
@@ -40,3 +40,16 @@
     }
     assert_eq!(again, [(task("j", 0, 0), 1)]);
 }
+
+/// An idle worker is not looked at, and a stop may get lost.
+#[test]
+fn unknown_run_is_left_alone_after_one_stop() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    assert!(!bench.coordinator.has_runs("w1"));
+    bench.report("w1", &[(task("gone", 0, 0), 1)], &[]);
+    assert_eq!(stops(&bench.step()), [(task("gone", 0, 0), 1)]);
+    assert!(bench.coordinator.has_runs("w1"));
+    bench.report("w1", &[], &[]);
+    assert!(!bench.coordinator.has_runs("w1"));
+}
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -227,10 +227,8 @@
                 self.log_ends(&id, &report);
                 self.coordinator.worker_held(&id, report, now);
                 self.log_overdue(&id, now);
-                let at = self.coordinator.workers().get(&id);
-                let is_busy = at.is_some_and(|it| !it.live.is_empty());
                 if let Some(link) = self.links.get(&id) {
-                    link.set_busy(is_busy);
+                    link.set_busy(self.coordinator.has_runs(&id));
                 }
             }
             LinkEvent::Silent(id, renewed) => {
