Soak: callers that keep connections and cancel, lapsing entries, late stops

Change: three callers on threads of their own keep their connections until the process is gone, post short jobs and jobs of long tasks, and cancel all of these, a quarter of the others, and what they gave up posting. Entries of workers lapse and come back; workers leave stops, or all orders, unanswered and carry them out late; entry hosts shut down several at once while a configuration comes; up to three actions have no pause between them. After healing, a job through and 4 s (cancel_ms and stop_ms), no run of a cancelled job may be at work or begun later than 3 s after the answer, and a cancelled job is told as cancelled or completed (gone only where the cancellation was answered with 410). All seeds of a run are played, and those that failed are named at the end. The whole suite was not run.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -141,7 +141,7 @@
     }
 
     /// Prints what the workers did with a task, and what the entry hosts logged of its job, of leases and of workers.
-    fn print_story(&self, task: &str) {
+    pub fn print_story(&self, task: &str) {
         let world = self.site.world();
         let runs: Vec<_> = world.runs.iter().filter(|it| it.task == task).collect();
         let Some(first) = runs.first().map(|it| it.began) else { return };
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, missing_docs)]
 
+pub mod callers;
 pub mod entry;
 pub mod fleet;
 pub mod jobs;
--- a/crates/daemon/tests/common/net.rs
+++ b/crates/daemon/tests/common/net.rs
@@ -76,6 +76,6 @@
     request.header(header::AUTHORIZATION, HeaderValue::from_str(&format!("Bearer {key}")).unwrap())
 }
 
-fn large_bounds() -> Bounds {
+pub(super) fn large_bounds() -> Bounds {
     Bounds { body_bytes: 256 * 1024 * 1024, ..Bounds::default() }
 }
--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -42,6 +42,13 @@
         self.child.lock().unwrap().id()
     }
 
+    /// Whether the process handles SIGHUP already; until it does, in its first moments, the system ends it.
+    pub fn hears_hup(&self) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let caught = status.lines().find_map(|it| it.strip_prefix("SigCgt:"));
+        caught.and_then(|it| u64::from_str_radix(it.trim(), 16).ok()).is_some_and(|it| it & 1 == 1)
+    }
+
     /// Sends a signal by name, such as `STOP`, `CONT`, `TERM` or `HUP`.
     pub fn signal(&self, signal: &str) {
         let pid = self.pid().to_string();
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -6,15 +6,20 @@
 mod common;
 
 use std::{
+    panic::catch_unwind,
     thread,
     time::{Duration, Instant},
 };
 
-use common::fleet::{Fleet, job};
+use common::{
+    callers::{Call, Callers},
+    fleet::{Fleet, Process, job},
+    wait_until,
+};
 use fastrand::Rng;
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{StoreFault, WorkerFault},
+    fleet::{StoreFault, Worker, WorkerFault},
 };
 
 /// Seeds that failed once, each with a line on its cause.
@@ -23,10 +28,17 @@
     914754811545,
     // A worker crashed before the end of a run was acknowledged: the stand-in took the next run as one too many.
     140069876269,
+    // A stop that was unanswered when the coordinator was lost was not ordered anew (issue 16).
+    9002,
+    9008,
 ];
 
 const ENTRY_HOSTS: usize = 3;
 const HOSTS: usize = 5;
+const CALLERS: u64 = 3;
+
+/// The most actions without a pause between them.
+const SERIES: usize = 3;
 
 /// The longest pause between two actions.
 const PAUSE_MS: u64 = 250;
@@ -34,6 +46,21 @@
 /// How long a paused process stands still.
 const FREEZE_MS: u64 = 2_500;
 
+/// The longest time for which the entry of a worker is gone.
+const LAPSE_MS: u64 = 3_000;
+
+/// How long a run goes on after the order to stop it.
+const STOP_TIME: Duration = Duration::from_millis(300);
+
+/// A run of a cancelled job is not begun later than this after the answer: `cancel_ms` of the platform.
+const BEGIN_TIME: Duration = Duration::from_millis(3_000);
+
+/// It ends within this time: `cancel_ms` and `stop_ms`.
+const END_TIME: Duration = Duration::from_millis(4_000);
+
+/// How long everybody has to be in order again.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 fn number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
 }
@@ -43,93 +70,250 @@
     let fresh = number("SOAK_SEED", fastrand::u64(..1 << 40));
     let seeds =
         REGRESSIONS.iter().copied().chain((0..number("SOAK_SEEDS", 2)).map(|it| fresh + it));
-    for seed in seeds {
+    let time = Duration::from_secs(number("SOAK_SECONDS", 6));
+    let fails = |seed: &u64| {
         println!("seed {seed}");
-        soak(seed, Duration::from_secs(number("SOAK_SECONDS", 6)));
-    }
+        catch_unwind(|| soak(*seed, time)).is_err()
+    };
+    let failed: Vec<u64> = seeds.filter(fails).collect();
+    assert!(failed.is_empty(), "failed, each for the reason above: {failed:?}");
 }
 
 fn soak(seed: u64, time: Duration) {
-    let mut rng = Rng::with_seed(seed);
-    let mut fleet = Fleet::start(ENTRY_HOSTS, HOSTS);
+    let fleet = Fleet::start(ENTRY_HOSTS, HOSTS);
+    each_worker(&fleet, |it| it.stop_time = STOP_TIME);
+    let fronts: Vec<_> = fleet.entries.iter().map(|it| it.front).collect();
+    let callers = Callers::start(CALLERS, &fronts, seed);
+    let mut soak = Soak {
+        fleet,
+        rng: Rng::with_seed(seed),
+        frozen: Vec::new(),
+        lapsed: Vec::new(),
+        version: 1,
+    };
     let until = Instant::now() + time;
-    let mut frozen: Vec<(Instant, usize)> = Vec::new();
     while Instant::now() < until {
-        frozen.retain(|(thaw, entry)| {
-            let is_over = Instant::now() >= *thaw;
-            if is_over {
-                fleet.entries[*entry].signal("CONT");
-            }
-            !is_over
-        });
-        act(&mut fleet, &mut rng, &mut frozen);
-        thread::sleep(Duration::from_millis(rng.u64(0..PAUSE_MS)));
-    }
-    heal(&mut fleet, &frozen);
-    fleet.wait_ready();
-    fleet.check();
-    let lost = fleet.jobs.borrow().iter().any(|it| fleet.site.world().done_tasks(it) != 3);
-    assert!(!lost, "seed {seed}: a job is completed without all of its tasks");
+        soak.thaw();
+        for _ in 0..soak.rng.usize(1..=SERIES) {
+            soak.act();
+        }
+        thread::sleep(Duration::from_millis(soak.rng.u64(0..PAUSE_MS)));
+    }
+    soak.heal();
+    let calls = callers.finish();
+    soak.check(&calls, seed);
 }
 
-fn act(fleet: &mut Fleet, rng: &mut Rng, frozen: &mut Vec<(Instant, usize)>) {
-    let entry = rng.usize(0..ENTRY_HOSTS);
-    let is_frozen = frozen.iter().any(|it| it.1 == entry);
-    match rng.u32(0..20) {
-        0 if !is_frozen => {
-            fleet.entries[entry].signal("STOP");
-            let span = Duration::from_millis(rng.u64(100..FREEZE_MS));
-            frozen.push((Instant::now() + span, entry));
+struct Soak {
+    fleet: Fleet,
+    rng: Rng,
+    /// Entry hosts that stand still, and until when.
+    frozen: Vec<(Instant, usize)>,
+    /// Workers whose entries lapsed, and when these come back.
+    lapsed: Vec<(Instant, usize)>,
+    /// Of the configuration.
+    version: u64,
+}
+
+impl Soak {
+    fn thaw(&mut self) {
+        let now = Instant::now();
+        for (_, entry) in self.frozen.extract_if(.., |it| it.0 <= now) {
+            self.fleet.entries[entry].signal("CONT");
+        }
+        for (_, host) in self.lapsed.extract_if(.., |it| it.0 <= now) {
+            self.fleet.site.world().list(host);
         }
-        1 | 2 if !is_frozen => fleet.entries[entry].replace(rng.bool()),
-        3 => {
-            if let Some(leader) = fleet.coordinator().filter(|it| frozen.iter().all(|f| f.1 != *it))
-            {
-                fleet.entries[leader].replace(false);
+    }
+
+    fn act(&mut self) {
+        match self.rng.u32(0..24) {
+            0 => self.freeze(),
+            1 => self.restart(),
+            2 => self.restart_several(),
+            3 | 4 => self.lose_coordinator(),
+            5 => {
+                let entry = self.any_entry();
+                if entry.hears_hup() {
+                    entry.signal("HUP");
+                }
+            }
+            6 => self.configure(),
+            7 | 8 => {
+                let fault = *self.rng.choice(&ROUTE_FAULTS).expect("a fault");
+                self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), fault);
+            }
+            9..=11 => self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), RouteFault::None),
+            12 => {
+                let fault = *self.rng.choice(&STORE_FAULTS).expect("a fault");
+                self.fleet.site.world().rows.fault = fault;
+            }
+            13 | 14 => self.fleet.site.world().rows.fault = StoreFault::None,
+            15 => self.fleet.site.world().rows.forget_history(),
+            16 => {
+                let mut world = self.fleet.site.world();
+                let host = self.rng.usize(0..world.host_count());
+                world.crash(host);
+                if let Some(worker) = world.worker_mut(host) {
+                    worker.stop_time = STOP_TIME;
+                }
+            }
+            17 | 18 => self.lapse(),
+            19 => {
+                let fault = *self.rng.choice(&WORKER_FAULTS).expect("a fault");
+                each_worker(&self.fleet, |it| it.fault = fault);
+            }
+            _ => {
+                let fault = *self.rng.choice(&WORKER_FAULTS).expect("a fault");
+                let mut world = self.fleet.site.world();
+                let host = self.rng.usize(0..world.host_count());
+                if let Some(worker) = world.worker_mut(host) {
+                    worker.fault = fault;
+                }
             }
         }
-        4 => fleet.entries[entry].signal("HUP"),
-        5 => fleet.store_fault(entry, *rng.choice(&ROUTE_FAULTS).expect("a fault")),
-        6 | 7 => fleet.store_fault(entry, RouteFault::None),
-        8 => fleet.site.world().rows.fault = *rng.choice(&STORE_FAULTS).expect("a fault"),
-        9 | 10 => fleet.site.world().rows.fault = StoreFault::None,
-        11 => fleet.site.world().rows.forget_history(),
-        12 => {
-            let mut world = fleet.site.world();
-            let host = rng.usize(0..world.host_count());
-            world.crash(host);
+    }
+
+    fn any_entry(&mut self) -> &Process {
+        &self.fleet.entries[self.rng.usize(0..ENTRY_HOSTS)]
+    }
+
+    fn is_frozen(&self, entry: usize) -> bool {
+        self.frozen.iter().any(|it| it.1 == entry)
+    }
+
+    fn freeze(&mut self) {
+        let entry = self.rng.usize(0..ENTRY_HOSTS);
+        if !self.is_frozen(entry) {
+            self.fleet.entries[entry].signal("STOP");
+            let span = Duration::from_millis(self.rng.u64(100..FREEZE_MS));
+            self.frozen.push((Instant::now() + span, entry));
         }
-        13 | 14 => {
-            let fault = *rng.choice(&WORKER_FAULTS).expect("a fault");
-            let mut world = fleet.site.world();
-            let host = rng.usize(0..world.host_count());
-            if let Some(worker) = world.worker_mut(host) {
-                worker.fault = fault;
-            }
+    }
+
+    fn restart(&mut self) {
+        let entry = self.rng.usize(0..ENTRY_HOSTS);
+        if !self.is_frozen(entry) {
+            self.fleet.entries[entry].replace(self.rng.bool());
         }
-        _ => submit(fleet, rng, frozen),
     }
-}
 
-fn submit(fleet: &Fleet, rng: &mut Rng, frozen: &[(Instant, usize)]) {
-    if frozen.is_empty() {
-        let job = job(rng.u64(20..600), &[2, 1]);
-        fleet.accept(&job, Duration::from_millis(400));
+    /// Several shut down at once while a configuration comes, one after another is up again.
+    fn restart_several(&mut self) {
+        let first = self.rng.usize(0..ENTRY_HOSTS);
+        let others = (0..ENTRY_HOSTS).filter(|it| *it != first && !self.is_frozen(*it));
+        let others: Vec<usize> = others.collect();
+        others.iter().for_each(|it| self.fleet.entries[*it].signal("TERM"));
+        self.configure();
+        for entry in others {
+            self.fleet.entries[entry].wait_end();
+            self.fleet.entries[entry].restart();
+        }
+    }
+
+    fn lose_coordinator(&mut self) {
+        if let Some(leader) = self.fleet.coordinator().filter(|it| !self.is_frozen(*it)) {
+            self.fleet.entries[leader].replace(false);
+        }
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        let queues: &[&str] = if self.rng.bool() { &["/jobs/"] } else { &["/jobs/", "/other/"] };
+        self.fleet.configure(self.version, queues);
+    }
+
+    fn lapse(&mut self) {
+        let mut world = self.fleet.site.world();
+        let host = self.rng.usize(0..world.host_count());
+        let back = Instant::now() + Duration::from_millis(self.rng.u64(50..LAPSE_MS));
+        world.lapse(host);
+        self.lapsed.push((back, host));
+    }
+
+    fn heal(&mut self) {
+        for (_, entry) in self.frozen.drain(..) {
+            self.fleet.entries[entry].signal("CONT");
+        }
+        for entry in 0..ENTRY_HOSTS {
+            self.fleet.store_fault(entry, RouteFault::None);
+        }
+        self.fleet.site.world().rows.fault = StoreFault::None;
+        for (_, host) in self.lapsed.drain(..) {
+            self.fleet.site.world().list(host);
+        }
+        each_worker(&self.fleet, |it| it.fault = WorkerFault::None);
+    }
+
+    /// Checks what callers were promised, now that nothing is in the way.
+    fn check(&self, calls: &[Call], seed: u64) {
+        self.fleet.wait_ready();
+        let probe = self.fleet.accept(&job(20, &[1]), PATIENCE).expect("a job is accepted");
+        self.fleet.wait_state(&probe, "completed");
+        let calm = Instant::now();
+        thread::sleep(END_TIME);
+        let broken = self.broken_cancellations(calls, calm);
+        if let Some(first) = broken.first().and_then(|it| it.split(':').next()) {
+            self.fleet.print_story(first);
+        }
+        assert!(broken.is_empty(), "seed {seed}: work of cancelled jobs: {broken:#?}");
+        for it in calls.iter().filter(|it| it.cancelled.is_some()) {
+            self.check_told(it);
+        }
+        let kept = calls.iter().filter(|it| it.is_accepted && it.cancelled.is_none());
+        let kept: Vec<&Call> = kept.collect();
+        self.fleet.jobs.borrow_mut().extend(kept.iter().map(|it| it.id.clone()));
+        self.fleet.check();
+        let world = self.fleet.site.world();
+        let lost = kept.iter().any(|it| world.done_tasks(&it.id) != it.tasks);
+        assert!(!lost, "seed {seed}: a job is completed without all of its tasks");
+        let cancelled = calls.iter().filter(|it| it.cancelled.is_some()).count();
+        println!("seed {seed}: {} jobs, {cancelled} of them cancelled", calls.len());
     }
-}
 
-fn heal(fleet: &mut Fleet, frozen: &[(Instant, usize)]) {
-    for (_, entry) in frozen {
-        fleet.entries[*entry].signal("CONT");
+    /// Runs of cancelled jobs that are at work, or were begun too late, since everybody is in order.
+    fn broken_cancellations(&self, calls: &[Call], calm: Instant) -> Vec<String> {
+        let world = self.fleet.site.world();
+        let mut broken = Vec::new();
+        for call in calls {
+            let Some((answered, status)) = call.cancelled else { continue };
+            for run in world.runs.iter().filter(|it| it.task.starts_with(&call.id)) {
+                let is_late = run.began > calm.max(answered + BEGIN_TIME);
+                let fault = match (run.ended.is_none(), is_late) {
+                    (true, _) => "at work",
+                    (false, true) => "begun late",
+                    _ => continue,
+                };
+                let since = calm.saturating_duration_since(answered);
+                broken.push(format!(
+                    "{}: run {} {fault}, its job was cancelled {since:?} before the calm ({status}, {})",
+                    run.task,
+                    run.run,
+                    if call.is_accepted { "accepted" } else { "post unanswered" },
+                ));
+            }
+        }
+        broken
     }
-    for entry in 0..ENTRY_HOSTS {
-        fleet.store_fault(entry, RouteFault::None);
+
+    fn check_told(&self, call: &Call) {
+        let mut told = None;
+        wait_until("a state is told", || {
+            told = self.fleet.state(&call.id);
+            told.is_some()
+        });
+        let told = told.unwrap_or_default();
+        let is_unknown = told == "gone" && call.cancelled.is_some_and(|it| it.1 == 410);
+        let is_right = is_unknown || told == "cancelled" || told == "completed";
+        assert!(is_right, "{call:?} is told as {told}");
     }
+}
+
+fn each_worker(fleet: &Fleet, mut act: impl FnMut(&mut Worker)) {
     let mut world = fleet.site.world();
-    world.rows.fault = StoreFault::None;
     for host in 0..world.host_count() {
         if let Some(worker) = world.worker_mut(host) {
-            worker.fault = WorkerFault::None;
+            act(worker);
         }
     }
 }
@@ -145,5 +329,13 @@
 const STORE_FAULTS: [StoreFault; 4] =
     [StoreFault::Down, StoreFault::Silent, StoreFault::Slow(200), StoreFault::LoseAnswers(40)];
 
-const WORKER_FAULTS: [WorkerFault; 4] =
-    [WorkerFault::None, WorkerFault::Silent, WorkerFault::AnswersLost, WorkerFault::Late(1_500)];
+const WORKER_FAULTS: [WorkerFault; 8] = [
+    WorkerFault::None,
+    WorkerFault::None,
+    WorkerFault::Silent,
+    WorkerFault::AnswersLost,
+    WorkerFault::Late(1_500),
+    WorkerFault::StopsLate(1_000),
+    WorkerFault::StopsLate(6_000),
+    WorkerFault::OrdersLate(1_500),
+];
