--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 mod hosts;
 mod job;
 mod lapse;
+mod live;
 mod near;
 mod needs;
 mod orders;
@@ -34,7 +35,8 @@
 pub use demand::Wish;
 pub use ending::{RunToEnd, RunsToEnd};
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
-pub use job::{Job, Live, Phase, Task, TaskState, objective_ms};
+pub use job::{Job, Task, TaskState, objective_ms};
+pub use live::{Live, Phase};
 pub use needs::PoolNeed;
 pub use orders::Order;
 pub use outbox::Commit;
@@ -229,17 +231,14 @@
 
     /// Orders a run to be stopped.
     fn stop(&mut self, id: &TaskId, now: Moment) {
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|it| it.task_mut(id)) else { return };
-        let run = task.run;
-        let TaskState::Live(live) = &mut task.state else { return };
+        let Some(live) = self.live_mut(id) else { return };
         match live.phase {
             Phase::Stopping | Phase::StopConfirmed => {}
             Phase::Recorded => self.free(id, now),
             _ => {
                 live.phase = Phase::Stopping;
                 live.since = now;
-                let worker = live.worker.clone();
-                self.released.push(Order::Stop { worker, task: id.clone(), run });
+                self.order_stop(id, now);
             }
         }
     }
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -31,8 +31,8 @@
 /// The pause after a look that found the worker's life over.
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
-/// Tries of a stop before it is left to the end of the lease.
-const STOP_TRIES: u32 = 30;
+/// Tries of a stop before the coordinator, which knows what else became of the worker, orders it anew.
+const STOP_TRIES: u32 = 3;
 
 /// What links tell the coordinator.
 #[derive(Debug)]
@@ -49,6 +49,10 @@
     Started(TaskId, u32, Started),
     /// A stop was confirmed.
     Stopped(TaskId, u32),
+    /// A stop was given up: it may have been carried out or not.
+    NotStopped(TaskId, u32),
+    /// An order to set a run's speed was not answered.
+    NotPaced(TaskId, u32),
     /// Another coordinator gives orders.
     Fenced(Name),
 }
@@ -320,20 +324,21 @@
         }
     }
 
-    /// Sets a run's speed. A lost order is made good by the next report of the worker.
+    /// Sets a run's speed.
     pub async fn pace(self: Rc<Self>, task: TaskId, run: u32, percent: u32) {
         if let Err(e) = self.client.pace(&task, run, percent, ORDER_TIME).await {
             tracing::debug!(event = "pace-failed", task = %task, run, percent, error = %e);
+            self.tell(LinkEvent::NotPaced(task, run));
         }
     }
 
-    /// Stops a run, until the worker confirms it.
+    /// Stops a run: tells whether the worker has confirmed it.
     pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
         for _ in 0..STOP_TRIES {
             if self.is_over() {
                 let worker = &self.worker.id;
                 tracing::info!(event = "stop-not-sent", %task, run, %worker, cause = "link closed");
-                return;
+                return self.tell(LinkEvent::NotStopped(task, run));
             }
             self.set_busy(true);
             match self.client.stop(&task, run, ORDER_TIME).await {
@@ -350,5 +355,6 @@
             sleep(RETRY_PAUSE).await;
         }
         tracing::warn!(event = "stop-given-up", task = %task, run, worker = %self.worker.id);
+        self.tell(LinkEvent::NotStopped(task, run));
     }
 }
