Test: a post overtaken by its cancellation runs; known red

A job whose post was unanswered was cancelled, 410; the post was stored 150 ms later, and its tasks ran on. Not settled: answers_tell_what_is_wrong of fleet_path wants a job that is posted after a 410 to run. The whole suite was not run.

--- a/crates/daemon/tests/cancelled_work.rs
+++ b/crates/daemon/tests/cancelled_work.rs
@@ -8,7 +8,7 @@
 };
 
 use common::{
-    fleet::{Fleet, job},
+    fleet::{Fleet, KEY, job},
     wait_until,
 };
 use fuchsiamill_standin::fleet::{WorkerFault, World};
@@ -216,3 +216,37 @@
     set_fault(&fleet, WorkerFault::None);
     check_end(&fleet, &id, &format!("stops unanswered for {LONG_SILENCE:?}"));
 }
+
+mod known_red {
+    use std::{io::Write, net::TcpStream};
+
+    use super::*;
+
+    /// A paused entry host takes up the post of a caller that has given up, and whose cancellation found no job.
+    #[test]
+    fn post_overtaken_by_its_cancellation_does_not_run() {
+        let fleet = start();
+        let leader = fleet.wait_coordinator();
+        let slow = &fleet.entries[(leader + 1) % ENTRY_HOSTS];
+        slow.signal("STOP");
+        let (id, body) = ("00000000000000fa", job(LONG_MS, &[2]).to_string());
+        let mut post = TcpStream::connect(slow.front).expect("a connection");
+        let length = body.len();
+        write!(
+            post,
+            "POST /jobs/{id} HTTP/1.1\r\nhost: {}\r\nx-api-key: {KEY}\r\ncontent-length: {length}\r\n\r\n{body}",
+            slow.front
+        )
+        .expect("it is sent");
+        let answer = fleet.entries[leader].send(Method::DELETE, id, None).expect("an answer");
+        assert_eq!(answer.status.as_u16(), 410);
+        slow.signal("CONT");
+        drop(post);
+        thread::sleep(END_TIME);
+        let left = running(&fleet, id);
+        assert!(
+            left.is_empty(),
+            "at work {END_TIME:?} after the cancellation was answered: {left:?}"
+        );
+    }
+}
