One odd row of the store no longer costs its page

What callers saw: with one row that cannot be read among those of a table, an entry host neither took over (the state is read again and again) nor followed the table (the feed asks for the same page for ever): accepted jobs did not start.

Cause: a page was read as one typed value, so that one odd field failed it; keys of other writers went into the query as they are, where a space or a line break makes a request that cannot be sent and `#` or `&` changes which rows are asked for, so that the same pages are read for ever.

Ruled out: nesting of 100,000 does not end the process; rows are skipped without recursion. A value that is not base64 already read as empty.

Where a missing row would be taken for none (one row, conflicts, progress, the coordinator's own rows) an unreadable one still fails the read, and progress whose job may be unreadable is not dropped.

--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -76,9 +76,9 @@
 
     async fn read_whole(&self) -> Option<u64> {
         match read_table(&self.store, self.table, &self.parts).await {
-            Ok((rows, version)) => {
-                self.teller.tell((self.wrap)(FeedEvent::Whole(rows)));
-                Some(version)
+            Ok(read) => {
+                self.teller.tell((self.wrap)(FeedEvent::Whole(read.rows)));
+                Some(read.version)
             }
             Err(e) => {
                 tracing::debug!(event = "read-failed", table = self.table, error = %e);
@@ -89,21 +89,33 @@
     }
 }
 
-/// All rows of a table, and a version after which the feed misses nothing.
+/// A table as read.
+pub struct TableRead {
+    /// Its rows.
+    pub rows: Vec<Row>,
+    /// The feed misses nothing after it.
+    pub version: u64,
+    /// Rows that are there and cannot be read.
+    pub unreadable: usize,
+}
+
+/// Reads all rows of a table.
 pub async fn read_table(
     store: &Store,
     table: &str,
     parts: &[String],
-) -> fuchsiamill_platform::Result<(Vec<Row>, u64)> {
+) -> fuchsiamill_platform::Result<TableRead> {
     let mut pages = stream::iter(parts)
         .map(|part| store.read_part(table, part))
         .buffer_unordered(READS_AT_ONCE);
     let mut rows = Vec::new();
     let mut version = None;
+    let mut unreadable = 0;
     while let Some(page) = pages.next().await {
         let page = page?;
+        unreadable += page.unreadable;
         version = Some(version.map_or(page.version, |it: u64| it.min(page.version)));
         rows.extend(page.rows);
     }
-    Ok((rows, version.unwrap_or(0)))
+    Ok(TableRead { rows, version: version.unwrap_or(0), unreadable })
 }
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -10,7 +10,10 @@
 use fuchsiamill_platform::{Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
-use super::{Candidate, feeds::read_table};
+use super::{
+    Candidate,
+    feeds::{TableRead, read_table},
+};
 use crate::tables;
 
 /// The pause after a failed read.
@@ -34,12 +37,14 @@
 pub async fn load(cx: &Candidate, takeover: Takeover, store_ms: u64) -> Loaded {
     let begun = cx.clock.now();
     let parts = [tables::COORDINATOR_PART.to_owned()];
-    let (own, _) = read_patiently(cx, tables::COORDINATOR, &parts).await;
+    let own = read_patiently(cx, tables::COORDINATOR, &parts).await.rows;
     let waves = own.iter().filter_map(read_wave_record).collect();
-    let (progress, _) = read_patiently(cx, tables::PROGRESS, &parts).await;
+    let progress = read_patiently(cx, tables::PROGRESS, &parts).await.rows;
     let job_parts: Vec<String> = tables::job_parts().collect();
-    let (jobs, jobs_version) = read_patiently(cx, tables::JOBS, &job_parts).await;
-    let (workers, workers_version) = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
+    let jobs_read = read_patiently(cx, tables::JOBS, &job_parts).await;
+    let (jobs, jobs_version) = (jobs_read.rows, jobs_read.version);
+    let workers_read = read_patiently(cx, shared::WORKERS, &[String::new()]).await;
+    let (workers, workers_version) = (workers_read.rows, workers_read.version);
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
     let mut coordinator = Coordinator::new(cx.terms.clone(), config, takeover);
     note_former_orders(&mut coordinator, &own, (store_ms, begun));
@@ -52,7 +57,9 @@
         apply_job(&mut coordinator, row, records.get(&row.key.key), cx);
     }
     let known: FastSet<&Name> = jobs.iter().map(|it| &it.key.key).collect();
-    let orphans = records.keys().filter(|it| !known.contains(it)).cloned().collect();
+    // The job of a progress may be one of the unreadable rows: it is kept for a coordinator that can read them.
+    let is_orphan = |it: &&Name| jobs_read.unreadable == 0 && !known.contains(*it);
+    let orphans = records.keys().filter(is_orphan).cloned().collect();
     tracing::info!(
         event = "state-loaded",
         jobs = jobs.len(),
@@ -63,16 +70,25 @@
     Loaded { coordinator, jobs_version, workers_version, waves, orphans }
 }
 
-async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> (Vec<Row>, u64) {
+async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> TableRead {
     loop {
         match read_table(&cx.store, table, parts).await {
-            Ok(read) => return read,
+            Ok(read) if read.unreadable == 0 || !is_ours_alone(table) => return read,
+            Ok(read) => {
+                let rows = read.unreadable;
+                tracing::debug!(event = "read-failed", table, rows, error = "unreadable rows");
+            }
             Err(e) => tracing::debug!(event = "read-failed", table, error = %e),
         }
         sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Whether only coordinators write a table: without a row of it, runs that are there would be started again.
+fn is_ours_alone(table: &str) -> bool {
+    table == tables::PROGRESS || table == tables::COORDINATOR
+}
+
 /// Another coordinator's orders to a host must not take turns with ours.
 fn note_former_orders(coordinator: &mut Coordinator, rows: &[Row], (store_ms, at): (u64, Moment)) {
     let Some(row) = rows.iter().find(|it| it.key == tables::host_orders_key()) else { return };
