Entries of workers are checked before they name a worker

What callors saw: none of it ended a process, but one entry of another writer could spoil the placing of jobs. A capacity of 4,294,967,295 cores makes a pool look as if one host were enough, since pools are planned in hosts as large as the largest one. An entry whose `born` is missing reads as another life, and what runs on the worker is started again elsewhere. An entry without an id is called without naming the life that is meant.

Cause: missing fields had defaults, and numbers, ids and addresses were taken as they came.

--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -151,8 +151,7 @@
         return;
     }
     match read_worker(id, &row.value) {
-        Ok(Some(seen)) => coordinator.worker_listed(seen, cx.clock.now()),
-        Ok(None) => tracing::warn!(event = "worker-state-unknown", worker = %id),
+        Ok(seen) => coordinator.worker_listed(seen, cx.clock.now()),
         Err(e) => tracing::warn!(event = "worker-unreadable", worker = %id, error = %e),
     }
 }
