A worker whose entry turns odd takes no new tasks

What callers saw: jobs went on being placed on a worker whose entry another writer had overwritten, and each rewrite of an odd entry wrote a log line.

Cause: an entry that cannot be read left its worker as it was.

The change: such a worker is treated like one whose entry is gone: it takes no new tasks, its link and its leases go on while something runs there, and runs count until they have ended. It is used again with the next good entry. A worker that was forgotten loses its link at once: one that was listed again before the next look at time kept a link at rest, which never told that the worker answers, so that it got no tasks any more. The same held for an entry that was away for a moment.

--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -23,7 +23,7 @@
     hosts::{HostEvent, HostWatch},
     lease::{Lease, Lost},
     links::{Link, LinkEvent, LinkTerms},
-    load::{Loaded, apply_job, apply_worker, load},
+    load::{Loaded, OddEntries, apply_job, apply_worker, load},
     pools::PoolLog,
     standing::Holder,
     takeover::{takeover, watch_former, watch_stronger},
@@ -56,6 +56,7 @@
 pub struct Leader {
     pub(super) cx: Candidate,
     pub(super) coordinator: Coordinator,
+    odd_entries: OddEntries,
     pub(super) links: FastMap<Name, Rc<Link>>,
     pub(super) link_terms: LinkTerms,
     /// The lease while no change is under way.
@@ -103,7 +104,8 @@
         let store_offset = (lease.store_ms(), taken);
         let state = load(&cx, takeover(&cx, holder, taken), store_offset.0);
         let loaded = renewing(&mut lease, state).await?;
-        let Loaded { coordinator, jobs_version, workers_version, waves, orphans } = loaded;
+        let Loaded { coordinator, jobs_version, workers_version, odd_entries, waves, orphans } =
+            loaded;
         let is_leading = Rc::new(Cell::new(true));
         let (teller, events) = Teller::channel();
         if holder != Holder::Over {
@@ -137,6 +139,7 @@
         };
         Some(Self {
             coordinator,
+            odd_entries,
             links: FastMap::default(),
             link_terms,
             committed: taken,
@@ -209,6 +212,7 @@
                 for id in gone.iter().filter(|it| !listed.contains(it)) {
                     self.coordinator.worker_unlisted(id);
                 }
+                self.odd_entries.retain(&listed);
                 self.apply_worker_rows(&rows);
             }
         }
@@ -216,7 +220,8 @@
 
     fn apply_worker_rows(&mut self, rows: &[Row]) {
         for row in rows {
-            apply_worker(&mut self.coordinator, row, &self.cx);
+            apply_worker(&mut self.coordinator, &mut self.odd_entries, row, &self.cx);
+            self.close_link_of_unknown(&row.key.key);
         }
     }
 
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -7,7 +7,7 @@
     coordinator::{Takeover, WaveRecord},
 };
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
-use fuchsiamill_platform::{Row, read_worker, tables as shared};
+use fuchsiamill_platform::{OddEntry, Row, read_worker, tables as shared};
 use monoio::time::sleep;
 
 use super::{
@@ -27,6 +27,8 @@
     pub jobs_version: u64,
     /// Of the table of workers.
     pub workers_version: u64,
+    /// Entries of workers that cannot be read.
+    pub odd_entries: OddEntries,
     /// What earlier coordinators did of waves.
     pub waves: FastMap<u64, WaveRecord>,
     /// Jobs of which only the progress is left: it has to be dropped.
@@ -48,8 +50,9 @@
     let config = cx.intent.borrow().config.clone().unwrap_or_default();
     let mut coordinator = Coordinator::new(cx.terms.clone(), config, takeover);
     note_former_orders(&mut coordinator, &own, (store_ms, begun));
+    let mut odd_entries = OddEntries::default();
     for row in &workers {
-        apply_worker(&mut coordinator, row, cx);
+        apply_worker(&mut coordinator, &mut odd_entries, row, cx);
     }
     let records: FastMap<Name, JobRecord> =
         progress.iter().filter_map(|it| Some((it.key.key.clone(), read_record(it)?))).collect();
@@ -67,7 +70,7 @@
         workers = workers.len(),
         runs_to_end = coordinator.all_to_end(cx.clock.now()).count
     );
-    Loaded { coordinator, jobs_version, workers_version, waves, orphans }
+    Loaded { coordinator, jobs_version, workers_version, odd_entries, waves, orphans }
 }
 
 async fn read_patiently(cx: &Candidate, table: &str, parts: &[String]) -> TableRead {
@@ -143,15 +146,51 @@
     }
 }
 
-/// Takes a row of the workers' table in.
-pub fn apply_worker(coordinator: &mut Coordinator, row: &Row, cx: &Candidate) {
+/// Entries that name no worker to use. Each is told of once, however often it is written again.
+#[derive(Debug, Default)]
+pub struct OddEntries(FastSet<Name>);
+
+impl OddEntries {
+    /// Forgets those that are no longer in the table.
+    pub fn retain(&mut self, listed: &FastSet<&Name>) {
+        self.0.retain(|it| listed.contains(it));
+    }
+
+    fn note(&mut self, id: &Name, why: &OddEntry) {
+        if self.0.insert(id.clone()) {
+            tracing::warn!(event = "worker-unreadable", worker = %id, error = %why);
+        }
+    }
+
+    fn note_good(&mut self, id: &Name) {
+        if self.0.remove(id) {
+            tracing::info!(event = "worker-readable", worker = %id);
+        }
+    }
+}
+
+/// Takes a row of the workers' table in. A worker whose entry can no longer be read takes no new tasks, and what may run
+/// on it counts until it has ended: so it is with one whose entry is gone.
+pub fn apply_worker(
+    coordinator: &mut Coordinator,
+    odd: &mut OddEntries,
+    row: &Row,
+    cx: &Candidate,
+) {
     let id = &row.key.key;
     if row.is_removed {
+        odd.0.remove(id);
         coordinator.worker_unlisted(id);
         return;
     }
     match read_worker(id, &row.value) {
-        Ok(seen) => coordinator.worker_listed(seen, cx.clock.now()),
-        Err(e) => tracing::warn!(event = "worker-unreadable", worker = %id, error = %e),
+        Ok(seen) => {
+            odd.note_good(id);
+            coordinator.worker_listed(seen, cx.clock.now());
+        }
+        Err(e) => {
+            odd.note(id, &e);
+            coordinator.worker_unlisted(id);
+        }
     }
 }
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -101,6 +101,16 @@
         self.links.insert(id, Link::open(worker, self.link_terms.clone()));
     }
 
+    /// Ends the link of a worker that was forgotten. One that is listed again at once needs a link that looks at it: a
+    /// link at rest would not tell that it answers.
+    pub(super) fn close_link_of_unknown(&mut self, id: &Name) {
+        if !self.coordinator.workers().contains_key(id)
+            && let Some(link) = self.links.remove(id)
+        {
+            link.close();
+        }
+    }
+
     /// Ends the links of workers that are no longer known.
     pub(super) fn close_links(&mut self) {
         let workers = self.coordinator.workers();
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -57,9 +57,19 @@
 impl Rows {
     /// Writes a row as its owner on the platform would.
     pub fn put(&mut self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row as a writer would that does not keep to the form of values.
+    pub fn put_bytes(&mut self, table: &str, key: &str, value: &[u8]) {
+        self.put_raw(table, key, &base64_of(value));
+    }
+
+    /// Writes a row whose value is told as it is, be it base64 or not.
+    pub fn put_raw(&mut self, table: &str, key: &str, value: &str) {
         self.version += 1;
         let key = (table.to_owned(), String::new(), key.to_owned());
-        self.write(key, Some(base64_of(&value.to_string())));
+        self.write(key, Some(value.to_owned()));
     }
 
     /// Drops a row.
@@ -251,9 +261,9 @@
     pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
 }
 
-fn base64_of(text: &str) -> String {
+fn base64_of(value: &[u8]) -> String {
     use base64::{Engine, prelude::BASE64_STANDARD};
-    BASE64_STANDARD.encode(text)
+    BASE64_STANDARD.encode(value)
 }
 
 fn bytes_of(text: &str) -> Option<Vec<u8>> {
