One odd host in the list no longer costs the others

What callers saw: with one odd row in the list of hosts, no host was moved or maintained (`dependency-lost` of `hosts`), and a pool that was short stayed so.

Ruled out: an odd `id` of a worker only names a worker that is not known.

The change: rows are read one by one. A host that is missing beside an unreadable row stays as it was last listed, since it would else be taken as gone after 15 s and a wave as done with it; orders to it are still the platform's to refuse. That part has no test of its own.

--- a/crates/site/src/lead/hosts.rs
+++ b/crates/site/src/lead/hosts.rs
@@ -6,8 +6,8 @@
     HostSeen, Name,
     coordinator::{DutyReply, HostDuty},
 };
-use fuchsiamill_model::units::Moment;
-use fuchsiamill_platform::{DutyAnswer, Hosts};
+use fuchsiamill_model::{FastSet, units::Moment};
+use fuchsiamill_platform::{DutyAnswer, HostList, Hosts};
 use monoio::time::sleep;
 
 use super::event::{Event, Teller};
@@ -41,11 +41,14 @@
     /// Runs until this process no longer coordinates.
     pub async fn run(self) {
         let health = Dependency::new("hosts");
+        let mut last = Vec::new();
         while self.is_leading.get() {
             let asked = self.clock.now();
             match self.hosts.list().await {
-                Ok(hosts) => {
+                Ok(list) => {
                     health.answered();
+                    let hosts = known_hosts(list, &last);
+                    last.clone_from(&hosts);
                     self.teller.tell(Event::Host(HostEvent::Listed(hosts, asked)));
                 }
                 Err(e) => health.failed(&e),
@@ -55,6 +58,17 @@
     }
 }
 
+/// The hosts in a list. One that is missing may be a row that cannot be read, and stays as it was last listed: it would be
+/// taken as gone, and a wave as done with it.
+fn known_hosts(list: HostList, last: &[HostSeen]) -> Vec<HostSeen> {
+    let HostList { mut hosts, unreadable } = list;
+    if unreadable > 0 {
+        let listed: FastSet<Name> = hosts.iter().map(|it| it.host.clone()).collect();
+        hosts.extend(last.iter().filter(|it| !listed.contains(&it.host)).cloned());
+    }
+    hosts
+}
+
 /// Gives an order to a host.
 pub async fn order(hosts: &Hosts, host: Name, duty: HostDuty, fence: u64) -> HostEvent {
     let answer = match &duty {
