The check of a lowered limit judges work by its admission

What was seen: lowered_limit_starts_nothing_above_it failed once on a busy machine: 5 ran of a limit lowered to 4.

Cause: the check was wrong as it stood. It judged a request by when a backend server began it. The promise is made where an entry host admits: from the acceptance of the change on, none sends a request whose grant was given under the former limit. A request that was sent before may lie in a socket and begin after, beside more than 4. A backend server that reads late (BackendMode::Holding, new) brings that about surely; the former check failed there on the unchanged product: above 4, 5 ms after it: Run { ... left_ms: Some(2875), began_ms: 4086, ..., team_running: 12, server_running: 8 } The request had been sent 125 ms after it came, under hold, before the limit was lowered.

Change: callers send the moment of their call as the body, the record keeps the time left that the entry host sent along (taken right after its last check). Call + deadline - time left is the earliest moment at which it was admitted. Whatever was admitted after the acceptance has to have found at most 4 running. The same check runs in the test of before, which is no longer passed over, and in a new one under held work. Deadlines of these two are 20 s, so that none passes in a hold.

Ruled out, by reading: an entry host cannot acknowledge a change between its last check and the send, since both run on one thread without a pause between; holders settle only by a row read after the lowering was known. Not shown: what the one failure was. It printed neither the moment nor the time left, and it did not come again.

The form that landed waits for more than the lowered limit.

--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -48,6 +48,8 @@
     Failing,
     /// It refuses everything before it runs anything.
     Refusing,
+    /// It reads requests and begins none of them until it has another mode.
+    Holding,
 }
 
 /// Sets the mode of one backend server.
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -29,6 +29,8 @@
     pub team: String,
     /// The body as text, by which tests tell requests apart.
     pub body: String,
+    /// The time that the entry host left it when it sent it, in milliseconds.
+    pub left_ms: Option<u64>,
     /// When it began, in milliseconds since the stand-in started.
     pub began_ms: u64,
     /// When it ended.
@@ -46,6 +48,10 @@
 pub struct BackendRecord {
     /// Every run, in the order of their beginnings.
     pub runs: Vec<Run>,
+    /// Requests of each team that were read and wait for the end of [`BackendMode::Holding`].
+    ///
+    /// [`BackendMode::Holding`]: crate::admin::BackendMode::Holding
+    pub held: BTreeMap<String, u32>,
     /// Requests that a server refused because all its slots were in use.
     pub busy: u64,
     /// Requests that a draining or refusing server refused.
