Hosts that no wave asks for any more take tasks again

What callers saw: a worker on a busy host of a wave that the operator replaced, also by one without hosts, took no task for ever; nor did one that its wave had set aside for maintenance before another host had fewer tasks, until its turn.

Cause: plan_wave reserved a host's worker, and nothing took that back: waves_asked replaced the wave and left the mark on the worker. A wave marked another host at each change of the order, so that more than its cap were out of work.

Evidence, seen failing before: busy_hosts_of_a_retracted_wave_take_tasks_again: left: [] right: ["w1", "w2"] busy_host_that_a_new_wave_leaves_out_takes_tasks_again: left: [] right: ["w1"] wave_keeps_no_more_hosts_out_of_work_than_its_cap: left: [] right: ["w1"], the second host is to be maintained instead ordered_host_of_a_retracted_wave_takes_nothing passed before as well: an order that is out may be carried out.

Change: a wave remembers the hosts that drain for it as it was planned last; hosts/reserved.rs derives whether a host's worker is reserved from what wants the host now (an order, a pool that it is emptied for, a wave), in one place instead of reserve and unreserve. A host that drains on for the new wave stays reserved in between: without that the second test above failed with ["w1", "w2"].

Ruled out: two hosts that take turns for ever. A host that drains gets no tasks, and another takes its place only with fewer, so the fewest only fall.

--- a/crates/fleet/src/coordinator/host_orders.rs
+++ b/crates/fleet/src/coordinator/host_orders.rs
@@ -52,7 +52,7 @@
         pending.calls = pending.calls.saturating_sub(1);
         if !pending.is_sent {
             host.duty = None;
-            self.unreserve(name);
+            self.update_reserved(name);
         }
         false
     }
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -1,5 +1,7 @@
 //! Hosts: maintenance waves, and moves between pools.
 
+mod reserved;
+
 use fuchsiamill_model::{
     FastMap, FastSet,
     units::{Millisecond, Moment},
@@ -69,6 +71,8 @@
     pub wave: Wave,
     /// Hosts whose maintenance has begun or that are gone.
     pub begun: FastSet<Name>,
+    /// Hosts that finish their tasks before they are ordered to be maintained.
+    pub draining: FastSet<Name>,
     /// Whether the operator was told that all are done.
     pub is_completed: bool,
 }
@@ -136,10 +140,10 @@
             match &host.duty {
                 Some(it) if is_over(it, &host.seen, asked, &self.terms) => {
                     host.duty = None;
-                    self.unreserve(&name);
+                    self.update_reserved(&name);
                 }
                 // A worker that was born since the order will end with it too.
-                Some(it) if it.confirmed.is_none() => self.reserve(&name),
+                Some(it) if it.confirmed.is_none() => self.update_reserved(&name),
                 _ => {}
             }
         }
@@ -162,14 +166,17 @@
             if self.waves.iter().any(|it| it.wave == *wave) {
                 continue;
             }
-            self.waves.retain(|it| it.wave.number != wave.number);
+            let drained = self.take_replaced(wave.number);
+            let is_kept = |it: &&Name| wave.hosts.contains(it);
             let record = stored.get(&wave.number).cloned().unwrap_or_default();
             self.waves.push(WaveState {
                 wave: wave.clone(),
                 begun: record.begun.into_iter().collect(),
+                draining: drained.iter().filter(is_kept).cloned().collect(),
                 is_completed: record.is_completed,
             });
             self.dirty_waves.insert(wave.number);
+            drained.iter().for_each(|it| self.update_reserved(it));
         }
     }
 
@@ -220,6 +227,7 @@
         if down == 0 && state.wave.hosts.iter().all(|it| state.begun.contains(it)) {
             self.waves[index].is_completed = true;
             self.dirty_waves.insert(number);
+            self.set_draining(index, FastSet::default());
             return;
         }
         let at_once = state.wave.at_once;
@@ -232,6 +240,7 @@
             .cloned()
             .collect();
         left.sort_by_key(|it| (self.work_on(it), it.clone()));
+        let mut draining = FastSet::default();
         for name in left {
             // One that may be under a former order counts as down already.
             match self.may_be_under_order(&name, now) {
@@ -243,9 +252,10 @@
             if self.is_free(&name, now) {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
             } else {
-                self.reserve(&name);
+                draining.insert(name);
             }
         }
+        self.set_draining(index, draining);
     }
 
     /// Hosts of a wave that are down for it, or may be.
@@ -298,17 +308,7 @@
         }
     }
 
-    pub(super) fn reserve(&mut self, host: &Name) {
-        let Some(worker) = self.hosts.get(host).and_then(|it| it.seen.worker.clone()) else {
-            return;
-        };
-        if let Some(at) = self.workers.get_mut(&worker) {
-            at.reserved = true;
-        }
-    }
-
     pub(super) fn give_duty(&mut self, name: &Name, duty: Duty, now: Moment) {
-        self.reserve(name);
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.duty = Some(Pending {
             duty: duty.clone(),
@@ -317,6 +317,7 @@
             is_sent: false,
             calls: 1,
         });
+        self.update_reserved(name);
         self.note_order(name, now);
         self.held_back.push(Order::Host { host: name.clone(), duty });
     }
@@ -331,7 +332,7 @@
             DutyReply::Refused if pending.calls > 0 || pending.confirmed.is_some() => {}
             DutyReply::Refused => {
                 host.duty = None;
-                self.unreserve(name);
+                self.update_reserved(name);
             }
             DutyReply::Done => {
                 pending.confirmed = Some(now);
@@ -347,14 +348,6 @@
         }
     }
 
-    pub(super) fn unreserve(&mut self, host: &Name) {
-        let worker = self.hosts.get(host).and_then(|it| it.seen.worker.clone());
-        if let Some(at) = worker.and_then(|it| self.workers.get_mut(&it)) {
-            at.reserved = false;
-            self.needs_placing = true;
-        }
-    }
-
     /// Moves tasks that last off reserved and draining workers, as many at a time as their step may miss.
     fn evacuate(&mut self, now: Moment) {
         if now.since(self.takeover.at) < SETTLING_MS {
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -126,7 +126,7 @@
                 continue;
             }
             if views.get(&pool).is_none_or(|it| it.need.pressing <= it.need.hosts) {
-                self.unreserve(&host);
+                self.update_reserved(&host);
                 continue;
             }
             // Its own pool does not count it any more.
@@ -156,8 +156,8 @@
                 && let Some(host) = self.host_to_empty(views, spare)
             {
                 self.hand_over(views, &host, &pool);
-                self.reserve(&host);
-                self.emptied.insert(host, pool.clone());
+                self.emptied.insert(host.clone(), pool.clone());
+                self.update_reserved(&host);
             }
         }
     }
