--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -292,7 +292,7 @@
                     if call.is_accepted { "accepted" } else { "post unanswered" },
                 );
                 match is_known_red(call) {
-                    true => println!("known red 4: {what}"),
+                    true => println!("known red 3: {what}"),
                     false => broken.push(what),
                 }
             }
@@ -313,7 +313,7 @@
     }
 }
 
-/// The fault of entry 4 in KNOWN-RED.txt: a post that was given up is stored after its cancellation found no job.
+/// The fault of entry 3 in KNOWN-RED.txt: a post that was given up is stored after its cancellation found no job.
 fn is_known_red(call: &Call) -> bool {
     !call.is_accepted && call.cancelled.is_some_and(|it| it.1 == 410)
 }
