A change of the store holds a hundred entries at most, whatever is to be dropped

What callers would see: nothing is started or ended any more, on a site that has run for some minutes: a total outage. Cause: the progress rows of all jobs whose time was over went into one change, beside up to 90 records; the store refuses a change of more than a hundred entries, and the coordinator tries the same change for ever. A coordinator counts from its takeover for all jobs that are over by then, so that they are due at once; its successor finds the rows again. Ruled out: the drops of jobs' own rows, which come in changes of their own, 80 entries at most. Change: rows to drop fill what a change has left; two waves go into a change. The stand-in refuses larger changes.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -49,12 +49,22 @@
 
     /// Starts them after the platform was set up.
     pub fn start_on(entries: usize, hosts: usize, set_up: impl FnOnce(&mut World)) -> Self {
+        Self::start_with(entries, hosts, "", set_up)
+    }
+
+    /// Starts them with further settings, after the platform was set up.
+    pub fn start_with(
+        entries: usize,
+        hosts: usize,
+        settings: &str,
+        set_up: impl FnOnce(&mut World),
+    ) -> Self {
         let net = LoopbackNet::new();
         let site = FleetSite::start(net.any(), &["web", "spare"], hosts).expect("it starts");
         set_up(&mut site.world());
         let fleet_ip = net.any().ip().to_string();
         site.world().rows.put("op", "config", &config(1, &fleet_ip, &["/jobs/"]));
-        let entries = (0..entries).map(|it| Process::start(&site, &net, it)).collect();
+        let entries = (0..entries).map(|it| Process::start(&site, &net, it, settings)).collect();
         let fleet = Self { site, entries, jobs: RefCell::default() };
         fleet.wait_ready();
         fleet
@@ -168,14 +178,14 @@
 }
 
 impl Process {
-    fn start(site: &FleetSite, net: &LoopbackNet, number: usize) -> Self {
+    fn start(site: &FleetSite, net: &LoopbackNet, number: usize, settings: &str) -> Self {
         let name = format!("entry-{number}");
         let (front, ready, peers) = (net.free(), net.free(), net.free());
         let listen = net.any();
         let route = net::post(site.proxy, "/route", &Route { listen, to: site.store });
         let text = format!(
             "[fleet]\nname = {name}\ncallers = {front}\nready = {ready}\npeers = {peers}\n\
-             store = {route}\nhosts = {}\nmove-s = 0.3\nupkeep-s = 0.3\ngrace-s = 4\n",
+             store = {route}\nhosts = {}\nmove-s = 0.3\nupkeep-s = 0.3\ngrace-s = 4\n{settings}",
             site.hosts
         );
         let daemon = Daemon::start(front, &text);
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -114,6 +114,9 @@
     }
 }
 
+/// The most waves in one change: two rows each, beside the records of jobs.
+const COMMIT_WAVES: usize = 2;
+
 /// A host that is away this long does not come back: crashed hosts are restarted sooner.
 const LOST_MS: Millisecond = 15_000;
 
@@ -180,9 +183,10 @@
         }
     }
 
-    /// The records of waves that changed.
+    /// The records of some waves that changed; the others are for the next change of the store.
     pub fn take_wave_records(&mut self) -> Vec<(u64, WaveRecord)> {
-        let dirty = std::mem::take(&mut self.dirty_waves);
+        let dirty: FastSet<u64> = self.dirty_waves.iter().copied().take(COMMIT_WAVES).collect();
+        self.dirty_waves.retain(|it| !dirty.contains(it));
         let changed = self.waves.iter().filter(|it| dirty.contains(&it.wave.number));
         changed
             .map(|it| {
--- a/crates/site/src/lead/changes.rs
+++ b/crates/site/src/lead/changes.rs
@@ -1,8 +1,11 @@
 //! Puts what has to be stored into changes of the store, one at a time.
 
+use std::time::Duration;
+
 use fuchsiamill_fleet::{JobRecord, Name, coordinator::WaveRecord};
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{Key, Tx, write_wave_state};
+use monoio::time::sleep;
 use serde::Serialize;
 
 use super::{
@@ -16,6 +19,15 @@
 /// The board is written with the first change after this time.
 const BOARD_MS: Millisecond = 800;
 
+/// The most entries that the store takes in one change: conditions, rows to write and rows to drop.
+const CHANGE_ENTRIES: usize = 100;
+
+/// The lease's part of each change: its condition and its row.
+const LEASE_ENTRIES: usize = 2;
+
+/// The pause after rows could not be dropped.
+const PURGE_PAUSE: Duration = Duration::from_secs(1);
+
 /// Jobs whose rows are dropped at once: two rows each, in changes of at most a hundred.
 const PURGED_JOBS: usize = 40;
 
@@ -47,7 +59,9 @@
         }
         let Some(mut lease) = self.lease.take() else { return };
         self.paced = now;
-        let drops = self.purged.drain(..).map(|id| tables::progress_key(&id)).collect();
+        let left = CHANGE_ENTRIES.saturating_sub(LEASE_ENTRIES + puts.len());
+        let dropped = self.purged.drain(..left.min(self.purged.len()));
+        let drops = dropped.map(|id| tables::progress_key(&id)).collect();
         let teller = self.teller.clone();
         monoio::spawn(async move {
             let result = lease.commit(puts, drops).await;
@@ -109,8 +123,9 @@
                 if !tx.drops.is_empty()
                     && let Err(e) = store.commit(&tx).await
                 {
-                    // The next coordinator finds them again.
                     tracing::warn!(event = "purge-failed", jobs = expired.len(), error = %e);
+                    sleep(PURGE_PAUSE).await;
+                    teller.tell(Event::NotPurged(expired));
                     return;
                 }
             }
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -16,6 +16,9 @@
 
 const FEED_STEP: Duration = Duration::from_millis(5);
 
+/// A change holds at most so many entries: conditions, rows to write and rows to drop.
+const MOST_ENTRIES: usize = 100;
+
 /// Changes of a part that wait longer are refused.
 const LONGEST_QUEUE: Duration = Duration::from_secs(1);
 
@@ -216,6 +219,10 @@
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return Response::empty(StatusCode::BAD_REQUEST);
         };
+        let count = |name: &str| tx[name].as_array().map_or(0, Vec::len);
+        if count("expected_rev") + count("set_keys") + count("remove") > MOST_ENTRIES {
+            return Response::empty(StatusCode::BAD_REQUEST);
+        }
         let part = tx["set_keys"][0]["part"].as_str().unwrap_or_default();
         let turn = lock(&self.0).rows.queue(part);
         let Some(turn) = turn else { return Response::empty(StatusCode::TOO_MANY_REQUESTS) };
