A job whose rows are being dropped is not taken for a new one

What callers would see: a job that was done or cancelled long ago runs again (TWICE), if its rows are read as a whole while the store is slow to drop them, or did not. Cause: the job was forgotten when its rows were about to be dropped, not when they were; a failed drop was not tried again.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -61,6 +61,8 @@
     jobs: FastMap<Name, Job>,
     /// Jobs that are over, and when that was noted.
     over: FastMap<Name, Moment>,
+    /// Those of them whose rows are being dropped: until that is done, the rows may be read again.
+    expiring: FastSet<Name>,
     workers: FastMap<Name, Worker>,
     used: FastMap<Name, Resources>,
     recent: FastMap<Name, VecDeque<Moment>>,
@@ -101,6 +103,7 @@
             config,
             jobs: FastMap::default(),
             over: FastMap::default(),
+            expiring: FastSet::default(),
             workers: FastMap::default(),
             used: FastMap::default(),
             recent: FastMap::default(),
@@ -307,15 +310,29 @@
         }
     }
 
-    /// Jobs whose state was told for long enough, at most `most` of them; they are forgotten.
+    /// Jobs whose state was told for long enough, at most `most` of them; their rows may be dropped.
     pub fn take_expired(&mut self, now: Moment, most: usize) -> Vec<Name> {
         let is_expired = |at: &Moment| now.since(*at) >= self.terms.keep_ms;
-        let expired = self.over.iter().filter(|(_, at)| is_expired(at)).take(most);
-        let expired: Vec<Name> = expired.map(|(id, _)| id.clone()).collect();
-        for id in &expired {
+        let expired =
+            self.over.iter().filter(|(id, at)| is_expired(at) && !self.expiring.contains(*id));
+        let expired: Vec<Name> = expired.take(most).map(|(id, _)| id.clone()).collect();
+        self.expiring.extend(expired.iter().cloned());
+        expired
+    }
+
+    /// The rows of these jobs are gone.
+    pub fn expired(&mut self, jobs: &[Name]) {
+        for id in jobs {
+            self.expiring.remove(id);
             self.over.remove(id);
         }
-        expired
+    }
+
+    /// The rows of these jobs may be there: they are dropped later.
+    pub fn not_expired(&mut self, jobs: &[Name]) {
+        for id in jobs {
+            self.expiring.remove(id);
+        }
     }
 
     /// The accepted jobs of each queue of which no worker is known to have started anything: an order to start may get
--- a/crates/fleet/tests/job_steps.rs
+++ b/crates/fleet/tests/job_steps.rs
@@ -202,3 +202,21 @@
     assert_eq!(bench.coordinator.take_expired(bench.now, 10), ["j"]);
     assert!(bench.coordinator.take_expired(bench.now, 10).is_empty());
 }
+
+/// A whole read of the table of jobs tells of rows that are about to be dropped.
+#[test]
+fn expiring_job_starts_again() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    bench.report("w1", &[], &[(task("j", 0, 0), 1, Ending::Done)]);
+    bench.step();
+    bench.wait(200_000);
+    assert_eq!(bench.coordinator.take_expired(bench.now, 40), ["j"]);
+    bench.accept("j", job(vec![step(1)]));
+    bench.report("w1", &[], &[]);
+    assert!(bench.run().is_empty());
+    bench.coordinator.not_expired(&["j".into()]);
+    assert_eq!(bench.coordinator.take_expired(bench.now, 40), ["j"]);
+}
--- a/crates/site/src/lead/event.rs
+++ b/crates/site/src/lead/event.rs
@@ -33,6 +33,8 @@
     Committed(Box<Lease>, Result<(), Lost>),
     /// The rows of these jobs are gone.
     Purged(Vec<Name>),
+    /// The rows of these jobs may be there: the store did not confirm the change that drops them.
+    NotPurged(Vec<Name>),
 }
 
 /// Tells the coordinator's loop.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -191,7 +191,11 @@
                 tracing::info!(event = "former-coordinator-over");
                 self.coordinator.former_over(self.cx.clock.now());
             }
-            Event::Purged(jobs) => self.purged.extend(jobs),
+            Event::Purged(jobs) => {
+                self.coordinator.expired(&jobs);
+                self.purged.extend(jobs);
+            }
+            Event::NotPurged(jobs) => self.coordinator.not_expired(&jobs),
         }
         None
     }
