An absurd strength of an entry host ends no reader

What callers saw: with a strength above 42,949,672 in one row of the entry hosts, every process that reads the rows ends in a build with overflow checks; in a release build the product wraps, and the strong count as weak.

Cause: `one * 100` in 32 bits.

Evidence, crates/site/tests/entry_ranks.rs on the build before: thread 'absurd_strength_ends_its_reader' panicked at crates/site/src/lead/entries.rs:117:5: attempt to multiply with overflow

Ruled out: rows of another form, without an address or with one that is none are already left out one by one.

The change: the comparison is made in 64 bits.

--- a/crates/site/src/lead/entries.rs
+++ b/crates/site/src/lead/entries.rs
@@ -24,7 +24,7 @@
 const TELL_SPREAD_MS: u64 = 1_500;
 
 /// An entry host is weak beside one that has this much more, in per cent.
-const MUCH_STRONGER_PERCENT: u32 = 130;
+const MUCH_STRONGER_PERCENT: u64 = 130;
 
 /// The pause between two looks at the lease of up to [`LOOKERS`] entry hosts.
 pub const LOOK_MS: Millisecond = 400;
@@ -114,7 +114,7 @@
 }
 
 fn is_much_stronger(one: u32, other: u32) -> bool {
-    one * 100 > other * MUCH_STRONGER_PERCENT
+    u64::from(one) * 100 > u64::from(other) * MUCH_STRONGER_PERCENT
 }
 
 /// The other entry hosts, as last read.
--- a/crates/site/tests/entry_ranks.rs
+++ b/crates/site/tests/entry_ranks.rs
@@ -51,3 +51,12 @@
 fn one_that_has_not_read_leaves_the_lease_to_others() {
     assert!(Others::default().courtesy_ms() >= 1_000);
 }
+
+#[test]
+fn absurd_strength_ends_its_reader() {
+    let mut all = rows(2, 1);
+    all[1].strength = u32::MAX;
+    let others = Others::of(&all[0], all.clone());
+    assert_eq!(others.stronger, [all[1].clone()]);
+    assert!(Others::of(&all[1], all.clone()).stronger.is_empty());
+}
