A job with absurd numbers ends no coordinator

What callers saw, in a build with overflow checks: after one job with an estimate of 2^64 - 1 ms every entry host ended, one after the other, and ended again after each start, since the job is stored and each coordinator reads it. A release build has no such checks (not measured): there the products wrap, and work that is huge ranks and counts as small.

Cause: sizes, counts and times that callers choose are added and multiplied in 64 bits.

Evidence, crates/daemon/tests/odd_entries.rs on the build before: nobody answers any more thread 'main' panicked at crates/fleet/src/coordinator/needs.rs:128:44: attempt to multiply with overflow

Ruled out: amounts of resources (Resources) and moments already saturate; what workers list is bounded where it is read.

The change: sums and products of demand, rank, objectives, distance and tails saturate. Jobs of usual numbers are treated as before.

--- a/crates/daemon/tests/odd_entries.rs
+++ b/crates/daemon/tests/odd_entries.rs
@@ -161,3 +161,28 @@
     let lines = log.lines().filter(|it| it.contains("worker-unreadable")).count();
     assert_eq!(lines, 1, "{log}");
 }
+
+/// A job is stored before anybody looks at its numbers: one that ends its reader would end each of them in turn.
+#[test]
+fn absurd_job_ends_a_process() {
+    let fleet = Fleet::start(2, 2);
+    let size = json!({ "count": 9, "cpu": u32::MAX, "mem_mb": u32::MAX, "gpu": u32::MAX });
+    let mut steps = vec![size.clone(), size];
+    steps[1]["after"] = json!([0]);
+    for step in &mut steps {
+        step["estimate_ms"] = json!(u64::MAX);
+        step["affinity"] = json!("rack-0");
+        step["target_ms"] = json!(u64::MAX);
+    }
+    for id in ["00000000000000a1", "00000000000000a2", "00000000000000a3"] {
+        let answer = fleet.entries[0].post(id, &json!({ "spec": "ms=50", "steps": steps }));
+        assert!(answer.is_some(), "nobody answers any more");
+    }
+    let small = json!({
+        "spec": "ms=50", "steps": [{ "count": 2, "cpu": 500, "mem_mb": 64, "estimate_ms": u64::MAX }]
+    });
+    fleet.accept(&small, PATIENCE).expect("accepted");
+    fleet.accept(&job(100, &[3]), PATIENCE).expect("accepted");
+    fleet.check();
+    assert!(fleet.entries.iter().all(|it| it.is_running()), "a process has ended");
+}
--- a/crates/fleet/src/coordinator/demand.rs
+++ b/crates/fleet/src/coordinator/demand.rs
@@ -33,18 +33,18 @@
     /// What `count` times a size takes.
     pub fn of(size: Resources, count: u64) -> Self {
         Self {
-            millicores: u64::from(size.millicores) * count,
-            memory_mib: u64::from(size.memory_mib) * count,
-            accelerators: u64::from(size.accelerators) * count,
+            millicores: u64::from(size.millicores).saturating_mul(count),
+            memory_mib: u64::from(size.memory_mib).saturating_mul(count),
+            accelerators: u64::from(size.accelerators).saturating_mul(count),
         }
     }
 
     /// The sum.
     pub fn plus(self, other: Load) -> Self {
         Self {
-            millicores: self.millicores + other.millicores,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -67,7 +67,7 @@
     pub fn millicores_on(self, host: Resources) -> u64 {
         let as_processors = |part: u64, of: u32| match of {
             0 => 0,
-            of => part * u64::from(host.millicores) / u64::from(of),
+            of => part.saturating_mul(host.millicores.into()) / u64::from(of),
         };
         self.millicores
             .max(as_processors(self.memory_mib, host.memory_mib))
@@ -122,7 +122,7 @@
             Wish::Label(_) => millicores.div_ceil(host),
             Wish::Rack(_) => {
                 let extra = far_percent.saturating_sub(100).max(RACK_EXTRA_PERCENT);
-                (millicores + host - host * RACK_EXTRA_PERCENT / extra) / host
+                millicores.saturating_add(host - host * RACK_EXTRA_PERCENT / extra) / host
             }
         }
     }
@@ -180,7 +180,7 @@
         let is_recent = |it: &&Moment| now.since(**it) <= ARRIVAL_MS;
         let recent = self.arrivals.iter().filter(is_recent).count() as u64;
         let growth = (2 * recent).saturating_sub(all);
-        self.mean_work.map(|it| (recent + growth) * it / ARRIVAL_MS)
+        self.mean_work.map(|it| (recent + growth).saturating_mul(it) / ARRIVAL_MS)
     }
 
     /// Whether nothing has arrived or was needed lately.
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -322,5 +322,6 @@
 
 /// The objective of a job whose longest chain of work takes `chain`, counted from its acceptance.
 pub fn objective_ms(spec: &JobSpec, chain: Millisecond) -> Millisecond {
-    (chain as f64 * spec.route.stretch.max(1.0)) as Millisecond + spec.route.objective_ms
+    ((chain as f64 * spec.route.stretch.max(1.0)) as Millisecond)
+        .saturating_add(spec.route.objective_ms)
 }
--- a/crates/fleet/src/coordinator/near.rs
+++ b/crates/fleet/src/coordinator/near.rs
@@ -62,7 +62,7 @@
             return None;
         }
         let near = self.left(job).0;
-        let far = near + self.extra_far(self.expected_ms(spec, task.step as usize));
+        let far = near.saturating_add(self.extra_far(self.expected_ms(spec, task.step as usize)));
         let due = self.due(job);
         // The last moment at which it is in time far from its data, or else near it.
         let last = [far, near].into_iter().find(|it| now + *it <= due)?;
@@ -73,7 +73,7 @@
 
     /// What a task takes longer far from its data.
     fn extra_far(&self, expected: Millisecond) -> Millisecond {
-        expected * self.terms.far_percent.saturating_sub(100) / 100
+        expected.saturating_mul(self.terms.far_percent.saturating_sub(100)) / 100
     }
 
     /// Whether a pool has workers near a step's data, or will soon.
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -125,7 +125,7 @@
         let steps = spec.steps.iter().enumerate();
         for (number, step) in steps.filter(|it| !self.is_hopeless(it.1)) {
             let took = self.expected_ms(spec, number).max(1);
-            let load = Load::of(step.size, u64::from(step.count) * took);
+            let load = Load::of(step.size, u64::from(step.count).saturating_mul(took));
             for wish in Wish::all_of(step).map(Some).chain([None]) {
                 let sum = work.entry(wish).or_default();
                 *sum = sum.plus(load);
@@ -311,7 +311,7 @@
 }
 
 fn with_headroom(millicores: u64) -> u64 {
-    millicores * (100 + HEADROOM_PERCENT) / 100
+    millicores.saturating_mul(100 + HEADROOM_PERCENT) / 100
 }
 
 /// Hosts that a job's open steps need because of their tasks' distance.
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -63,7 +63,7 @@
         let (chain, work) = self.left(job);
         let standing = match () {
             () if job.excess => Standing::Excess,
-            () if now + chain * (100 - HOPE_PERCENT) / 100 > due => Standing::Late,
+            () if now + chain.saturating_mul(100 - HOPE_PERCENT) / 100 > due => Standing::Late,
             () => Standing::InTime,
         };
         let is_tight = self.tight.contains(&job.spec.route.pool);
@@ -90,13 +90,14 @@
 
     /// The longest chain of work that is left, in milliseconds, and all of it in millicore-milliseconds.
     pub(super) fn left(&self, job: &Job) -> (Millisecond, u64) {
-        let mut work = 0;
+        let mut work = 0u64;
         let chain = chain_of(&job.spec, |step| {
             let run = job.occurrences.first().map(|it| &it.steps[step]);
             let count = u64::from(job.spec.steps[step].count);
             let left = run.map_or(count, |it| count - u64::from(it.done));
             let expected = self.expected_ms(&job.spec, step);
-            work += left * expected * u64::from(job.spec.steps[step].size.millicores);
+            let millicores = u64::from(job.spec.steps[step].size.millicores);
+            work = work.saturating_add(left.saturating_mul(expected).saturating_mul(millicores));
             if left == 0 { 0 } else { expected }
         });
         (chain, work)
@@ -124,7 +125,7 @@
     let mut ends: Vec<Millisecond> = Vec::with_capacity(spec.steps.len());
     for (number, step) in spec.steps.iter().enumerate() {
         let begin = step.after.iter().filter_map(|it| ends.get(*it as usize)).max();
-        ends.push(begin.copied().unwrap_or(0) + step_ms(number));
+        ends.push(begin.copied().unwrap_or(0).saturating_add(step_ms(number)));
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/crates/fleet/src/coordinator/sharing.rs
+++ b/crates/fleet/src/coordinator/sharing.rs
@@ -78,9 +78,9 @@
     fn tails(&self, report: &Report) -> Tails {
         let tails = report.running.iter().filter_map(|it| {
             let target = self.step_of(&it.task)?.tail_target_ms?;
-            Some(if it.load * 100 > target * TAIL_HIGH_PERCENT {
+            Some(if it.load.saturating_mul(100) > target.saturating_mul(TAIL_HIGH_PERCENT) {
                 Tails::High
-            } else if it.load * 100 > target * TAIL_LOW_PERCENT {
+            } else if it.load.saturating_mul(100) > target.saturating_mul(TAIL_LOW_PERCENT) {
                 Tails::Fair
             } else {
                 Tails::Low
