An emptied host that was missing in the list takes tasks again

What callers saw: a worker whose host was being emptied for another pool, and which the list of hosts left out or called down once meanwhile, took no task for ever.

Cause: move_emptied dropped the host from the emptied ones when it was not up, or had another order, and left the mark on its worker; only the second case has a reason for it.

Evidence: emptied_host_that_was_missing_in_the_list_takes_tasks_again, seen failing before: left: 3 right: 6.

Change: the mark is derived anew where the host is dropped; one that has an order stays reserved by that order. Ruled out: the mark of a host that is emptied for a pool that has enough meanwhile was taken back before, too.

After: all tests of fleet pass; lints are clean.

--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -123,6 +123,7 @@
         for (host, pool) in emptied {
             // One that was ordered to do something else stays reserved for that.
             if !self.may_be_emptied(&host) {
+                self.update_reserved(&host);
                 continue;
             }
             if views.get(&pool).is_none_or(|it| it.need.pressing <= it.need.hosts) {
--- a/crates/fleet/tests/owed_hosts.rs
+++ b/crates/fleet/tests/owed_hosts.rs
@@ -6,7 +6,7 @@
 
 use common::{Bench, WALL, config, cores, host, job, list, moves, starts, step, worker};
 use fuchsiamill_fleet::{
-    Config, Ending, JobSpec, Name, Pool, Step, TaskId, Team, WorkerSeen, job::RouteTerms,
+    Config, Ending, HostSeen, JobSpec, Name, Pool, Step, TaskId, Team, WorkerSeen, job::RouteTerms,
 };
 use fuchsiamill_model::{Resources, units::WallTime};
 
@@ -26,17 +26,20 @@
     JobSpec { team: team.into(), route, ..spec }
 }
 
+fn eight_hosts() -> Vec<HostSeen> {
+    let pools = ["web", "web", "web", "web", "web", "web", "draft", "draft"];
+    let named = pools.iter().enumerate();
+    named.map(|(at, pool)| host(&format!("h{at}"), pool, Some(&format!("w{at}")))).collect()
+}
+
 /// Six hosts in 'web' that are full of a team's excess, two in 'draft', and no spare one; and what runs.
 fn overloaded() -> (Bench, Vec<(TaskId, u32, Name)>) {
     let mut bench = Bench::with(two_pools());
-    let mut hosts = Vec::new();
-    for number in 0..8 {
-        let pool = if number < 6 { "web" } else { "draft" };
-        let (name, id) = (format!("h{number}"), format!("w{number}"));
-        bench.add(WorkerSeen { pool: pool.into(), ..worker(&id) });
-        hosts.push(host(&name, pool, Some(&id)));
+    for seen in eight_hosts() {
+        let id = seen.worker.unwrap();
+        bench.add(WorkerSeen { pool: seen.pool, ..worker(&id) });
     }
-    list(&mut bench, hosts);
+    list(&mut bench, eight_hosts());
     for number in 0..20 {
         bench.accept(&format!("hot-{number}"), posted("hot", "web", 1));
     }
@@ -83,6 +86,21 @@
     assert_eq!(starts(&orders).len(), 6);
 }
 
+/// The list leaves the hosts of 'web' out once, while some are emptied and their workers go on.
+#[test]
+fn emptied_host_that_was_missing_in_the_list_takes_tasks_again() {
+    let (mut bench, running) = overloaded();
+    bench.accept("owed", posted("north", "draft", 4));
+    bench.run();
+    list(&mut bench, eight_hosts().split_off(6));
+    bench.step();
+    bench.coordinator.cancel(&"owed".into(), bench.now);
+    list(&mut bench, eight_hosts());
+    bench.step();
+    end_all(&mut bench, running);
+    assert_eq!(starts(&bench.step()).len(), 6);
+}
+
 /// A coordinator that takes over gets all open jobs at once: that is no excess of their teams.
 #[test]
 fn jobs_of_a_former_coordinator_are_owed() {
