No circle of imports in policy's jobs

Cause, found by reading: row needed the stages' data from stage, which needs the row; workers took Timing from scheduler, which needs workers. Each pair could only be read together.

Change: Waiting, Running and Ended are part of the row and stand in row.rs; Timing stands in workers.rs. stage now imports from row only, row and workers from neither. No behaviour, names or stored forms change; jobs exports the same.

After: policy's job_cycle, task_release and task_placement pass; lints of the workspace are clean. Others not run.

--- a/crates/policy/src/jobs.rs
+++ b/crates/policy/src/jobs.rs
@@ -10,7 +10,9 @@
 pub use health::{Health, Verdict};
 pub use queue::{Queue, Turn, Turns, Weight};
 pub use row::{
-    Begun, Cancel, JobCore, JobRow, JobSpec, PoolLease, Rerun, Resolution, Stage, WriteId, resolve,
+    Begun, Cancel, Ended, JobCore, JobRow, JobSpec, PoolLease, Rerun, Resolution, Running, Stage,
+    Waiting, WriteId, resolve,
 };
-pub use scheduler::{AnswerOutcome, Proposal, Scheduler, Timing, UnitChange, WaitCause, WriteIds};
-pub use stage::{AfterRun, Ended, Job, Running, TaskEnd, Waiting, WrongStage};
+pub use scheduler::{AnswerOutcome, Proposal, Scheduler, UnitChange, WaitCause, WriteIds};
+pub use stage::{AfterRun, Job, TaskEnd, WrongStage};
+pub use workers::Timing;
--- a/crates/policy/src/jobs/row.rs
+++ b/crates/policy/src/jobs/row.rs
@@ -1,14 +1,12 @@
 //! The row of a job in the table, and of the lease on a pool's jobs.
 
 use fuchsiamill_model::{
-    EntryName, HostName, Incarnation, JobId, JobKind, Millisecond, PoolName, Resources, TeamName,
-    Units, WallTime,
+    EntryName, HostName, Incarnation, JobId, JobKind, Millisecond, PoolName, Problem, Resources,
+    RunState, TeamName, Units, WallTime,
     task::{Fence, TaskId},
 };
 use serde::{Deserialize, Serialize};
 
-use super::stage::{Ended, Running, Waiting};
-
 /// Write ids that a row remembers, newest last.
 const REMEMBERED_WRITES: usize = 4;
 
@@ -108,6 +106,61 @@
     }
 }
 
+/// The stage of a job that waits for a host.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Waiting {
+    /// The checkpoint to go on from.
+    pub checkpoint: Option<String>,
+}
+
+/// The stage of a job that holds a host; the task may not have started yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Running {
+    /// The host.
+    pub host: HostName,
+    /// The run of the worker's agent for which it was placed.
+    pub boot: Incarnation,
+    /// The fence of the owner that placed it.
+    pub fence: Fence,
+    /// What it was placed for.
+    pub size: Resources,
+    /// The checkpoint that it goes on from.
+    pub checkpoint: Option<String>,
+}
+
+/// The stage of a job that is over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "end", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Ended {
+    /// It ran to its end.
+    Finished {
+        /// What it gave back.
+        output: String,
+    },
+    /// It ran and failed.
+    Failed {
+        /// Why, in words.
+        reason: String,
+    },
+    /// It was accepted and cannot be run.
+    Refused {
+        /// Why, and whether any of it ran.
+        problem: Problem,
+    },
+    /// It was cancelled.
+    Cancelled {
+        /// Whether any of it ran.
+        run: RunState,
+    },
+    /// It runs at most once and the end of its run is not known.
+    Unknown {
+        /// What was lost.
+        reason: String,
+    },
+}
+
 /// Where a job is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/policy/src/jobs/scheduler.rs
+++ b/crates/policy/src/jobs/scheduler.rs
@@ -9,30 +9,22 @@
 mod waits;
 
 use fuchsiamill_model::{
-    FastMap, FastSet, Host, HostName, HostState, JobId, JobKind, Millisecond, Moment, PoolName,
-    Resources, TeamName, Units,
+    FastMap, FastSet, Host, HostName, HostState, JobId, JobKind, Moment, PoolName, Resources,
+    TeamName, Units,
     task::{Fence, TaskId, Usage},
 };
 
 use super::{
     health::Health,
     queue::Queue,
-    row::{JobRow, Stage, WriteId},
-    stage::Running,
-    workers::Workers,
+    row::{JobRow, Running, Stage, WriteId},
+    workers::{Timing, Workers},
 };
 use crate::placement::{Placer, Sizes};
 
 pub use orders::AnswerOutcome;
 pub use waits::WaitCause;
 
-/// Spans that the owner and the workers go by.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// The lease of a task, in milliseconds.
-    pub lease: Millisecond,
-}
-
 /// A proposed change of a row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Proposal {
--- a/crates/policy/src/jobs/scheduler/orders.rs
+++ b/crates/policy/src/jobs/scheduler/orders.rs
@@ -12,8 +12,8 @@
 use crate::{
     jobs::{
         health::Verdict,
-        row::{Cancel, JobRow},
-        stage::{Job, Running, TaskEnd},
+        row::{Cancel, JobRow, Running},
+        stage::{Job, TaskEnd},
     },
     placement::{Relief, TaskLoad, relieve},
 };
--- a/crates/policy/src/jobs/scheduler/starts.rs
+++ b/crates/policy/src/jobs/scheduler/starts.rs
@@ -6,7 +6,11 @@
 
 use super::{Hold, Proposal, Scheduler, UnitChange, WriteIds};
 use crate::{
-    jobs::{queue::Weight, row::JobRow, stage::Job, stage::Waiting},
+    jobs::{
+        queue::Weight,
+        row::{JobRow, Waiting},
+        stage::Job,
+    },
     placement::{Ask, Placement, WaitReason},
 };
 
--- a/crates/policy/src/jobs/stage.rs
+++ b/crates/policy/src/jobs/stage.rs
@@ -1,9 +1,8 @@
 //! The life cycle of a job as typestate: each step takes the job in one stage and gives it in the next.
 
 use fuchsiamill_model::{HostName, Incarnation, Problem, Resources, RunState, task::Fence};
-use serde::{Deserialize, Serialize};
 
-use super::row::{Begun, Cancel, JobCore, JobRow, Rerun, Stage, WriteId};
+use super::row::{Begun, Cancel, Ended, JobCore, JobRow, Rerun, Running, Stage, Waiting, WriteId};
 
 /// Hosts on which an idempotent job may fail before its failure is taken as its own.
 const MOST_FAILURES: usize = 5;
@@ -15,61 +14,6 @@
     stage: S,
 }
 
-/// The stage of a job that waits for a host.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Waiting {
-    /// The checkpoint to go on from.
-    pub checkpoint: Option<String>,
-}
-
-/// The stage of a job that holds a host; the task may not have started yet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Running {
-    /// The host.
-    pub host: HostName,
-    /// The run of the worker's agent for which it was placed.
-    pub boot: Incarnation,
-    /// The fence of the owner that placed it.
-    pub fence: Fence,
-    /// What it was placed for.
-    pub size: Resources,
-    /// The checkpoint that it goes on from.
-    pub checkpoint: Option<String>,
-}
-
-/// The stage of a job that is over.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "end", rename_all = "kebab-case", deny_unknown_fields)]
-pub enum Ended {
-    /// It ran to its end.
-    Finished {
-        /// What it gave back.
-        output: String,
-    },
-    /// It ran and failed.
-    Failed {
-        /// Why, in words.
-        reason: String,
-    },
-    /// It was accepted and cannot be run.
-    Refused {
-        /// Why, and whether any of it ran.
-        problem: Problem,
-    },
-    /// It was cancelled.
-    Cancelled {
-        /// Whether any of it ran.
-        run: RunState,
-    },
-    /// It runs at most once and the end of its run is not known.
-    Unknown {
-        /// What was lost.
-        reason: String,
-    },
-}
-
 /// How a run ended, as far as can be told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskEnd {
--- a/crates/policy/src/jobs/workers.rs
+++ b/crates/policy/src/jobs/workers.rs
@@ -5,7 +5,12 @@
     task::{TaskId, Ticket},
 };
 
-use super::scheduler::Timing;
+/// Spans that the owner and the workers go by.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// The lease of a task, in milliseconds.
+    pub lease: Millisecond,
+}
 
 #[derive(Clone, Debug)]
 struct Held {
