No circle of imports in measure's sites

Cause, found by reading: plain took Told, body_of and the deadline from callers, which takes the baseline from plain; running took Weather from its parent, which runs it.

Change: what every request has and its caller may be told stands in request.rs; Weather stands beside Way in running.rs. No behaviour changes.

--- a/crates/measure/src/sites/callers.rs
+++ b/crates/measure/src/sites/callers.rs
@@ -24,29 +24,14 @@
     faults::KILLED,
     plain::{Plain, PlainSite},
     profile,
+    request::{DEADLINE, REQUEST_TIMEOUT, Told, body_of},
 };
 
-/// The deadline of each request.
-pub const DEADLINE: Duration = Duration::from_secs(5);
-/// The header that tells a backend server the time left.
-pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout-ms");
-
 const THREADS: usize = 4;
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// What a caller was told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// The whole answer.
-    Answer,
-    /// It did not run, and why.
-    NotRun(String),
-    /// It may have run, and why that is not known.
-    Unknown(String),
-}
-
 /// A request that was sent.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -188,11 +173,6 @@
     })
 }
 
-/// The body that tells a request apart.
-pub fn body_of(number: usize) -> String {
-    format!("request-{number}")
-}
-
 fn told(response: &Response) -> Told {
     if response.status.is_success() {
         return Told::Answer;
--- a/crates/measure/src/sites/mod.rs
+++ b/crates/measure/src/sites/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod plain;
 mod profile;
+mod request;
 mod running;
 mod table;
 mod tally;
@@ -18,7 +19,7 @@
 
 use crate::plans;
 use profile::{Profile, profiles};
-use running::{Way, measure};
+use running::{Way, Weather, measure};
 
 /// measure both sites at today's size beside a plain baseline
 #[derive(FromArgs)]
@@ -29,13 +30,6 @@
     seed: u64,
 }
 
-/// Whether things fail during a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Weather {
-    Calm,
-    Faults,
-}
-
 /// Prints the tables.
 pub fn run(args: &SitesArgs) -> Result<()> {
     println!("seed {}\n", args.seed);
--- a/crates/measure/src/sites/plain.rs
+++ b/crates/measure/src/sites/plain.rs
@@ -16,9 +16,9 @@
 use tokio::sync::Semaphore;
 
 use super::{
-    callers::{DEADLINE, REQUEST_TIMEOUT, Told, body_of},
     demand::{Arrival, ENTRIES},
     profile,
+    request::{DEADLINE, REQUEST_TIMEOUT, Told, body_of},
 };
 
 const TEAM: HeaderName = HeaderName::from_static("team");
--- a/crates/measure/src/sites/running.rs
+++ b/crates/measure/src/sites/running.rs
@@ -14,12 +14,12 @@
 use fuchsiamill_standin::{record::BackendRecord, site::Standins};
 
 use super::{
-    Weather,
-    callers::{Callers, Sent, Target, Told},
+    callers::{Callers, Sent, Target},
     demand::{self, ENTRIES, WORK},
     faults::{self, KILLED, KILLED_AT},
     plain::PlainSite,
     profile::{HOSTS, HOSTS_PER_POOL, Profile, SERVING_POOLS, pools},
+    request::Told,
     tally::{Tally, tally},
 };
 use crate::entry_hosts::{
@@ -41,6 +41,15 @@
     Plain,
 }
 
+/// Whether things fail during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weather {
+    /// Nothing fails.
+    Calm,
+    /// Some things do.
+    Faults,
+}
+
 /// What a run came to.
 pub struct Figures {
     /// From the records and what callers were told.
--- a/crates/measure/src/sites/tally.rs
+++ b/crates/measure/src/sites/tally.rs
@@ -6,9 +6,10 @@
 use fuchsiamill_standin::record::{BackendRecord, Run, RunEnd};
 
 use super::{
-    callers::{Sent, Told, body_of},
+    callers::Sent,
     demand::{Mark, SPAN},
     profile::{POOL_SLOTS, Profile, SERVING_POOLS},
+    request::{Told, body_of},
 };
 use crate::share_meter::{ShareMeter, TeamLoad};
 
