any_turn: occurrences and advice in random scripts; three faults of advice

Cause: place_step gives a gang back before it asks for the step; a failed question does not have the step placed again; tickets are kept by the worker's id, whatever its life.

Change: the world has a time of day, and an advice service that gives each life of a worker tickets that expire; any_turn plays jobs with occurrences and advised steps in it and checks ORDER against the ends that really were, the time of day, the ticket's step and worker, and that all is done at the end.

Ruled out: expired tickets as a fault; the record of a start may take longer to store than the ticket's margin.

--- /dev/null
+++ b/crates/fleet/tests/advised_steps.rs
@@ -0,0 +1,84 @@
+//! Steps that only some workers may run get their tickets, whatever their tasks are like and however quiet it is.
+
+mod common;
+
+use common::{Bench, job, starts, step, worker};
+use fuchsiamill_fleet::{
+    JobSpec, Name, Order, Report, Step, WorkerSeen,
+    coordinator::{Permit, StepKey},
+    job::RouteTerms,
+};
+
+fn advised(step: Step) -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    let spec = job(vec![step]);
+    let route = RouteTerms { advised: true, ..spec.route.clone() };
+    bench.accept("j", JobSpec { route, ..spec });
+    bench
+}
+
+fn asked(orders: &[Order]) -> Vec<Vec<Name>> {
+    let workers = |it: &Order| match it {
+        Order::Advise { workers, .. } => Some(workers.clone()),
+        _ => None,
+    };
+    orders.iter().filter_map(workers).collect()
+}
+
+fn answer(bench: &mut Bench, is_answered: bool) {
+    let step = StepKey { job: "j".into(), occurrence: 0, step: 0 };
+    let permit = Permit { ticket: "t".into(), until: bench.now + 60_000 };
+    let permits = vec![("w1".into(), permit)];
+    bench.coordinator.advised(&step, &["w1".into()], is_answered.then_some(permits));
+}
+
+#[test]
+fn answered_question_starts_its_step() {
+    let mut bench = advised(step(2));
+    assert_eq!(asked(&bench.step()), [["w1"]]);
+    answer(&mut bench, true);
+    assert_eq!(bench.run().len(), 2);
+}
+
+mod known_red {
+    use super::*;
+
+    /// A gang is given back before anybody is asked for it.
+    #[test]
+    fn gang_is_asked_for() {
+        let mut bench = advised(Step { gang: true, ..step(2) });
+        assert_eq!(asked(&bench.step()), [["w1"]]);
+        answer(&mut bench, true);
+        assert_eq!(bench.run().len(), 2);
+    }
+
+    /// Nothing else happens that would have tasks placed.
+    #[test]
+    fn failed_question_is_asked_again_when_it_is_quiet() {
+        let mut bench = advised(step(1));
+        assert_eq!(asked(&bench.step()), [["w1"]]);
+        answer(&mut bench, false);
+        let again = (0..10).any(|_| {
+            bench.wait(1_000);
+            bench.report("w1", &[], &[]);
+            !asked(&bench.step()).is_empty()
+        });
+        assert!(again, "not asked again within ten seconds");
+    }
+
+    /// A ticket is good for one life of a worker only.
+    #[test]
+    fn ticket_of_a_past_life_is_not_used() {
+        let mut bench = advised(step(1));
+        assert_eq!(asked(&bench.step()), [["w1"]]);
+        answer(&mut bench, true);
+        bench.coordinator.worker_listed(WorkerSeen { born: 8, ..worker("w1") }, bench.now);
+        let (asked_at, empty) = (bench.now, Vec::new());
+        let report = Report { asked: asked_at, born: 8, ended: empty, running: Vec::new() };
+        bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+        let orders = bench.step();
+        assert!(starts(&orders).is_empty(), "{orders:?}");
+        assert_eq!(asked(&orders), [["w1"]]);
+    }
+}
--- a/crates/fleet/tests/any_order.rs
+++ b/crates/fleet/tests/any_order.rs
@@ -9,7 +9,7 @@
     config, cores, job, step,
     world::{Lives, World},
 };
-use fuchsiamill_fleet::{Config, Ending, JobSpec, Stage, Step};
+use fuchsiamill_fleet::{Config, JobSpec, Stage, Step};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 /// Scripts that one run of the test plays.
@@ -24,6 +24,9 @@
 /// What may happen next; the rest of an entry chooses to whom.
 const KINDS: u32 = 64;
 
+/// The kind that adds a job.
+const FURTHER: u32 = 61;
+
 /// The most jobs that a script adds.
 const MORE_JOBS: usize = 6;
 
@@ -55,36 +58,11 @@
     for it in script {
         let (what, whom) = (it % KINDS, (it / KINDS) as usize);
         world.note(|| format!("{what}.{whom}"));
-        match what {
-            0..6 | 32..38 => world.deliver(whom, true),
-            6 => world.deliver(whom, false),
-            7 => world.leave_unanswered(whom),
-            8..14 | 38..43 => world.look(whom, true, true),
-            14 => world.look(whom, false, true),
-            15 => world.look(whom, true, false),
-            16..18 | 47..49 => world.finish(whom, Ending::Done),
-            18 => world.finish(whom, Ending::Failed),
-            19..22 | 49 => world.pass(20),
-            22 => world.pass(700),
-            23 => world.pass(4_000),
-            24 => world.pass(9_000),
-            25 => world.crash(whom, true),
-            26 | 62 => world.take_over(whom % 2 == 0, whom % 4 < 2),
-            27 => world.ghost_look(whom),
-            50 => world.pass(300),
-            51 => world.cancel(whom, true),
-            52 => world.cancel(whom, false),
-            53 => world.hear(),
-            54 | 55 => world.unlist(whom),
-            56 | 57 => world.list(whom),
-            58 => world.crash(whom, false),
-            59 => world.repeat(whom),
-            60 => world.lose(whom),
-            61 if more < MORE_JOBS => {
-                more += 1;
-                world.accept(&format!("d{more}"), further(whom));
-            }
-            _ => world.store(),
+        if what == FURTHER && more < MORE_JOBS {
+            more += 1;
+            world.accept(&format!("d{more}"), further(whom));
+        } else {
+            world.happen(what, whom);
         }
         world.decide();
         if world.wrong.is_some() {
--- /dev/null
+++ b/crates/fleet/tests/any_turn.rs
@@ -0,0 +1,75 @@
+//! Whatever happens in whatever order, occurrences and steps come in their turn, and starts that need advice carry a
+//! ticket that is good.
+
+mod common;
+
+use common::{
+    config, every, job, step,
+    world::{Lives, World},
+};
+use fuchsiamill_fleet::{JobSpec, Stage, Step, job::RouteTerms};
+use quickcheck::{Gen, QuickCheck};
+
+/// Scripts that one run of the test plays.
+const SCRIPTS: u64 = 1_000;
+
+/// Where the scripts of a run come from; others are played by hand.
+const SEED: u64 = 20_261_205;
+
+/// The largest script, in steps.
+const STEPS: usize = 400;
+
+/// Scripts up to this size are told event by event where they fail.
+const TOLD: usize = 60;
+
+/// What may happen next: those of `any_order` without cancellations, and answers to questions.
+const KINDS: u32 = 40;
+
+fn advised(spec: JobSpec) -> JobSpec {
+    JobSpec { route: RouteTerms { advised: true, ..spec.route }, ..spec }
+}
+
+/// Plays a script: each entry chooses what happens next and to whom.
+fn play(script: &[u32]) -> World {
+    let mut world = World::new(config(), 3, Lives::Apart);
+    world.story = (script.len() <= TOLD).then(Vec::new);
+    let two = || vec![step(2), Step { after: vec![0], ..step(2) }];
+    world.accept("a", JobSpec { schedule: Some(every(3, 4_000)), ..job(two()) });
+    world.accept("b", advised(job(two())));
+    world.accept("c", advised(JobSpec { schedule: Some(every(2, 500)), ..job(two()) }));
+    (0..3).for_each(|it| world.look(it, true, true));
+    for it in script {
+        let (what, whom) = (it % KINDS, (it / KINDS) as usize);
+        world.note(|| format!("{what}.{whom}"));
+        match what {
+            0..32 => world.happen(what, whom),
+            32..38 => world.advise(whom, true),
+            _ => world.advise(whom, false),
+        }
+        world.decide();
+        if world.wrong.is_some() {
+            break;
+        }
+    }
+    world
+}
+
+fn holds(script: &[u32]) -> bool {
+    let mut world = play(script);
+    if world.wrong.is_none() {
+        world.calm_down();
+    }
+    let is_over = |it: &Option<Stage>| it.is_some_and(Stage::is_over);
+    let lost: Vec<_> = world.stages().into_iter().filter(|it| !is_over(&it.1)).collect();
+    if world.wrong.is_some() || !lost.is_empty() {
+        eprintln!("{}", world.story.unwrap_or_default().join("\n"));
+        eprintln!("{:?}, not over: {lost:?}, script: {script:?}", world.wrong);
+    }
+    world.wrong.is_none() && lost.is_empty()
+}
+
+#[test]
+fn all_comes_in_its_turn() {
+    let holds: fn(Vec<u32>) -> bool = |script| holds(&script);
+    QuickCheck::new().rng(Gen::from_size_and_seed(STEPS, SEED)).tests(SCRIPTS).quickcheck(holds);
+}
--- a/crates/fleet/tests/common/calls.rs
+++ b/crates/fleet/tests/common/calls.rs
@@ -1,6 +1,9 @@
 //! Orders and looks on their way: see `world`.
 
-use fuchsiamill_fleet::{Name, Order, Report, TaskId, WorkerSeen, coordinator::Started};
+use fuchsiamill_fleet::{
+    Name, Order, Report, TaskId, WorkerSeen,
+    coordinator::{Refusal, Started},
+};
 use fuchsiamill_model::units::{Millisecond, Moment};
 
 use super::{
@@ -70,8 +73,12 @@
         self.note(|| format!("ordered: {order:?}"));
         let worker = match &order {
             Order::Watch { worker } => return self.watch(worker),
-            Order::Start { worker, task, run, .. } => {
+            Order::Advise { step, workers } => {
+                return self.policy.ask(step.clone(), workers.clone(), now);
+            }
+            Order::Start { worker, task, run, ticket, .. } => {
                 self.check_start(task);
+                self.check_ticket(task, worker, ticket);
                 // Nobody tells of an order without a link.
                 let Some(link) = self.links.get_mut(worker) else { return };
                 if link.is_silent || link.clock_of.is_none() {
@@ -208,7 +215,19 @@
             // A clock that began anew lies far behind.
             Lives::OneName => shortened,
         };
-        work.start((task, run), flight.fence, deadline, self.now)
+        let is_new = work.fence <= flight.fence && work.running.get(task) != Some(&run);
+        if let Order::Start { ticket, .. } = &flight.order
+            && is_new
+            && self.specs[&task.job].route.advised
+            && !self.policy.admits(ticket, &task.into(), (&flight.worker, work.born), self.now)
+        {
+            return Started::Refused(Refusal::Ticket);
+        }
+        let answer = work.start((task, run), flight.fence, deadline, self.now);
+        if is_new && answer == Started::Running {
+            self.check_order(task);
+        }
+        answer
     }
 
     fn lease_end(&self, lease: Millisecond) -> Moment {
--- a/crates/fleet/tests/common/calm.rs
+++ b/crates/fleet/tests/common/calm.rs
@@ -68,7 +68,10 @@
             if !self.works[&name_of(number)].is_up {
                 self.crash(number, true);
             }
-            self.list(number);
+            // An entry that is read has tasks placed: only those that are missing come back.
+            if !self.works[&name_of(number)].is_listed {
+                self.list(number);
+            }
         }
         self.hear();
         // What nobody repeats does not arrive any more.
@@ -83,6 +86,9 @@
             while !self.flights.is_empty() {
                 self.deliver(0, true);
             }
+            while self.policy.has_questions() {
+                self.advise(0, true);
+            }
             if round % LOOK_ROUNDS == 0 {
                 (0..self.works.len()).for_each(|it| self.look(it, true, true));
             }
--- a/crates/fleet/tests/common/events.rs
+++ b/crates/fleet/tests/common/events.rs
@@ -6,13 +6,43 @@
 use fuchsiamill_model::units::Moment;
 
 use super::{
-    WALL,
     work::{Work, name_of},
     worker,
     world::{Lives, World},
 };
 
 impl World {
+    /// What a script chooses to happen, and to whom.
+    pub fn happen(&mut self, what: u32, whom: usize) {
+        match what {
+            0..6 | 32..38 => self.deliver(whom, true),
+            6 => self.deliver(whom, false),
+            7 => self.leave_unanswered(whom),
+            8..14 | 38..43 => self.look(whom, true, true),
+            14 => self.look(whom, false, true),
+            15 => self.look(whom, true, false),
+            16..18 | 47..49 => self.finish(whom, Ending::Done),
+            18 => self.finish(whom, Ending::Failed),
+            19..22 | 49 => self.pass(20),
+            22 => self.pass(700),
+            23 => self.pass(4_000),
+            24 => self.pass(9_000),
+            25 => self.crash(whom, true),
+            26 | 62 => self.take_over(whom.is_multiple_of(2), whom % 4 < 2),
+            27 => self.ghost_look(whom),
+            50 => self.pass(300),
+            51 => self.cancel(whom, true),
+            52 => self.cancel(whom, false),
+            53 => self.hear(),
+            54 | 55 => self.unlist(whom),
+            56 | 57 => self.list(whom),
+            58 => self.crash(whom, false),
+            59 => self.repeat(whom),
+            60 => self.lose(whom),
+            _ => self.store(),
+        }
+    }
+
     /// A running task ends.
     pub fn finish(&mut self, pick: usize, ending: Ending) {
         let running: Vec<(Name, TaskId)> = self
@@ -41,6 +71,9 @@
                 ending => ending,
             };
             self.works.get_mut(id).expect("a worker").end(it, ending);
+            if ending == Ending::Done {
+                self.done.insert(it.clone());
+            }
         }
     }
 
@@ -96,14 +129,16 @@
         self.ghost_until = if is_over { Moment(0) } else { self.now + self.terms.renewal_ms };
         self.fence += 1;
         self.links.clear();
+        self.policy.forget_questions();
         self.drop_stops(|_| true);
         let takeover = Takeover { renewals_end, at: self.now };
         self.coordinator = Coordinator::new(self.terms.clone(), self.config.clone(), takeover);
         // As `load` reads them: workers, then jobs and the wishes to cancel them.
         self.list_workers();
+        let wall = self.wall();
         for (id, spec) in &self.specs {
             let record = self.stored.get(id);
-            self.coordinator.accept(id.clone(), spec.clone(), record, self.now, WALL);
+            self.coordinator.accept(id.clone(), spec.clone(), record, self.now, wall);
         }
         self.cancelled.values_mut().for_each(|it| *it = false);
         self.hear();
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod calm;
 pub mod events;
 pub mod machines;
+pub mod policy;
 pub mod work;
 pub mod world;
 
--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -2,17 +2,21 @@
 //!
 //! `calls` carries orders and looks, `events` is what befalls workers and coordinators, `calm` what has to hold.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fuchsiamill_fleet::{
     Config, Coordinator, Ending, JobRecord, JobSpec, Name, Stage, TaskId, Terms,
     coordinator::{Commit, Takeover},
 };
-use fuchsiamill_model::units::{Millisecond, Moment};
+use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
 use super::{
     START, WALL,
     calls::{Flight, Link, STOP_MS},
+    policy::Policy,
     work::{Work, name_of},
 };
 
@@ -47,6 +51,9 @@
     pub(super) works: BTreeMap<Name, Work>,
     pub(super) flights: Vec<Flight>,
     pub(super) links: BTreeMap<Name, Link>,
+    /// Tasks of which a run has ended as done.
+    pub(super) done: BTreeSet<TaskId>,
+    pub(super) policy: Policy,
     /// Gangs that are not complete, and since when.
     lonely: BTreeMap<(Name, u16), Moment>,
     /// The latest moment at which a former coordinator that may be alive renews leases.
@@ -79,6 +86,8 @@
             works,
             flights: Vec::new(),
             links: BTreeMap::new(),
+            done: BTreeSet::new(),
+            policy: Policy::default(),
             lonely: BTreeMap::new(),
             ghost_until: Moment(0),
             is_calm: false,
@@ -91,9 +100,9 @@
     }
 
     pub fn accept(&mut self, id: &str, spec: JobSpec) {
-        let spec = Arc::new(spec);
+        let spec = Arc::new(JobSpec { accepted: self.wall(), ..spec });
         self.specs.insert(id.into(), spec.clone());
-        self.coordinator.accept(id.into(), spec, None, self.now, WALL);
+        self.coordinator.accept(id.into(), spec, None, self.now, self.wall());
     }
 
     /// The wish to cancel a job is stored; the coordinator hears of it now or later.
@@ -113,6 +122,11 @@
         }
     }
 
+    /// The time of day.
+    pub fn wall(&self) -> WallTime {
+        WallTime(WALL.0 + self.now.since(START))
+    }
+
     pub fn pass(&mut self, ms: Millisecond) {
         self.now = self.now + ms;
         let now = self.now;
@@ -156,7 +170,7 @@
 
     /// Decides and takes the orders; a change that is to be stored stays under way.
     pub fn decide(&mut self) {
-        self.coordinator.tick(self.now, WALL);
+        self.coordinator.tick(self.now, self.wall());
         self.close_links();
         self.coordinator.place(self.now);
         if self.under_way.is_none() {
