--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -2,17 +2,21 @@
 //!
 //! `calls` carries orders and looks, `events` is what befalls workers and coordinators, `calm` what has to hold.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fuchsiamill_fleet::{
     Config, Coordinator, Ending, JobRecord, JobSpec, Name, Stage, TaskId, Terms,
     coordinator::{Commit, Takeover},
 };
-use fuchsiamill_model::units::{Millisecond, Moment};
+use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
 use super::{
     START, WALL,
     calls::{Flight, Link, STOP_MS},
+    policy::Policy,
     work::{Work, name_of},
 };
 
@@ -22,13 +26,13 @@
 /// An order without an answer may be carried out so long after it was sent.
 const LATE_MS: Millisecond = 12_000;
 
-/// Whether an order without an answer may be carried out by the next life of a worker under the same id.
+/// Whether a call reaches a life of a worker that began after the worker's clock was read for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Late {
+pub enum Lives {
     /// It ends with the connection to the life that is over.
-    EndsWithLife,
-    /// The header names only the id, which the next life may have, too.
-    ReachesNextLife,
+    Apart,
+    /// The header names only the id, which the new life may have, too; the deadline is told on the clock of the old one.
+    OneName,
 }
 
 /// The coordinator, its store and its workers as they really are.
@@ -37,7 +41,7 @@
     pub coordinator: Coordinator,
     pub(super) terms: Terms,
     pub(super) config: Arc<Config>,
-    pub(super) late: Late,
+    pub(super) lives: Lives,
     pub(super) specs: BTreeMap<Name, Arc<JobSpec>>,
     pub(super) stored: BTreeMap<Name, JobRecord>,
     /// Rows that cancel jobs, and whether this coordinator was told.
@@ -47,6 +51,9 @@
     pub(super) works: BTreeMap<Name, Work>,
     pub(super) flights: Vec<Flight>,
     pub(super) links: BTreeMap<Name, Link>,
+    /// Tasks of which a run has ended as done.
+    pub(super) done: BTreeSet<TaskId>,
+    pub(super) policy: Policy,
     /// Gangs that are not complete, and since when.
     lonely: BTreeMap<(Name, u16), Moment>,
     /// The latest moment at which a former coordinator that may be alive renews leases.
@@ -55,10 +62,12 @@
     pub(super) is_calm: bool,
     /// What went wrong first.
     pub wrong: Option<String>,
+    /// What happened, where it is to be told.
+    pub story: Option<Vec<String>>,
 }
 
 impl World {
-    pub fn new(config: Config, workers: usize, late: Late) -> Self {
+    pub fn new(config: Config, workers: usize, lives: Lives) -> Self {
         let (terms, config) = (Terms::default(), Arc::new(config));
         let takeover = Takeover { renewals_end: START, at: START };
         let coordinator = Coordinator::new(terms.clone(), config.clone(), takeover);
@@ -68,7 +77,7 @@
             coordinator,
             terms,
             config,
-            late,
+            lives,
             specs: BTreeMap::new(),
             stored: BTreeMap::new(),
             cancelled: BTreeMap::new(),
@@ -77,10 +86,13 @@
             works,
             flights: Vec::new(),
             links: BTreeMap::new(),
+            done: BTreeSet::new(),
+            policy: Policy::default(),
             lonely: BTreeMap::new(),
             ghost_until: Moment(0),
             is_calm: false,
             wrong: None,
+            story: None,
         };
         (0..workers).for_each(|it| world.list(it));
         world.carry_orders();
@@ -88,9 +100,9 @@
     }
 
     pub fn accept(&mut self, id: &str, spec: JobSpec) {
-        let spec = Arc::new(spec);
+        let spec = Arc::new(JobSpec { accepted: self.wall(), ..spec });
         self.specs.insert(id.into(), spec.clone());
-        self.coordinator.accept(id.into(), spec, None, self.now, WALL);
+        self.coordinator.accept(id.into(), spec, None, self.now, self.wall());
     }
 
     /// The wish to cancel a job is stored; the coordinator hears of it now or later.
@@ -110,6 +122,11 @@
         }
     }
 
+    /// The time of day.
+    pub fn wall(&self) -> WallTime {
+        WallTime(WALL.0 + self.now.since(START))
+    }
+
     pub fn pass(&mut self, ms: Millisecond) {
         self.now = self.now + ms;
         let now = self.now;
@@ -153,7 +170,7 @@
 
     /// Decides and takes the orders; a change that is to be stored stays under way.
     pub fn decide(&mut self) {
-        self.coordinator.tick(self.now, WALL);
+        self.coordinator.tick(self.now, self.wall());
         self.close_links();
         self.coordinator.place(self.now);
         if self.under_way.is_none() {
@@ -165,11 +182,18 @@
     /// The store makes the change that is under way.
     pub fn store(&mut self) {
         if let Some(commit) = self.under_way.take() {
+            self.note(|| format!("stored: {:?}", commit.records));
             self.stored.extend(commit.records);
             self.coordinator.committed(self.now);
         }
     }
 
+    pub fn note(&mut self, what: impl FnOnce() -> String) {
+        if let Some(story) = &mut self.story {
+            story.push(format!("{:>6} {}", self.now.since(START), what()));
+        }
+    }
+
     pub(super) fn fail(&mut self, what: String) {
         self.wrong.get_or_insert(what);
     }
