--- a/crates/fleet/tests/common/calls.rs
+++ b/crates/fleet/tests/common/calls.rs
@@ -12,8 +12,8 @@
     world::{Lives, World},
 };
 
-/// How long a stop is tried: 30 times, with 400 ms for an answer and pauses of 200 ms.
-pub const STOP_MS: Millisecond = 18_000;
+/// How long a stop is tried: three times, with 400 ms for an answer and pauses of 200 ms.
+const STOP_MS: Millisecond = 1_800;
 
 /// The most that a worker's clock is slow, in per cent.
 const DRIFT_PERCENT: u64 = 2;
@@ -110,7 +110,7 @@
         if link.is_some_and(|it| it.born == seen.born) {
             return;
         }
-        self.drop_stops(|it| *it == seen.id);
+        self.give_up_stops(|it| it.is_to(&seen.id));
         let link = Link { born: seen.born, is_silent: false, renewed: self.now, clock_of: None };
         self.links.insert(seen.id.clone(), link);
     }
@@ -121,12 +121,29 @@
         let closed: Vec<Name> =
             self.links.keys().filter(|it| !known.contains_key(*it)).cloned().collect();
         self.links.retain(|it, _| !closed.contains(it));
-        self.drop_stops(|it| closed.contains(it));
+        self.give_up_stops(|it| closed.contains(&it.worker));
     }
 
-    /// Stops that nobody repeats any more: what was sent may still arrive.
-    pub(super) fn drop_stops(&mut self, is_closed: impl Fn(&Name) -> bool) {
-        let stops = self.flights.iter_mut().filter(|it| it.is_stop() && is_closed(&it.worker));
+    /// Stops that were tried for long enough.
+    pub(super) fn give_up_old_stops(&mut self) {
+        let now = self.now;
+        self.give_up_stops(|it| now.since(it.sent) > STOP_MS);
+    }
+
+    /// Stops that nobody repeats any more, as the coordinator is told: what was sent may still arrive.
+    fn give_up_stops(&mut self, is_given_up: impl Fn(&Flight) -> bool) {
+        let stops = self.flights.iter_mut().filter(|it| it.is_carried && is_given_up(it));
+        for flight in stops {
+            if let Order::Stop { task, run, .. } = &flight.order {
+                flight.is_carried = false;
+                self.coordinator.stop_failed(task, *run);
+            }
+        }
+    }
+
+    /// The links of a coordinator end with it.
+    pub(super) fn drop_stops(&mut self) {
+        let stops = self.flights.iter_mut().filter(|it| it.is_stop());
         stops.for_each(|it| it.is_carried = false);
     }
 
--- a/crates/fleet/tests/common/events.rs
+++ b/crates/fleet/tests/common/events.rs
@@ -130,7 +130,7 @@
         self.fence += 1;
         self.links.clear();
         self.policy.forget_questions();
-        self.drop_stops(|_| true);
+        self.drop_stops();
         let takeover = Takeover { renewals_end, at: self.now };
         self.coordinator = Coordinator::new(self.terms.clone(), self.config.clone(), takeover);
         // As `load` reads them: workers, then jobs and the wishes to cancel them.
--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -15,7 +15,7 @@
 
 use super::{
     START, WALL,
-    calls::{Flight, Link, STOP_MS},
+    calls::{Flight, Link},
     policy::Policy,
     work::{Work, name_of},
 };
@@ -135,8 +135,7 @@
             lapsed.iter().for_each(|it| work.end(it, Ending::Lapsed));
         }
         self.flights.retain(|it| it.is_carried || now.since(it.sent) <= LATE_MS);
-        let given_up = |it: &&mut Flight| it.is_stop() && now.since(it.sent) > STOP_MS;
-        self.flights.iter_mut().filter(given_up).for_each(|it| it.is_carried = false);
+        self.give_up_old_stops();
         self.end_lonely_gangs();
     }
 
