--- /dev/null
+++ b/crates/fleet/tests/lost_wishes.rs
@@ -0,0 +1,119 @@
+//! Orders that get lost, and records that a successor takes over without a comparison: what the review of an incident found.
+
+mod common;
+
+use common::{Bench, acknowledged, cores, host, job, list, starts, step, stops, task, worker};
+use fuchsiamill_fleet::{
+    Ending, Report, RunEnd, Step,
+    coordinator::{Phase, Started, WaveRecord},
+    worker::Wave,
+};
+use fuchsiamill_model::FastMap;
+
+/// Tests that fail for a fault that stands in KNOWN-RED.txt.
+mod known_red {
+    use super::*;
+
+    /// A run that nobody knows takes room as well.
+    #[test]
+    fn unknown_run_takes_room() {
+        let mut bench = Bench::new();
+        bench.add(worker("w1"));
+        bench.report("w1", &[(task("gone", 0, 0), 3)], &[]);
+        bench.accept("j", job(vec![Step { size: cores(8), ..step(1) }]));
+        assert_eq!(
+            starts(&bench.step()),
+            [],
+            "w1 is not known to have room while it lists a stranger"
+        );
+    }
+
+    /// The link that was told to acknowledge may have been replaced since.
+    #[test]
+    fn end_that_is_listed_again_is_acknowledged_again() {
+        let mut bench = Bench::new();
+        bench.add(worker("w1"));
+        bench.accept("j", job(vec![step(1)]));
+        assert_eq!(bench.run().len(), 1);
+        let mut told = Vec::new();
+        for _ in 0..3 {
+            bench.wait(2_000);
+            let end = RunEnd {
+                number: 1,
+                task: task("j", 0, 0),
+                run: 1,
+                ending: Ending::Done,
+                saved: Default::default(),
+            };
+            let report = Report { asked: bench.now, born: 7, running: vec![], ended: vec![end] };
+            bench.coordinator.worker_held(&"w1".into(), report, bench.now);
+            told.push(acknowledged(&bench.step()));
+        }
+        assert_eq!(told, [Some(1); 3]);
+    }
+
+    /// Both starts were unanswered and carried out, both stops were lost: both tasks are at work, and each takes the other one
+    /// for away.
+    #[test]
+    fn lost_stops_of_a_step_do_not_block_each_other() {
+        let mut bench = Bench::new();
+        bench.add(worker("w1"));
+        bench.add(worker("w2"));
+        let spec = Step { lasts: true, may_miss: Some(1), per_worker: Some(1), ..step(2) };
+        bench.accept("j", job(vec![spec]));
+        let started = starts(&bench.step());
+        assert_eq!(started.len(), 2);
+        for (id, run, _) in &started {
+            bench.coordinator.start_answered(id, *run, Started::Unknown, bench.now);
+        }
+        assert_eq!(stops(&bench.step()).len(), 2);
+        for (id, run, _) in &started {
+            bench.coordinator.stop_failed(id, *run);
+        }
+        let mut again = 0;
+        for _ in 0..60 {
+            bench.wait(1_000);
+            for (id, run, on) in &started {
+                bench.report(on, &[(id.clone(), *run)], &[]);
+            }
+            let orders = bench.step();
+            again += stops(&orders).len();
+            for (id, run) in stops(&orders) {
+                bench.coordinator.stop_failed(&id, run);
+            }
+        }
+        let job = bench.coordinator.job("j").expect("a job");
+        let phases: Vec<Phase> = job.live_tasks().iter().map(|it| it.1.phase).collect();
+        assert!(
+            again > 0 || phases.iter().all(|it| *it == Phase::Running),
+            "for a minute both are listed as at work, {phases:?}, and nothing was ordered"
+        );
+    }
+
+    fn wave(hosts: &[&str]) -> Wave {
+        let hosts = hosts.iter().map(|it| (*it).into()).collect();
+        Wave { number: 1, hosts, within_ms: 60_000, at_once: 2 }
+    }
+
+    fn two_hosts(bench: &mut Bench) {
+        list(bench, vec![host("h1", "web", Some("w1")), host("h2", "web", Some("w2"))]);
+    }
+
+    /// What a former coordinator stored of a wave says nothing of one that was written anew under its number.
+    #[test]
+    fn wave_that_was_written_anew_is_not_completed() {
+        let mut bench = Bench::new();
+        bench.add(worker("w1"));
+        bench.add(worker("w2"));
+        two_hosts(&mut bench);
+        let record = WaveRecord { begun: vec!["h1".into()], is_completed: true };
+        let stored = FastMap::from_iter([(1, record)]);
+        bench.coordinator.waves_asked(&[wave(&["h1"])], &stored);
+        bench.step();
+        bench.coordinator.waves_asked(&[wave(&["h1", "h2"])], &stored);
+        bench.step();
+        let told = bench.coordinator.take_wave_records();
+        let completed: Vec<bool> = told.iter().map(|it| it.1.is_completed).collect();
+        assert_eq!(completed, [false], "h2 has not begun its maintenance");
+    }
+}
