Log the load of the coordinator once a second

The logs could not tell a coordinator that is late itself from workers that do not answer, nor how old its copy of the table of jobs was. The line coordinator-load and three metrics tell it: bytes to workers and the store, calls answered and given up, the time of the fastest quarter of the calls, the longest turn of the coordinator's own loop, and the age of the copy of the jobs. No decision changes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate does no I/O and reads no clock: callers pass the time in, and decisions are returned as [`Order`]s.
 
+mod call_times;
 pub mod config;
 pub mod coordinator;
 pub mod job;
@@ -11,6 +12,7 @@
 pub mod timing;
 pub mod worker;
 
+pub use call_times::{CallSummary, CallTimes};
 pub use config::{Config, Pool, Queue, Team};
 pub use coordinator::{Commit, Coordinator, Order};
 pub use job::{JobSpec, Schedule, Step};
--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -2,11 +2,13 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use fuchsiamill_model::units::Moment;
 use fuchsiamill_platform::{FeedAnswer, Row, Store};
 use futures_util::{StreamExt, stream};
 use monoio::time::sleep;
 
 use super::event::{Event, EventSender};
+use crate::clock::Clock;
 
 /// How long one call to a feed waits for new rows.
 const FEED_WAIT: Duration = Duration::from_millis(1_000);
@@ -14,6 +16,9 @@
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// The store returns at most this many rows in one answer, so that more may follow.
+const MAX_PAGE_ROWS: usize = 500;
+
 /// The number of partitions that are read at once: the whole table takes a few response times of the store, and uses
 /// few connections.
 const CONCURRENT_READS: usize = 8;
@@ -25,6 +30,8 @@
     Rows(Vec<Row>),
     /// All rows of the table, read anew after changes were missed.
     Whole(Vec<Row>),
+    /// All changes up to this moment, and maybe later ones, were sent.
+    Known(Moment),
 }
 
 /// Follows one table.
@@ -35,6 +42,7 @@
     pub parts: Vec<String>,
     /// Turns news of this table into an event of the leader's loop.
     pub wrap: fn(FeedEvent) -> Event,
+    pub clock: Clock,
     pub event_sender: EventSender,
     /// Whether this process still coordinates; the feed ends once it does not.
     pub is_leading: Rc<Cell<bool>>,
@@ -53,11 +61,16 @@
     }
 
     async fn follow(&self, version: u64) -> Option<u64> {
+        let asked = self.clock.now();
         match self.store.feed(self.table, version, FEED_WAIT).await {
             Ok(FeedAnswer::Rows(page)) => {
+                let is_whole = !page.has_more && page.rows.len() < MAX_PAGE_ROWS;
                 if !page.rows.is_empty() {
                     self.event_sender.send((self.wrap)(FeedEvent::Rows(page.rows)));
                 }
+                if is_whole {
+                    self.event_sender.send((self.wrap)(FeedEvent::Known(asked)));
+                }
                 Some(page.version.max(version))
             }
             Ok(FeedAnswer::HistoryLost) => {
@@ -73,9 +86,11 @@
     }
 
     async fn read_whole(&self) -> Option<u64> {
+        let asked = self.clock.now();
         match read_table(&self.store, self.table, &self.parts).await {
             Ok(read) => {
                 self.event_sender.send((self.wrap)(FeedEvent::Whole(read.rows)));
+                self.event_sender.send((self.wrap)(FeedEvent::Known(asked)));
                 Some(read.version)
             }
             Err(e) => {
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -24,6 +24,7 @@
     lease::{Lease, LeaseLost},
     links::{Link, LinkContext, LinkEvent},
     load::{Loaded, UnreadableWorkers, apply_job, apply_worker, load},
+    load_log::LoadLog,
     pools::PoolLog,
     standing::HolderState,
     takeover::{takeover, watch_former, watch_stronger},
@@ -78,6 +79,9 @@
     pub(super) purged: Vec<Name>,
     config_version: u64,
     pool_log: PoolLog,
+    load_log: LoadLog,
+    /// The table of jobs is known as of this moment or a later one.
+    jobs_known: Moment,
 }
 
 impl Leader {
@@ -128,6 +132,7 @@
             table,
             parts,
             wrap,
+            clock: cx.clock,
             event_sender: event_sender.clone(),
             is_leading: is_leading.clone(),
         };
@@ -143,7 +148,11 @@
             is_leading,
             confirmed: Rc::new(Cell::new(taken)),
             renewal_ms: cx.timing.renewal_ms,
+            calls: Rc::default(),
+            traffic: Rc::default(),
         };
+        let load_log =
+            LoadLog::new(cx.store.traffic().clone(), link_context.traffic.clone(), cx.clock.now());
         Some(Self {
             coordinator,
             unreadable_workers,
@@ -161,6 +170,8 @@
             purged: orphans,
             config_version: 0,
             pool_log: PoolLog::default(),
+            load_log,
+            jobs_known: taken,
             cx,
         })
     }
@@ -168,14 +179,19 @@
     /// Applies all pending events, waiting for one if there is none, and acts on them.
     async fn step(&mut self) -> Option<LeaveReason> {
         let pause = self.pause();
+        let begun = self.cx.clock.now();
         let mut event = timeout(pause, self.events.recv()).await.ok().flatten();
+        let waited = Duration::from_millis(self.cx.clock.now().since(begun)).min(pause);
         while let Some(it) = event {
             if let Some(reason) = self.apply(it) {
                 return Some(reason);
             }
             event = self.events.try_recv().ok();
         }
-        self.advance()
+        let reason = self.advance();
+        let turn = self.cx.clock.now().since(begun).saturating_sub(waited.as_millis() as u64);
+        self.load_log.note_turn(turn);
+        reason
     }
 
     fn apply(&mut self, event: Event) -> Option<LeaveReason> {
@@ -208,9 +224,13 @@
     }
 
     fn apply_jobs(&mut self, event: FeedEvent) {
-        let (FeedEvent::Rows(rows) | FeedEvent::Whole(rows)) = event;
-        for row in &rows {
-            apply_job(&mut self.coordinator, row, None, &self.cx);
+        match event {
+            FeedEvent::Rows(rows) | FeedEvent::Whole(rows) => {
+                for row in &rows {
+                    apply_job(&mut self.coordinator, row, None, &self.cx);
+                }
+            }
+            FeedEvent::Known(asked) => self.jobs_known = self.jobs_known.max(asked),
         }
     }
 
@@ -226,6 +246,7 @@
                 self.unreadable_workers.retain(&listed);
                 self.apply_worker_rows(&rows);
             }
+            FeedEvent::Known(_) => {}
         }
     }
 
@@ -297,6 +318,14 @@
         }
     }
 
+    fn log_load(&mut self, now: Moment) {
+        let jobs_age_ms = now.since(self.jobs_known);
+        let mut calls = self.link_context.calls.borrow_mut();
+        if let Some(load) = self.load_log.log(&mut calls, jobs_age_ms, now) {
+            self.cx.metrics.loaded(&load);
+        }
+    }
+
     fn apply_host(&mut self, event: HostEvent) {
         let now = self.cx.clock.now();
         match event {
@@ -320,6 +349,7 @@
             self.coordinator.tick(now, self.cx.clock.wall());
             self.coordinator.plan_hosts(now);
             self.pool_log.log_changes(self.coordinator.pool_needs(), now);
+            self.log_load(now);
             self.close_unknown_links();
             self.purge(now);
         }
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -7,9 +7,11 @@
     time::Duration,
 };
 
-use fuchsiamill_fleet::{Name, TaskId, WorkerInfo, WorkerReport, coordinator::StartReply};
+use fuchsiamill_fleet::{
+    CallTimes, Name, TaskId, WorkerInfo, WorkerReport, coordinator::StartReply,
+};
 use fuchsiamill_model::units::{Millisecond, Moment};
-use fuchsiamill_platform::{WorkerCallError, WorkerClient};
+use fuchsiamill_platform::{Traffic, WorkerCallError, WorkerClient};
 use monoio::time::{sleep, timeout};
 use tokio::sync::Notify;
 
@@ -87,6 +89,10 @@
     pub confirmed: Rc<Cell<Moment>>,
     /// How long after `confirmed` leases are still renewed.
     pub renewal_ms: Millisecond,
+    /// How long calls to workers take.
+    pub calls: Rc<RefCell<CallTimes>>,
+    /// The bytes exchanged with workers.
+    pub traffic: Rc<Traffic>,
 }
 
 /// A link to one process of a worker.
@@ -124,8 +130,9 @@
     /// Opens a link, which polls the worker at once.
     pub fn open(worker: WorkerInfo, context: LinkContext) -> Rc<Self> {
         let now = context.clock.now();
+        let traffic = context.traffic.clone();
         let link = Rc::new(Self {
-            client: WorkerClient::new(&worker.id, worker.addr, context.fence),
+            client: WorkerClient::new(&worker.id, worker.addr, context.fence, traffic),
             state: RefCell::new(LinkState {
                 clock: None,
                 renewed: now,
@@ -227,6 +234,7 @@
         let wait = if is_busy && !is_silent { POLL_WAIT } else { Duration::ZERO };
         let answer =
             self.client.poll(asked, deadline, recorded_upto, wait, wait + ORDER_TIMEOUT).await;
+        self.note_call(asked, wait, &answer);
         if self.is_over() {
             return NextStep::Poll;
         }
@@ -271,6 +279,18 @@
         }
     }
 
+    /// Notes how long a call took that was begun at `begun`, without the time that the worker was asked to wait.
+    fn note_call<T>(&self, begun: Moment, wait: Duration, answer: &Result<T, WorkerCallError>) {
+        let took = self.context.clock.now().since(begun);
+        let mut calls = self.context.calls.borrow_mut();
+        match answer {
+            Err(WorkerCallError::Call(_)) => calls.unanswered(),
+            // An answer before the end of the wait does not tell when the worker sent it.
+            _ if took < wait.as_millis() as u64 => {}
+            _ => calls.answered(took - wait.as_millis() as u64),
+        }
+    }
+
     fn send(&self, event: LinkEvent) {
         self.context.event_sender.send(Event::Link(event));
     }
@@ -297,6 +317,12 @@
                 .client
                 .start(order, &payload, &checkpoint, ticket, deadline, ORDER_TIMEOUT)
                 .await;
+            match &sent {
+                Ok(StartReply::Unknown | StartReply::NotSent) => {
+                    self.context.calls.borrow_mut().unanswered();
+                }
+                it => self.note_call(now, Duration::ZERO, it),
+            }
             answer = match (sent, answer) {
                 (Ok(it), before) => it.after(before),
                 (Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed), _) => {
@@ -318,7 +344,10 @@
     /// Asks the worker whether it is healthy. A failed call is only logged, since polls detect a worker that does not
     /// answer.
     pub async fn ask_health(self: Rc<Self>, path: Name) {
-        match self.client.is_healthy(&path, ORDER_TIMEOUT).await {
+        let begun = self.context.clock.now();
+        let answer = self.client.is_healthy(&path, ORDER_TIMEOUT).await;
+        self.note_call(begun, Duration::ZERO, &answer);
+        match answer {
             Ok(is_healthy) => {
                 let (id, born) = (self.worker.id.clone(), self.worker.born);
                 self.send(LinkEvent::HealthReported(id, born, is_healthy));
@@ -346,7 +375,10 @@
                 return self.send(LinkEvent::StopFailed(task, run));
             }
             self.set_busy(true);
-            match self.client.stop(&task, run, ORDER_TIMEOUT).await {
+            let begun = self.context.clock.now();
+            let answer = self.client.stop(&task, run, ORDER_TIMEOUT).await;
+            self.note_call(begun, Duration::ZERO, &answer);
+            match answer {
                 Ok(()) => {
                     tracing::info!(event = "stop-confirmed", task = %task, run);
                     return self.send(LinkEvent::Stopped(task, run));
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -11,6 +11,7 @@
 mod leader;
 mod links;
 mod load;
+mod load_log;
 mod orders;
 mod pools;
 mod standing;
@@ -26,6 +27,7 @@
     Entries, EntryRow, OtherEntries, publish_and_follow as publish_and_follow_entries, strength,
 };
 pub use lease::LeaseRow;
+pub use load_log::{Exchanged, Load};
 pub use standing::{Standing, serve as serve_standing};
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -10,7 +10,11 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::{logging, meters::Meters};
+use crate::{
+    lead::{Exchanged, Load},
+    logging,
+    meters::Meters,
+};
 
 /// Bucket bounds of the latency histograms, in seconds: from the response time of a store in the same rack to the
 /// longest time that a caller waits.
@@ -31,6 +35,9 @@
     workers: Gauge<u64>,
     runs_to_end: Gauge<u64>,
     longest_to_end: Gauge<f64>,
+    exchanged_bytes: Counter<u64>,
+    worker_call_time: Gauge<f64>,
+    jobs_age: Gauge<f64>,
     config_version: Gauge<u64>,
     log_lines_left_out: Counter<u64>,
     /// The dropped log lines of each kind that `log_lines_left_out` has counted already.
@@ -59,6 +66,9 @@
             workers: meter.u64_gauge("workers").build(),
             runs_to_end: meter.u64_gauge("runs_to_end").build(),
             longest_to_end: meter.f64_gauge("longest_run_to_end").with_unit("s").build(),
+            exchanged_bytes: meter.u64_counter("exchanged_bytes").build(),
+            worker_call_time: meter.f64_gauge("worker_call_time").with_unit("s").build(),
+            jobs_age: meter.f64_gauge("jobs_age").with_unit("s").build(),
             config_version: meter.u64_gauge("config_version").build(),
             log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
             counted_dropped: RefCell::default(),
@@ -112,6 +122,20 @@
         self.longest_to_end.record(runs.longest_ms as f64 / 1_000.0, &[]);
     }
 
+    /// Counts the bytes that a coordinator exchanged, and records how long the fastest quarter of its calls to workers
+    /// took and how old its copy of the table of jobs is.
+    pub fn loaded(&self, load: &Load) {
+        for (peer, bytes) in [("store", &load.store), ("workers", &load.workers)] {
+            let Exchanged { sent, received } = bytes;
+            for (way, count) in [("sent", *sent), ("received", *received)] {
+                let labels = [KeyValue::new("peer", peer), KeyValue::new("way", way)];
+                self.exchanged_bytes.add(count, &labels);
+            }
+        }
+        self.worker_call_time.record(load.calls.fastest_quarter_ms as f64 / 1_000.0, &[]);
+        self.jobs_age.record(load.jobs_age_ms as f64 / 1_000.0, &[]);
+    }
+
     /// Records the version of the configuration in force.
     pub fn configured(&self, version: u64) {
         self.config_version.record(version, &[]);
