Failing tests: a coordinator that is late itself

Runs of jobs that nobody cancelled end as stopped. - nothing_starts_by_an_old_copy_of_the_jobs: the feed of jobs is silent, all else works. A task of a job starts 5.5 s after the cancellation of the job was answered. - weak_coordinator_yields_to_strong_hosts_that_were_restarted: a strong host coordinates after 8.1 s. - weak_coordinator_yields_while_it_loads: with a delay of 400 ms on the way to the store, after 14.1 s.

The stand-in gains a narrow link in front of its workers and a feed that answers nothing.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -59,12 +59,18 @@
         settings: &str,
         set_up: impl FnOnce(&mut World),
     ) -> Self {
+        Self::start_each(&vec![settings; entries], hosts, set_up)
+    }
+
+    /// Starts an entry host with each of these further settings, after the platform was set up.
+    pub fn start_each(settings: &[&str], hosts: usize, set_up: impl FnOnce(&mut World)) -> Self {
         let net = LoopbackNet::new();
         let site = FleetSite::start(net.any(), &["web", "spare"], hosts).expect("it starts");
         set_up(&mut site.world());
         let fleet_ip = net.any().ip().to_string();
         site.world().rows.put("op", "config", &config(1, &fleet_ip, &["/jobs/"]));
-        let entries = (0..entries).map(|it| Process::start(&site, &net, it, settings)).collect();
+        let each = settings.iter().enumerate();
+        let entries = each.map(|(it, own)| Process::start(&site, &net, it, own)).collect();
         let fleet = Self { site, entries, jobs: RefCell::default() };
         fleet.wait_ready();
         fleet
--- /dev/null
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -0,0 +1,156 @@
+//! A coordinator that is late itself neither starts nor keeps work that nobody wants, and leaves to a stronger one.
+
+mod common;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::{
+    fleet::{Fleet, job},
+    wait_until,
+};
+use fuchsiamill_standin::{
+    admin::RouteFault,
+    fleet::{NarrowLink, RunRecord},
+};
+use http::Method;
+use serde_json::{Value, json};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// `cancel_ms` of the platform: nothing of a cancelled job starts later than this after the answer.
+const CANCEL_TIME: Duration = Duration::from_millis(3_000);
+
+/// Work of a cancelled job has ended this long after the answer: `cancel_ms` and `stop_ms` of the platform.
+const END_TIME: Duration = Duration::from_millis(3_400);
+
+/// A stronger entry host coordinates this long after it is able to.
+const HANDOVER_TIME: Duration = Duration::from_secs(3);
+
+/// The longest payload of a job that the platform allows, in bytes.
+const PAYLOAD_BYTES: usize = 4_000;
+
+const WEAK: &str = "link-mbps = 10";
+
+/// A job of short tasks whose payload is as long as one may be.
+fn bulky_job(ms: u64, tasks: u32) -> Value {
+    let mut job = job(ms, &[tasks]);
+    let text = format!("ms={ms}=");
+    job["spec"] = json!(format!("{text:x<PAYLOAD_BYTES$}"));
+    job
+}
+
+fn cancel(fleet: &Fleet, id: &str) -> Instant {
+    let answer = fleet.entries[0].send(Method::DELETE, id, None).expect("an answer");
+    assert!(answer.status.is_success(), "{}", answer.status);
+    Instant::now()
+}
+
+fn runs_of(fleet: &Fleet, id: &str) -> Vec<RunRecord> {
+    let world = fleet.site.world();
+    world.runs.iter().filter(|it| it.task.starts_with(id)).cloned().collect()
+}
+
+/// Checks that no task of a job started too late after its cancellation was answered, or runs too long after it.
+fn check_cancelled(fleet: &Fleet, id: &str, answered: Instant) {
+    for it in runs_of(fleet, id) {
+        let began = it.began.saturating_duration_since(answered);
+        assert!(began <= CANCEL_TIME, "{} began {began:?} after the cancellation", it.task);
+        let (ended, _) = it.ended.unwrap_or((Instant::now(), String::new()));
+        let ended = ended.saturating_duration_since(answered);
+        assert!(ended <= END_TIME, "{} ran on {ended:?} after the cancellation", it.task);
+    }
+}
+
+mod known_red {
+    use super::*;
+
+    /// The first round of starts takes the link of the coordinator two seconds.
+    #[test]
+    fn full_link_is_not_taken_for_silent_workers() {
+        let bytes_per_s = 400_000;
+        let fleet = Fleet::start_on(1, 12, |world| world.link = Some(NarrowLink::new(bytes_per_s)));
+        let kept = fleet.accept(&job(300_000, &[12]), PATIENCE).expect("accepted");
+        wait_until("all of its tasks are at work", || runs_of(&fleet, &kept).len() == 12);
+        let jobs: Vec<String> = (0..60)
+            .map(|_| fleet.accept(&bulky_job(400, 8), PATIENCE).expect("accepted"))
+            .collect();
+        let cancelled: Vec<(&String, Instant)> =
+            jobs.iter().skip(40).map(|it| (it, cancel(&fleet, it))).collect();
+        for it in &jobs[..40] {
+            fleet.wait_state(it, "completed");
+        }
+        thread::sleep(END_TIME);
+        cancelled.iter().for_each(|(id, answered)| check_cancelled(&fleet, id, *answered));
+        let world = fleet.site.world();
+        assert!(world.twice.is_empty(), "ran twice: {:?}", world.twice);
+        let is_wanted = |it: &&RunRecord| {
+            it.task.starts_with(&kept) || jobs[..40].iter().any(|id| it.task.starts_with(id))
+        };
+        let lost: Vec<_> = world
+            .runs
+            .iter()
+            .filter(is_wanted)
+            .filter(|it| it.ended.as_ref().is_some_and(|(_, how)| how != "done"))
+            .map(|it| (&it.task, it.run, &it.ended))
+            .collect();
+        assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
+    }
+
+    /// The feed of the jobs goes silent; the cancellation of a job that waits for room is not heard.
+    #[test]
+    fn nothing_starts_by_an_old_copy_of_the_jobs() {
+        let fleet = Fleet::start(1, 1);
+        let blocker = fleet.accept(&job(6_000, &[32]), PATIENCE).expect("accepted");
+        wait_until("it takes all the room", || runs_of(&fleet, &blocker).len() == 32);
+        let id = fleet.accept(&job(300_000, &[2]), PATIENCE).expect("accepted");
+        thread::sleep(Duration::from_millis(200));
+        fleet.site.world().rows.mute_feed = Some("jobs");
+        let answered = cancel(&fleet, &id);
+        fleet.wait_state(&blocker, "completed");
+        thread::sleep(Duration::from_secs(1));
+        let begun = runs_of(&fleet, &id).iter().map(|it| it.began - answered).max();
+        assert!(begun.is_none(), "began {begun:?} after the cancellation");
+        fleet.site.world().rows.mute_feed = None;
+        fleet.wait_state(&id, "cancelled");
+        let later = fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted");
+        fleet.wait_state(&later, "completed");
+    }
+
+    /// The strong entry hosts are killed; once the weak one coordinates they are back.
+    fn strong_hosts_return(fleet: &Fleet) -> Instant {
+        let strong = &fleet.entries[1..];
+        strong.iter().for_each(|it| it.kill());
+        wait_until("the weak one coordinates", || fleet.coordinator() == Some(0));
+        strong.iter().for_each(|it| it.restart());
+        wait_until("the strong ones are ready", || strong.iter().all(|it| it.is_ready()));
+        Instant::now()
+    }
+
+    fn check_handover(fleet: &Fleet, able: Instant) {
+        let is_strong = || fleet.coordinator().is_some_and(|it| it != 0);
+        wait_until("a strong one coordinates", is_strong);
+        let took = able.elapsed();
+        assert!(took <= HANDOVER_TIME, "a strong one coordinates after {took:?}");
+    }
+
+    #[test]
+    fn weak_coordinator_yields_to_strong_hosts_that_were_restarted() {
+        let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
+        fleet.wait_known();
+        let able = strong_hosts_return(&fleet);
+        check_handover(&fleet, able);
+    }
+
+    /// Each exchange of the weak entry host with the store takes a while, so that it needs seconds to load its state.
+    #[test]
+    fn weak_coordinator_yields_while_it_loads() {
+        let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
+        fleet.wait_known();
+        fleet.store_fault(0, RouteFault::Delay { ms: 400 });
+        let able = strong_hosts_return(&fleet);
+        check_handover(&fleet, able);
+    }
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! All share one [`World`], which the test reads and changes directly.
 
 mod hosts;
+mod narrow_link;
 mod rows;
 mod workers;
 mod world;
@@ -18,6 +19,7 @@
 use fuchsiamill_http::Bounds;
 use monoio::time::sleep;
 
+pub use narrow_link::NarrowLink;
 pub use rows::{Rows, StoreFault};
 pub use workers::HEALTH_PATH;
 pub use world::{RunRecord, Worker, WorkerFault, World};
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -49,6 +49,8 @@
     forgotten: u64,
     /// The fault in force.
     pub fault: StoreFault,
+    /// The table whose feed answers nothing, if there is one.
+    pub mute_feed: Option<&'static str>,
     /// Changes made.
     pub changes: u64,
     /// How long a change keeps its part busy; changes of one part are made one after another.
@@ -241,6 +243,11 @@
         loop {
             {
                 let world = lock(&self.0);
+                if world.rows.mute_feed == Some(table.as_str()) {
+                    drop(world);
+                    sleep(FEED_STEP).await;
+                    continue;
+                }
                 if let Some(answer) = world.rows.feed(&table, number("after"), world.now_ms()) {
                     return answer;
                 }
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use monoio::time::sleep;
 use serde_json::{Value, json};
+use tokio::sync::oneshot;
 
 use super::{
     lock,
@@ -25,6 +26,7 @@
 const LONGEST_LEASE_MS: u64 = 10_000;
 
 /// The port of one host, whatever worker lives there.
+#[derive(Clone)]
 pub struct Port {
     /// The state of everything.
     pub world: Arc<Mutex<World>>,
@@ -41,6 +43,22 @@
 
 impl Handler for Port {
     async fn handle(&self, incoming: Incoming) -> Response {
+        let body_bytes = incoming.request.body.len();
+        let way = lock(&self.world).link.as_mut().map(|it| it.pass(body_bytes));
+        let Some(way) = way else { return self.serve(incoming).await };
+        // The call arrives although its sender gives it up.
+        let (port, (tx, rx)) = (self.clone(), oneshot::channel());
+        monoio::spawn(async move {
+            sleep(way).await;
+            // The sender may be gone.
+            let _ = tx.send(port.serve(incoming).await);
+        });
+        rx.await.unwrap_or_else(|_| Response::empty(StatusCode::SERVICE_UNAVAILABLE))
+    }
+}
+
+impl Port {
+    async fn serve(&self, incoming: Incoming) -> Response {
         let path = incoming.request.path().to_owned();
         if path == HEALTH_PATH {
             return self.health(incoming).await;
@@ -73,9 +91,7 @@
         }
         self.answer(&path, &body, &meant)
     }
-}
 
-impl Port {
     async fn health(&self, incoming: Incoming) -> Response {
         let fault = lock(&self.world).worker_mut(self.host).map(|it| it.fault);
         match fault {
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -8,7 +8,7 @@
 
 use serde_json::json;
 
-use super::rows::Rows;
+use super::{narrow_link::NarrowLink, rows::Rows};
 
 /// How a worker treats its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -96,6 +96,8 @@
     pub runs: Vec<RunRecord>,
     /// Tasks of which two runs were at work at once, or one began after another was done.
     pub twice: Vec<String>,
+    /// The link of the coordinating entry host to the workers, if it is narrow.
+    pub link: Option<NarrowLink>,
     pub(super) hosts: Vec<Host>,
     pub(super) began: Instant,
     lives: u64,
@@ -107,6 +109,7 @@
             rows: Rows::default(),
             runs: Vec::new(),
             twice: Vec::new(),
+            link: None,
             hosts: Vec::new(),
             began: Instant::now(),
             lives: 0,
