A weak coordinator yields to strong entry hosts that were restarted, also while it loads

Cause: the coordinator compared the process that answers at a stronger host's address with the incarnation of its row, which it reads each eight to ten seconds, so that a restarted one counted as unable until the next read. It asked each four seconds only, one after another, and not before its state was loaded, which takes a small host 3 to 4 s.

A process that has left the lease keeps it for 10 s if it gets it again, so that hosts that are able to answer and not to take it cost one change in that time.

--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -64,6 +64,41 @@
     }
 }
 
+/// The strong entry hosts are killed; once the weak one coordinates they are back.
+fn strong_hosts_return(fleet: &Fleet) -> Instant {
+    let strong = &fleet.entries[1..];
+    strong.iter().for_each(|it| it.kill());
+    wait_until("the weak one coordinates", || fleet.coordinator() == Some(0));
+    strong.iter().for_each(|it| it.restart());
+    wait_until("the strong ones are ready", || strong.iter().all(|it| it.is_ready()));
+    Instant::now()
+}
+
+fn check_handover(fleet: &Fleet, able: Instant) {
+    let is_strong = || fleet.coordinator().is_some_and(|it| it != 0);
+    wait_until("a strong one coordinates", is_strong);
+    let took = able.elapsed();
+    assert!(took <= HANDOVER_TIME, "a strong one coordinates after {took:?}");
+}
+
+#[test]
+fn weak_coordinator_yields_to_strong_hosts_that_were_restarted() {
+    let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
+    fleet.wait_known();
+    let able = strong_hosts_return(&fleet);
+    check_handover(&fleet, able);
+}
+
+/// Each exchange of the weak entry host with the store takes a while, so that it needs seconds to load its state.
+#[test]
+fn weak_coordinator_yields_while_it_loads() {
+    let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
+    fleet.wait_known();
+    fleet.store_fault(0, RouteFault::Delay { ms: 400 });
+    let able = strong_hosts_return(&fleet);
+    check_handover(&fleet, able);
+}
+
 mod known_red {
     use super::*;
 
@@ -118,39 +153,4 @@
         let later = fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted");
         fleet.wait_state(&later, "completed");
     }
-
-    /// The strong entry hosts are killed; once the weak one coordinates they are back.
-    fn strong_hosts_return(fleet: &Fleet) -> Instant {
-        let strong = &fleet.entries[1..];
-        strong.iter().for_each(|it| it.kill());
-        wait_until("the weak one coordinates", || fleet.coordinator() == Some(0));
-        strong.iter().for_each(|it| it.restart());
-        wait_until("the strong ones are ready", || strong.iter().all(|it| it.is_ready()));
-        Instant::now()
-    }
-
-    fn check_handover(fleet: &Fleet, able: Instant) {
-        let is_strong = || fleet.coordinator().is_some_and(|it| it != 0);
-        wait_until("a strong one coordinates", is_strong);
-        let took = able.elapsed();
-        assert!(took <= HANDOVER_TIME, "a strong one coordinates after {took:?}");
-    }
-
-    #[test]
-    fn weak_coordinator_yields_to_strong_hosts_that_were_restarted() {
-        let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
-        fleet.wait_known();
-        let able = strong_hosts_return(&fleet);
-        check_handover(&fleet, able);
-    }
-
-    /// Each exchange of the weak entry host with the store takes a while, so that it needs seconds to load its state.
-    #[test]
-    fn weak_coordinator_yields_while_it_loads() {
-        let fleet = Fleet::start_each(&[WEAK, "", ""], 2, |_| {});
-        fleet.wait_known();
-        fleet.store_fault(0, RouteFault::Delay { ms: 400 });
-        let able = strong_hosts_return(&fleet);
-        check_handover(&fleet, able);
-    }
 }
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -13,7 +13,7 @@
     server::{Handler, Incoming},
     shutdown_pair,
 };
-use fuchsiamill_model::FastMap;
+use fuchsiamill_model::{FastMap, units::Moment};
 use fuchsiamill_peer::{PeerServer, Router};
 use fuchsiamill_platform::{AdviceClient, HostClient, Store};
 use fuchsiamill_settings::Fleet;
@@ -147,11 +147,13 @@
         monoio::spawn(store.clone().watch_direct_path());
         if let Some(addr) = settings.peers {
             let (status_term, status_store) = (term.clone(), store.clone());
+            let strength = strength(settings.processors, settings.link_mbps);
             let standing = move || Standing {
                 incarnation,
                 term: status_term.get(),
                 reaches_store: status_store.is_direct_path_up()
                     && status_store.has_answered_within(STORE_REACHABLE_TIME),
+                strength,
             };
             let mut router = Router::default();
             serve_standing(&mut router, standing);
@@ -194,6 +196,7 @@
             is_stopping: is_stopping.clone(),
             term: term.clone(),
             entries,
+            keeps_until: Moment(0),
             metrics,
         };
         let candidate = monoio::spawn(candidate.run());
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -102,8 +102,7 @@
             }
         }
         if let Some(mut lease) = lease {
-            let released = lease.release().await;
-            tracing::info!(event = "lease-given-back", ok = released.is_ok());
+            release(&mut lease).await;
         }
     }
 
@@ -151,6 +150,12 @@
     }
 }
 
+/// Releases the lease, so that another entry host can take it at once.
+pub(super) async fn release(lease: &mut Lease) {
+    let released = lease.release().await;
+    tracing::info!(event = "lease-given-back", ok = released.is_ok());
+}
+
 fn progress_row((id, record): &(Name, JobRecord)) -> (Key, Vec<u8>) {
     (tables::progress_key(id), encode(record))
 }
--- a/crates/site/src/lead/entries.rs
+++ b/crates/site/src/lead/entries.rs
@@ -70,6 +70,8 @@
     pub all: Vec<EntryRow>,
     /// Entry hosts that are much stronger than this one.
     pub stronger: Vec<EntryRow>,
+    /// The strength of this entry host.
+    own_strength: u32,
     /// The number of entry hosts, this one included, than which no other is much stronger.
     strongest: u64,
 }
@@ -83,7 +85,7 @@
         let strongest = all.iter().chain([own]).filter(is_strongest).count() as u64;
         let is_stronger = |it: &&EntryRow| is_much_stronger(it.strength, own.strength);
         let stronger = all.iter().filter(is_stronger).cloned().collect();
-        Self { is_read: true, all, stronger, strongest }
+        Self { is_read: true, all, stronger, own_strength: own.strength, strongest }
     }
 
     /// Returns the number of known entry hosts, this one included.
@@ -96,6 +98,11 @@
         self.is_read && self.count() <= most
     }
 
+    /// Returns whether an entry host of this strength is much stronger than this one.
+    pub fn is_weaker_than(&self, strength: u32) -> bool {
+        is_much_stronger(strength, self.own_strength)
+    }
+
     /// Returns the interval at which this entry host polls the lease.
     pub fn poll_interval_ms(&self) -> Millisecond {
         match self.stronger.is_empty() {
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -17,6 +17,7 @@
 
 use super::{
     Candidate, RENEW_INTERVAL_MS,
+    commits::release,
     election::WonLease,
     event::{Event, EventSender},
     feeds::{Feed, FeedEvent},
@@ -27,7 +28,7 @@
     load_log::LoadLog,
     pools::PoolLog,
     standing::HolderState,
-    takeover::{takeover, watch_former, watch_stronger},
+    takeover::{stronger_available, takeover, watch_former, watch_stronger},
 };
 use crate::tables;
 
@@ -87,7 +88,10 @@
 impl Leader {
     /// Coordinates until one of the [`LeaveReason`]s applies.
     pub async fn run(cx: Candidate, won: WonLease) -> LeaveReason {
-        let Some(mut leader) = Self::start(cx, won).await else { return LeaveReason::Lost };
+        let mut leader = match Self::start(cx, won).await {
+            Ok(leader) => leader,
+            Err(reason) => return reason,
+        };
         let reason = loop {
             if let Some(reason) = leader.step().await {
                 break reason;
@@ -101,13 +105,17 @@
         reason
     }
 
-    /// Loads the state and starts the tasks that send events; returns `None` if the lease is lost meanwhile.
-    async fn start(cx: Candidate, won: WonLease) -> Option<Self> {
+    /// Loads the state and starts the tasks that send events; fails if the lease is lost or left meanwhile.
+    async fn start(cx: Candidate, won: WonLease) -> Result<Self, LeaveReason> {
         let taken = cx.clock.now();
         let WonLease { mut lease, former, holder_state } = won;
         let store_offset = (lease.store_ms(), taken);
         let state = load(&cx, takeover(&cx, holder_state, taken), store_offset.0);
-        let loaded = renew_while(&mut lease, state).await?;
+        let stronger = stronger_available(cx.entries.clone(), cx.clock, cx.keeps_until);
+        let Some(loaded) = renew_while(&mut lease, unless(stronger, state)).await? else {
+            release(&mut lease).await;
+            return Err(LeaveReason::Yielding);
+        };
         let Loaded {
             coordinator,
             jobs_version,
@@ -121,7 +129,13 @@
         if holder_state != HolderState::Stopped {
             monoio::spawn(watch_former(former, event_sender.clone(), is_leading.clone()));
         }
-        monoio::spawn(watch_stronger(cx.entries.clone(), event_sender.clone(), is_leading.clone()));
+        monoio::spawn(watch_stronger(
+            cx.entries.clone(),
+            cx.clock,
+            cx.keeps_until,
+            event_sender.clone(),
+            is_leading.clone(),
+        ));
         if let Some(hosts) = cx.hosts.clone() {
             let (clock, event_sender, is_leading) =
                 (cx.clock, event_sender.clone(), is_leading.clone());
@@ -153,7 +167,7 @@
         };
         let load_log =
             LoadLog::new(cx.store.traffic().clone(), link_context.traffic.clone(), cx.clock.now());
-        Some(Self {
+        Ok(Self {
             coordinator,
             unreadable_workers,
             links: FastMap::default(),
@@ -389,13 +403,24 @@
     }
 }
 
-/// Runs `work` and renews the lease meanwhile; returns `None` if the lease is lost. A weak entry host needs seconds to
+/// Returns the result of `work`, or `None` if `end` comes first.
+async fn unless<T>(end: impl Future<Output = ()>, work: impl Future<Output = T>) -> Option<T> {
+    match select(pin!(work), pin!(end)).await {
+        Either::Left((done, _)) => Some(done),
+        Either::Right(_) => None,
+    }
+}
+
+/// Runs `work` and renews the lease meanwhile; fails if the lease is lost. A weak entry host needs seconds to
 /// load the state of thousands of jobs.
-async fn renew_while<T>(lease: &mut Lease, work: impl Future<Output = T>) -> Option<T> {
+async fn renew_while<T>(
+    lease: &mut Lease,
+    work: impl Future<Output = T>,
+) -> Result<T, LeaveReason> {
     let mut work = pin!(work);
     loop {
         if let Ok(done) = timeout(Duration::from_millis(RENEW_INTERVAL_MS), &mut work).await {
-            return Some(done);
+            return Ok(done);
         }
         let (renewed, done) = {
             let mut renewal = pin!(lease.commit(Vec::new(), Vec::new()));
@@ -404,9 +429,9 @@
                 Either::Right((renewed, _)) => (renewed, None),
             }
         };
-        renewed.ok()?;
-        if done.is_some() {
-            return done;
+        renewed.map_err(|LeaseLost| LeaveReason::Lost)?;
+        if let Some(done) = done {
+            return Ok(done);
         }
     }
 }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -20,6 +20,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use fuchsiamill_fleet::Timing;
+use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{AdviceClient, HostClient, Store};
 use tokio::sync::watch;
 
@@ -32,11 +33,15 @@
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
-use leader::Leader;
+use leader::{Leader, LeaveReason};
 
 /// The holder rewrites the lease row at least this often.
 const RENEW_INTERVAL_MS: u64 = 300;
 
+/// The least time between two times at which a process leaves the lease to stronger entry hosts, which may be unable to
+/// take it: each change of the coordinator costs some starts of tasks.
+const YIELD_INTERVAL_MS: Millisecond = 10_000;
+
 /// An entry host that competes for the lease.
 #[derive(Clone)]
 pub struct Candidate {
@@ -60,6 +65,8 @@
     pub term: Rc<Cell<u64>>,
     /// The other entry hosts; much stronger ones take precedence as coordinators.
     pub entries: Entries,
+    /// Until when this process leaves no lease to a stronger entry host.
+    pub keeps_until: Moment,
     /// The process's metrics.
     pub metrics: Rc<Metrics>,
 }
@@ -84,6 +91,9 @@
             let reason = Leader::run(self.clone(), won).await;
             self.metrics.set_coordinating(false);
             self.term.set(0);
+            if reason == LeaveReason::Yielding {
+                self.keeps_until = self.clock.now() + YIELD_INTERVAL_MS;
+            }
             tracing::warn!(event = "lease-left", term, reason = ?reason);
         }
     }
--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -14,6 +14,7 @@
 
 /// The reply of an entry host's process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Standing {
     /// Identifies one run of the process.
     pub incarnation: u64,
@@ -21,6 +22,8 @@
     pub term: u64,
     /// Whether the store has recently answered the process directly.
     pub reaches_store: bool,
+    /// The capacity of the entry host, as in its row; 0 from a process that does not report it.
+    pub strength: u32,
 }
 
 /// What is known about the process that a lease row names.
@@ -52,10 +55,13 @@
     Link::start(addr).call::<Standing>(METHOD, &(), CALL_TIMEOUT).await
 }
 
-/// Returns whether an entry host's process runs and reaches the store, so that it could coordinate.
-pub async fn can_coordinate(row: &EntryRow) -> bool {
-    let Ok(addr) = row.address.parse() else { return false };
-    call(addr).await.is_ok_and(|it| it.incarnation == row.incarnation && it.reaches_store)
+/// Returns the strength of the entry host that a row names, if its process reaches the store and so could coordinate.
+/// The process may have been restarted since the row was read.
+pub async fn strength_if_able(row: &EntryRow) -> Option<u32> {
+    let reply = call(row.address.parse().ok()?).await.ok()?;
+    let is_of_row = reply.incarnation == row.incarnation;
+    let strength = if is_of_row { reply.strength.max(row.strength) } else { reply.strength };
+    reply.reaches_store.then_some(strength)
 }
 
 /// Asks the process that a lease row names whether it still coordinates.
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -241,13 +241,12 @@
         let table = query.get("table").cloned().unwrap_or_default();
         let until = Instant::now() + Duration::from_millis(number("wait_ms"));
         loop {
+            if lock(&self.0).rows.mute_feed == Some(table.as_str()) {
+                sleep(FEED_STEP).await;
+                continue;
+            }
             {
                 let world = lock(&self.0);
-                if world.rows.mute_feed == Some(table.as_str()) {
-                    drop(world);
-                    sleep(FEED_STEP).await;
-                    continue;
-                }
                 if let Some(answer) = world.rows.feed(&table, number("after"), world.now_ms()) {
                     return answer;
                 }
