--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -132,7 +132,7 @@
         let now = context.clock.now();
         let traffic = context.traffic.clone();
         let link = Rc::new(Self {
-            client: WorkerClient::new(&worker.id, worker.addr, context.fence, traffic),
+            client: WorkerClient::with_traffic(&worker.id, worker.addr, context.fence, traffic),
             state: RefCell::new(LinkState {
                 clock: None,
                 renewed: now,
