Tasks start only while the copy of the table of jobs is recent

Cause: the coordinator decides by its copy of the table and did not know how old it was. After a takeover it placed at once by rows that it had read over 3 s; the changes since came with the first answer of the feed, behind its own first starts. Later, too, a feed without an answer stopped nothing. The age of the copy was up to 2.97 s in the log.

Now each answer of the feed tells up to when the copy is complete, nothing is placed by a copy older than 1.8 s, and the feed's calls return at once while the copy may be behind, so that a takeover costs one call. Stops, looks, and records go on. Ruled out: a lost row (it was heard 0.4 s after the start).

--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -99,6 +99,26 @@
     check_handover(&fleet, able);
 }
 
+/// The feed of the jobs goes silent; the cancellation of a job that waits for room is not heard.
+#[test]
+fn nothing_starts_by_an_old_copy_of_the_jobs() {
+    let fleet = Fleet::start(1, 1);
+    let blocker = fleet.accept(&job(6_000, &[32]), PATIENCE).expect("accepted");
+    wait_until("it takes all the room", || runs_of(&fleet, &blocker).len() == 32);
+    let id = fleet.accept(&job(300_000, &[2]), PATIENCE).expect("accepted");
+    thread::sleep(Duration::from_millis(200));
+    fleet.site.world().rows.mute_feed = Some("jobs");
+    let answered = cancel(&fleet, &id);
+    fleet.wait_state(&blocker, "completed");
+    thread::sleep(Duration::from_secs(1));
+    let begun = runs_of(&fleet, &id).iter().map(|it| it.began - answered).max();
+    assert!(begun.is_none(), "began {begun:?} after the cancellation");
+    fleet.site.world().rows.mute_feed = None;
+    fleet.wait_state(&id, "cancelled");
+    let later = fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted");
+    fleet.wait_state(&later, "completed");
+}
+
 mod known_red {
     use super::*;
 
@@ -133,24 +153,4 @@
             .collect();
         assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
     }
-
-    /// The feed of the jobs goes silent; the cancellation of a job that waits for room is not heard.
-    #[test]
-    fn nothing_starts_by_an_old_copy_of_the_jobs() {
-        let fleet = Fleet::start(1, 1);
-        let blocker = fleet.accept(&job(6_000, &[32]), PATIENCE).expect("accepted");
-        wait_until("it takes all the room", || runs_of(&fleet, &blocker).len() == 32);
-        let id = fleet.accept(&job(300_000, &[2]), PATIENCE).expect("accepted");
-        thread::sleep(Duration::from_millis(200));
-        fleet.site.world().rows.mute_feed = Some("jobs");
-        let answered = cancel(&fleet, &id);
-        fleet.wait_state(&blocker, "completed");
-        thread::sleep(Duration::from_secs(1));
-        let begun = runs_of(&fleet, &id).iter().map(|it| it.began - answered).max();
-        assert!(begun.is_none(), "began {begun:?} after the cancellation");
-        fleet.site.world().rows.mute_feed = None;
-        fleet.wait_state(&id, "cancelled");
-        let later = fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted");
-        fleet.wait_state(&later, "completed");
-    }
 }
--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -73,7 +73,12 @@
 
     /// Returns whether something waits to be placed or stored.
     pub fn has_work(&self) -> bool {
-        self.needs_placing || !self.dirty_jobs.is_empty() || !self.pending_orders.is_empty()
+        self.needs_placing || self.has_records()
+    }
+
+    /// Returns whether something waits to be stored.
+    pub fn has_records(&self) -> bool {
+        !self.dirty_jobs.is_empty() || !self.pending_orders.is_empty()
     }
 
     /// Returns the orders that may be carried out now.
--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -48,21 +48,31 @@
     pub is_leading: Rc<Cell<bool>>,
 }
 
+/// How far a feed has got.
+struct Position {
+    /// The version from which it goes on; `None` if the table has to be read anew.
+    after: Option<u64>,
+    /// Whether the last answer had all changes up to its call.
+    is_current: bool,
+}
+
 impl Feed {
     /// Follows the table from the version `after` on, until this process no longer coordinates.
     pub async fn run(self, after: u64) {
-        let mut after = Some(after);
+        let mut position = Position { after: Some(after), is_current: false };
         while self.is_leading.get() {
-            after = match after {
-                Some(version) => self.follow(version).await,
+            position = match position.after {
+                Some(version) => self.follow(version, position.is_current).await,
                 None => self.read_whole().await,
             };
         }
     }
 
-    async fn follow(&self, version: u64) -> Option<u64> {
+    async fn follow(&self, version: u64, is_current: bool) -> Position {
         let asked = self.clock.now();
-        match self.store.feed(self.table, version, FEED_WAIT).await {
+        // A feed that may be behind is not to wait for further changes before it is known to be current.
+        let wait = if is_current { FEED_WAIT } else { Duration::ZERO };
+        match self.store.feed(self.table, version, wait).await {
             Ok(FeedAnswer::Rows(page)) => {
                 let is_whole = !page.has_more && page.rows.len() < MAX_PAGE_ROWS;
                 if !page.rows.is_empty() {
@@ -71,32 +81,32 @@
                 if is_whole {
                     self.event_sender.send((self.wrap)(FeedEvent::Known(asked)));
                 }
-                Some(page.version.max(version))
+                Position { after: Some(page.version.max(version)), is_current: is_whole }
             }
             Ok(FeedAnswer::HistoryLost) => {
                 tracing::info!(event = "history-lost", table = self.table, version);
-                None
+                Position { after: None, is_current: false }
             }
             Err(e) => {
                 tracing::debug!(event = "feed-failed", table = self.table, error = %e);
                 sleep(RETRY_PAUSE).await;
-                Some(version)
+                Position { after: Some(version), is_current: false }
             }
         }
     }
 
-    async fn read_whole(&self) -> Option<u64> {
+    async fn read_whole(&self) -> Position {
         let asked = self.clock.now();
         match read_table(&self.store, self.table, &self.parts).await {
             Ok(read) => {
                 self.event_sender.send((self.wrap)(FeedEvent::Whole(read.rows)));
                 self.event_sender.send((self.wrap)(FeedEvent::Known(asked)));
-                Some(read.version)
+                Position { after: Some(read.version), is_current: false }
             }
             Err(e) => {
                 tracing::debug!(event = "read-failed", table = self.table, error = %e);
                 sleep(RETRY_PAUSE).await;
-                None
+                Position { after: None, is_current: false }
             }
         }
     }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -38,6 +38,10 @@
 /// The least time between the starts of two transactions. Whatever happens in between is stored in one transaction.
 const COMMIT_INTERVAL_MS: Millisecond = 15;
 
+/// Tasks are placed while the table of jobs is known as of this time ago at most. It leaves a second of the three that the
+/// platform allows between the answer to a cancellation and the last start; the feed is answered once a second.
+const MAX_JOBS_AGE_MS: Millisecond = 1_800;
+
 /// A run that has to end is overdue after this time in one phase. Runs normally end within a second of their stop.
 const OVERDUE_MS: Millisecond = 2_000;
 
@@ -369,19 +373,29 @@
         }
         // A start needs a stored record. While no transaction can begin, placing tasks would only have to be repeated.
         if self.lease.is_some() && now.since(self.last_commit_begin) >= COMMIT_INTERVAL_MS {
-            self.coordinator.place(now);
+            if self.may_start(now) {
+                self.coordinator.place(now);
+            }
             self.begin_commit(now);
         }
         self.execute_orders();
         None
     }
 
+    /// Returns whether tasks may be placed. A cancellation that is not known yet would be missed.
+    fn may_start(&self, now: Moment) -> bool {
+        now.since(self.jobs_known) <= MAX_JOBS_AGE_MS
+    }
+
     /// Returns how long to wait for an event.
     fn pause(&self) -> Duration {
-        let ms = match self.lease.is_some() && self.coordinator.has_work() {
-            true => COMMIT_INTERVAL_MS
-                .saturating_sub(self.cx.clock.now().since(self.last_commit_begin))
-                .max(1),
+        let now = self.cx.clock.now();
+        let has_work = match self.may_start(now) {
+            true => self.coordinator.has_work(),
+            false => self.coordinator.has_records(),
+        };
+        let ms = match self.lease.is_some() && has_work {
+            true => COMMIT_INTERVAL_MS.saturating_sub(now.since(self.last_commit_begin)).max(1),
             false => TICK_MS,
         };
         Duration::from_millis(ms)
