A run whose start was not answered is looked for before it is stopped

Cause: the outcome of an unanswered start was not asked for. Each late answer cost up to three more calls, on new connections.

Now the worker is polled at once (a poll that waits there is abandoned). A run that it lists is kept; one that it does not list is stopped as before, and nothing starts elsewhere until the stop is confirmed or the lease has lapsed. A run of a cancelled job is still stopped at once.

Test run_whose_start_was_unanswered_is_looked_for_and_kept fails with the former line in place, and unanswered_start_is_stopped_before_another fails there too: it asserts as before that nothing starts before the stop is confirmed, and now that the stop follows the first look that does not list the run. All tests of the crate pass, the explorers of unanswered, late and repeated orders among them.

--- a/crates/fleet/src/coordinator/live.rs
+++ b/crates/fleet/src/coordinator/live.rs
@@ -77,6 +77,8 @@
     Recorded,
     /// The start order was sent and not answered.
     Sent,
+    /// The start order was given up without an answer: the worker may have the run, or get it later.
+    Unanswered,
     /// The worker has the run.
     Running,
     /// A stop was ordered and not answered.
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -238,15 +238,18 @@
         }
     }
 
-    /// Orders the stop of a run. A run whose start order was not sent yet is only withdrawn.
+    /// Orders the stop of a run. A run whose start order was not sent yet is only withdrawn. A start order that was not
+    /// answered is void once the lease that it names has lapsed, so the time counts on from when it was given up.
     fn stop_run(&mut self, id: &TaskId, now: Moment) {
         let Some(live) = self.live_mut(id) else { return };
         match live.phase {
             Phase::Stopping | Phase::StopConfirmed => {}
             Phase::Recorded => self.requeue(id, now),
-            _ => {
+            before => {
                 live.phase = Phase::Stopping;
-                live.since = now;
+                if before != Phase::Unanswered {
+                    live.since = now;
+                }
                 self.order_stop(id, now);
             }
         }
--- a/crates/fleet/src/coordinator/orders.rs
+++ b/crates/fleet/src/coordinator/orders.rs
@@ -13,6 +13,11 @@
         /// The worker's own description of itself.
         worker: WorkerInfo,
     },
+    /// Poll a worker at once, since it may have a run whose start order was not answered.
+    Look {
+        /// The worker.
+        worker: Name,
+    },
     /// Ask a worker whether it is healthy.
     AskHealth {
         /// The worker.
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -235,7 +235,7 @@
             task.checkpoint = seen.checkpoint.clone();
         }
         let TaskState::Live(live) = &mut task.state else { return };
-        if matches!(live.phase, Phase::Sent | Phase::Inherited) {
+        if matches!(live.phase, Phase::Sent | Phase::Unanswered | Phase::Inherited) {
             live.phase = Phase::Running;
             live.since = now;
         }
@@ -255,10 +255,15 @@
                 Phase::Recorded => false,
                 Phase::Inherited => true,
                 Phase::Running | Phase::StopConfirmed => report.asked > live.since,
-                Phase::Sent | Phase::Stopping => report.asked > live.since + lease,
+                Phase::Sent | Phase::Unanswered | Phase::Stopping => {
+                    report.asked > live.since + lease
+                }
             };
             if is_missing {
                 self.requeue(&task, now);
+            } else if live.phase == Phase::Unanswered && report.asked > live.since {
+                // The order may still arrive; the stop prevents that.
+                self.stop_run(&task, now);
             }
         }
     }
@@ -346,7 +351,8 @@
             StartReply::Running => self.run_began(id, now),
             StartReply::Unknown => {
                 self.avoid(&worker, now + AVOID_UNRESPONSIVE_MS);
-                self.stop_run(id, now);
+                self.set_phase(id, Phase::Unanswered, now);
+                self.ready_orders.push(Order::Look { worker });
             }
             StartReply::NotSent => self.requeue(id, now),
             // The run, or a later one, was there and has ended; the next report tells how.
--- a/crates/fleet/tests/run_answers.rs
+++ b/crates/fleet/tests/run_answers.rs
@@ -4,7 +4,7 @@
 
 use common::{Bench, acknowledged, job, run_info, starts, step, stops, task, worker};
 use fuchsiamill_fleet::{
-    Ending, Stage, WorkerReport,
+    Ending, Order, Stage, WorkerReport,
     coordinator::{Refusal, StartReply},
 };
 
@@ -78,10 +78,12 @@
 fn unanswered_start_is_stopped_before_another() {
     let (mut bench, run) = one_task();
     bench.coordinator.start_answered(&task("j", 0, 0), run, StartReply::Unknown, bench.now);
+    assert!(starts(&bench.step()).is_empty());
+    // The worker reports no run, but the order may still be in flight.
+    bench.report("w1", &[], &[]);
     let orders = bench.step();
     assert_eq!(stops(&orders), [(task("j", 0, 0), run)]);
     assert!(starts(&orders).is_empty());
-    // The worker reports no run, but the order may still be in flight.
     bench.report("w1", &[], &[]);
     assert!(starts(&bench.step()).is_empty());
     bench.coordinator.stop_answered(&task("j", 0, 0), run, bench.now);
@@ -91,6 +93,33 @@
     assert_eq!(again[0].1, run + 1);
 }
 
+/// Only the answer was lost or late: the run is wanted, and its step may not miss it.
+#[test]
+fn run_whose_start_was_unanswered_is_looked_for_and_kept() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, StartReply::Unknown, bench.now);
+    let orders = bench.step();
+    assert!(orders.contains(&Order::Look { worker: "w1".into() }), "{orders:?}");
+    assert!(stops(&orders).is_empty() && starts(&orders).is_empty(), "{orders:?}");
+    for _ in 0..3 {
+        bench.report("w1", &[(task("j", 0, 0), run)], &[]);
+        let orders = bench.step();
+        assert!(stops(&orders).is_empty() && starts(&orders).is_empty(), "{orders:?}");
+    }
+    bench.report("w1", &[], &[(task("j", 0, 0), run, Ending::Done)]);
+    bench.step();
+    assert_eq!(bench.coordinator.open_jobs(), 0);
+}
+
+#[test]
+fn unanswered_start_of_a_cancelled_job_is_stopped_at_once() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, StartReply::Unknown, bench.now);
+    bench.step();
+    bench.coordinator.cancel(&"j".into(), bench.now);
+    assert_eq!(stops(&bench.step()), [(task("j", 0, 0), run)]);
+}
+
 #[test]
 fn unanswered_start_is_void_after_its_lease() {
     let (mut bench, run) = one_task();
--- a/crates/simulate/src/site.rs
+++ b/crates/simulate/src/site.rs
@@ -332,6 +332,7 @@
             }
             Order::Host { host, duty } => self.order_host(&host, duty),
             Order::Watch { .. }
+            | Order::Look { .. }
             | Order::AskHealth { .. }
             | Order::Pace { .. }
             | Order::Advise { .. } => {}
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -2,6 +2,8 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future,
+    pin::pin,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -12,6 +14,7 @@
 };
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{Traffic, WorkerCallError, WorkerClient};
+use futures_util::future::{Either, select};
 use monoio::time::{sleep, timeout};
 use tokio::sync::Notify;
 
@@ -103,6 +106,7 @@
     pub worker: WorkerInfo,
     state: RefCell<LinkState>,
     wake: Notify,
+    look: Notify,
 }
 
 struct LinkState {
@@ -113,6 +117,8 @@
     is_silent: bool,
     is_busy: bool,
     is_closed: bool,
+    /// Whether the next poll is not to wait at the worker.
+    must_look: bool,
     /// Ends up to this number are stored.
     recorded_upto: u64,
     /// The worker knows that ends up to this number are stored.
@@ -139,11 +145,13 @@
                 is_silent: false,
                 is_busy: false,
                 is_closed: false,
+                must_look: false,
                 recorded_upto: 0,
                 acknowledged_upto: 0,
                 last_end: 0,
             }),
             wake: Notify::new(),
+            look: Notify::new(),
             worker,
             context,
         });
@@ -165,6 +173,12 @@
         }
     }
 
+    /// Polls the worker at once; a poll that waits at the worker is abandoned.
+    pub fn look(&self) {
+        self.state.borrow_mut().must_look = true;
+        self.look.notify_one();
+    }
+
     /// Records that the ends up to this number are stored; the next poll tells the worker.
     pub fn acknowledge(&self, upto: u64) {
         self.state.borrow_mut().recorded_upto = upto;
@@ -222,18 +236,22 @@
 
     async fn poll(&self) -> NextStep {
         let asked = self.context.clock.now();
-        let (is_busy, is_silent, recorded_upto) = {
-            let state = self.state.borrow();
-            (state.is_busy, state.is_silent, state.recorded_upto)
+        let (waits, is_silent, recorded_upto) = {
+            let mut state = self.state.borrow_mut();
+            let must_look = std::mem::take(&mut state.must_look);
+            (state.is_busy && !state.is_silent && !must_look, state.is_silent, state.recorded_upto)
         };
         let renews = !is_silent && self.may_renew(asked);
         let deadline = renews.then(|| self.deadline(asked)).flatten();
         if deadline.is_some() {
             self.state.borrow_mut().renewed = asked;
         }
-        let wait = if is_busy && !is_silent { POLL_WAIT } else { Duration::ZERO };
-        let answer =
-            self.client.poll(asked, deadline, recorded_upto, wait, wait + ORDER_TIMEOUT).await;
+        let wait = if waits { POLL_WAIT } else { Duration::ZERO };
+        let poll = self.client.poll(asked, deadline, recorded_upto, wait, wait + ORDER_TIMEOUT);
+        let answer = match select(pin!(poll), pin!(self.interrupted(waits))).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => return NextStep::Poll,
+        };
         self.note_call(asked, wait, &answer);
         if self.is_over() {
             return NextStep::Poll;
@@ -254,6 +272,16 @@
         }
     }
 
+    /// Returns once a poll that waits at the worker is to be abandoned.
+    async fn interrupted(&self, waits: bool) {
+        if !waits {
+            return future::pending().await;
+        }
+        while !self.state.borrow().must_look {
+            self.look.notified().await;
+        }
+    }
+
     fn poll_failed(&self, e: WorkerCallError) -> NextStep {
         let id = self.worker.id.clone();
         tracing::debug!(event = "look-failed", worker = %id, error = %e);
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -25,6 +25,11 @@
         match order {
             Order::Watch { worker } => self.open_link(worker),
             Order::Host { host, duty } => self.send_host_order(host, duty),
+            Order::Look { worker } => {
+                if let Some(link) = self.links.get(&worker) {
+                    link.look();
+                }
+            }
             Order::Advise { step, workers } => self.ask_advice(step, workers),
             Order::AskHealth { worker, path } => {
                 let Some(link) = self.links.get(&worker) else { return };
@@ -66,7 +71,7 @@
             Order::Host { duty: HostDuty::Move { .. }, .. } => "move",
             Order::Host { duty: HostDuty::Maintain { .. }, .. } => "maintain",
             Order::AskHealth { .. } => "ask-health",
-            Order::Watch { .. } | Order::Acknowledge { .. } => return,
+            Order::Watch { .. } | Order::Look { .. } | Order::Acknowledge { .. } => return,
         };
         self.cx.metrics.ordered(kind);
     }
