Split the coordinator's loop and the links to workers

What news is applied stands in news.rs, the orders of a link in links/orders.rs; nothing else changes.

--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -7,15 +7,12 @@
     time::Duration,
 };
 
-use fuchsiamill_fleet::{
-    Coordinator, Lateness, Name, WorkerReport,
-    coordinator::{RunToEnd, WaveRecord},
-};
+use fuchsiamill_fleet::{Coordinator, Lateness, Name, coordinator::WaveRecord};
 use fuchsiamill_model::{
-    FastMap, FastSet,
+    FastMap,
     units::{Millisecond, Moment},
 };
-use fuchsiamill_platform::{Row, tables as shared};
+use fuchsiamill_platform::tables as shared;
 use futures_util::future::{Either, select};
 use monoio::time::timeout;
 use tokio::sync::mpsc;
@@ -25,11 +22,11 @@
     commits::release,
     election::WonLease,
     event::{Event, EventSender},
-    feeds::{Feed, FeedEvent},
-    hosts::{HostEvent, HostWatch},
+    feeds::Feed,
+    hosts::HostWatch,
     lease::{Lease, LeaseLost},
     links::{Link, LinkContext, LinkEvent},
-    load::{Loaded, UnreadableWorkers, apply_job, apply_worker, load},
+    load::{Loaded, UnreadableWorkers, load},
     load_log::LoadLog,
     pools::PoolLog,
     standing::HolderState,
@@ -47,9 +44,6 @@
 /// platform allows between the answer to a cancellation and the last start; the feed is answered once a second.
 const MAX_JOBS_AGE_MS: Millisecond = 1_800;
 
-/// A run that has to end is overdue after this time in one phase. Runs normally end within a second of their stop.
-const OVERDUE_MS: Millisecond = 2_000;
-
 /// The reason for which a process stops coordinating.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveReason {
@@ -67,7 +61,7 @@
 pub struct Leader {
     pub(super) cx: Candidate,
     pub(super) coordinator: Coordinator,
-    unreadable_workers: UnreadableWorkers,
+    pub(super) unreadable_workers: UnreadableWorkers,
     pub(super) links: FastMap<Name, Rc<Link>>,
     pub(super) link_context: LinkContext,
     /// The lease; `None` while a transaction is under way.
@@ -91,7 +85,7 @@
     pool_log: PoolLog,
     load_log: LoadLog,
     /// The table of jobs is known as of this moment or a later one.
-    jobs_known: Moment,
+    pub(super) jobs_known: Moment,
 }
 
 impl Leader {
@@ -247,101 +241,6 @@
         None
     }
 
-    fn apply_jobs(&mut self, event: FeedEvent) {
-        match event {
-            FeedEvent::Rows(rows) | FeedEvent::Whole(rows) => {
-                for row in &rows {
-                    apply_job(&mut self.coordinator, row, None, &self.cx);
-                }
-            }
-            FeedEvent::Known(asked) => self.jobs_known = self.jobs_known.max(asked),
-        }
-    }
-
-    fn apply_workers(&mut self, event: FeedEvent) {
-        match event {
-            FeedEvent::Rows(rows) => self.apply_worker_rows(&rows),
-            FeedEvent::Whole(rows) => {
-                let listed: FastSet<&Name> = rows.iter().map(|it| &it.key.key).collect();
-                let known: Vec<Name> = self.coordinator.workers().keys().cloned().collect();
-                for id in known.iter().filter(|it| !listed.contains(it)) {
-                    self.coordinator.worker_unlisted(id);
-                }
-                self.unreadable_workers.retain(&listed);
-                self.apply_worker_rows(&rows);
-            }
-            FeedEvent::Known(_) => {}
-        }
-    }
-
-    fn apply_worker_rows(&mut self, rows: &[Row]) {
-        for row in rows {
-            apply_worker(&mut self.coordinator, &mut self.unreadable_workers, row, &self.cx);
-            self.close_link_if_unknown(&row.key.key);
-        }
-    }
-
-    fn apply_link(&mut self, event: LinkEvent) {
-        let now = self.cx.clock.now();
-        match event {
-            LinkEvent::Reported(id, report) => {
-                self.log_ends(&id, &report);
-                self.coordinator.worker_reported(&id, report, now);
-                self.log_overdue(&id, now);
-                if let Some(link) = self.links.get(&id) {
-                    link.set_busy(self.coordinator.has_runs(&id));
-                }
-            }
-            LinkEvent::Silent(id, renewed) => {
-                if self.coordinator.worker_silent(&id, renewed) {
-                    self.cx.metrics.worker_event("silent");
-                    let ago_ms = now.since(renewed);
-                    tracing::info!(event = "worker-silent", worker = %id, renewed_ago_ms = ago_ms);
-                }
-            }
-            LinkEvent::Dead(id, born) => {
-                if self.coordinator.worker_dead(&id, born, now) {
-                    self.cx.metrics.worker_event("over");
-                    tracing::info!(event = "worker-over", worker = %id, born);
-                }
-            }
-            LinkEvent::HealthReported(id, born, is_healthy) => {
-                if self.coordinator.worker_health_reported(&id, born, is_healthy, now) {
-                    self.cx.metrics.worker_event("sick");
-                    tracing::info!(event = "worker-sick", worker = %id, born);
-                }
-            }
-            LinkEvent::Started(task, run, answer) => {
-                tracing::debug!(event = "start-answered", %task, run, answer = ?answer);
-                self.coordinator.start_answered(&task, run, answer, now);
-            }
-            LinkEvent::Stopped(task, run) => self.coordinator.stop_answered(&task, run, now),
-            LinkEvent::StopFailed(task, run) => self.coordinator.stop_failed(&task, run),
-            LinkEvent::PaceFailed(task, run) => self.coordinator.pace_failed(&task, run),
-            LinkEvent::Fenced(_) => {}
-        }
-    }
-
-    /// Logs the ends of runs that are new. A worker lists each end until it is told that the end was recorded.
-    fn log_ends(&self, id: &Name, report: &WorkerReport) {
-        let known = self.coordinator.workers().get(id);
-        let taken = known.filter(|it| it.seen.born == report.born).map_or(0, |it| it.last_end);
-        for end in report.ended.iter().filter(|it| it.number > taken) {
-            let (task, run, ending) = (&end.task, end.run, end.ending);
-            tracing::info!(event = "task-ended", %task, run, worker = %id, ending = ?ending);
-        }
-    }
-
-    /// Logs runs that should have ended long ago and are still listed.
-    fn log_overdue(&self, id: &Name, now: Moment) {
-        let overdue = self.coordinator.runs_to_end_on(id, now);
-        for it in overdue.into_iter().filter(|it| it.age_ms >= OVERDUE_MS) {
-            let RunToEnd { task, run, stage, phase, age_ms } = it;
-            let stage = stage.as_str();
-            tracing::warn!(event = "run-overdue", %task, run, worker = %id, stage, phase = ?phase, age_ms);
-        }
-    }
-
     fn log_load(&mut self, now: Moment) {
         let jobs_age_ms = now.since(self.jobs_known);
         let mut calls = self.link_context.calls.borrow_mut();
@@ -350,17 +249,6 @@
         }
     }
 
-    fn apply_host(&mut self, event: HostEvent) {
-        let now = self.cx.clock.now();
-        match event {
-            HostEvent::Listed(hosts, asked) => self.coordinator.hosts_listed(hosts, asked),
-            HostEvent::Answered(host, duty, reply) => {
-                tracing::info!(event = "host-answered", %host, duty = ?duty, reply = ?reply);
-                self.coordinator.host_answered(&host, &duty, reply, now);
-            }
-        }
-    }
-
     /// Lets the coordinator decide, stores its records and executes its orders.
     fn advance(&mut self) -> Option<LeaveReason> {
         if self.cx.is_stopping.get() {
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -1,11 +1,12 @@
 //! The links to workers. Each one polls its worker, renews the leases of the runs there and sends orders.
 
+mod orders;
+
 use std::{
     cell::{Cell, RefCell},
     future,
     pin::pin,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
@@ -18,6 +19,8 @@
 use monoio::time::{sleep, timeout};
 use tokio::sync::Notify;
 
+pub use orders::StartOrder;
+
 use super::event::{Event, EventSender};
 use crate::clock::Clock;
 
@@ -33,13 +36,6 @@
 /// The pause after a poll that found the worker process gone or the orders of this coordinator fenced off.
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
-/// Attempts at one start.
-const MAX_START_TRIES: u32 = 2;
-
-/// Attempts at one stop. After these the coordinator, which knows what else has become of the worker, orders the stop
-/// anew.
-const MAX_STOP_TRIES: u32 = 3;
-
 /// News from the link to a worker.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -63,20 +59,6 @@
     Fenced(Name),
 }
 
-/// An order to start a run.
-#[derive(Clone, Debug)]
-pub struct StartOrder {
-    pub task: TaskId,
-    /// The number of the run.
-    pub run: u32,
-    /// The job's payload.
-    pub payload: Arc<str>,
-    /// The checkpoint from which the run goes on; empty if there is none.
-    pub checkpoint: Name,
-    /// The ticket of the advice service; empty if none is needed.
-    pub ticket: Name,
-}
-
 /// What all links share.
 #[derive(Clone)]
 pub struct LinkContext {
@@ -346,118 +328,4 @@
     fn send(&self, event: LinkEvent) {
         self.context.event_sender.send(Event::Link(event));
     }
-
-    /// Sends an order to start, and sends an event on its outcome.
-    pub async fn start(self: Rc<Self>, start: StartOrder) {
-        let (task, run) = (start.task.clone(), start.run);
-        let sent = self.context.clock.now();
-        self.context.lateness.borrow_mut().start_sent(sent);
-        let answer = self.try_start(start).await;
-        self.context.lateness.borrow_mut().start_ended(sent);
-        if let Some(answer) = answer {
-            self.send(LinkEvent::Started(task, run, answer));
-        }
-    }
-
-    /// Sends an order to start. An order without an answer is sent once more, since the order is idempotent, unless answers
-    /// are late anyway. Returns `None` if the worker process is gone.
-    async fn try_start(&self, start: StartOrder) -> Option<StartReply> {
-        let StartOrder { task, run, payload, checkpoint, ticket } = start;
-        let ticket = (!ticket.is_empty()).then_some(ticket.as_str());
-        let mut answer = StartReply::NotSent;
-        let tries = if self.context.lateness.borrow().is_late() { 1 } else { MAX_START_TRIES };
-        for _ in 0..tries {
-            let now = self.context.clock.now();
-            let Some(deadline) = self.deadline(now).filter(|_| !self.is_over()) else { break };
-            if self.state.borrow().is_silent || !self.may_renew(now) {
-                break;
-            }
-            {
-                let mut state = self.state.borrow_mut();
-                state.renewed = now;
-                state.is_busy = true;
-            }
-            self.wake.notify_one();
-            let order = (&task, run);
-            let sent = self
-                .client
-                .start(order, &payload, &checkpoint, ticket, deadline, self.context.time_limit())
-                .await;
-            match &sent {
-                Ok(StartReply::Unknown | StartReply::NotSent) => {
-                    self.context.note_unanswered();
-                }
-                it => self.note_call(now, Duration::ZERO, it),
-            }
-            answer = match (sent, answer) {
-                (Ok(it), before) => it.after(before),
-                (Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed), _) => {
-                    self.send(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
-                    return None;
-                }
-                (Err(e), before) => {
-                    tracing::warn!(event = "start-failed", task = %task, run, error = %e);
-                    before
-                }
-            };
-            if answer != StartReply::Unknown {
-                break;
-            }
-        }
-        Some(answer)
-    }
-
-    /// Asks the worker whether it is healthy. A failed call is only logged, since polls detect a worker that does not
-    /// answer.
-    pub async fn ask_health(self: Rc<Self>, path: Name) {
-        let begun = self.context.clock.now();
-        let answer = self.client.is_healthy(&path, self.context.time_limit()).await;
-        self.note_call(begun, Duration::ZERO, &answer);
-        match answer {
-            Ok(is_healthy) => {
-                let (id, born) = (self.worker.id.clone(), self.worker.born);
-                self.send(LinkEvent::HealthReported(id, born, is_healthy));
-            }
-            Err(e) => {
-                tracing::debug!(event = "health-not-told", worker = %self.worker.id, error = %e);
-            }
-        }
-    }
-
-    /// Sets a run's speed.
-    pub async fn pace(self: Rc<Self>, task: TaskId, run: u32, percent: u32) {
-        if let Err(e) = self.client.pace(&task, run, percent, self.context.time_limit()).await {
-            tracing::debug!(event = "pace-failed", task = %task, run, percent, error = %e);
-            self.send(LinkEvent::PaceFailed(task, run));
-        }
-    }
-
-    /// Stops a run and sends an event on whether the worker has confirmed the stop.
-    pub async fn stop(self: Rc<Self>, task: TaskId, run: u32) {
-        for _ in 0..MAX_STOP_TRIES {
-            if self.is_over() {
-                let worker = &self.worker.id;
-                tracing::info!(event = "stop-not-sent", %task, run, %worker, cause = "link closed");
-                return self.send(LinkEvent::StopFailed(task, run));
-            }
-            self.set_busy(true);
-            let begun = self.context.clock.now();
-            let answer = self.client.stop(&task, run, self.context.time_limit()).await;
-            self.note_call(begun, Duration::ZERO, &answer);
-            match answer {
-                Ok(()) => {
-                    tracing::info!(event = "stop-confirmed", task = %task, run);
-                    return self.send(LinkEvent::Stopped(task, run));
-                }
-                Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed) => {
-                    self.send(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
-                    return;
-                }
-                Err(e) => tracing::info!(event = "stop-failed", task = %task, run, error = %e),
-            }
-            sleep(RETRY_PAUSE).await;
-        }
-        tracing::warn!(event = "stop-given-up", task = %task, run, worker = %self.worker.id);
-        self.send(LinkEvent::StopFailed(task, run));
-    }
 }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -12,6 +12,7 @@
 mod links;
 mod load;
 mod load_log;
+mod news;
 mod orders;
 mod pools;
 mod standing;
