The copy of the jobs stays recent in quiet times

The answer to a feed's call tells that the rows are known as of the call. A call now waits half a second, and an answer without rows tells that nothing had changed at the end of the wait, by a clock up to 2 % fast.

--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -2,7 +2,8 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use fuchsiamill_model::units::Moment;
+use fuchsiamill_fleet::timing::with_drift;
+use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{FeedAnswer, Row, Store};
 use futures_util::{StreamExt, stream};
 use monoio::time::sleep;
@@ -10,8 +11,9 @@
 use super::event::{Event, EventSender};
 use crate::clock::Clock;
 
-/// How long one call to a feed waits for new rows.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+/// How long one call to a feed waits for new rows. The answer to a call tells only that the rows are known as of the call, so
+/// they may be known as of twice this time ago.
+const FEED_WAIT: Duration = Duration::from_millis(500);
 
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -74,12 +76,14 @@
         let wait = if is_current { FEED_WAIT } else { Duration::ZERO };
         match self.store.feed(self.table, version, wait).await {
             Ok(FeedAnswer::Rows(page)) => {
+                // The store answered without rows only at the end of the wait, by its own clock.
+                let known = if page.rows.is_empty() { asked + without_drift(wait) } else { asked };
                 let is_whole = !page.has_more && page.rows.len() < MAX_PAGE_ROWS;
                 if !page.rows.is_empty() {
                     self.event_sender.send((self.wrap)(FeedEvent::Rows(page.rows)));
                 }
                 if is_whole {
-                    self.event_sender.send((self.wrap)(FeedEvent::Known(asked)));
+                    self.event_sender.send((self.wrap)(FeedEvent::Known(known)));
                 }
                 Position { after: Some(page.version.max(version)), is_current: is_whole }
             }
@@ -112,6 +116,12 @@
     }
 }
 
+/// Returns how much of `wait` has certainly passed when another machine, whose clock may be 2 % fast, has waited for it.
+fn without_drift(wait: Duration) -> Millisecond {
+    let ms = wait.as_millis() as u64;
+    (2 * ms).saturating_sub(with_drift(ms))
+}
+
 /// The rows of a table as read.
 pub struct TableRead {
     pub rows: Vec<Row>,
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -41,7 +41,8 @@
 const COMMIT_INTERVAL_MS: Millisecond = 15;
 
 /// Tasks are placed while the table of jobs is known as of this time ago at most. It leaves a second of the three that the
-/// platform allows between the answer to a cancellation and the last start; the feed is answered once a second.
+/// platform allows between the answer to a cancellation and the last start; a feed without faults keeps the copy within a
+/// second.
 const MAX_JOBS_AGE_MS: Millisecond = 1_800;
 
 /// The reason for which a process stops coordinating.
