The look at stronger entry hosts outlasts a full link

The look has 3 s now; a new round is asked each second beside those that are still unanswered, so that hosts without power delay nothing.

Not tested alone: it needs a link that delays the answers of peers, which the stand-in does not have.

--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -9,9 +9,12 @@
 
 const METHOD: &str = "standing";
 
-/// The timeout of one call.
+/// The timeout of a call to the holder of the lease.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The timeout of a call to a stronger entry host. The answer may wait on the link behind the state that is being loaded.
+const PATIENT_CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The reply of an entry host's process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -50,15 +53,15 @@
     });
 }
 
-async fn call(addr: SocketAddr) -> fuchsiamill_peer::Result<Standing> {
+async fn call(addr: SocketAddr, within: Duration) -> fuchsiamill_peer::Result<Standing> {
     // Each call opens a new connection, since a kept one may have gone silent unnoticed.
-    Link::start(addr).call::<Standing>(METHOD, &(), CALL_TIMEOUT).await
+    Link::start(addr).call::<Standing>(METHOD, &(), within).await
 }
 
 /// Returns the strength of the entry host that a row names, if its process reaches the store and so could coordinate.
 /// The process may have been restarted since the row was read.
 pub async fn strength_if_able(row: &EntryRow) -> Option<u32> {
-    let reply = call(row.address.parse().ok()?).await.ok()?;
+    let reply = call(row.address.parse().ok()?, PATIENT_CALL_TIMEOUT).await.ok()?;
     let is_of_row = reply.incarnation == row.incarnation;
     let strength = if is_of_row { reply.strength.max(row.strength) } else { reply.strength };
     reply.reaches_store.then_some(strength)
@@ -67,7 +70,7 @@
 /// Asks the process that a lease row names whether it still coordinates.
 pub async fn query_holder(row: &LeaseRow) -> HolderState {
     let Ok(addr) = row.address.parse() else { return HolderState::Unknown };
-    match call(addr).await {
+    match call(addr, CALL_TIMEOUT).await {
         Ok(it) if it.incarnation == row.incarnation && it.term == row.term => HolderState::Active,
         Ok(_) => HolderState::Stopped,
         Err(Error::Unreachable(Unreached::Closed)) => HolderState::Stopped,
--- a/crates/site/src/lead/takeover.rs
+++ b/crates/site/src/lead/takeover.rs
@@ -4,12 +4,16 @@
 
 use fuchsiamill_fleet::{coordinator::Takeover, timing::with_drift};
 use fuchsiamill_model::units::Moment;
-use futures_util::future::{Either, join_all, select};
+use futures_util::{
+    StreamExt,
+    future::{self, Either, select},
+    stream::FuturesUnordered,
+};
 use monoio::time::sleep;
 
 use super::{
     Candidate,
-    entries::Entries,
+    entries::{Entries, EntryRow},
     event::{Event, EventSender},
     lease::LeaseRow,
     standing::{HolderState, query_holder, strength_if_able},
@@ -19,7 +23,7 @@
 /// The pause between two checks of the stronger entry hosts.
 const STRONGER_PAUSE: Duration = Duration::from_secs(1);
 
-/// The most stronger entry hosts that are asked at once. Each check picks them at random.
+/// The most stronger entry hosts that are asked in one check, which picks them at random.
 const MAX_ASKED: usize = 4;
 
 /// The pause between two calls to the former holder of the lease.
@@ -36,27 +40,44 @@
 
 /// Returns once a much stronger entry host is able to coordinate, and not before `earliest`.
 pub async fn stronger_available(entries: Entries, clock: Clock, earliest: Moment) {
+    sleep(Duration::from_millis(earliest.since(clock.now()))).await;
+    // Hosts that do not answer must not delay the next round.
+    let mut replies = FuturesUnordered::new();
     loop {
-        let pause = Duration::from_millis(earliest.since(clock.now()));
-        if pause.is_zero() && is_stronger_available(&entries).await {
+        replies.extend(pick_stronger(&entries).into_iter().map(ask_strength));
+        let pause = pin!(sleep(STRONGER_PAUSE));
+        if let Either::Left((row, _)) =
+            select(pin!(first_able(&mut replies, &entries)), pause).await
+        {
+            tracing::info!(event = "stronger-available", address = %row.address);
             return;
         }
-        sleep(pause.max(STRONGER_PAUSE)).await;
     }
 }
 
-async fn is_stronger_available(entries: &Entries) -> bool {
+fn pick_stronger(entries: &Entries) -> Vec<EntryRow> {
     let mut rows = entries.borrow().stronger.clone();
     fastrand::shuffle(&mut rows);
     rows.truncate(MAX_ASKED);
-    let strengths = join_all(rows.iter().map(strength_if_able)).await;
-    let entries = entries.borrow();
-    let found =
-        rows.iter().zip(strengths).find(|(_, it)| it.is_some_and(|it| entries.is_weaker_than(it)));
-    if let Some((row, strength)) = found {
-        tracing::info!(event = "stronger-available", address = %row.address, strength);
+    rows
+}
+
+async fn ask_strength(row: EntryRow) -> (EntryRow, Option<u32>) {
+    let strength = strength_if_able(&row).await;
+    (row, strength)
+}
+
+/// Returns the first entry host that is able to coordinate and much stronger than this one.
+async fn first_able(
+    replies: &mut FuturesUnordered<impl Future<Output = (EntryRow, Option<u32>)>>,
+    entries: &Entries,
+) -> EntryRow {
+    while let Some((row, strength)) = replies.next().await {
+        if strength.is_some_and(|it| entries.borrow().is_weaker_than(it)) {
+            return row;
+        }
     }
-    found.is_some()
+    future::pending().await
 }
 
 /// Sends [`Event::StrongerAvailable`] once a much stronger entry host is able to coordinate. Ends once this process no
