Keep the script that failed the explorer of cancelled runs before any change

Traced: the answer to the start of a long-running task is lost, the stop that was ordered for that is lost as well, and it is not repeated while the others of the step are not at work, so that a run is neither wanted nor stopped for 12 s.

--- a/crates/fleet/tests/any_order.rs
+++ b/crates/fleet/tests/any_order.rs
@@ -141,6 +141,27 @@
     assert!(holds(&[31, 31, 51, 62], Delivery::ToIncarnation));
 }
 
+/// The answer to the start of a long-running task is lost, and so is the stop that was ordered for it. The others of its
+/// step are not at work, so that the stop may not be repeated.
+#[test]
+fn run_with_a_lost_answer_is_neither_wanted_nor_stopped() {
+    let script = [
+        3_227_558_909,
+        1_677_633_469,
+        3_632_419_966,
+        3_183_913_341,
+        1_922_688_701,
+        2_913_297_224,
+        14_858_568,
+        532_117_951,
+        8_765_803,
+        530_919_302,
+        3_692_355_927,
+        2_957_410_585,
+    ];
+    assert!(holds(&script, Delivery::ToIncarnation));
+}
+
 /// A takeover finds no list entry of a worker that is up; without a connection to it, the stop was lost.
 #[test]
 fn stop_is_lost_without_an_entry() {
