--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -13,7 +13,7 @@
 };
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{NarrowLink, RunRecord},
+    fleet::{NarrowLink, RunRecord, StoreFault},
 };
 use http::Method;
 use serde_json::{Value, json};
@@ -64,6 +64,18 @@
     }
 }
 
+/// The copy of the jobs is never younger than an answer of the store takes.
+#[test]
+fn jobs_start_beside_a_store_that_takes_two_seconds() {
+    let fleet = Fleet::start(1, 2);
+    fleet.wait_state(&fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted"), "completed");
+    fleet.site.world().rows.fault = StoreFault::Slow(2_000);
+    thread::sleep(Duration::from_secs(3));
+    let id = "00000000000000fb";
+    fleet.entries[0].post(id, &job(100, &[2]));
+    wait_until("its tasks start", || !runs_of(&fleet, id).is_empty());
+}
+
 /// The strong entry hosts are killed; once the weak one coordinates they are back.
 fn strong_hosts_return(fleet: &Fleet) -> Instant {
     wait_until("a strong one coordinates", || fleet.coordinator().is_some_and(|it| it != 0));
