Soak: late coordinators

The soak narrows the link to the workers, silences the feed of jobs and makes one of the entry hosts much weaker than the others, by a generator of its own, so that the scripts of kept seeds stay as they were.

--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -19,7 +19,7 @@
 use fastrand::Rng;
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{StoreFault, Worker, WorkerFault},
+    fleet::{NarrowLink, StoreFault, Worker, WorkerFault},
 };
 
 /// Seeds that failed once, each with a line on its cause.
@@ -49,6 +49,15 @@
 /// The longest time for which the entry of a worker is gone.
 const LAPSE_MS: u64 = 3_000;
 
+/// The bandwidth of a narrow link. A poll takes some 400 bytes.
+const LINK_BYTES_PER_S: std::ops::Range<u32> = 6_000..60_000;
+
+/// Makes a second generator of a seed.
+const LATE_SEED: u64 = 0x6c61_7465;
+
+/// Settings of an entry host that is much weaker than the others.
+const WEAK: &str = "link-mbps = 10";
+
 /// How long a run goes on after the order to stop it.
 const STOP_TIME: Duration = Duration::from_millis(300);
 
@@ -80,13 +89,17 @@
 }
 
 fn soak(seed: u64, time: Duration) {
-    let fleet = Fleet::start(ENTRY_HOSTS, HOSTS);
+    // A generator of its own leaves the scripts of kept seeds as they were.
+    let mut late_rng = Rng::with_seed(seed ^ LATE_SEED);
+    let weak = if late_rng.bool() { WEAK } else { "" };
+    let fleet = Fleet::start_each(&[weak, "", ""], HOSTS, |_| {});
     each_worker(&fleet, |it| it.stop_time = STOP_TIME);
     let fronts: Vec<_> = fleet.entries.iter().map(|it| it.front).collect();
     let callers = Callers::start(CALLERS, &fronts, seed);
     let mut soak = Soak {
         fleet,
         rng: Rng::with_seed(seed),
+        late_rng,
         frozen: Vec::new(),
         lapsed: Vec::new(),
         version: 1,
@@ -97,6 +110,7 @@
         for _ in 0..soak.rng.usize(1..=SERIES) {
             soak.act();
         }
+        soak.delay_coordinators();
         thread::sleep(Duration::from_millis(soak.rng.u64(0..PAUSE_MS)));
     }
     soak.heal();
@@ -107,6 +121,8 @@
 struct Soak {
     fleet: Fleet,
     rng: Rng,
+    /// Decides what makes coordinators late.
+    late_rng: Rng,
     /// Entry hosts that stand still, and until when.
     frozen: Vec<(Instant, usize)>,
     /// Workers whose entries lapsed, and when these come back.
@@ -174,6 +190,18 @@
         }
     }
 
+    /// Narrows the link to the workers, silences the feed of jobs, or ends both.
+    fn delay_coordinators(&mut self) {
+        let mut world = self.fleet.site.world();
+        match self.late_rng.u32(0..12) {
+            0 => world.link = Some(NarrowLink::new(self.late_rng.u32(LINK_BYTES_PER_S))),
+            1 => world.rows.mute_feed = Some("jobs"),
+            2 | 3 => world.link = None,
+            4 | 5 => world.rows.mute_feed = None,
+            _ => {}
+        }
+    }
+
     fn any_entry(&mut self) -> &Process {
         &self.fleet.entries[self.rng.usize(0..ENTRY_HOSTS)]
     }
@@ -238,7 +266,12 @@
         for entry in 0..ENTRY_HOSTS {
             self.fleet.store_fault(entry, RouteFault::None);
         }
-        self.fleet.site.world().rows.fault = StoreFault::None;
+        {
+            let mut world = self.fleet.site.world();
+            world.rows.fault = StoreFault::None;
+            world.rows.mute_feed = None;
+            world.link = None;
+        }
         for (_, host) in self.lapsed.drain(..) {
             self.fleet.site.world().list(host);
         }
