Feed: only an answer at the end of the wait tells that nothing changed until then

A store that answers earlier without rows would have made the copy of the jobs seem younger than it is, by up to half a second. Found by reading.

--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -11,8 +11,8 @@
 use super::event::{Event, EventSender};
 use crate::clock::Clock;
 
-/// How long one call to a feed waits for new rows. The answer to a call tells only that the rows are known as of the call, so
-/// they may be known as of twice this time ago.
+/// How long one call to a feed waits for new rows. The answer to a call may tell only that the rows are known as of the
+/// call, so they may be known as of twice this time ago.
 const FEED_WAIT: Duration = Duration::from_millis(500);
 
 /// The pause after a failed read.
@@ -76,8 +76,10 @@
         let wait = if is_current { FEED_WAIT } else { Duration::ZERO };
         match self.store.feed(self.table, version, wait).await {
             Ok(FeedAnswer::Rows(page)) => {
-                // The store answered without rows only at the end of the wait, by its own clock.
-                let known = if page.rows.is_empty() { asked + without_drift(wait) } else { asked };
+                let took = Duration::from_millis(self.clock.now().since(asked));
+                // An answer without rows at the end of the wait tells that there were none until then.
+                let waited = page.rows.is_empty() && took >= wait;
+                let known = if waited { asked + without_drift(wait) } else { asked };
                 let is_whole = !page.has_more && page.rows.len() < MAX_PAGE_ROWS;
                 if !page.rows.is_empty() {
                     self.event_sender.send((self.wrap)(FeedEvent::Rows(page.rows)));
