--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -126,7 +126,7 @@
             }
             match live.phase {
                 Phase::Recorded => self.requeue(&task, now),
-                Phase::Sent | Phase::Stopping => {
+                Phase::Sent | Phase::Unanswered | Phase::Stopping => {
                     self.set_phase(&task, Phase::Stopping, now);
                     self.order_stop(&task, now);
                 }
--- a/crates/fleet/tests/run_answers.rs
+++ b/crates/fleet/tests/run_answers.rs
@@ -4,7 +4,7 @@
 
 use common::{Bench, acknowledged, job, run_info, starts, step, stops, task, worker};
 use fuchsiamill_fleet::{
-    Ending, Order, Stage, WorkerReport,
+    Ending, Order, Stage, WorkerInfo, WorkerReport,
     coordinator::{Refusal, StartReply},
 };
 
@@ -120,6 +120,20 @@
     assert_eq!(stops(&bench.step()), [(task("j", 0, 0), run)]);
 }
 
+/// The order may still arrive, at the new life of the worker.
+#[test]
+fn unanswered_start_is_stopped_on_the_next_incarnation() {
+    let (mut bench, run) = one_task();
+    bench.coordinator.start_answered(&task("j", 0, 0), run, StartReply::Unknown, bench.now);
+    bench.step();
+    bench.coordinator.worker_listed(WorkerInfo { born: 8, ..worker("w1") }, bench.now);
+    let orders = bench.step();
+    assert_eq!(stops(&orders), [(task("j", 0, 0), run)]);
+    let report = WorkerReport { asked: bench.now, born: 8, running: Vec::new(), ended: Vec::new() };
+    bench.coordinator.worker_reported(&"w1".into(), report, bench.now);
+    assert!(starts(&bench.step()).is_empty());
+}
+
 #[test]
 fn unanswered_start_is_void_after_its_lease() {
     let (mut bench, run) = one_task();
