A start that its record held up is not sent by an old copy of the jobs

The age of the copy was checked when a task was placed only; the record of the start, which the store may answer late, and a second try came after that. Each try checks it now; a start that is not sent is placed again. Found by the review; no test shows it: while other entry hosts reach the store they take the lease a second after the last commit.

--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -40,11 +40,6 @@
 /// The least time between the starts of two transactions. Whatever happens in between is stored in one transaction.
 const COMMIT_INTERVAL_MS: Millisecond = 15;
 
-/// Tasks are placed while the table of jobs is known as of this time ago at most. It leaves a second of the three that the
-/// platform allows between the answer to a cancellation and the last start; a feed without faults keeps the copy within a
-/// second.
-const MAX_JOBS_AGE_MS: Millisecond = 1_800;
-
 /// The reason for which a process stops coordinating.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaveReason {
@@ -85,8 +80,6 @@
     config_version: u64,
     pool_log: PoolLog,
     load_log: LoadLog,
-    /// The table of jobs is known as of this moment or a later one.
-    pub(super) jobs_known: Moment,
 }
 
 impl Leader {
@@ -168,6 +161,7 @@
             renewal_ms: cx.timing.renewal_ms,
             calls: Rc::default(),
             lateness: Rc::new(RefCell::new(Lateness::new(cx.clock.now()))),
+            jobs_known: Rc::new(Cell::new(taken)),
             traffic: Rc::default(),
         };
         let load_log =
@@ -190,7 +184,6 @@
             config_version: 0,
             pool_log: PoolLog::default(),
             load_log,
-            jobs_known: taken,
             cx,
         })
     }
@@ -243,7 +236,7 @@
     }
 
     fn log_load(&mut self, now: Moment) {
-        let jobs_age_ms = now.since(self.jobs_known);
+        let jobs_age_ms = now.since(self.link_context.jobs_known.get());
         let mut calls = self.link_context.calls.borrow_mut();
         if let Some(load) = self.load_log.log(&mut calls, jobs_age_ms, now) {
             self.cx.metrics.loaded(&load);
@@ -268,7 +261,7 @@
         }
         // A start needs a stored record. While no transaction can begin, placing tasks would only have to be repeated.
         if self.lease.is_some() && now.since(self.last_commit_begin) >= COMMIT_INTERVAL_MS {
-            if self.may_start(now) {
+            if self.link_context.may_start(now) {
                 let most = self.link_context.lateness.borrow_mut().start_room(now);
                 self.coordinator.place_at_most(most, now);
             }
@@ -278,11 +271,6 @@
         None
     }
 
-    /// Returns whether tasks may be placed. A cancellation that is not known yet would be missed.
-    fn may_start(&self, now: Moment) -> bool {
-        now.since(self.jobs_known) <= MAX_JOBS_AGE_MS
-    }
-
     /// Returns how long to wait for an event.
     fn pause(&self) -> Duration {
         let now = self.cx.clock.now();
@@ -291,7 +279,7 @@
             TICK_MS
         } else if self.coordinator.has_records() {
             until_commit.max(1)
-        } else if self.coordinator.has_work() && self.may_start(now) {
+        } else if self.coordinator.has_work() && self.link_context.may_start(now) {
             // Where a placement was possible already, it has left tasks for want of room for starts.
             if until_commit == 0 { COMMIT_INTERVAL_MS } else { until_commit }
         } else {
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -36,6 +36,11 @@
 /// The pause after a poll that found the worker process gone or the orders of this coordinator fenced off.
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
+/// Tasks start while the table of jobs is known as of this time ago at most. It leaves a second of the three that the
+/// platform allows between the answer to a cancellation and the last start; a feed without faults keeps the copy within a
+/// second.
+const MAX_JOBS_AGE_MS: Millisecond = 1_800;
+
 /// News from the link to a worker.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -78,11 +83,18 @@
     pub calls: Rc<RefCell<CallTimes>>,
     /// How late this process is with its calls to workers.
     pub lateness: Rc<RefCell<Lateness>>,
+    /// The table of jobs is known as of this moment or a later one.
+    pub jobs_known: Rc<Cell<Moment>>,
     /// The bytes exchanged with workers.
     pub traffic: Rc<Traffic>,
 }
 
 impl LinkContext {
+    /// Returns whether tasks may start. A cancellation that is not known yet would be missed.
+    pub fn may_start(&self, now: Moment) -> bool {
+        now.since(self.jobs_known.get()) <= MAX_JOBS_AGE_MS
+    }
+
     /// Returns the time limit of a call, without the time that the worker is asked to wait.
     fn time_limit(&self) -> Duration {
         Duration::from_millis(self.lateness.borrow().time_limit_ms())
--- a/crates/site/src/lead/links/orders.rs
+++ b/crates/site/src/lead/links/orders.rs
@@ -52,7 +52,9 @@
         for _ in 0..tries {
             let now = self.context.clock.now();
             let Some(deadline) = self.deadline(now).filter(|_| !self.is_over()) else { break };
-            if self.state.borrow().is_silent || !self.may_renew(now) {
+            // The record of the start may have taken long.
+            let may_start = self.context.may_start(now) && self.may_renew(now);
+            if self.state.borrow().is_silent || !may_start {
                 break;
             }
             {
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -26,7 +26,10 @@
                     apply_job(&mut self.coordinator, row, None, &self.cx);
                 }
             }
-            FeedEvent::Known(asked) => self.jobs_known = self.jobs_known.max(asked),
+            FeedEvent::Known(asked) => {
+                let known = &self.link_context.jobs_known;
+                known.set(known.get().max(asked));
+            }
         }
     }
 
