Lateness: the way to the workers is no delay, and time limits fit into a lease

The smallest time seen, rising slowly, is taken for the way to the workers now (200 ms at most), and only what is beyond it counts.

Time limits go to 1 s instead of 2: a poll that waits a second and two repetitions fit into a lease of 5.4 s. Where no call is answered the time limits are the longest, and starts are not held back: workers that are cut off are no own delay.

--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -19,14 +19,20 @@
 /// A judgement without enough calls is made up for by halving the estimate after this time.
 const IDLE_INTERVAL_MS: Millisecond = 1_000;
 
-/// The delay of the fastest calls up to which nothing is held back. Workers of another region are tens of milliseconds
-/// away.
+/// The delay of the fastest calls, beyond the way to the workers, up to which nothing is held back.
 const MAX_DELAY_MS: Millisecond = 50;
 
-/// The least and the greatest time limit of a call. Polls renew leases of several seconds, so a poll and its repetition
-/// have to fit into one.
+/// The longest way to workers of another region and back.
+const MAX_WAY_MS: Millisecond = 200;
+
+/// How much longer the way may get from one judgement to the next. A lasting delay is taken for a longer way within half a
+/// minute.
+const WAY_RISE_MS: Millisecond = 1;
+
+/// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions, which
+/// renew no lease, have to fit into a lease of five to six seconds.
 const MIN_TIME_LIMIT_MS: Millisecond = 400;
-const MAX_TIME_LIMIT_MS: Millisecond = 2_000;
+const MAX_TIME_LIMIT_MS: Millisecond = 1_000;
 
 /// The time limit of a call as a multiple of the estimate.
 const TIME_LIMIT_FACTOR: Millisecond = 4;
@@ -38,7 +44,7 @@
 const MAX_STARTS: usize = 128;
 
 /// The starts that may be under way however late calls are, so that some work always starts.
-const MIN_STARTS: usize = 4;
+const MIN_STARTS: usize = 8;
 
 /// The lateness of the coordinator's own calls.
 #[derive(Debug)]
@@ -48,6 +54,11 @@
     judged: Moment,
     /// The estimated time of the fastest calls, in milliseconds.
     estimate: Millisecond,
+    /// The part of the estimate that is the way to the workers and back, in milliseconds; `None` before the first
+    /// judgement.
+    way: Option<Millisecond>,
+    /// Whether no call of the last judgement was answered.
+    is_unanswered: bool,
     most_starts: usize,
     /// When the starts without an answer so far were sent, in order.
     starts: VecDeque<Moment>,
@@ -61,6 +72,8 @@
             count: 0,
             judged: now,
             estimate: 0,
+            way: None,
+            is_unanswered: false,
             most_starts: FIRST_STARTS,
             starts: VecDeque::new(),
         }
@@ -80,12 +93,21 @@
 
     /// Returns the time limit of a call in milliseconds, without the time that the worker is asked to wait.
     pub fn time_limit_ms(&self) -> Millisecond {
+        // Nothing tells how long an answer would have taken, only that it is more than the time limit.
+        if self.is_unanswered {
+            return MAX_TIME_LIMIT_MS;
+        }
         (self.estimate * TIME_LIMIT_FACTOR).clamp(MIN_TIME_LIMIT_MS, MAX_TIME_LIMIT_MS)
     }
 
     /// Returns whether calls are so late that what can be left out should be.
     pub fn is_late(&self) -> bool {
-        self.estimate > MAX_DELAY_MS
+        self.delay() > MAX_DELAY_MS
+    }
+
+    /// Returns the part of the estimate that is a delay on this side.
+    fn delay(&self) -> Millisecond {
+        self.estimate.saturating_sub(self.way.unwrap_or(0))
     }
 
     /// Notes that a start was sent.
@@ -121,6 +143,7 @@
             self.judge(summary);
         } else if since >= IDLE_INTERVAL_MS {
             self.calls.take_summary();
+            self.is_unanswered = false;
             self.set_estimate(self.estimate / 2);
         } else {
             return;
@@ -130,18 +153,20 @@
     }
 
     fn judge(&mut self, calls: CallSummary) {
-        let estimate = match calls.answered {
-            // Nothing tells how long an answer would have taken, only that it is more than the time limit.
-            0 => (self.estimate * 2).max(MIN_TIME_LIMIT_MS / 2),
-            _ => calls.fastest_quarter_ms.max(self.estimate / 2),
-        };
-        self.set_estimate(estimate);
+        self.is_unanswered = calls.answered == 0;
+        if self.is_unanswered {
+            return;
+        }
+        // The first calls may be late already.
+        let way = self.way.map_or(MAX_DELAY_MS, |it| (it + WAY_RISE_MS).min(MAX_WAY_MS));
+        self.way = Some(way.min(calls.fastest_quarter_ms));
+        self.set_estimate(calls.fastest_quarter_ms.max(self.estimate / 2));
     }
 
     fn set_estimate(&mut self, estimate: Millisecond) {
-        self.estimate = estimate.min(MAX_TIME_LIMIT_MS);
+        self.estimate = estimate;
         self.most_starts = if self.is_late() {
-            let narrowed = self.most_starts as u64 * MAX_DELAY_MS / self.estimate;
+            let narrowed = self.most_starts as u64 * MAX_DELAY_MS / self.delay();
             (narrowed as usize).max(MIN_STARTS)
         } else {
             (self.most_starts * 2).min(MAX_STARTS)
