One unanswered poll of a late coordinator tells nothing of the worker

A poll without an answer made its worker count as silent, with no tasks placed on it and other hosts moved in its place, also where the coordinator's own calls were late. While they are, the poll is repeated once first; it renews the lease as the one before did, so that the time from which the lease is counted moves with it.

--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -128,6 +128,8 @@
     /// When the link last sent a renewal of the leases.
     renewed: Moment,
     is_silent: bool,
+    /// Whether the last poll was not answered.
+    has_unanswered_poll: bool,
     is_busy: bool,
     is_closed: bool,
     /// Whether the next poll is not to wait at the worker.
@@ -156,6 +158,7 @@
                 clock: None,
                 renewed: now,
                 is_silent: false,
+                has_unanswered_poll: false,
                 is_busy: false,
                 is_closed: false,
                 must_look: false,
@@ -280,6 +283,7 @@
                 let mut state = self.state.borrow_mut();
                 state.clock = Some((held.clock_ms, self.context.clock.now()));
                 state.is_silent = false;
+                state.has_unanswered_poll = false;
                 state.acknowledged_upto = recorded_upto;
                 let last_end = held.report.ended.iter().map(|it| it.number).max().unwrap_or(0);
                 state.last_end = last_end.max(state.last_end);
@@ -301,6 +305,14 @@
         }
     }
 
+    /// Returns whether an unanswered poll tells nothing of the worker yet: this process is late itself, and the poll is the
+    /// first one without an answer.
+    fn may_be_own_delay(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_first = !std::mem::replace(&mut state.has_unanswered_poll, true);
+        is_first && self.context.lateness.borrow().is_late()
+    }
+
     fn poll_failed(&self, e: WorkerCallError) -> NextStep {
         let id = self.worker.id.clone();
         tracing::debug!(event = "look-failed", worker = %id, error = %e);
@@ -314,6 +326,7 @@
                 self.send(LinkEvent::Fenced(id));
                 NextStep::Pause(DEAD_PAUSE)
             }
+            WorkerCallError::Call(_) if self.may_be_own_delay() => NextStep::Pause(RETRY_PAUSE),
             WorkerCallError::Call(_) => {
                 let renewed = {
                     let mut state = self.state.borrow_mut();
