--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -260,6 +260,8 @@
             self.purge(now);
         }
         // A start needs a stored record. While no transaction can begin, placing tasks would only have to be repeated.
+        // What the last commit released takes room of the starts that are placed now.
+        self.execute_orders();
         if self.lease.is_some() && now.since(self.last_commit_begin) >= COMMIT_INTERVAL_MS {
             if self.link_context.may_start(now) {
                 let most = self.link_context.lateness.borrow_mut().start_room(now);
--- a/crates/site/src/lead/links/orders.rs
+++ b/crates/site/src/lead/links/orders.rs
@@ -31,15 +31,17 @@
 
 impl Link {
     /// Sends an order to start, and sends an event on its outcome.
-    pub async fn start(self: Rc<Self>, start: StartOrder) {
+    pub fn start(self: Rc<Self>, start: StartOrder) {
         let (task, run) = (start.task.clone(), start.run);
         let sent = self.context.clock.now();
         self.context.lateness.borrow_mut().start_sent(sent);
-        let answer = self.try_start(start).await;
-        self.context.lateness.borrow_mut().start_ended(sent);
-        if let Some(answer) = answer {
-            self.send(LinkEvent::Started(task, run, answer));
-        }
+        monoio::spawn(async move {
+            let answer = self.try_start(start).await;
+            self.context.lateness.borrow_mut().start_ended(sent);
+            if let Some(answer) = answer {
+                self.send(LinkEvent::Started(task, run, answer));
+            }
+        });
     }
 
     /// Sends an order to start. An order without an answer is sent once more, since the order is idempotent, unless answers
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -42,7 +42,7 @@
                 let Some(link) = self.links.get(&worker) else { return };
                 tracing::info!(event = "task-started", %task, run, %worker);
                 let start = StartOrder { task, run, payload, checkpoint, ticket };
-                monoio::spawn(link.clone().start(start));
+                link.clone().start(start);
             }
             Order::Stop { worker, task, run } => {
                 let Some(link) = self.links.get(&worker) else {
