Feed: unreadable rows count as rows of a page

A page whose only row cannot be read is no answer without rows, and 500 rows with an unreadable one are a full page. Found by the review, by reading.

--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -78,9 +78,10 @@
             Ok(FeedAnswer::Rows(page)) => {
                 let took = Duration::from_millis(self.clock.now().since(asked));
                 // An answer without rows at the end of the wait tells that there were none until then.
-                let waited = page.rows.is_empty() && took >= wait;
+                let count = page.rows.len() + page.unreadable;
+                let waited = count == 0 && took >= wait;
                 let known = if waited { asked + without_drift(wait) } else { asked };
-                let is_whole = !page.has_more && page.rows.len() < MAX_PAGE_ROWS;
+                let is_whole = !page.has_more && count < MAX_PAGE_ROWS;
                 if !page.rows.is_empty() {
                     self.event_sender.send((self.wrap)(FeedEvent::Rows(page.rows)));
                 }
