A weak coordinator that has yielded leaves the lease free for longer

Found by the review with strengths 50, 250 and 1,000 and the strongest gone for good: its row stays, so that the middle host waits for it before it takes the lease; the weak one, which knows first that the lease is free, took it back each time, and left it again. In 45 s the middle host never had it, and nobody for 5.1 s.

A process that has left the lease to a stronger host now waits three times as long as others before it takes it back, and keeps it for 8 s then, doubled each time up to 32 s: loading its state takes a small host 3 to 4 s.

Test middle_host_gets_the_lease_while_the_strong_ones_are_gone fails without the change (not within 30 s), and passes with it.

--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -29,6 +29,9 @@
 /// A stronger entry host coordinates this long after it is able to.
 const HANDOVER_TIME: Duration = Duration::from_secs(3);
 
+/// The same for one that waits for still stronger ones first.
+const MIDDLE_HANDOVER_TIME: Duration = Duration::from_secs(5);
+
 /// The longest payload of a job that the platform allows, in bytes.
 const PAYLOAD_BYTES: usize = 4_000;
 
@@ -162,3 +165,23 @@
         .collect();
     assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
 }
+
+/// The rows of the strong hosts stay, so that both the weak and the middle one wait for them before they take the lease.
+#[test]
+fn middle_host_gets_the_lease_while_the_strong_ones_are_gone() {
+    let fleet = Fleet::start_each(&[WEAK, "link-mbps = 50", ""], 2, |_| {});
+    fleet.wait_known();
+    wait_until("a stronger one coordinates", || fleet.coordinator().is_some_and(|it| it != 0));
+    fleet.entries[1..].iter().for_each(|it| it.kill());
+    wait_until("the weak one coordinates", || fleet.coordinator() == Some(0));
+    fleet.entries[1].restart();
+    wait_until("the middle one is ready", || fleet.entries[1].is_ready());
+    let able = Instant::now();
+    wait_until("the middle one coordinates", || fleet.coordinator() == Some(1));
+    let took = able.elapsed();
+    assert!(took <= MIDDLE_HANDOVER_TIME, "the middle one coordinates after {took:?}");
+    while able.elapsed() < 3 * MIDDLE_HANDOVER_TIME {
+        assert_eq!(fleet.coordinator(), Some(1));
+        thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use fuchsiamill_model::units::Moment;
+use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::Store;
 use monoio::time::sleep;
 
@@ -28,6 +28,9 @@
 /// [`SILENCE_MS`].
 const SILENCE_RESPONSE_TIMES: u32 = 6;
 
+/// A process that has just left the lease to a stronger entry host leaves it for this many times the usual delay.
+const YIELDED_DELAY_FACTOR: Millisecond = 3;
+
 /// The state of the lease as one poll finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaseState {
@@ -49,6 +52,9 @@
     pub term: Rc<Cell<u64>>,
     /// The other entry hosts; much stronger ones take a free lease first.
     pub entries: Entries,
+    /// Whether this process has just left the lease to a stronger entry host. That one may know of hosts that are stronger
+    /// still, and leave the lease to them for a while.
+    pub has_yielded: bool,
 }
 
 /// The lease as won, and its former holder.
@@ -159,7 +165,8 @@
         };
         let since = *observed.free_since.get_or_insert(now);
         let take_delay_ms = self.entries.borrow().take_delay_ms();
-        if now.since(since) < take_delay_ms || !self.is_unchanged(version).await {
+        let share = if self.has_yielded { YIELDED_DELAY_FACTOR } else { 1 };
+        if now.since(since) < take_delay_ms * share || !self.is_unchanged(version).await {
             return NextStep::Pause(RECHECK_INTERVAL_MS);
         }
         self.take(observed, (row, version), holder_state).await
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -41,8 +41,8 @@
 
 /// How long a process keeps the lease that it left to stronger entry hosts and that none of them took. It doubles each time,
 /// since each change of the coordinator costs some starts of tasks.
-const FIRST_KEEP_MS: Millisecond = 2_000;
-const LONGEST_KEEP_MS: Millisecond = 16_000;
+const FIRST_KEEP_MS: Millisecond = 8_000;
+const LONGEST_KEEP_MS: Millisecond = 32_000;
 
 /// An entry host that competes for the lease.
 #[derive(Clone)]
@@ -88,6 +88,7 @@
                 own: self.own.clone(),
                 term: self.term.clone(),
                 entries: self.entries.clone(),
+                has_yielded: yielded.is_some(),
             };
             let won = election.win().await;
             let term = won.lease.term();
