--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -25,8 +25,8 @@
 /// The longest way to workers of another region and back.
 const MAX_WAY_MS: Millisecond = 200;
 
-/// How much longer the way may get from one judgement to the next. A lasting delay is taken for a longer way within half a
-/// minute.
+/// How much longer the way may get from one judgement to the next: 4 ms a second, so that a burst of some seconds is not taken
+/// for a longer way.
 const WAY_RISE_MS: Millisecond = 1;
 
 /// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions, which
