--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -166,7 +166,8 @@
     assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
 }
 
-/// The rows of the strong hosts stay, so that both the weak and the middle one wait for them before they take the lease.
+/// The rows of the strong hosts stay, so that both the weak and the middle one wait for them before they take the
+/// lease.
 #[test]
 fn middle_host_gets_the_lease_while_the_strong_ones_are_gone() {
     let fleet = Fleet::start_each(&[WEAK, "link-mbps = 50", ""], 2, |_| {});
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -1,8 +1,8 @@
 //! How late the coordinator's own calls are, and how many starts it may have under way.
 //!
-//! Calls to all workers share one link and one processor. When these are full, every answer is late, and giving calls up
-//! and making others instead fills them further. So the time limit of calls follows the answers, and starts, the largest
-//! and the only deferrable calls, are held back; polls and stops are not.
+//! Calls to all workers share one link and one processor. When these are full, every answer is late, and giving calls
+//! up and making others instead fills them further. So the time limit of calls follows the answers, and starts, the
+//! largest and the only deferrable calls, are held back; polls and stops are not.
 
 use std::collections::VecDeque;
 
@@ -25,12 +25,12 @@
 /// The longest way to workers of another region and back.
 const MAX_WAY_MS: Millisecond = 200;
 
-/// How much longer the way may get from one judgement to the next: 4 ms a second, so that a burst of some seconds is not taken
-/// for a longer way.
+/// How much longer the way may get from one judgement to the next: 4 ms a second, so that a burst of some seconds is
+/// not taken for a longer way.
 const WAY_RISE_MS: Millisecond = 1;
 
-/// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions, which
-/// renew no lease, have to fit into a lease of five to six seconds.
+/// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions,
+/// which renew no lease, have to fit into a lease of five to six seconds.
 const MIN_TIME_LIMIT_MS: Millisecond = 400;
 const MAX_TIME_LIMIT_MS: Millisecond = 1_000;
 
@@ -124,7 +124,8 @@
 
     /// Returns how many starts may be sent now.
     pub fn start_room(&mut self, now: Moment) -> usize {
-        // One that is unanswered for longer than the fastest calls take is with its worker, which may not answer at all.
+        // One that is unanswered for longer than the fastest calls take is with its worker, which may not answer at
+        // all.
         let age = MAX_DELAY_MS.max(self.estimate * 2);
         while self.starts.front().is_some_and(|it| now.since(*it) > age) {
             self.starts.pop_front();
--- a/crates/fleet/tests/any_order.rs
+++ b/crates/fleet/tests/any_order.rs
@@ -141,8 +141,8 @@
     assert!(holds(&[31, 31, 51, 62], Delivery::ToIncarnation));
 }
 
-/// The answer to the start of a long-running task is lost, and so is the stop that was ordered for it. The others of its
-/// step are not at work, so that the stop may not be repeated.
+/// The answer to the start of a long-running task is lost, and so is the stop that was ordered for it. The others of
+/// its step are not at work, so that the stop may not be repeated.
 #[test]
 fn run_with_a_lost_answer_is_neither_wanted_nor_stopped() {
     let script = [
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -52,8 +52,8 @@
     pub term: Rc<Cell<u64>>,
     /// The other entry hosts; much stronger ones take a free lease first.
     pub entries: Entries,
-    /// Whether this process has just left the lease to a stronger entry host. That one may know of hosts that are stronger
-    /// still, and leave the lease to them for a while.
+    /// Whether this process has just left the lease to a stronger entry host. That one may know of hosts that are
+    /// stronger still, and leave the lease to them for a while.
     pub has_yielded: bool,
 }
 
--- a/crates/site/src/lead/feeds.rs
+++ b/crates/site/src/lead/feeds.rs
@@ -119,7 +119,8 @@
     }
 }
 
-/// Returns how much of `wait` has certainly passed when another machine, whose clock may be 2 % fast, has waited for it.
+/// Returns how much of `wait` has certainly passed when another machine, whose clock may be 2 % fast, has waited for
+/// it.
 fn without_drift(wait: Duration) -> Millisecond {
     let ms = wait.as_millis() as u64;
     (2 * ms).saturating_sub(with_drift(ms))
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -37,8 +37,8 @@
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
 /// Tasks start while the table of jobs is known as of this time ago at most. It leaves a second of the three that the
-/// platform allows between the answer to a cancellation and the last start; a feed without faults keeps the copy within a
-/// second.
+/// platform allows between the answer to a cancellation and the last start; a feed without faults keeps the copy
+/// within a second.
 const MAX_JOBS_AGE_MS: Millisecond = 1_800;
 
 /// News from the link to a worker.
@@ -305,8 +305,8 @@
         }
     }
 
-    /// Returns whether an unanswered poll tells nothing of the worker yet: this process is late itself, and the poll is the
-    /// first one without an answer.
+    /// Returns whether an unanswered poll tells nothing of the worker yet: this process is late itself, and the poll
+    /// is the first one without an answer.
     fn may_be_own_delay(&self) -> bool {
         let mut state = self.state.borrow_mut();
         let is_first = !std::mem::replace(&mut state.has_unanswered_poll, true);
--- a/crates/site/src/lead/links/orders.rs
+++ b/crates/site/src/lead/links/orders.rs
@@ -44,8 +44,8 @@
         });
     }
 
-    /// Sends an order to start. An order without an answer is sent once more, since the order is idempotent, unless answers
-    /// are late anyway. Returns `None` if the worker process is gone.
+    /// Sends an order to start. An order without an answer is sent once more, since the order is idempotent, unless
+    /// answers are late anyway. Returns `None` if the worker process is gone.
     async fn try_start(&self, start: StartOrder) -> Option<StartReply> {
         let StartOrder { task, run, payload, checkpoint, ticket } = start;
         let ticket = (!ticket.is_empty()).then_some(ticket.as_str());
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -39,8 +39,8 @@
 /// The holder rewrites the lease row at least this often.
 const RENEW_INTERVAL_MS: u64 = 300;
 
-/// How long a process keeps the lease that it left to stronger entry hosts and that none of them took. It doubles each time,
-/// since each change of the coordinator costs some starts of tasks.
+/// How long a process keeps the lease that it left to stronger entry hosts and that none of them took. It doubles each
+/// time, since each change of the coordinator costs some starts of tasks.
 const FIRST_KEEP_MS: Millisecond = 8_000;
 const LONGEST_KEEP_MS: Millisecond = 32_000;
 
--- a/crates/site/src/lead/standing.rs
+++ b/crates/site/src/lead/standing.rs
@@ -12,7 +12,8 @@
 /// The timeout of a call to the holder of the lease.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The timeout of a call to a stronger entry host. The answer may wait on the link behind the state that is being loaded.
+/// The timeout of a call to a stronger entry host. The answer may wait on the link behind the state that is being
+/// loaded.
 const PATIENT_CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The reply of an entry host's process.
