Lateness: round-trip time, evaluation and local delay by their usual names

Found when the whole diff was read again as a newcomer would: "way" and "judgement" say nothing without the story. Private names, comments and three test names only; the tests assert what they did.

--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -10,24 +10,24 @@
 
 use crate::{CallSummary, CallTimes};
 
-/// The time between two judgements.
-const JUDGE_INTERVAL_MS: Millisecond = 250;
+/// The time between two evaluations.
+const EVALUATION_INTERVAL_MS: Millisecond = 250;
 
-/// A judgement needs this many calls, so that a few slow workers are not taken for an own delay.
+/// An evaluation needs this many calls, so that a few slow workers are not taken for a local delay.
 const MIN_CALLS: usize = 8;
 
-/// A judgement without enough calls is made up for by halving the estimate after this time.
+/// Without enough calls for an evaluation, the estimate is halved after this time.
 const IDLE_INTERVAL_MS: Millisecond = 1_000;
 
-/// The delay of the fastest calls, beyond the way to the workers, up to which nothing is held back.
+/// The delay of the fastest calls, beyond the round-trip time, up to which nothing is held back.
 const MAX_DELAY_MS: Millisecond = 50;
 
-/// The longest way to workers of another region and back.
-const MAX_WAY_MS: Millisecond = 200;
+/// The longest round-trip time to workers of another region.
+const MAX_ROUND_TRIP_MS: Millisecond = 200;
 
-/// How much longer the way may get from one judgement to the next: 4 ms a second, so that a burst of some seconds is
-/// not taken for a longer way.
-const WAY_RISE_MS: Millisecond = 1;
+/// How much the estimated round-trip time may grow with each evaluation: 4 ms a second, so that a burst of some seconds
+/// is not taken for a longer route.
+const ROUND_TRIP_RISE_MS: Millisecond = 1;
 
 /// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions,
 /// which renew no lease, have to fit into a lease of five to six seconds.
@@ -51,13 +51,13 @@
 pub struct Lateness {
     calls: CallTimes,
     count: usize,
-    judged: Moment,
+    evaluated: Moment,
     /// The estimated time of the fastest calls, in milliseconds.
     estimate: Millisecond,
-    /// The part of the estimate that is the way to the workers and back, in milliseconds; `None` before the first
-    /// judgement.
-    way: Option<Millisecond>,
-    /// Whether no call of the last judgement was answered.
+    /// The part of the estimate that is the round-trip time to the workers, in milliseconds; `None` before the first
+    /// evaluation.
+    round_trip: Option<Millisecond>,
+    /// Whether no call of the last evaluation was answered.
     is_unanswered: bool,
     most_starts: usize,
     /// When the starts without an answer so far were sent, in order.
@@ -70,9 +70,9 @@
         Self {
             calls: CallTimes::default(),
             count: 0,
-            judged: now,
+            evaluated: now,
             estimate: 0,
-            way: None,
+            round_trip: None,
             is_unanswered: false,
             most_starts: FIRST_STARTS,
             starts: VecDeque::new(),
@@ -100,14 +100,14 @@
         (self.estimate * TIME_LIMIT_FACTOR).clamp(MIN_TIME_LIMIT_MS, MAX_TIME_LIMIT_MS)
     }
 
-    /// Returns whether calls are so late that what can be left out should be.
+    /// Returns whether calls are so late that those which can be left out should be.
     pub fn is_late(&self) -> bool {
         self.delay() > MAX_DELAY_MS
     }
 
-    /// Returns the part of the estimate that is a delay on this side.
+    /// Returns the part of the estimate that is a local delay, by the link or the processor.
     fn delay(&self) -> Millisecond {
-        self.estimate.saturating_sub(self.way.unwrap_or(0))
+        self.estimate.saturating_sub(self.round_trip.unwrap_or(0))
     }
 
     /// Notes that a start was sent.
@@ -135,13 +135,13 @@
 
     fn note_call(&mut self, now: Moment) {
         self.count += 1;
-        let since = now.since(self.judged);
-        if since < JUDGE_INTERVAL_MS {
+        let since = now.since(self.evaluated);
+        if since < EVALUATION_INTERVAL_MS {
             return;
         }
         if self.count >= MIN_CALLS {
             let summary = self.calls.take_summary();
-            self.judge(summary);
+            self.evaluate(summary);
         } else if since >= IDLE_INTERVAL_MS {
             self.calls.take_summary();
             self.is_unanswered = false;
@@ -150,17 +150,19 @@
             return;
         }
         self.count = 0;
-        self.judged = now;
+        self.evaluated = now;
     }
 
-    fn judge(&mut self, calls: CallSummary) {
+    fn evaluate(&mut self, calls: CallSummary) {
         self.is_unanswered = calls.answered == 0;
         if self.is_unanswered {
             return;
         }
         // The first calls may be late already.
-        let way = self.way.map_or(MAX_DELAY_MS, |it| (it + WAY_RISE_MS).min(MAX_WAY_MS));
-        self.way = Some(way.min(calls.fastest_quarter_ms));
+        let round_trip = self
+            .round_trip
+            .map_or(MAX_DELAY_MS, |it| (it + ROUND_TRIP_RISE_MS).min(MAX_ROUND_TRIP_MS));
+        self.round_trip = Some(round_trip.min(calls.fastest_quarter_ms));
         self.set_estimate(calls.fastest_quarter_ms.max(self.estimate / 2));
     }
 
--- a/crates/fleet/tests/late_calls.rs
+++ b/crates/fleet/tests/late_calls.rs
@@ -25,7 +25,7 @@
 }
 
 #[test]
-fn slow_or_silent_workers_are_not_an_own_delay() {
+fn slow_or_silent_workers_are_not_a_local_delay() {
     for slow in [Some(390), None] {
         let mut lateness = Lateness::new(START);
         let times = (0..600).map(|it| if it % 10 < 6 { slow } else { Some(3) });
@@ -56,23 +56,23 @@
     let mut lateness = Lateness::new(START);
     let now = play(&mut lateness, START, (0..300).map(|_| None));
     assert_eq!(lateness.time_limit_ms(), LONG_LIMIT_MS);
-    // Workers that are cut off are no reason to start less on others.
+    // Workers that are cut off are no reason to hold back starts on others.
     assert!(!lateness.is_late());
     assert!(lateness.start_room(now) >= 16);
 }
 
 #[test]
-fn workers_far_away_are_not_an_own_delay() {
-    for way in [20, 60, 120, 200] {
+fn distant_workers_are_not_a_local_delay() {
+    for round_trip in [20, 60, 120, 200] {
         let mut lateness = Lateness::new(START);
-        let now = play(&mut lateness, START, (0..4_000).map(|_| Some(way)));
-        assert!(!lateness.is_late(), "{way}");
-        assert!(lateness.start_room(now) > 100, "{way}");
+        let now = play(&mut lateness, START, (0..4_000).map(|_| Some(round_trip)));
+        assert!(!lateness.is_late(), "{round_trip}");
+        assert!(lateness.start_room(now) > 100, "{round_trip}");
     }
 }
 
 #[test]
-fn way_that_became_longer_is_known_after_a_while() {
+fn longer_round_trip_is_learned_after_a_while() {
     let mut lateness = Lateness::new(START);
     let now = play(&mut lateness, START, (0..100).map(|_| Some(5)));
     let now = play(&mut lateness, now, (0..100).map(|_| Some(120)));
