A wave that was written anew is not told to be completed

Cause: the stored record of a wave was taken over by its number only, with its completion. Evidence: wave_that_was_written_anew_is_not_completed, failing each time on the former code. Change: a record completes a wave only if all hosts of the wave as it is now have begun their maintenance.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -174,11 +174,14 @@
             let drained = self.take_replaced(wave.number);
             let is_kept = |it: &&Name| wave.hosts.contains(it);
             let record = stored.get(&wave.number).cloned().unwrap_or_default();
+            // The operator may have written the wave anew, with more hosts, since the record was stored.
+            let is_completed =
+                record.is_completed && wave.hosts.iter().all(|it| record.begun.contains(it));
             self.waves.push(WaveState {
                 wave: wave.clone(),
                 begun: record.begun.into_iter().collect(),
                 draining: drained.iter().filter(is_kept).cloned().collect(),
-                is_completed: record.is_completed,
+                is_completed,
             });
             self.dirty_waves.insert(wave.number);
             drained.iter().for_each(|it| self.update_reserved(it));
