An end that is listed again is acknowledged again

Cause: an end was acknowledged once, by the link that its worker had then. A link that was replaced meanwhile lost the number, and the worker listed its ends for ever. Evidence: end_that_is_listed_again_is_acknowledged_again, failing each time on the former code. Change: ends that a poll lists after their acknowledgement was released are acknowledged again. Nothing is stored again for it.

--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -60,8 +60,12 @@
     pub fn committed(&mut self, now: Moment) {
         let Some((ids, orders)) = self.commit_in_flight.take() else { return };
         for order in &orders {
-            if let Order::Start { task, .. } = order {
-                self.set_phase(task, Phase::Sent, now);
+            match order {
+                Order::Start { task, .. } => self.set_phase(task, Phase::Sent, now),
+                Order::Acknowledge { worker, born, upto } => {
+                    self.acknowledgement_released(worker, (*born, *upto), now);
+                }
+                _ => {}
             }
         }
         let orders = orders.into_iter().filter(|it| self.may_send(it, now)).collect::<Vec<_>>();
@@ -71,6 +75,15 @@
         }
     }
 
+    fn acknowledgement_released(&mut self, worker: &Name, (born, upto): (u64, u64), now: Moment) {
+        if let Some(worker) = self.workers.get_mut(worker)
+            && worker.seen.born == born
+            && worker.last_end == upto
+        {
+            worker.acknowledged = Some(now);
+        }
+    }
+
     /// Returns whether something waits to be placed or stored.
     pub fn has_work(&self) -> bool {
         self.needs_placing || self.has_records()
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -111,6 +111,7 @@
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.seen = seen;
         worker.last_end = 0;
+        worker.acknowledged = None;
         worker.unknown = UnknownRuns::default();
         worker.answered = false;
         worker.unlisted = false;
@@ -218,8 +219,21 @@
             && last > before
         {
             worker.last_end = last;
+            worker.acknowledged = None;
             let born = report.born;
             self.pending_orders.push(Order::Acknowledge { worker: id.clone(), born, upto: last });
+        } else {
+            self.acknowledge_again(id, &report);
+        }
+    }
+
+    /// Acknowledges ends that a worker lists although their acknowledgement was released before it was polled: the link
+    /// that was to send it may have been replaced.
+    fn acknowledge_again(&mut self, id: &Name, report: &WorkerReport) {
+        let Some(worker) = self.workers.get(id) else { return };
+        if !report.ended.is_empty() && worker.acknowledged.is_some_and(|at| report.asked > at) {
+            let (born, upto) = (report.born, worker.last_end);
+            self.ready_orders.push(Order::Acknowledge { worker: id.clone(), born, upto });
         }
     }
 
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -37,6 +37,8 @@
     pub unknown: UnknownRuns,
     /// The highest number of an end that was handled in memory.
     pub last_end: u64,
+    /// When the acknowledgement of that end was released to be sent; `None` before that.
+    pub acknowledged: Option<Moment>,
     /// Whether this incarnation of the worker has answered this coordinator.
     pub answered: bool,
     /// Whether its entry is gone from the worker list.
@@ -71,6 +73,7 @@
             reports_runs: false,
             unknown: UnknownRuns::default(),
             last_end: 0,
+            acknowledged: None,
             answered: false,
             unlisted: false,
             silent_since: None,
--- a/crates/fleet/tests/lost_wishes.rs
+++ b/crates/fleet/tests/lost_wishes.rs
@@ -29,6 +29,30 @@
     assert_eq!(starts(&bench.step()), [], "w1 may have no room while it lists an unknown run");
 }
 
+/// The connection that was to send the acknowledgement may have been replaced since.
+#[test]
+fn end_that_is_listed_again_is_acknowledged_again() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    let mut acknowledged_ends = Vec::new();
+    for _ in 0..3 {
+        bench.wait(2_000);
+        let end = RunEnd {
+            number: 1,
+            task: task("j", 0, 0),
+            run: 1,
+            ending: Ending::Done,
+            checkpoint: Default::default(),
+        };
+        let report = WorkerReport { asked: bench.now, born: 7, running: vec![], ended: vec![end] };
+        bench.coordinator.worker_reported(&"w1".into(), report, bench.now);
+        acknowledged_ends.push(acknowledged(&bench.step()));
+    }
+    assert_eq!(acknowledged_ends, [Some(1); 3]);
+}
+
 /// The record that a former coordinator stored for a wave does not apply to a new wave with the same number.
 #[test]
 fn wave_that_was_written_anew_is_not_completed() {
@@ -51,31 +75,6 @@
 mod known_red {
     use super::*;
 
-    /// The connection that was to send the acknowledgement may have been replaced since.
-    #[test]
-    fn end_that_is_listed_again_is_acknowledged_again() {
-        let mut bench = Bench::new();
-        bench.add(worker("w1"));
-        bench.accept("j", job(vec![step(1)]));
-        assert_eq!(bench.run().len(), 1);
-        let mut acknowledged_ends = Vec::new();
-        for _ in 0..3 {
-            bench.wait(2_000);
-            let end = RunEnd {
-                number: 1,
-                task: task("j", 0, 0),
-                run: 1,
-                ending: Ending::Done,
-                checkpoint: Default::default(),
-            };
-            let report =
-                WorkerReport { asked: bench.now, born: 7, running: vec![], ended: vec![end] };
-            bench.coordinator.worker_reported(&"w1".into(), report, bench.now);
-            acknowledged_ends.push(acknowledged(&bench.step()));
-        }
-        assert_eq!(acknowledged_ends, [Some(1); 3]);
-    }
-
     /// Both starts were executed but unanswered, and both stops were lost: both tasks run, but each counts as
     /// unavailable for the other.
     #[test]
