Lost stops of one step do not block each other

Cause: a long-running run whose stop was lost counts as unavailable for the others of its step. Two of them may not be stopped because of each other, and none goes on. Evidence: lost_stops_of_a_step_do_not_block_each_other. Change: a run that its worker lists goes on if its stop was lost and may not be repeated now.

--- a/crates/fleet/src/coordinator/ending.rs
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -50,13 +50,25 @@
         let Some(task) = job.task(id) else { return };
         let Some(live) = task.live() else { return };
         let is_tried = live.stop_ordered.is_some_and(|at| now.since(at) < STOP_RETRY_MS);
-        let is_needed = !job.stage.is_over() && !task.is_superseded;
         // Other tasks of its step may have become unavailable since the first order.
-        if !is_tried && (!is_needed || job.may_stop(id, now)) {
+        if !is_tried && (!is_needed(job, task) || job.may_stop(id, now)) {
             self.order_stop(id, now);
         }
     }
 
+    /// Lets a run that its worker lists go on if its stop was lost and may not be ordered again now. Several such runs of
+    /// a step would otherwise count as unavailable for each other for ever.
+    pub(super) fn keep_run_without_stop(&mut self, id: &TaskId, now: Moment) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(task) = job.task(id) else { return };
+        let Some(live) = task.live() else { return };
+        let is_lost = live.phase == Phase::Stopping
+            && live.stop_ordered.is_none_or(|at| now.since(at) >= STOP_RETRY_MS);
+        if is_lost && is_needed(job, task) && !job.may_stop(id, now) {
+            self.set_phase(id, Phase::Running, now);
+        }
+    }
+
     pub(super) fn order_stop(&mut self, id: &TaskId, now: Moment) {
         let run = self.run_of(id);
         let Some(live) = self.live_mut(id) else { return };
@@ -109,8 +121,13 @@
     }
 }
 
+/// Returns whether a result of the task is still needed.
+fn is_needed(job: &Job, task: &Task) -> bool {
+    !job.stage.is_over() && !task.is_superseded
+}
+
 /// Returns whether a run must not continue: its stop was ordered, or its result is no longer needed.
 fn has_to_end(job: &Job, task: &Task, live: &LiveRun) -> bool {
     let is_stopping = matches!(live.phase, Phase::Stopping | Phase::StopConfirmed);
-    is_stopping || task.is_superseded || job.stage.is_over()
+    is_stopping || !is_needed(job, task)
 }
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -269,6 +269,7 @@
             self.ready_orders.push(Order::Stop { worker: worker.clone(), task, run });
             return;
         }
+        self.keep_run_without_stop(id, now);
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         job.has_begun = true;
         let Some(task) = job.task_mut(id) else { return };
--- a/crates/fleet/tests/lost_wishes.rs
+++ b/crates/fleet/tests/lost_wishes.rs
@@ -53,6 +53,49 @@
     assert_eq!(acknowledged_ends, [Some(1); 3]);
 }
 
+/// Both starts were executed but unanswered, and both stops were lost: both tasks run, but each counts as
+/// unavailable for the other.
+#[test]
+fn lost_stops_of_a_step_do_not_block_each_other() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.add(worker("w2"));
+    let spec =
+        Step { long_running: true, max_unavailable: Some(1), per_worker: Some(1), ..step(2) };
+    bench.accept("j", job(vec![spec]));
+    let started = starts(&bench.step());
+    assert_eq!(started.len(), 2);
+    for (id, run, _) in &started {
+        bench.coordinator.start_answered(id, *run, StartReply::Unknown, bench.now);
+    }
+    bench.step();
+    for (_, _, on) in &started {
+        bench.report(on, &[], &[]);
+    }
+    assert_eq!(stops(&bench.step()).len(), 2, "neither run is listed");
+    for (id, run, _) in &started {
+        bench.coordinator.stop_failed(id, *run);
+    }
+    let mut again = 0;
+    for _ in 0..60 {
+        bench.wait(1_000);
+        for (id, run, on) in &started {
+            bench.report(on, &[(id.clone(), *run)], &[]);
+        }
+        let orders = bench.step();
+        again += stops(&orders).len();
+        for (id, run) in stops(&orders) {
+            bench.coordinator.stop_failed(&id, run);
+        }
+    }
+    let job = bench.coordinator.job("j").expect("a job");
+    let phases: Vec<Phase> = job.live_tasks().iter().map(|it| it.1.phase).collect();
+    assert!(
+        again > 0 || phases.iter().all(|it| *it == Phase::Running),
+        "for a minute both are reported as working, {phases:?}, and no stop was ordered"
+    );
+}
+
 /// The record that a former coordinator stored for a wave does not apply to a new wave with the same number.
 #[test]
 fn wave_that_was_written_anew_is_not_completed() {
@@ -70,51 +113,3 @@
     let completed: Vec<bool> = records.iter().map(|it| it.1.is_completed).collect();
     assert_eq!(completed, [false], "h2 has not begun its maintenance");
 }
-
-/// Tests that fail because of a known fault, see KNOWN-RED.txt.
-mod known_red {
-    use super::*;
-
-    /// Both starts were executed but unanswered, and both stops were lost: both tasks run, but each counts as
-    /// unavailable for the other.
-    #[test]
-    fn lost_stops_of_a_step_do_not_block_each_other() {
-        let mut bench = Bench::new();
-        bench.add(worker("w1"));
-        bench.add(worker("w2"));
-        let spec =
-            Step { long_running: true, max_unavailable: Some(1), per_worker: Some(1), ..step(2) };
-        bench.accept("j", job(vec![spec]));
-        let started = starts(&bench.step());
-        assert_eq!(started.len(), 2);
-        for (id, run, _) in &started {
-            bench.coordinator.start_answered(id, *run, StartReply::Unknown, bench.now);
-        }
-        bench.step();
-        for (_, _, on) in &started {
-            bench.report(on, &[], &[]);
-        }
-        assert_eq!(stops(&bench.step()).len(), 2, "neither run is listed");
-        for (id, run, _) in &started {
-            bench.coordinator.stop_failed(id, *run);
-        }
-        let mut again = 0;
-        for _ in 0..60 {
-            bench.wait(1_000);
-            for (id, run, on) in &started {
-                bench.report(on, &[(id.clone(), *run)], &[]);
-            }
-            let orders = bench.step();
-            again += stops(&orders).len();
-            for (id, run) in stops(&orders) {
-                bench.coordinator.stop_failed(&id, run);
-            }
-        }
-        let job = bench.coordinator.job("j").expect("a job");
-        let phases: Vec<Phase> = job.live_tasks().iter().map(|it| it.1.phase).collect();
-        assert!(
-            again > 0 || phases.iter().all(|it| *it == Phase::Running),
-            "for a minute both are reported as working, {phases:?}, and no stop was ordered"
-        );
-    }
-}
