The steady clock counts the time for which a machine was suspended

Cause: the clock was CLOCK_MONOTONIC, which stands still while the machine is suspended. A coordinator that goes on after a suspension took its last confirmation and its copy of the jobs for fresh, and renewed leases and started tasks by permissions that had ended for everybody else. Change: CLOCK_BOOTTIME, by rustix. No test suspends a machine; processes that are stopped by signals are covered by fleet_soak and recovery_times.

--- a/crates/site/src/clock.rs
+++ b/crates/site/src/clock.rs
@@ -1,27 +1,31 @@
-//! The monotonic clock and the wall clock of this process.
+//! The steady clock and the wall clock of this process.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fuchsiamill_model::units::{Moment, WallTime};
+use rustix::time::{ClockId, clock_gettime};
 
-/// Reads the monotonic clock and the wall clock.
+/// Reads the steady clock and the wall clock.
+///
+/// The steady clock counts the time for which the machine was suspended. Every permission that ends after a while, such
+/// as the lease of the coordinator, ends for the rest of the system meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 /// The moment at which the process starts; above zero so that moments before the start can be represented.
 const START_MS: u64 = 3_600_000;
 
 impl Clock {
-    /// Starts the monotonic clock.
+    /// Starts the steady clock.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
-    /// Returns the current moment on the monotonic clock.
+    /// Returns the current moment on the steady clock.
     pub fn now(&self) -> Moment {
-        Moment(START_MS + self.start.elapsed().as_millis() as u64)
+        Moment(START_MS + since_boot().saturating_sub(self.start).as_millis() as u64)
     }
 
     /// Returns the current wall-clock time.
@@ -30,3 +34,8 @@
         WallTime(since.as_millis() as u64)
     }
 }
+
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
