A late coordinator hands starts to the entry hosts that accepted the jobs

Cause: the coordinator sent every start, with a payload of up to 4 KB, through its own link. On 2 Mbit/s it starts about 100 tasks a second whatever the other links carry; the backlog never clears, and accepted work is lost to its callers. Ruled out: processor time (0.5 of a core on the same links: as many), placement (wide links: none broken). Change: the coordinator places and records as before. While its own calls are late it hands released starts in small batches over the peer port to the entry hosts that accepted their jobs, which keep the payloads of the last 4 MB. A sender acts under the coordinator's fence and a permission that ends on the sender's own clock, checked right before it sends. What it cannot send the coordinator sends; what gets no answer is looked for on its worker, as before. Tests: handed_starts; narrow_links, whose accepted_work_is_finished_over_narrow_links was seen failing while overflow went through the coordinator's own link (not finished within 30 s of the last job).

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -36,6 +36,8 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// Where other entry hosts reach it.
+    pub peers: SocketAddr,
     /// Its way to the store, through the proxy.
     route: SocketAddr,
     daemon: Daemon,
@@ -195,7 +197,7 @@
             site.hosts
         );
         let daemon = Daemon::start(front, &text);
-        Self { name, front, ready, route, daemon }
+        Self { name, front, ready, peers, route, daemon }
     }
 
     pub fn is_ready(&self) -> bool {
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -19,7 +19,7 @@
 use fastrand::Rng;
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{NarrowLink, StoreFault, Worker, WorkerFault},
+    fleet::{NarrowLinks, StoreFault, Worker, WorkerFault},
 };
 
 /// Seeds that failed once, each with a line on its cause.
@@ -194,9 +194,9 @@
     fn delay_coordinators(&mut self) {
         let mut world = self.fleet.site.world();
         match self.late_rng.u32(0..12) {
-            0 => world.link = Some(NarrowLink::new(self.late_rng.u32(LINK_BYTES_PER_S))),
+            0 => world.links = Some(NarrowLinks::new(self.late_rng.u32(LINK_BYTES_PER_S))),
             1 => world.rows.mute_feed = Some("jobs"),
-            2 | 3 => world.link = None,
+            2 | 3 => world.links = None,
             4 | 5 => world.rows.mute_feed = None,
             _ => {}
         }
@@ -270,7 +270,7 @@
             let mut world = self.fleet.site.world();
             world.rows.fault = StoreFault::None;
             world.rows.mute_feed = None;
-            world.link = None;
+            world.links = None;
         }
         for (_, host) in self.lapsed.drain(..) {
             self.fleet.site.world().list(host);
--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -13,7 +13,7 @@
 };
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{NarrowLink, RunRecord, StoreFault},
+    fleet::{NarrowLinks, RunRecord, StoreFault},
 };
 use http::Method;
 use serde_json::{Value, json};
@@ -139,7 +139,7 @@
 #[test]
 fn full_link_is_not_taken_for_silent_workers() {
     let bytes_per_s = 400_000;
-    let fleet = Fleet::start_on(1, 12, |world| world.link = Some(NarrowLink::new(bytes_per_s)));
+    let fleet = Fleet::start_on(1, 12, |world| world.links = Some(NarrowLinks::new(bytes_per_s)));
     let kept = fleet.accept(&job(300_000, &[12]), PATIENCE).expect("accepted");
     wait_until("all of its tasks are at work", || runs_of(&fleet, &kept).len() == 12);
     let jobs: Vec<String> =
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -4,6 +4,7 @@
     FastMap,
     units::{Millisecond, Moment},
 };
+use serde::{Deserialize, Serialize};
 
 use super::{
     Coordinator, LiveRun, Order, Phase, TaskState, Worker, health::AVOID_FAILING_MS,
@@ -14,7 +15,7 @@
 };
 
 /// The reply to the order to start a run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartReply {
     /// The worker has the run.
     Running,
@@ -40,7 +41,7 @@
 }
 
 /// Why a worker did not start a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// Another coordinator has given orders since.
     Fence,
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -27,6 +27,10 @@
     pub schedule: Option<Schedule>,
     /// Time at which the job was accepted.
     pub accepted: WallTime,
+    /// Address at which other entry hosts reach the one that accepted the job, and so has its payload; empty if it is
+    /// not known.
+    #[serde(skip_serializing_if = "Name::is_empty")]
+    pub accepted_by: Name,
     /// Settings of the queue at the time at which the job was accepted.
     pub route: RouteSettings,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 mod call_times;
 pub mod config;
 pub mod coordinator;
+mod handover;
 pub mod job;
 mod lateness;
 pub mod record;
@@ -16,6 +17,7 @@
 pub use call_times::{CallSummary, CallTimes};
 pub use config::{Config, Pool, Queue, Team};
 pub use coordinator::{Commit, Coordinator, Order};
+pub use handover::{Handover, Sender};
 pub use job::{JobSpec, Schedule, Step};
 pub use lateness::Lateness;
 pub use record::{JobRecord, Stage, TaskRecord};
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -26,13 +26,14 @@
     clock::Clock,
     config::{Intent, IntentFollower},
     dependency::Dependency,
-    front::{Front, Submitter},
+    front::{Front, Insert, Submitter},
     lead::{
         Candidate, Entries, EntryRow, LeaseRow, Standing, publish_and_follow_entries,
         serve_standing, strength,
     },
     metrics::Metrics,
     relay::{self, Relay},
+    senders::{self, Payloads, SenderService},
     story, tables,
 };
 
@@ -139,6 +140,7 @@
             monoio::spawn(server.run(shutdown.clone()));
         }
 
+        let payloads = Rc::<RefCell<Payloads>>::default();
         let term = Rc::<Cell<u64>>::default();
         let incarnation = fastrand::u64(..) >> INCARNATION_SHIFT;
         let entries = Entries::default();
@@ -158,12 +160,27 @@
             let mut router = Router::default();
             serve_standing(&mut router, standing);
             relay::serve(&mut router, store.clone());
+            let (payloads, metrics) = (payloads.clone(), metrics.clone());
+            let service = SenderService::new(incarnation, clock, payloads, metrics);
+            senders::serve(&mut router, service);
             let server = PeerServer::bind(addr)
                 .with_context(|| format!("cannot listen at {addr} for other entry hosts"))?;
             monoio::spawn(server.run(Rc::new(router)));
         }
 
-        let front = front(&store, clock, &intent, &relay, &metrics, settings.row_bytes);
+        let address: Name = settings.peers.map(|it| it.to_string().into()).unwrap_or_default();
+        let front = Front {
+            store: store.clone(),
+            clock,
+            intent: intent.clone(),
+            submitters: start_submitters(&store, clock, &relay),
+            relay: relay.clone(),
+            row_bytes: settings.row_bytes,
+            board: RefCell::default(),
+            metrics: metrics.clone(),
+            own_address: address.clone(),
+            payloads,
+        };
         let bounds = Bounds { connections: MAX_CALLER_CONNECTIONS, ..Bounds::default() };
         let server = Server::bind(settings.callers, bounds, Rc::new(front))
             .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
@@ -171,11 +188,11 @@
         let callers = CallerServer { stop, task: monoio::spawn(server.run(shutdown)) };
 
         let own = EntryRow {
-            address: settings.peers.map(|it| it.to_string().into()).unwrap_or_default(),
+            address: address.clone(),
             incarnation,
             strength: strength(settings.processors, settings.link_mbps),
         };
-        let (name, address) = (settings.name.clone(), own.address.clone());
+        let name = settings.name.clone();
         monoio::spawn(publish_and_follow_entries(store.clone(), name, own, entries.clone()));
 
         let candidate = Candidate {
@@ -223,30 +240,19 @@
 /// The share of the time until the process is killed that a graceful stop may use.
 const GRACE_SHARE: f64 = 0.7;
 
-fn front(
+/// Starts the task that writes rows to each partition of the table of jobs.
+fn start_submitters(
     store: &Rc<Store>,
     clock: Clock,
-    intent: &watch::Receiver<Intent>,
     relay: &Rc<Relay>,
-    metrics: &Rc<Metrics>,
-    row_bytes: usize,
-) -> Front {
+) -> FastMap<Name, mpsc::UnboundedSender<Insert>> {
     let mut submitters = FastMap::default();
     for part in tables::job_parts() {
         let (tx, rx) = mpsc::unbounded_channel();
         monoio::spawn(Submitter { store: store.clone(), clock, rx, relay: relay.clone() }.run());
         submitters.insert(Name::from(part), tx);
     }
-    Front {
-        store: store.clone(),
-        clock,
-        intent: intent.clone(),
-        submitters,
-        relay: relay.clone(),
-        row_bytes,
-        board: RefCell::default(),
-        metrics: metrics.clone(),
-    }
+    submitters
 }
 
 fn timing(settings: &Fleet) -> Timing {
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -3,7 +3,12 @@
 mod lookup;
 mod submit;
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use fuchsiamill_fleet::{Config, JobSpec, Name, Queue, job::RouteSettings};
 use fuchsiamill_http::{
@@ -23,6 +28,7 @@
     config::Intent,
     metrics::Metrics,
     relay::{Reach, Relay},
+    senders::Payloads,
     tables,
 };
 
@@ -69,6 +75,10 @@
     pub metrics: Rc<Metrics>,
     /// The largest row that the store accepts, in bytes.
     pub row_bytes: usize,
+    /// The address at which other entry hosts reach this one.
+    pub own_address: Name,
+    /// The payloads of accepted jobs.
+    pub payloads: Rc<RefCell<Payloads>>,
 }
 
 pub use lookup::{Board, BoardCache};
@@ -142,6 +152,7 @@
         let Admitted { queue, team, limits } = admitted;
         spec.queue = queue.name.clone();
         spec.team = team;
+        spec.accepted_by = self.own_address.clone();
         spec.route = RouteSettings {
             pool: queue.pool.clone(),
             priority: queue.priority,
@@ -169,6 +180,9 @@
             took_ms = self.clock.now().since(begun),
             store_heard_ms = self.store.since_last_answer().map(|it| it.as_millis() as u64),
         );
+        if matches!(outcome, Inserted::Stored | Inserted::Unknown) {
+            self.payloads.borrow_mut().keep(id, spec.payload);
+        }
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => Response::empty(StatusCode::OK),
             Inserted::Refused => self.retry_later("the job was not stored and will not run"),
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -23,6 +23,7 @@
     election::WonLease,
     event::{Event, EventSender},
     feeds::Feed,
+    handing::{Handing, HandingContext},
     hosts::HostWatch,
     lease::{Lease, LeaseLost},
     links::{Link, LinkContext, LinkEvent},
@@ -80,6 +81,7 @@
     config_version: u64,
     pool_log: PoolLog,
     load_log: LoadLog,
+    pub(super) handing: Handing,
 }
 
 impl Leader {
@@ -166,7 +168,14 @@
         };
         let load_log =
             LoadLog::new(cx.store.traffic().clone(), link_context.traffic.clone(), cx.clock.now());
+        let handing = Handing::new(HandingContext {
+            clock: cx.clock,
+            fence: lease.term(),
+            own_address: cx.own.address.clone(),
+            metrics: cx.metrics.clone(),
+        });
         Ok(Self {
+            handing,
             coordinator,
             unreadable_workers,
             links: FastMap::default(),
@@ -264,7 +273,7 @@
         self.execute_orders();
         if self.lease.is_some() && now.since(self.last_commit_begin) >= COMMIT_INTERVAL_MS {
             if self.link_context.may_start(now) {
-                let most = self.link_context.lateness.borrow_mut().start_room(now);
+                let most = self.start_room(now);
                 self.coordinator.place_at_most(most, now);
             }
             self.begin_commit(now);
@@ -273,6 +282,13 @@
         None
     }
 
+    fn start_room(&self, now: Moment) -> usize {
+        let mut lateness = self.link_context.lateness.borrow_mut();
+        let others = self.cx.entries.borrow().all.len();
+        let own = lateness.start_room(now);
+        self.handing.start_room(own, others, lateness.is_late(), now)
+    }
+
     /// Returns how long to wait for an event.
     fn pause(&self) -> Duration {
         let now = self.cx.clock.now();
--- a/crates/site/src/lead/links/orders.rs
+++ b/crates/site/src/lead/links/orders.rs
@@ -39,7 +39,7 @@
             let answer = self.try_start(start).await;
             self.context.lateness.borrow_mut().start_ended(sent);
             if let Some(answer) = answer {
-                self.send(LinkEvent::Started(task, run, answer));
+                self.start_replied(task, run, answer);
             }
         });
     }
@@ -53,18 +53,7 @@
         let tries = if self.context.lateness.borrow().is_late() { 1 } else { MAX_START_TRIES };
         for _ in 0..tries {
             let now = self.context.clock.now();
-            let Some(deadline) = self.deadline(now).filter(|_| !self.is_over()) else { break };
-            // The record of the start may have taken long.
-            let may_start = self.context.may_start(now) && self.may_renew(now);
-            if self.state.borrow().is_silent || !may_start {
-                break;
-            }
-            {
-                let mut state = self.state.borrow_mut();
-                state.renewed = now;
-                state.is_busy = true;
-            }
-            self.wake.notify_one();
+            let Some(deadline) = self.begin_start() else { break };
             let order = (&task, run);
             let sent = self
                 .client
@@ -79,7 +68,7 @@
             answer = match (sent, answer) {
                 (Ok(it), before) => it.after(before),
                 (Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed), _) => {
-                    self.send(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
+                    self.report_dead();
                     return None;
                 }
                 (Err(e), before) => {
@@ -137,7 +126,7 @@
                     return self.send(LinkEvent::Stopped(task, run));
                 }
                 Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed) => {
-                    self.send(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
+                    self.report_dead();
                     return;
                 }
                 Err(e) => tracing::info!(event = "stop-failed", task = %task, run, error = %e),
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -6,6 +6,7 @@
 mod entries;
 mod event;
 mod feeds;
+mod handing;
 mod hosts;
 mod lease;
 mod leader;
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -18,6 +18,7 @@
         for order in self.coordinator.take_orders() {
             self.execute(order);
         }
+        self.handing.flush();
     }
 
     fn execute(&mut self, order: Order) {
@@ -41,8 +42,10 @@
             Order::Start { worker, task, run, payload, checkpoint, ticket } => {
                 let Some(link) = self.links.get(&worker) else { return };
                 tracing::info!(event = "task-started", %task, run, %worker);
+                let job = self.coordinator.job(&task.job);
+                let accepted_by = job.map(|it| it.spec.accepted_by.clone()).unwrap_or_default();
                 let start = StartOrder { task, run, payload, checkpoint, ticket };
-                link.clone().start(start);
+                self.handing.start(&accepted_by, link, start);
             }
             Order::Stop { worker, task, run } => {
                 let Some(link) = self.links.get(&worker) else {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod meters;
 pub mod metrics;
 pub mod relay;
+mod senders;
 pub mod story;
 pub mod tables;
 
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -26,6 +26,7 @@
     requests: Counter<u64>,
     request_latency: Histogram<f64>,
     orders: Counter<u64>,
+    handed_starts: Counter<u64>,
     jobs_ended: Counter<u64>,
     worker_events: Counter<u64>,
     commit_latency: Histogram<f64>,
@@ -57,6 +58,7 @@
             requests: meter.u64_counter("requests").build(),
             request_latency: latency("request_latency"),
             orders: meter.u64_counter("orders").build(),
+            handed_starts: meter.u64_counter("handed_starts").build(),
             jobs_ended: meter.u64_counter("jobs_ended").build(),
             worker_events: meter.u64_counter("worker_events").build(),
             commit_latency: latency("change_latency"),
@@ -87,6 +89,12 @@
         self.orders.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts starts that were handed to another entry host, by outcome: `sent` and `not-sent` at the sender, `answered`,
+    /// `unanswered`, `unreachable` and `given-up` at the coordinator.
+    pub fn handed_starts(&self, outcome: &'static str, count: usize) {
+        self.handed_starts.add(count as u64, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a job that has ended in `stage`.
     pub fn job_ended(&self, stage: &'static str) {
         self.jobs_ended.add(1, &[KeyValue::new("stage", stage)]);
--- /dev/null
+++ b/crates/site/src/senders/serve.rs
@@ -0,0 +1,135 @@
+//! The sender's part: sends starts that the coordinator hands over.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+
+use fuchsiamill_fleet::{Name, coordinator::StartReply};
+use fuchsiamill_model::{
+    FastMap,
+    units::{Millisecond, Moment},
+};
+use fuchsiamill_peer::{Router, call_channel};
+use fuchsiamill_platform::{WorkerCallError, WorkerClient};
+use futures_util::future::join_all;
+
+use super::{HandedReply, HandedStart, HandedStarts, METHOD, Outcome, Payloads, Permission};
+use crate::{clock::Clock, metrics::Metrics};
+
+/// Connections to a worker are closed when no start was sent to it for this time. Each worker accepts only some tens.
+const MAX_IDLE_MS: Millisecond = 2_000;
+
+/// Sends starts on behalf of the coordinator.
+pub struct SenderService {
+    /// Identifies this process.
+    pub incarnation: u64,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The payloads of accepted jobs.
+    pub payloads: Rc<RefCell<Payloads>>,
+    /// The process's metrics.
+    pub metrics: Rc<Metrics>,
+    /// Clients of workers, by address, id and fencing token, each with its last use.
+    clients: RefCell<FastMap<ClientKey, (Rc<WorkerClient>, Moment)>>,
+}
+
+type ClientKey = (SocketAddr, Name, u64);
+
+impl SenderService {
+    /// Creates the service of a process.
+    pub fn new(
+        incarnation: u64,
+        clock: Clock,
+        payloads: Rc<RefCell<Payloads>>,
+        metrics: Rc<Metrics>,
+    ) -> Rc<Self> {
+        Rc::new(Self { incarnation, clock, payloads, metrics, clients: RefCell::default() })
+    }
+
+    async fn send_all(&self, handed: HandedStarts) -> HandedReply {
+        let begun = self.clock.now();
+        self.drop_idle_clients();
+        let HandedStarts { fence, permission, time_limit_ms, starts } = handed;
+        let time_limit = Duration::from_millis(time_limit_ms);
+        let sends = starts.iter().map(|it| self.send(it, fence, permission, time_limit));
+        let outcomes = join_all(sends).await;
+        self.count(&outcomes);
+        let now = self.clock.now();
+        HandedReply {
+            incarnation: self.incarnation,
+            clock_ms: now.0,
+            took_ms: now.since(begun),
+            outcomes,
+        }
+    }
+
+    async fn send(
+        &self,
+        start: &HandedStart,
+        fence: u64,
+        permission: Option<Permission>,
+        time_limit: Duration,
+    ) -> Outcome {
+        let Some(payload) = self.payloads.borrow().get(&start.task.job) else {
+            return Outcome::NotSent;
+        };
+        let client = self.client(start, fence);
+        let ticket = (!start.ticket.is_empty()).then_some(start.ticket.as_str());
+        if !self.is_permitted(permission) {
+            return Outcome::NotSent;
+        }
+        let order = (&start.task, start.run);
+        let deadline_ms = start.deadline_ms;
+        let reply =
+            client.start(order, &payload, &start.checkpoint, ticket, deadline_ms, time_limit).await;
+        match reply {
+            Ok(reply) => Outcome::Replied(reply),
+            Err(WorkerCallError::OtherIncarnation | WorkerCallError::Closed) => Outcome::WorkerGone,
+            Err(e) => {
+                let (task, run) = (&start.task, start.run);
+                tracing::warn!(event = "start-failed", %task, run, error = %e);
+                Outcome::Replied(StartReply::Unknown)
+            }
+        }
+    }
+
+    fn is_permitted(&self, permission: Option<Permission>) -> bool {
+        permission.is_some_and(|it| {
+            it.incarnation == self.incarnation && self.clock.now().0 < it.until_ms
+        })
+    }
+
+    fn client(&self, start: &HandedStart, fence: u64) -> Rc<WorkerClient> {
+        let key = (start.addr, start.worker.clone(), fence);
+        let new = || Rc::new(WorkerClient::new(&start.worker, start.addr, fence));
+        let mut clients = self.clients.borrow_mut();
+        let (client, used) = clients.entry(key).or_insert_with(|| (new(), Moment(0)));
+        *used = self.clock.now();
+        client.clone()
+    }
+
+    fn drop_idle_clients(&self) {
+        let now = self.clock.now();
+        self.clients.borrow_mut().retain(|_, (_, used)| now.since(*used) <= MAX_IDLE_MS);
+    }
+
+    fn count(&self, outcomes: &[Outcome]) {
+        let not_sent = outcomes.iter().filter(|it| **it == Outcome::NotSent).count();
+        self.metrics.handed_starts("sent", outcomes.len() - not_sent);
+        self.metrics.handed_starts("not-sent", not_sent);
+        if not_sent > 0 {
+            tracing::info!(event = "starts-not-sent", count = not_sent, of = outcomes.len());
+        }
+    }
+}
+
+/// Serves the starts that the coordinator hands to this entry host.
+pub fn serve(router: &mut Router, service: Rc<SenderService>) {
+    let (tx, mut rx) = call_channel();
+    router.route(METHOD, tx);
+    monoio::spawn(async move {
+        while let Some(call) = rx.recv().await {
+            let Some((handed, reply)) = call.parse::<HandedStarts>() else { continue };
+            let service = service.clone();
+            monoio::spawn(async move { reply.send(Ok(service.send_all(handed).await)) });
+        }
+    });
+}
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use fuchsiamill_http::Bounds;
 use monoio::time::sleep;
 
-pub use narrow_link::NarrowLink;
+pub use narrow_link::NarrowLinks;
 pub use rows::{Rows, StoreFault};
 pub use workers::HEALTH_PATH;
 pub use world::{RunRecord, Worker, WorkerFault, World};
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -13,6 +13,7 @@
 
 use super::{
     lock,
+    narrow_link::NarrowLinks,
     world::{Worker, WorkerFault, World},
 };
 use crate::reply;
@@ -44,7 +45,8 @@
 impl Handler for Port {
     async fn handle(&self, incoming: Incoming) -> Response {
         let body_bytes = incoming.request.body.len();
-        let way = lock(&self.world).link.as_mut().map(|it| it.pass(body_bytes));
+        let pass = |it: &mut NarrowLinks| it.pass(incoming.peer, body_bytes);
+        let way = lock(&self.world).links.as_mut().map(pass);
         let Some(way) = way else { return self.serve(incoming).await };
         // The call arrives although its sender gives it up.
         let (port, (tx, rx)) = (self.clone(), oneshot::channel());
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -8,7 +8,7 @@
 
 use serde_json::json;
 
-use super::{narrow_link::NarrowLink, rows::Rows};
+use super::{narrow_link::NarrowLinks, rows::Rows};
 
 /// How a worker treats its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -96,8 +96,8 @@
     pub runs: Vec<RunRecord>,
     /// Tasks of which two runs were at work at once, or one began after another was done.
     pub twice: Vec<String>,
-    /// The link of the coordinating entry host to the workers, if it is narrow.
-    pub link: Option<NarrowLink>,
+    /// The links of the entry hosts to the workers, if they are narrow.
+    pub links: Option<NarrowLinks>,
     pub(super) hosts: Vec<Host>,
     pub(super) began: Instant,
     lives: u64,
@@ -109,7 +109,7 @@
             rows: Rows::default(),
             runs: Vec::new(),
             twice: Vec::new(),
-            link: None,
+            links: None,
             hosts: Vec::new(),
             began: Instant::now(),
             lives: 0,
