Leases are renewed while hardly any worker answers

Cause: one unanswered poll made a worker silent, after which its leases are no longer renewed. Where the coordinator's link is full of something else, such as a large configuration, nearly all polls are late at once, and the work of all workers lapsed after six seconds, or was started again. Change: a first unanswered poll is always repeated, with the lease renewed and nothing new started there meanwhile; while less than a quarter of the calls to all workers is answered, no worker is taken for silent and time limits are long. What it costs: tasks of a worker that is cut off start elsewhere 0.6 s later. The reading of listed runs moves into a module of its own.

--- a/crates/fleet/src/coordinator/ending.rs
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Notes that a worker has confirmed a stop: the run is not there, or its end will be listed.
+    pub fn stop_answered(&mut self, id: &TaskId, run: u32, now: Moment) {
+        let is_stopping = self.live_mut(id).is_some_and(|live| live.phase == Phase::Stopping);
+        if is_stopping && self.run_of(id) == run {
+            self.set_phase(id, Phase::StopConfirmed, now);
+        }
+    }
+
     /// Returns whether a worker has or may have runs, known ones or not, so that it has to be polled.
     pub fn has_runs(&self, worker: &str) -> bool {
         self.workers.get(worker).is_some_and(|it| !it.live.is_empty() || it.reports_runs)
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -10,6 +10,7 @@
 mod host_orders;
 mod hosts;
 mod job;
+mod listed;
 mod live;
 mod near;
 mod needs;
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Coordinator, LiveRun, Order, Phase, TaskState, Worker, health::AVOID_FAILING_MS,
-    reported_health::ReportedHealth, worker::UnknownRuns,
+    reported_health::ReportedHealth,
 };
 use crate::{
     Ending, Name, RunEnd, RunInfo, Stage, TaskId, WorkerInfo, WorkerReport, timing::with_drift,
@@ -62,6 +62,9 @@
 /// How long a worker that leaves orders unanswered is avoided.
 const AVOID_UNRESPONSIVE_MS: Millisecond = 2_000;
 
+/// How long a worker that left a poll unanswered is avoided, which is until the repeated poll is over.
+const POLL_REPEAT_MS: Millisecond = 800;
+
 /// How long a worker without room is avoided; its next report corrects the coordinator's view.
 const AVOID_FULL_MS: Millisecond = 150;
 
@@ -113,7 +116,7 @@
         worker.seen = seen;
         worker.last_end = 0;
         worker.acknowledged = None;
-        worker.unknown = UnknownRuns::default();
+        worker.unknown = Default::default();
         worker.answered = false;
         worker.unlisted = false;
         worker.silent_since = None;
@@ -174,6 +177,11 @@
         is_new
     }
 
+    /// Notes that a worker left a poll unanswered, which is repeated: until then nothing new is started there.
+    pub fn poll_unanswered(&mut self, id: &Name, now: Moment) {
+        self.avoid(id, now + POLL_REPEAT_MS);
+    }
+
     /// Notes that a worker does not answer; `renewed` is the last moment at which its leases may have been renewed.
     /// Returns whether that is new.
     pub fn worker_silent(&mut self, id: &Name, renewed: Moment) -> bool {
@@ -203,8 +211,7 @@
         worker.silent_since = None;
         worker.reports_runs = !report.running.is_empty();
         self.note_unknown_runs(id, &report.running);
-        let worker = self.workers.get_mut(id).expect("the worker is known");
-        let before = worker.last_end;
+        let before = self.workers[id].last_end;
         for end in report.ended.iter().filter(|it| it.number > before) {
             self.run_ended(id, end, now);
         }
@@ -228,40 +235,6 @@
         }
     }
 
-    /// Acknowledges ends that a worker lists although their acknowledgement was released before it was polled: the link
-    /// that was to send it may have been replaced.
-    fn acknowledge_again(&mut self, id: &Name, report: &WorkerReport) {
-        let Some(worker) = self.workers.get(id) else { return };
-        if !report.ended.is_empty() && worker.acknowledged.is_some_and(|at| report.asked > at) {
-            let (born, upto) = (report.born, worker.last_end);
-            self.ready_orders.push(Order::Acknowledge { worker: id.clone(), born, upto });
-        }
-    }
-
-    /// Notes the room of listed runs that the coordinator has not recorded on this worker.
-    fn note_unknown_runs(&mut self, id: &Name, listed: &[RunInfo]) {
-        let mut unknown = UnknownRuns::default();
-        for run in listed {
-            if self.is_expected(id, run) {
-                continue;
-            }
-            match self.step_of(&run.task) {
-                Some(step) => unknown.room = unknown.room.plus(step.room()),
-                None => unknown.has_unsized = true,
-            }
-        }
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let before = std::mem::replace(&mut worker.unknown, unknown);
-        self.needs_placing |= before != unknown;
-    }
-
-    fn is_expected(&self, worker: &Name, seen: &RunInfo) -> bool {
-        let task = self.jobs.get(&seen.task.job).and_then(|it| it.task(&seen.task));
-        task.is_some_and(|it| {
-            it.run == seen.run && it.live().is_some_and(|live| live.worker == *worker)
-        })
-    }
-
     fn run_seen(&mut self, worker: &Name, seen: &RunInfo, asked: Moment, now: Moment) {
         let id = &seen.task;
         let long_running = self.step_of(id).is_some_and(|it| it.long_running);
@@ -421,16 +394,6 @@
     }
 
     pub(super) fn avoid(&mut self, worker: &Name, until: Moment) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.avoid(until);
-        }
-    }
-
-    /// Notes that a worker has confirmed a stop: the run is not there, or its end will be listed.
-    pub fn stop_answered(&mut self, id: &TaskId, run: u32, now: Moment) {
-        let is_stopping = self.live_mut(id).is_some_and(|live| live.phase == Phase::Stopping);
-        if is_stopping && self.run_of(id) == run {
-            self.set_phase(id, Phase::StopConfirmed, now);
-        }
+        self.workers.get_mut(worker).into_iter().for_each(|it| it.avoid(until));
     }
 }
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -16,6 +16,10 @@
 /// An evaluation needs this many calls, so that a few slow workers are not taken for a local delay.
 const MIN_CALLS: usize = 8;
 
+/// If less than one in this many calls is answered, those that are do not tell how late calls are: the others would have
+/// been later.
+const MIN_ANSWERED_DIVISOR: usize = 4;
+
 /// Without enough calls for an evaluation, the estimate is halved after this time.
 const IDLE_INTERVAL_MS: Millisecond = 1_000;
 
@@ -57,7 +61,7 @@
     /// The part of the estimate that is the round-trip time to the workers, in milliseconds; `None` before the first
     /// evaluation.
     round_trip: Option<Millisecond>,
-    /// Whether no call of the last evaluation was answered.
+    /// Whether hardly any call of the last evaluation was answered.
     is_unanswered: bool,
     most_starts: usize,
     /// When the starts without an answer so far were sent, in order.
@@ -105,6 +109,12 @@
         self.delay() > MAX_DELAY_MS
     }
 
+    /// Returns whether so few calls to all workers are answered that the fault is most likely on this side, such as a
+    /// link that is full of something else. The silence of one worker then tells nothing of it.
+    pub fn is_unanswered(&self) -> bool {
+        self.is_unanswered
+    }
+
     /// Returns the part of the estimate that is a local delay, by the link or the processor.
     fn delay(&self) -> Millisecond {
         self.estimate.saturating_sub(self.round_trip.unwrap_or(0))
@@ -143,8 +153,8 @@
             let summary = self.calls.take_summary();
             self.evaluate(summary);
         } else if since >= IDLE_INTERVAL_MS {
-            self.calls.take_summary();
-            self.is_unanswered = false;
+            // Polls that wait at their workers come back in groups, more than this time apart.
+            self.is_unanswered &= self.calls.take_summary().answered == 0;
             self.set_estimate(self.estimate / 2);
         } else {
             return;
@@ -154,7 +164,8 @@
     }
 
     fn evaluate(&mut self, calls: CallSummary) {
-        self.is_unanswered = calls.answered == 0;
+        let count = calls.answered + calls.unanswered as usize;
+        self.is_unanswered = calls.answered * MIN_ANSWERED_DIVISOR < count;
         if self.is_unanswered {
             return;
         }
--- a/crates/fleet/tests/late_calls.rs
+++ b/crates/fleet/tests/late_calls.rs
@@ -50,6 +50,23 @@
     assert!(lateness.start_room(now) > 100);
 }
 
+/// A link that is full of something else lets few calls through, and these are fast.
+#[test]
+fn few_fast_answers_do_not_hide_a_local_delay() {
+    let mut lateness = Lateness::new(START);
+    play(&mut lateness, START, (0..300).map(|it| (it % 5 == 0).then_some(3)));
+    assert!(lateness.is_unanswered());
+    assert_eq!(lateness.time_limit_ms(), LONG_LIMIT_MS);
+}
+
+/// The tasks of workers that are cut off have to start elsewhere.
+#[test]
+fn silence_of_some_workers_is_not_a_local_delay() {
+    let mut lateness = Lateness::new(START);
+    play(&mut lateness, START, (0..300).map(|it| (it % 10 >= 7).then_some(3)));
+    assert!(!lateness.is_unanswered());
+}
+
 /// A time limit that is shorter than every answer would never see one.
 #[test]
 fn time_limit_grows_while_nothing_is_answered() {
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -46,6 +46,8 @@
 pub enum LinkEvent {
     /// A worker answered a poll with this report.
     Reported(Name, WorkerReport),
+    /// A worker left a poll unanswered, which is repeated.
+    Unanswered(Name),
     /// A worker does not answer; the link last tried to renew its leases at this moment.
     Silent(Name, Moment),
     /// The worker process that was started at this time, in Unix milliseconds, is gone.
@@ -338,12 +340,13 @@
         }
     }
 
-    /// Returns whether an unanswered poll tells nothing of the worker yet: this process is late itself, and the poll
-    /// is the first one without an answer.
+    /// Returns whether an unanswered poll tells nothing of the worker yet: it is the first one without an answer, or
+    /// hardly any worker answers this process. The leases are renewed meanwhile.
     fn may_be_own_delay(&self) -> bool {
         let mut state = self.state.borrow_mut();
         let is_first = !std::mem::replace(&mut state.has_unanswered_poll, true);
-        is_first && self.context.lateness.borrow().is_late()
+        let may_renew = self.may_renew(self.context.clock.now());
+        is_first || self.context.lateness.borrow().is_unanswered() && may_renew
     }
 
     fn poll_failed(&self, e: WorkerCallError) -> NextStep {
@@ -359,7 +362,12 @@
                 self.send(LinkEvent::Fenced(id));
                 NextStep::Pause(DEAD_PAUSE)
             }
-            WorkerCallError::Call(_) if self.may_be_own_delay() => NextStep::Pause(RETRY_PAUSE),
+            WorkerCallError::Call(_) if self.may_be_own_delay() => {
+                if !self.context.lateness.borrow().is_late() {
+                    self.send(LinkEvent::Unanswered(id));
+                }
+                NextStep::Pause(RETRY_PAUSE)
+            }
             WorkerCallError::Call(_) => {
                 let renewed = {
                     let mut state = self.state.borrow_mut();
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -67,6 +67,7 @@
                     link.set_busy(self.coordinator.has_runs(&id));
                 }
             }
+            LinkEvent::Unanswered(id) => self.coordinator.poll_unanswered(&id, now),
             LinkEvent::Silent(id, renewed) => {
                 if self.coordinator.worker_silent(&id, renewed) {
                     self.cx.metrics.worker_event("silent");
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -20,6 +20,8 @@
     Silent,
     /// It carries out orders to start and answers nothing.
     AnswersLost,
+    /// It renews its leases when it is polled; its reports and what it tells of its health get lost.
+    ReportsLost,
     /// It carries out orders to start so many milliseconds later and does not answer them.
     Late(u64),
     /// It carries out orders to stop so many milliseconds later and does not answer them.
