A slow store no longer holds back starts that the link carries

Cause: the starts that are placed for one transaction were limited to those that may be under way at once, 128 at most, and nothing is placed while a transaction is under way. With a store that takes 0.4 to 1 s for one, that is 130 starts a second, whatever the link carries. Ruled out: the order of records behind one row, which was thought to be the cause: a transaction holds 90 jobs of a dozen tasks each. Change: where nothing is late, so much is placed as is sent until the next transaction is stored; released starts wait until others are answered, a second at most.

--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -47,6 +47,9 @@
 /// The most starts that may be under way.
 const MAX_STARTS: usize = 128;
 
+/// The most rounds of starts that are placed for one transaction: they are sent within 0.8 s.
+const MAX_ROUNDS: Millisecond = 16;
+
 /// The starts that may be under way however late calls are, so that some work always starts.
 const MIN_STARTS: usize = 8;
 
@@ -143,6 +146,16 @@
         self.most_starts.saturating_sub(self.starts.len())
     }
 
+    /// Returns how many starts may be placed now, where their records take `record_ms` to be stored and `waiting` starts
+    /// wait to be sent. While nothing is late, starts are sent as fast as others are answered, so that more than
+    /// [`Lateness::start_room`] are sent until the next records are stored.
+    pub fn place_room(&mut self, record_ms: Millisecond, waiting: usize, now: Moment) -> usize {
+        let room = self.start_room(now);
+        let rounds =
+            if self.is_late() { 1 } else { (record_ms / MAX_DELAY_MS).clamp(1, MAX_ROUNDS) };
+        (room + self.most_starts * (rounds as usize - 1)).saturating_sub(waiting)
+    }
+
     fn note_call(&mut self, now: Moment) {
         self.count += 1;
         let since = now.since(self.evaluated);
--- a/crates/fleet/tests/late_calls.rs
+++ b/crates/fleet/tests/late_calls.rs
@@ -120,3 +120,22 @@
     assert_eq!(lateness.start_room(now), 1);
     assert_eq!(lateness.start_room(now + 100), room);
 }
+
+/// A store that takes long to store records would otherwise hold back starts, which the link carries.
+#[test]
+fn more_is_placed_while_records_take_long() {
+    let mut lateness = Lateness::new(START);
+    let now = play(&mut lateness, START, (0..300).map(|_| Some(5)));
+    let room = lateness.start_room(now);
+    assert_eq!(lateness.place_room(12, 0, now), room);
+    assert!(lateness.place_room(400, 0, now) >= 4 * room);
+    assert_eq!(lateness.place_room(12, room, now), 0, "what waits takes its room");
+}
+
+#[test]
+fn late_coordinator_places_no_more_for_a_slow_store() {
+    let mut lateness = Lateness::new(START);
+    let now = play(&mut lateness, START, (0..100).map(|_| Some(5)));
+    let now = play(&mut lateness, now, (0..300).map(|_| Some(350)));
+    assert_eq!(lateness.place_room(2_000, 0, now), lateness.start_room(now));
+}
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -81,7 +81,8 @@
     /// Handles the commit of the transaction that was under way.
     pub(super) fn apply_commit(&mut self, lease: Box<Lease>) {
         let now = self.cx.clock.now();
-        self.cx.metrics.committed(now.since(self.last_commit_begin));
+        self.record_ms = now.since(self.last_commit_begin);
+        self.cx.metrics.committed(self.record_ms);
         self.last_commit = now;
         self.link_context.confirmed.set(now);
         self.store_offset = (lease.store_ms(), now);
--- a/crates/site/src/lead/handing.rs
+++ b/crates/site/src/lead/handing.rs
@@ -46,6 +46,8 @@
     cx: HandingContext,
     handover: Rc<RefCell<Handover>>,
     peers: FastMap<Name, Rc<Peer>>,
+    /// Starts that wait for room on the coordinator's own link.
+    own: VecDeque<Waiting>,
     /// Starts that wait, by the address of their sender.
     queued: FastMap<Name, VecDeque<Waiting>>,
 }
@@ -78,8 +80,13 @@
 impl Handing {
     /// Begins without knowing any sender.
     pub fn new(cx: HandingContext) -> Self {
-        let (peers, queued) = (FastMap::default(), FastMap::default());
-        Self { cx, handover: Rc::default(), peers, queued }
+        Self {
+            cx,
+            handover: Rc::default(),
+            peers: FastMap::default(),
+            own: VecDeque::new(),
+            queued: FastMap::default(),
+        }
     }
 
     /// Returns how many starts may be sent now; see [`Handover::start_room`].
@@ -89,24 +96,39 @@
         handover.start_room(own, others, now)
     }
 
-    /// Sends a start of a job that the entry host at `accepted_by` has accepted, or queues it for that one.
+    /// Returns how many starts wait for room on the coordinator's own link.
+    pub fn waiting(&self) -> usize {
+        self.own.len()
+    }
+
+    /// Queues a start of a job that the entry host at `accepted_by` has accepted, until [`Handing::flush`].
     pub fn start(&mut self, accepted_by: &Name, link: &Rc<Link>, start: StartOrder) {
         let now = self.cx.clock.now();
         let is_own = *accepted_by == self.cx.own_address;
-        let sender =
-            if is_own { Sender::Own } else { self.handover.borrow_mut().choose(accepted_by, now) };
+        let sender = match is_own {
+            true => Sender::Own,
+            false => self.handover.borrow_mut().choose(accepted_by, now),
+        };
+        let waiting = Waiting { handed: (link.clone(), start), since: now };
         match sender {
-            Sender::Own => link.clone().start(start),
-            Sender::Other(it) => {
-                let waiting = Waiting { handed: (link.clone(), start), since: now };
-                self.queued.entry(it).or_default().push_back(waiting);
-            }
+            Sender::Own => self.own.push_back(waiting),
+            Sender::Other(it) => self.queued.entry(it).or_default().push_back(waiting),
         }
     }
 
-    /// Hands over as many of the waiting starts as their senders take now, and gives up those that waited too long.
-    pub fn flush(&mut self) {
+    /// Sends as many of the waiting starts as `own_room` and the other senders take now, and gives up those that waited
+    /// too long.
+    pub fn flush(&mut self, own_room: usize) {
         let now = self.cx.clock.now();
+        let mut own = std::mem::take(&mut self.own);
+        self.give_up_old(&self.cx.own_address, &mut own, now);
+        let count = own_room.min(own.len());
+        own.drain(..count).for_each(|it| it.handed.0.start(it.handed.1));
+        self.own = own;
+        self.flush_others(now);
+    }
+
+    fn flush_others(&mut self, now: Moment) {
         for (address, mut queue) in std::mem::take(&mut self.queued) {
             self.give_up_old(&address, &mut queue, now);
             let count = self.handover.borrow_mut().take(&address).min(queue.len());
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -67,6 +67,8 @@
     pub(super) last_commit: Moment,
     /// When the last transaction was begun.
     pub(super) last_commit_begin: Moment,
+    /// How long the last transaction took.
+    pub(super) record_ms: Millisecond,
     /// When the work of [`TICK_MS`] was last done.
     last_tick: Moment,
     pub(super) board_written: Moment,
@@ -182,6 +184,7 @@
             link_context,
             last_commit: taken,
             last_commit_begin: Moment(0),
+            record_ms: 0,
             last_tick: Moment(0),
             board_written: Moment(0),
             store_offset,
@@ -285,7 +288,7 @@
     fn start_room(&self, now: Moment) -> usize {
         let mut lateness = self.link_context.lateness.borrow_mut();
         let others = self.cx.entries.borrow().all.len();
-        let own = lateness.start_room(now);
+        let own = lateness.place_room(self.record_ms, self.handing.waiting(), now);
         self.handing.start_room(own, others, lateness.is_late(), now)
     }
 
@@ -293,7 +296,9 @@
     fn pause(&self) -> Duration {
         let now = self.cx.clock.now();
         let until_commit = COMMIT_INTERVAL_MS.saturating_sub(now.since(self.last_commit_begin));
-        let ms = if self.lease.is_none() {
+        let ms = if self.handing.waiting() > 0 {
+            COMMIT_INTERVAL_MS
+        } else if self.lease.is_none() {
             TICK_MS
         } else if self.coordinator.has_records() {
             until_commit.max(1)
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -18,7 +18,8 @@
         for order in self.coordinator.take_orders() {
             self.execute(order);
         }
-        self.handing.flush();
+        let own_room = self.link_context.lateness.borrow_mut().start_room(self.cx.clock.now());
+        self.handing.flush(own_room);
     }
 
     fn execute(&mut self, order: Order) {
