site: the queue of released starts by its name

Handing said little of what the type holds: starts that wait for room on the coordinator's link or for their senders. No change of what it does.

--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -23,7 +23,6 @@
     election::WonLease,
     event::{Event, EventSender},
     feeds::Feed,
-    handing::{Handing, HandingContext},
     hosts::HostWatch,
     lease::{Lease, LeaseLost},
     links::{Link, LinkContext, LinkEvent},
@@ -31,6 +30,7 @@
     load_log::LoadLog,
     pools::PoolLog,
     standing::HolderState,
+    start_queue::{StartQueue, StartQueueContext},
     takeover::{stronger_available, takeover, watch_former, watch_stronger},
 };
 use crate::tables;
@@ -83,7 +83,7 @@
     config_version: u64,
     pool_log: PoolLog,
     load_log: LoadLog,
-    pub(super) handing: Handing,
+    pub(super) start_queue: StartQueue,
 }
 
 impl Leader {
@@ -170,14 +170,14 @@
         };
         let load_log =
             LoadLog::new(cx.store.traffic().clone(), link_context.traffic.clone(), cx.clock.now());
-        let handing = Handing::new(HandingContext {
+        let start_queue = StartQueue::new(StartQueueContext {
             clock: cx.clock,
             fence: lease.term(),
             own_address: cx.own.address.clone(),
             metrics: cx.metrics.clone(),
         });
         Ok(Self {
-            handing,
+            start_queue,
             coordinator,
             unreadable_workers,
             links: FastMap::default(),
@@ -288,15 +288,15 @@
     fn start_room(&self, now: Moment) -> usize {
         let mut lateness = self.link_context.lateness.borrow_mut();
         let others = self.cx.entries.borrow().all.len();
-        let own = lateness.place_room(self.record_ms, self.handing.waiting(), now);
-        self.handing.start_room(own, others, lateness.is_late(), now)
+        let own = lateness.place_room(self.record_ms, self.start_queue.waiting(), now);
+        self.start_queue.start_room(own, others, lateness.is_late(), now)
     }
 
     /// Returns how long to wait for an event.
     fn pause(&self) -> Duration {
         let now = self.cx.clock.now();
         let until_commit = COMMIT_INTERVAL_MS.saturating_sub(now.since(self.last_commit_begin));
-        let ms = if self.handing.waiting() > 0 {
+        let ms = if self.start_queue.waiting() > 0 {
             COMMIT_INTERVAL_MS
         } else if self.lease.is_none() {
             TICK_MS
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -6,7 +6,6 @@
 mod entries;
 mod event;
 mod feeds;
-mod handing;
 mod hosts;
 mod lease;
 mod leader;
@@ -17,6 +16,7 @@
 mod orders;
 mod pools;
 mod standing;
+mod start_queue;
 mod takeover;
 
 use std::{cell::Cell, rc::Rc};
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -19,7 +19,7 @@
             self.execute(order);
         }
         let own_room = self.link_context.lateness.borrow_mut().start_room(self.cx.clock.now());
-        self.handing.flush(own_room);
+        self.start_queue.flush(own_room);
     }
 
     fn execute(&mut self, order: Order) {
@@ -46,7 +46,7 @@
                 let job = self.coordinator.job(&task.job);
                 let accepted_by = job.map(|it| it.spec.accepted_by.clone()).unwrap_or_default();
                 let start = StartOrder { task, run, payload, checkpoint, ticket };
-                self.handing.start(&accepted_by, link, start);
+                self.start_queue.start(&accepted_by, link, start);
             }
             Order::Stop { worker, task, run } => {
                 let Some(link) = self.links.get(&worker) else {
--- a/crates/site/src/lead/handing.rs
+++ b/crates/site/src/lead/start_queue.rs
@@ -1,4 +1,4 @@
-//! The coordinator's part: hands released starts to the entry hosts that accepted their jobs.
+//! Released starts that wait to be sent, by the coordinator itself or by the entry hosts that accepted their jobs.
 
 use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -28,9 +28,9 @@
 /// which is late. Until then the polls of the workers show the runs that have begun.
 const ROUND_TRIP_TIME: Duration = Duration::from_millis(1_000);
 
-/// What handing over needs of the coordinator's process.
+/// What start_queue over needs of the coordinator's process.
 #[derive(Clone)]
-pub struct HandingContext {
+pub struct StartQueueContext {
     /// The process's clock.
     pub clock: Clock,
     /// The fencing token of all orders.
@@ -41,9 +41,9 @@
     pub metrics: Rc<Metrics>,
 }
 
-/// Hands starts over.
-pub struct Handing {
-    cx: HandingContext,
+/// Released starts that wait for room on the coordinator's link or for their senders.
+pub struct StartQueue {
+    cx: StartQueueContext,
     handover: Rc<RefCell<Handover>>,
     peers: FastMap<Name, Rc<Peer>>,
     /// Starts that wait for room on the coordinator's own link.
@@ -77,9 +77,9 @@
     }
 }
 
-impl Handing {
-    /// Begins without knowing any sender.
-    pub fn new(cx: HandingContext) -> Self {
+impl StartQueue {
+    /// Creates an empty queue.
+    pub fn new(cx: StartQueueContext) -> Self {
         Self {
             cx,
             handover: Rc::default(),
@@ -101,7 +101,7 @@
         self.own.len()
     }
 
-    /// Queues a start of a job that the entry host at `accepted_by` has accepted, until [`Handing::flush`].
+    /// Queues a start of a job that the entry host at `accepted_by` has accepted, until [`StartQueue::flush`].
     pub fn start(&mut self, accepted_by: &Name, link: &Rc<Link>, start: StartOrder) {
         let now = self.cx.clock.now();
         let is_own = *accepted_by == self.cx.own_address;
@@ -184,7 +184,7 @@
 }
 
 async fn hand_over(
-    cx: HandingContext,
+    cx: StartQueueContext,
     handover: Rc<RefCell<Handover>>,
     peer: Rc<Peer>,
     batch: Vec<Handed>,
