The silence of a worker is taken for an own delay for ten seconds at most

Cause: while less than a quarter of the calls was answered no worker counted as silent, without a bound. Only workers with tasks are polled: where all of them are cut off, no answer tells it, and their tasks would never start elsewhere although others have room. Change: a bound from the last answer of each worker. What a link does for starts moves to the other starts. Test: work_of_workers_that_are_all_cut_off_starts_elsewhere; it passes, and was not run on a build without the bound.

--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -213,3 +213,23 @@
     assert!(ended.is_empty(), "ended: {ended:?}");
     assert_eq!(runs.len(), workers, "nothing was started again");
 }
+
+/// Only workers with tasks are polled, so that no other answer tells that the fault is on their side.
+#[test]
+fn work_of_workers_that_are_all_cut_off_starts_elsewhere() {
+    let workers = 24;
+    let fleet = Fleet::start(1, 2 * workers);
+    let mut job = job(300_000, &[workers as u32]);
+    job["steps"][0]["cpu"] = json!(8_000);
+    let id = fleet.accept(&job, PATIENCE).expect("accepted");
+    wait_until("all of its tasks are at work", || runs_of(&fleet, &id).len() == workers);
+    let busy: Vec<String> = runs_of(&fleet, &id).into_iter().map(|it| it.worker).collect();
+    let mut world = fleet.site.world();
+    for host in 0..4 * workers {
+        if let Some(it) = world.worker_mut(host).filter(|it| busy.contains(&it.id)) {
+            it.fault = WorkerFault::Silent;
+        }
+    }
+    drop(world);
+    wait_until("its tasks start elsewhere", || runs_of(&fleet, &id).len() > workers);
+}
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -33,6 +33,10 @@
 /// The pause after a poll or a stop that was not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The longest time for which the silence of a worker may be taken for a delay of this process. All workers with tasks may
+/// be cut off while others have room.
+const MAX_OWN_DELAY_MS: Millisecond = 10_000;
+
 /// The pause after a poll that found the worker process gone or the orders of this coordinator fenced off.
 const DEAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -130,6 +134,8 @@
     /// When the link last sent a renewal of the leases.
     renewed: Moment,
     is_silent: bool,
+    /// When the last answer to a poll was received.
+    answered: Moment,
     /// Whether the last poll was not answered.
     has_unanswered_poll: bool,
     is_busy: bool,
@@ -159,6 +165,7 @@
             state: RefCell::new(LinkState {
                 clock: None,
                 renewed: now,
+                answered: now,
                 is_silent: false,
                 has_unanswered_poll: false,
                 is_busy: false,
@@ -248,34 +255,6 @@
         Some(clock + now.since(read) + self.context.lease_ms)
     }
 
-    /// Notes that a start is sent now, by this process or another one. Returns the end of its lease on the worker's
-    /// clock, or `None` if no start may be sent.
-    pub fn begin_start(&self) -> Option<u64> {
-        let now = self.context.clock.now();
-        let deadline = self.deadline(now).filter(|_| !self.is_over())?;
-        // The record of the start may have taken long.
-        let may_start = self.context.may_start(now) && self.may_renew(now);
-        if self.state.borrow().is_silent || !may_start {
-            return None;
-        }
-        let mut state = self.state.borrow_mut();
-        state.renewed = now;
-        state.is_busy = true;
-        drop(state);
-        self.wake.notify_one();
-        Some(deadline)
-    }
-
-    /// Returns the time limit of a call to the worker, without the time that it is asked to wait.
-    pub fn time_limit(&self) -> Duration {
-        self.context.time_limit()
-    }
-
-    /// Reports the outcome of an order to start a run.
-    pub fn start_replied(&self, task: TaskId, run: u32, reply: StartReply) {
-        self.send(LinkEvent::Started(task, run, reply));
-    }
-
     /// Reports that the worker process is gone.
     pub fn report_dead(&self) {
         self.send(LinkEvent::Dead(self.worker.id.clone(), self.worker.born));
@@ -316,7 +295,9 @@
         match answer {
             Ok(held) => {
                 let mut state = self.state.borrow_mut();
-                state.clock = Some((held.clock_ms, self.context.clock.now()));
+                let now = self.context.clock.now();
+                state.clock = Some((held.clock_ms, now));
+                state.answered = now;
                 state.is_silent = false;
                 state.has_unanswered_poll = false;
                 state.acknowledged_upto = recorded_upto;
@@ -345,8 +326,9 @@
     fn may_be_own_delay(&self) -> bool {
         let mut state = self.state.borrow_mut();
         let is_first = !std::mem::replace(&mut state.has_unanswered_poll, true);
-        let may_renew = self.may_renew(self.context.clock.now());
-        is_first || self.context.lateness.borrow().is_unanswered() && may_renew
+        let now = self.context.clock.now();
+        let may_wait = now.since(state.answered) < MAX_OWN_DELAY_MS && self.may_renew(now);
+        is_first || self.context.lateness.borrow().is_unanswered() && may_wait
     }
 
     fn poll_failed(&self, e: WorkerCallError) -> NextStep {
--- a/crates/site/src/lead/links/orders.rs
+++ b/crates/site/src/lead/links/orders.rs
@@ -30,6 +30,34 @@
 }
 
 impl Link {
+    /// Notes that a start is sent now, by this process or another one. Returns the end of its lease on the worker's
+    /// clock, or `None` if no start may be sent.
+    pub fn begin_start(&self) -> Option<u64> {
+        let now = self.context.clock.now();
+        let deadline = self.deadline(now).filter(|_| !self.is_over())?;
+        // The record of the start may have taken long.
+        let may_start = self.context.may_start(now) && self.may_renew(now);
+        if self.state.borrow().is_silent || !may_start {
+            return None;
+        }
+        let mut state = self.state.borrow_mut();
+        state.renewed = now;
+        state.is_busy = true;
+        drop(state);
+        self.wake.notify_one();
+        Some(deadline)
+    }
+
+    /// Returns the time limit of a call to the worker, without the time that it is asked to wait.
+    pub fn time_limit(&self) -> Duration {
+        self.context.time_limit()
+    }
+
+    /// Reports the outcome of an order to start a run.
+    pub fn start_replied(&self, task: TaskId, run: u32, reply: StartReply) {
+        self.send(LinkEvent::Started(task, run, reply));
+    }
+
     /// Sends an order to start, and sends an event on its outcome.
     pub fn start(self: Rc<Self>, start: StartOrder) {
         let (task, run) = (start.task.clone(), start.run);
