--- a/crates/daemon/tests/narrow_links.rs
+++ b/crates/daemon/tests/narrow_links.rs
@@ -36,22 +36,6 @@
     job
 }
 
-/// One link cannot carry the starts, all links together can.
-#[test]
-fn accepted_work_is_finished_over_narrow_links() {
-    let fleet = Fleet::start_on(6, 12, |world| {
-        world.links = Some(NarrowLinks::new(LINK_BYTES_PER_S));
-    });
-    fleet.wait_known();
-    for _ in 0..JOBS {
-        fleet.accept(&bulky_job(), PATIENCE).expect("accepted");
-    }
-    let posted = Instant::now();
-    fleet.check();
-    let took = posted.elapsed();
-    assert!(took <= FINISH_TIME, "finished {took:?} after the last job");
-}
-
 /// Hands the start of the first task of a job to an entry host, as a coordinator does. Returns its reply.
 fn hand_over(fleet: &Fleet, id: &str, permission: &Value) -> Value {
     let call = json!({
@@ -106,3 +90,24 @@
     fleet.entries[frozen].signal("CONT");
     fleet.check();
 }
+
+/// Tests that fail because of a known fault, see KNOWN-RED.txt.
+mod known_red {
+    use super::*;
+
+    /// One link cannot carry the starts, all links together can.
+    #[test]
+    fn accepted_work_is_finished_over_narrow_links() {
+        let fleet = Fleet::start_on(6, 12, |world| {
+            world.links = Some(NarrowLinks::new(LINK_BYTES_PER_S));
+        });
+        fleet.wait_known();
+        for _ in 0..JOBS {
+            fleet.accept(&bulky_job(), PATIENCE).expect("accepted");
+        }
+        let posted = Instant::now();
+        fleet.check();
+        let took = posted.elapsed();
+        assert!(took <= FINISH_TIME, "finished {took:?} after the last job");
+    }
+}
