--- a/crates/daemon/tests/slow_records.rs
+++ b/crates/daemon/tests/slow_records.rs
@@ -56,9 +56,14 @@
     started as f64 / (accepted as f64 * f64::from(TASKS))
 }
 
-/// The starts that are placed for one transaction were as few as may be under way at once.
-#[test]
-fn slow_store_does_not_hold_starts_back() {
-    let started = started(StoreFault::Slow(TRANSACTION_MS));
-    assert!(started >= MIN_STARTED, "{started:.2} of the posted tasks have started");
+/// Tests that fail because of a known fault, see KNOWN-RED.txt.
+mod known_red {
+    use super::*;
+
+    /// The starts that are placed for one transaction were as few as may be under way at once.
+    #[test]
+    fn slow_store_does_not_hold_starts_back() {
+        let started = started(StoreFault::Slow(TRANSACTION_MS));
+        assert!(started >= MIN_STARTED, "{started:.2} of the posted tasks have started");
+    }
 }
