--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -34,7 +34,7 @@
 const ROUND_TRIP_RISE_MS: Millisecond = 1;
 
 /// The least and the greatest time limit of a call. A poll that waits at its worker for a second and two repetitions,
-/// which renew no lease, have to fit into a lease of five to six seconds.
+/// the second of which renews no lease, have to fit into a lease of five to six seconds.
 const MIN_TIME_LIMIT_MS: Millisecond = 400;
 const MAX_TIME_LIMIT_MS: Millisecond = 1_000;
 
--- a/crates/site/src/lead/start_queue.rs
+++ b/crates/site/src/lead/start_queue.rs
@@ -28,7 +28,7 @@
 /// which is late. Until then the polls of the workers show the runs that have begun.
 const ROUND_TRIP_TIME: Duration = Duration::from_millis(1_000);
 
-/// What start_queue over needs of the coordinator's process.
+/// What the queue needs of the coordinator's process.
 #[derive(Clone)]
 pub struct StartQueueContext {
     /// The process's clock.
--- a/crates/site/src/senders/mod.rs
+++ b/crates/site/src/senders/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The coordinator decides and records; it hands released starts to the entry hosts that accepted their jobs, so that
 //! the payloads do not pass its own link. A sender acts under the coordinator's fencing token and under a permission that
-//! ends on the sender's own clock, which it checks right before it sends.
+//! ends on the sender's own clock, which it checks right before it calls the worker.
 
 mod payloads;
 mod serve;
