Log until when a silent worker holds its runs

A task that lasts did not run for twenty seconds after its worker was gone. The log had no line between its first start and its second one, so that a wait for leases could not be told from a search for room that passes a task over.

runs-held tells for a worker that falls silent, and after a takeover for workers that are known from records of runs only, how many runs it may have and for how long their tasks wait. No decision changes.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -46,6 +46,7 @@
 pub use orders::Order;
 pub use outbox::Commit;
 pub use replies::{Refusal, StartReply};
+pub use tick::HeldRuns;
 pub use worker::Worker;
 
 use crate::{Config, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing};
--- a/crates/fleet/src/coordinator/tick.rs
+++ b/crates/fleet/src/coordinator/tick.rs
@@ -3,7 +3,18 @@
 use fuchsiamill_model::units::{Moment, WallTime};
 
 use super::{Coordinator, Worker};
-use crate::{Name, timing::with_drift};
+use crate::{Name, TaskId, timing::with_drift};
+
+/// Runs whose tasks start elsewhere only once the leases of their worker have lapsed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldRuns {
+    /// The number of runs.
+    pub runs: usize,
+    /// The number of those whose tasks are to run until their job is cancelled.
+    pub long_running: usize,
+    /// When the last of the leases has certainly lapsed.
+    pub until: Moment,
+}
 
 impl Coordinator {
     /// Opens occurrences that are due and gives up runs whose leases have certainly lapsed.
@@ -31,6 +42,15 @@
         }
     }
 
+    /// Returns the runs that wait for the leases of a worker that does not answer; `None` if it answers or has none.
+    pub fn held_runs(&self, worker: &Name) -> Option<HeldRuns> {
+        let worker = self.workers.get(worker).filter(|it| !it.live.is_empty())?;
+        let until = worker.lapses_at(with_drift(self.timing.lease_ms))?;
+        let is_long = |it: &&TaskId| self.step_of(it).is_some_and(|step| step.long_running);
+        let long_running = worker.live.keys().filter(is_long).count();
+        Some(HeldRuns { runs: worker.live.len(), long_running, until })
+    }
+
     /// Requests placement when the time for which a worker is avoided has ended.
     fn end_avoid_periods(&mut self, now: Moment) {
         let since = std::mem::replace(&mut self.last_tick, now);
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -119,10 +119,16 @@
         self.reserved || self.seen.state == WorkerState::Draining
     }
 
-    /// Returns whether the leases of all its runs have certainly lapsed; `lease` is the length of one, with its drift.
+    /// Returns after which moment the leases of all its runs have certainly lapsed, or `None` while it answers; `lease` is
+    /// the length of one, with its drift.
+    pub fn lapses_at(&self, lease: Millisecond) -> Option<Moment> {
+        let renewed_end = self.silent_since? + lease;
+        Some(self.longest_lease_until.map_or(renewed_end, |until| until.max(renewed_end)))
+    }
+
+    /// Returns whether the leases of all its runs have certainly lapsed.
     pub fn has_lapsed(&self, lease: Millisecond, now: Moment) -> bool {
-        self.silent_since.is_some_and(|renewed| now > renewed + lease)
-            && self.longest_lease_until.is_none_or(|until| now > until)
+        self.lapses_at(lease).is_some_and(|at| now > at)
     }
 
     /// Returns the room that is left.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -95,6 +95,7 @@
             Ok(leader) => leader,
             Err(reason) => return reason,
         };
+        leader.log_inherited_holds(leader.cx.clock.now());
         let reason = loop {
             if let Some(reason) = leader.step().await {
                 break reason;
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -1,6 +1,9 @@
 //! Applies news of the tables, the workers and the hosts to the coordinator.
 
-use fuchsiamill_fleet::{Name, WorkerReport, coordinator::RunToEnd};
+use fuchsiamill_fleet::{
+    Name, WorkerReport,
+    coordinator::{HeldRuns, RunToEnd},
+};
 use fuchsiamill_model::{
     FastSet,
     units::{Millisecond, Moment},
@@ -73,6 +76,7 @@
                     self.cx.metrics.worker_event("silent");
                     let ago_ms = now.since(renewed);
                     tracing::info!(event = "worker-silent", worker = %id, renewed_ago_ms = ago_ms);
+                    self.log_held(&id, now);
                 }
             }
             LinkEvent::Dead(id, born) => {
@@ -108,6 +112,20 @@
         }
     }
 
+    /// Logs the runs on workers that are known from the records of these only, as a takeover finds them.
+    pub(super) fn log_inherited_holds(&self, now: Moment) {
+        let unlisted = self.coordinator.workers().iter().filter(|it| it.1.unlisted);
+        unlisted.for_each(|(id, _)| self.log_held(id, now));
+    }
+
+    /// Logs until when runs on a worker that does not answer keep their tasks from being started elsewhere.
+    fn log_held(&self, id: &Name, now: Moment) {
+        let Some(held) = self.coordinator.held_runs(id) else { return };
+        let HeldRuns { runs, long_running, until } = held;
+        let ms = until.since(now);
+        tracing::info!(event = "runs-held", worker = %id, runs, long_running, held_for_ms = ms);
+    }
+
     /// Logs runs that should have ended long ago and are still listed.
     fn log_overdue(&self, id: &Name, now: Moment) {
         let overdue = self.coordinator.runs_to_end_on(id, now);
