Runs of workers that no host has any more are started elsewhere at once, also after a takeover

Cause: the end of a worker was taken from the list of hosts only where this coordinator had seen the host with that worker before. A coordinator that takes over has not. It waited for the longest time for which the former one may renew leases (12.29 s) and a lease (5.56 s), though its first list showed that no host has the worker.

Change: a list of which each entry could be read and that was requested after the worker was known shows the end of a worker that does not answer and that no host in it has. Workers behind a cut stay listed with their hosts.

Test seen failing: two of the five new ones in worker_loss fail without the condition on whole lists; the others guard against ending workers by lists that are older or not whole.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -13,7 +13,10 @@
 
 use self::host::LOST_MS;
 use super::{Coordinator, Order, Worker};
-use crate::{HostInfo, HostState, Name, worker::Wave};
+use crate::{
+    HostInfo, HostState, Name,
+    worker::{HostListing, Wave},
+};
 
 /// The progress of a maintenance wave.
 #[derive(Clone, Debug)]
@@ -50,17 +53,18 @@
 const SETTLING_MS: Millisecond = 3_300;
 
 impl Coordinator {
-    /// Records the host list; `asked` is when it was requested. Returns the workers that have ended by this list.
-    pub fn hosts_listed(&mut self, listed: Vec<HostInfo>, asked: Moment) -> Vec<Name> {
-        let names: FastSet<Name> = listed.iter().map(|it| it.host.clone()).collect();
-        for (_, host) in self.hosts.iter_mut().filter(|(name, _)| !names.contains(*name)) {
+    /// Records the host list. Returns the workers that have ended by this list.
+    pub fn hosts_listed(&mut self, listing: &HostListing) -> Vec<Name> {
+        let asked = listing.asked;
+        let names: FastSet<&Name> = listing.hosts.iter().map(|it| &it.host).collect();
+        for (_, host) in self.hosts.iter_mut().filter(|(name, _)| !names.contains(name)) {
             host.seen.state = HostState::Down;
             host.away_since.get_or_insert(asked);
         }
-        for seen in listed {
+        for seen in &listing.hosts {
             let host =
-                self.hosts.entry(seen.host.clone()).or_insert_with(|| Host::new(&seen, asked));
-            host.update(seen, asked);
+                self.hosts.entry(seen.host.clone()).or_insert_with(|| Host::new(seen, asked));
+            host.update(seen.clone(), asked);
             let name = host.seen.host.clone();
             match &host.duty {
                 Some(it) if is_duty_done(it, &host.seen, asked, &self.timing) => {
@@ -73,7 +77,7 @@
             }
         }
         self.hosts_known = true;
-        self.end_replaced_workers(asked)
+        self.end_absent_workers(listing)
     }
 
     /// Returns whether a new worker of a pool may be on a host with an unconfirmed order, because the worker known on
--- a/crates/fleet/src/coordinator/hosts/replaced.rs
+++ b/crates/fleet/src/coordinator/hosts/replaced.rs
@@ -1,20 +1,26 @@
 //! Workers that the host list shows to have ended.
 
-use fuchsiamill_model::units::Moment;
+use fuchsiamill_model::FastSet;
 
-use crate::{Name, coordinator::Coordinator};
+use crate::{Name, coordinator::Coordinator, worker::HostListing};
 
 impl Coordinator {
-    /// Ends workers that do not answer and that their hosts no longer have, and returns them. A worker is one life of its
-    /// host, so nothing of it goes on. Silence alone does not show that: the worker may be cut off and run on.
-    pub(super) fn end_replaced_workers(&mut self, asked: Moment) -> Vec<Name> {
-        let is_silent = |id: &Name| {
-            let silent_since = self.workers.get(id).and_then(|it| it.silent_since);
-            silent_since.is_some_and(|since| asked > since)
-        };
-        let former = self.hosts.values().filter_map(|it| it.former_worker.as_ref());
-        let ended: Vec<Name> = former.filter(|id| is_silent(id)).cloned().collect();
-        let now = asked.max(self.last_tick);
+    /// Ends workers that do not answer and that no host has any more, and returns them. A worker is one life of its host,
+    /// so nothing of it goes on. Silence alone does not show that: the worker may be cut off and run on. A list that is
+    /// not whole shows only the end of workers whose hosts are in it.
+    pub(super) fn end_absent_workers(&mut self, listing: &HostListing) -> Vec<Name> {
+        let on_hosts: FastSet<&Name> =
+            listing.hosts.iter().filter_map(|it| it.worker.as_ref()).collect();
+        let former: FastSet<&Name> =
+            self.hosts.values().filter_map(|it| it.former_worker.as_ref()).collect();
+        let shows_all = listing.is_whole && !listing.hosts.is_empty();
+        let is_absent = |id: &Name| !on_hosts.contains(id) && (shows_all || former.contains(id));
+        let workers = self.workers.iter();
+        let ended: Vec<Name> = workers
+            .filter(|(id, it)| it.is_silent_since(listing.asked) && is_absent(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let now = listing.asked.max(self.last_tick);
         let is_new = |id: &Name| {
             let born = self.workers[id].seen.born;
             self.worker_dead(id, born, now)
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -68,6 +68,7 @@
         worker.acknowledged = None;
         worker.unknown = Default::default();
         worker.answered = false;
+        worker.known_since = now;
         worker.unlisted = false;
         worker.silent_since = None;
         worker.failures = 0;
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -44,6 +44,8 @@
     pub acknowledged: Option<Moment>,
     /// Whether this incarnation of the worker has answered this coordinator.
     pub answered: bool,
+    /// When this coordinator first knew of this incarnation.
+    pub known_since: Moment,
     /// Whether its entry is gone from the worker list.
     pub unlisted: bool,
     /// The start time of the incarnation before this one, in Unix milliseconds.
@@ -83,6 +85,7 @@
             last_end: 0,
             acknowledged: None,
             answered: false,
+            known_since: now,
             unlisted: false,
             former_born: None,
             longest_lease_until: None,
@@ -131,6 +134,15 @@
         self.lapses_at(lease).is_some_and(|at| now > at)
     }
 
+    /// Returns whether it has not answered since a list of hosts that was requested at `asked`. An incarnation that has
+    /// never answered was there before the list if it was known by then.
+    pub fn is_silent_since(&self, asked: Moment) -> bool {
+        match self.answered {
+            true => self.silent_since.is_some_and(|since| asked > since),
+            false => self.silent_since.is_some() && asked > self.known_since,
+        }
+    }
+
     /// Returns the room that is left.
     pub fn free(&self) -> Resources {
         self.seen.capacity.minus(self.used).minus(self.unknown.room)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,7 +25,7 @@
 pub use start_budget::StartBudget;
 pub use task::{Ending, RunEnd, RunInfo, TaskId};
 pub use timing::Timing;
-pub use worker::{HostInfo, HostState, WorkerInfo, WorkerReport, WorkerState};
+pub use worker::{HostInfo, HostListing, HostState, WorkerInfo, WorkerReport, WorkerState};
 
 /// A name assigned by the platform or by a caller; immutable and cheap to clone.
 pub type Name = smol_str::SmolStr;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -87,6 +87,17 @@
     pub worker: Option<Name>,
 }
 
+/// The list of hosts at one time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostListing {
+    /// The entries.
+    pub hosts: Vec<HostInfo>,
+    /// Whether all entries could be read.
+    pub is_whole: bool,
+    /// Time at which the list was requested.
+    pub asked: Moment,
+}
+
 /// A maintenance wave: a set of hosts that an operator wants maintained.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wave {
--- a/crates/fleet/tests/common/calm.rs
+++ b/crates/fleet/tests/common/calm.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fuchsiamill_fleet::{
-    HostInfo, HostState, JobSpec, Name, TaskId,
+    HostInfo, HostListing, HostState, JobSpec, Name, TaskId,
     coordinator::{DutyReply, HostDuty},
     worker::Wave,
 };
@@ -54,7 +54,8 @@
             let on = sim.is_up.then_some(&**id);
             HostInfo { state, ..host(&format!("host-{id}"), "web", on) }
         });
-        self.coordinator.hosts_listed(hosts.collect(), self.now);
+        let hosts = hosts.collect();
+        self.coordinator.hosts_listed(&HostListing { hosts, is_whole: true, asked: self.now });
     }
 
     /// Requests maintenance of all hosts.
--- a/crates/fleet/tests/common/hosts/mod.rs
+++ b/crates/fleet/tests/common/hosts/mod.rs
@@ -8,8 +8,8 @@
 };
 
 use fuchsiamill_fleet::{
-    Config, Coordinator, Ending, HostInfo, HostState, JobRecord, JobSpec, Name, Order, TaskId,
-    Timing, WorkerInfo, WorkerReport,
+    Config, Coordinator, Ending, HostInfo, HostListing, HostState, JobRecord, JobSpec, Name, Order,
+    TaskId, Timing, WorkerInfo, WorkerReport,
     coordinator::{Commit, DutyReply, HostDuty, StartReply, Takeover, WaveRecord},
     worker::Wave,
 };
@@ -398,7 +398,7 @@
             HostInfo { state: machine.state, ..host(name, &machine.pool, on) }
         };
         let hosts = self.hosts.iter().map(seen).collect();
-        self.coordinator.hosts_listed(hosts, self.now);
+        self.coordinator.hosts_listed(&HostListing { hosts, is_whole: true, asked: self.now });
     }
 
     /// Passes the list of workers, which is up to date sooner than the list of hosts.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -14,8 +14,8 @@
 use std::sync::Arc;
 
 use fuchsiamill_fleet::{
-    Config, Coordinator, Ending, HostInfo, HostState, JobSpec, Name, Order, Pool, RunEnd, RunInfo,
-    Schedule, Step, TaskId, Team, Timing, WorkerInfo, WorkerReport, WorkerState,
+    Config, Coordinator, Ending, HostInfo, HostListing, HostState, JobSpec, Name, Order, Pool,
+    RunEnd, RunInfo, Schedule, Step, TaskId, Team, Timing, WorkerInfo, WorkerReport, WorkerState,
     coordinator::{HostDuty, StartReply, Takeover},
     job::RouteSettings,
 };
@@ -232,7 +232,7 @@
 }
 
 pub fn list(bench: &mut Bench, hosts: Vec<HostInfo>) {
-    bench.coordinator.hosts_listed(hosts, bench.now);
+    bench.coordinator.hosts_listed(&HostListing { hosts, is_whole: true, asked: bench.now });
 }
 
 /// Returns the orders to hosts.
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -8,8 +8,8 @@
     Bench, START, WALL, config, host, job, list, run_info, starts, step, stops, task, worker,
 };
 use fuchsiamill_fleet::{
-    Ending, HostInfo, HostState, JobRecord, Order, RunInfo, Stage, TaskRecord, WorkerInfo,
-    WorkerReport, WorkerState, coordinator::StartReply, coordinator::Takeover,
+    Ending, HostInfo, HostListing, HostState, JobRecord, Order, RunInfo, Stage, TaskRecord,
+    WorkerInfo, WorkerReport, WorkerState, coordinator::StartReply, coordinator::Takeover,
 };
 
 fn running() -> Bench {
@@ -79,7 +79,8 @@
     bench.wait(400);
     bench.coordinator.worker_silent(&"w1".into(), bench.now);
     let down = HostInfo { state: HostState::Down, ..host("h1", "web", None) };
-    assert!(bench.coordinator.hosts_listed(vec![down], asked).is_empty());
+    let listing = HostListing { hosts: vec![down], is_whole: true, asked };
+    assert!(bench.coordinator.hosts_listed(&listing).is_empty());
     assert!(bench.run().is_empty());
 }
 
@@ -182,6 +183,11 @@
 }
 
 fn inherited(takeover: Takeover) -> Bench {
+    inherited_on("w1", takeover)
+}
+
+/// Returns a bench with the workers w1, which has not answered, and w2, and with a run on the worker `on`.
+fn inherited_on(on: &str, takeover: Takeover) -> Bench {
     let mut bench = Bench::after(config(), takeover);
     bench.coordinator.worker_listed(worker("w1"), bench.now);
     bench.add(worker("w2"));
@@ -194,7 +200,7 @@
             run: 4,
             failures: 1,
             done: false,
-            on: Some(("w1".into(), 7)),
+            on: Some((on.into(), 7)),
             checkpoint: "half".into(),
         }],
         ..JobRecord::default()
@@ -245,6 +251,60 @@
     assert_eq!(bench.run().len(), 1);
 }
 
+/// The runs of workers that were gone before a takeover waited for the longest renewals of the former coordinator.
+#[test]
+fn silent_worker_that_no_host_has_after_a_takeover_loses_its_tasks_at_once() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(400);
+    list(&mut bench, vec![host("h2", "web", Some("w2"))]);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+/// The entry of such a worker has lapsed, so that it is known from the record of its run only.
+#[test]
+fn unlisted_worker_that_no_host_has_after_a_takeover_loses_its_tasks_at_once() {
+    let mut bench = inherited_on("w9", Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.wait(400);
+    list(&mut bench, vec![host("h2", "web", Some("w2"))]);
+    assert!(!bench.run().is_empty());
+}
+
+/// An entry that cannot be read may be that of the worker's host.
+#[test]
+fn list_with_unreadable_entries_does_not_end_an_inherited_worker() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(400);
+    let hosts = vec![host("h2", "web", Some("w2"))];
+    let listing = HostListing { hosts, is_whole: false, asked: bench.now };
+    assert!(bench.coordinator.hosts_listed(&listing).is_empty());
+    assert!(bench.run().is_empty());
+}
+
+/// The list was requested before the worker was known, so that its host may have got it later.
+#[test]
+fn former_host_list_does_not_end_a_worker_that_has_not_answered() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    let asked = bench.now;
+    bench.wait(400);
+    bench.coordinator.worker_listed(WorkerInfo { born: 8, ..worker("w1") }, bench.now);
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    let listing = HostListing { hosts: vec![host("h2", "web", Some("w2"))], is_whole: true, asked };
+    assert!(bench.coordinator.hosts_listed(&listing).is_empty());
+    assert!(bench.run().is_empty());
+}
+
+/// A cut between the worker and the coordinator looks the same, but its host has it.
+#[test]
+fn silent_worker_that_a_host_has_after_a_takeover_keeps_its_tasks() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(400);
+    list(&mut bench, vec![host("h1", "web", Some("w1")), host("h2", "web", Some("w2"))]);
+    assert!(bench.run().is_empty());
+}
+
 #[test]
 fn missing_run_is_restarted() {
     let mut bench = running();
--- a/crates/simulate/src/site.rs
+++ b/crates/simulate/src/site.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use fuchsiamill_fleet::{
-    Config, Coordinator, Ending, HostState, Name, Order, Pool, TaskId, Team, Timing, WorkerReport,
+    Config, Coordinator, Ending, HostListing, HostState, Name, Order, Pool, TaskId, Team, Timing,
+    WorkerReport,
     coordinator::{DutyReply, HostDuty, StartReply, Takeover},
 };
 use fuchsiamill_model::{
@@ -260,7 +261,7 @@
         }
         let has_worker = |it: &Machine| it.state == HostState::Up && it.pool != "spare";
         let hosts = self.machines.iter().map(|it| it.host_info(capacity, has_worker(it))).collect();
-        self.coordinator.hosts_listed(hosts, now);
+        self.coordinator.hosts_listed(&HostListing { hosts, is_whole: true, asked: now });
     }
 
     fn run_coordinator(&mut self) {
--- a/crates/site/src/lead/hosts.rs
+++ b/crates/site/src/lead/hosts.rs
@@ -3,10 +3,10 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use fuchsiamill_fleet::{
-    HostInfo, Name,
+    HostInfo, HostListing, Name,
     coordinator::{DutyReply, HostDuty},
 };
-use fuchsiamill_model::{FastMap, FastSet, units::Moment};
+use fuchsiamill_model::{FastMap, FastSet};
 use fuchsiamill_platform::{DutyAnswer, HostClient, HostList};
 use monoio::time::sleep;
 
@@ -19,8 +19,8 @@
 /// News from the hosts service.
 #[derive(Debug)]
 pub enum HostEvent {
-    /// The list of hosts, with the moment at which it was requested.
-    Listed(Vec<HostInfo>, Moment),
+    /// The list of hosts.
+    Listed(HostListing),
     /// The outcome of an order to a host.
     Answered(Name, HostDuty, DutyReply),
 }
@@ -43,10 +43,12 @@
             match self.hosts.list().await {
                 Ok(list) => {
                     health.answered();
+                    let is_whole = list.unreadable == 0;
                     let hosts = known_hosts(list, &last);
                     log_changes(&last, &hosts);
                     last.clone_from(&hosts);
-                    self.event_sender.send(Event::Host(HostEvent::Listed(hosts, asked)));
+                    let listing = HostListing { hosts, is_whole, asked };
+                    self.event_sender.send(Event::Host(HostEvent::Listed(listing)));
                 }
                 Err(e) => health.failed(&e),
             }
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -139,10 +139,10 @@
     pub(super) fn apply_host(&mut self, event: HostEvent) {
         let now = self.cx.clock.now();
         match event {
-            HostEvent::Listed(hosts, asked) => {
-                for worker in self.coordinator.hosts_listed(hosts, asked) {
+            HostEvent::Listed(listing) => {
+                for worker in self.coordinator.hosts_listed(&listing) {
                     self.cx.metrics.worker_event("over");
-                    tracing::info!(event = "worker-over", %worker, cause = "its host no longer has it");
+                    tracing::info!(event = "worker-over", %worker, cause = "no host has it");
                 }
             }
             HostEvent::Answered(host, duty, reply) => {
