A worker is no longer reserved once the order to its host is gone

What callers saw: nothing yet; found while a task that lasts and does not run was looked for. A worker that takes no tasks is room that callers see in the list and never get.

Cause: a worker is reserved, and released, through its host's entry in the list. Where the list shows the host without its worker at the moment at which the order ends (refused since the host has just crashed, withdrawn, or no longer wanted), nothing was released, and a worker that starts again under its id kept the mark of its former life until its host got another order.

Change: each list of hosts sets anew which workers are reserved, instead of the events that change it alone.

Test seen failing: reserved_workers worker_takes_tasks_again_after_its_crashed_host_refused_a_move, without the change.

Result: all tests of fleet pass.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -66,15 +66,9 @@
                 self.hosts.entry(seen.host.clone()).or_insert_with(|| Host::new(seen, asked));
             host.update(seen.clone(), asked);
             let name = host.seen.host.clone();
-            match &host.duty {
-                Some(it) if is_duty_done(it, &host.seen, asked, &self.timing) => {
-                    host.duty = None;
-                    self.update_reserved(&name);
-                }
-                // A worker that started after the order was given will be ended by it too.
-                Some(it) if it.confirmed.is_none() => self.update_reserved(&name),
-                _ => {}
-            }
+            host.duty.take_if(|it| is_duty_done(it, seen, asked, &self.timing));
+            // The list may not have shown the host's worker when the order was given or ended.
+            self.update_reserved(&name);
         }
         self.hosts_known = true;
         self.end_absent_workers(listing)
