Rank: amounts of work are no longer compared with moments

A task that lasts lost its place to short jobs on a coordinator that had been up for long.

Cause: the key of a rank was a moment for lasting and scheduled work, and millicore-milliseconds for other work while its pool was full.

Change: tasks that last or run at a time of day have a tier of their own before the others of their priority, which is where they were on a coordinator that had just started. Within a tier, jobs are ordered by when they are due, and behind those the jobs of full pools by the work that is left.

Test seen failing: passed_over rank_of_a_long_running_task_does_not_depend_on_the_uptime ('short' for 'last').

Result: all tests of fleet pass.

--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -2,7 +2,8 @@
 //!
 //! A job that is late is worth a small part of one in time. While a pool has room for all jobs, the job that is due
 //! first goes first. While a pool is short of room, that order would make every job a little late. Then the job with
-//! the least work left goes first, and a job that can no longer be done in time waits for the others.
+//! the least work left goes first, and a job that can no longer be done in time waits for the others. Tasks that run
+//! all the time or at a time of day come before both: they are few, and each moment without room is lost to them.
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
@@ -32,11 +33,23 @@
 pub struct Rank {
     priority: u32,
     tier: Tier,
-    key: u64,
+    urgency: Urgency,
+}
+
+/// The order within a tier. Jobs whose pool has room for all come before those that compete for room, since they take
+/// nothing from these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// When the job should be completed.
+    Due(Moment),
+    /// The work that is left, in millicore-milliseconds.
+    Work(u64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
+    /// The job has tasks that are to run at a time of day or all the time: it gains from room as long as it has it.
+    Standing,
     /// The job can still be completed within its objective.
     InTime,
     /// The job is late or will be; other jobs gain more from the room.
@@ -59,7 +72,7 @@
         let priority = job.spec.route.priority;
         let due = self.due(job);
         if job.spec.long_running() || job.spec.schedule.is_some() {
-            return Rank { priority, tier: Tier::InTime, key: due.0 };
+            return Rank { priority, tier: Tier::Standing, urgency: Urgency::Due(due) };
         }
         let (path, work) = self.remaining_work(job);
         let tier = match () {
@@ -68,8 +81,11 @@
             () => Tier::InTime,
         };
         let is_full = self.full_pools.contains(&job.spec.route.pool);
-        let key = if is_full || tier == Tier::Late { work } else { due.0 };
-        Rank { priority, tier, key }
+        let urgency = match is_full || tier == Tier::Late {
+            true => Urgency::Work(work),
+            false => Urgency::Due(due),
+        };
+        Rank { priority, tier, urgency }
     }
 
     /// Returns when a job should be completed, given how long its queue's tasks are known to take.
