Placement: a step that could start is found, however many before it cannot

Labels, sizes, gangs and advice in place of the limit do the same.

Cause: the search in a pool ended after 40 steps without room, to bound its cost, and any reason not to start counted as no room.

Change: in one placement room only shrinks. A need that no worker had room for is kept, with its label, and steps that need as much or more are passed over by it without a search; the search goes over the workers of the pool that take tasks, with their free room at hand. All other reasons set a step aside by themselves. Each step keeps why and since when it waits. Tasks are considered again after 500 ms also where no event asks for it.

--- a/crates/fleet/src/coordinator/advice.rs
+++ b/crates/fleet/src/coordinator/advice.rs
@@ -32,6 +32,13 @@
     pub step: u16,
 }
 
+impl StepKey {
+    /// Returns one of the step's tasks.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId { job: self.job.clone(), occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
 impl From<&TaskId> for StepKey {
     fn from(it: &TaskId) -> Self {
         Self { job: it.job.clone(), occurrence: it.occurrence, step: it.step }
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
-use super::{LiveRun, Phase, gang::GangCheckpoints, health::RunningMean, live::Speed};
+use super::{LiveRun, Phase, Wait, gang::GangCheckpoints, health::RunningMean, live::Speed};
 use crate::{JobRecord, JobSpec, Name, RECORD_TASKS, Stage, TaskId, TaskRecord};
 
 /// A job that has not ended, or whose last runs are being stopped.
@@ -54,6 +54,8 @@
     pub gang_checkpoints: GangCheckpoints,
     /// Since when its tasks have waited for room near their data although there is room elsewhere.
     pub near_wait_since: Option<Moment>,
+    /// Why some of its tasks were not placed; `None` if all were, or it was not considered yet.
+    pub wait: Option<Wait>,
 }
 
 /// A task and what is known of its runs.
@@ -104,6 +106,7 @@
             durations: RunningMean::default(),
             gang_checkpoints: GangCheckpoints::default(),
             near_wait_since: None,
+            wait: None,
         }
     }
 
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -25,8 +25,10 @@
 mod reported_health;
 mod reports;
 mod retention;
+mod room;
 mod sharing;
 mod tick;
+mod waits;
 mod worker;
 
 use std::{collections::VecDeque, sync::Arc};
@@ -47,6 +49,7 @@
 pub use outbox::Commit;
 pub use replies::{Refusal, StartReply};
 pub use tick::HeldRuns;
+pub use waits::{Wait, WaitReason, WaitingStep};
 pub use worker::Worker;
 
 use crate::{Config, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing};
@@ -87,6 +90,8 @@
     /// The jobs of the commit that is being stored, and the orders that wait for it.
     commit_in_flight: Option<(FastSet<Name>, Vec<Order>)>,
     needs_placing: bool,
+    /// When tasks were last placed.
+    last_placed: Moment,
     /// When `tick` was last called.
     last_tick: Moment,
     hosts: FastMap<Name, Host>,
@@ -103,7 +108,7 @@
     draining_to: FastMap<Name, Name>,
     advice: FastMap<StepKey, advice::StepAdvice>,
     queue_durations: FastMap<Name, rank::QueueDurations>,
-    /// Pools in which the last placement found no room for some tasks.
+    /// Pools whose workers were too full for some tasks in the last placement.
     full_pools: FastSet<Name>,
     /// When the first task that waits for room near its data may be placed elsewhere.
     near_wait_ends: Option<Moment>,
@@ -129,6 +134,7 @@
             ready_orders: Vec::new(),
             commit_in_flight: None,
             needs_placing: false,
+            last_placed: takeover.at,
             last_tick: takeover.at,
             hosts: FastMap::default(),
             hosts_known: false,
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -1,16 +1,16 @@
 //! Placement of tasks on workers.
 
 use fuchsiamill_model::{
-    FastMap, Resources,
+    Resources,
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, LiveRun, Order, Phase, StepKey, TaskState, Worker, live::Speed};
-use crate::{JobSpec, Name, Stage, Step, TaskId, job::RouteSettings};
-
-/// Failures to find room after which the search in a pool ends until something changes. Each missing task of a gang
-/// counts, and one task of any other step.
-const MAX_UNPLACED_PER_POOL: u32 = 40;
+use super::{
+    Coordinator, LiveRun, Order, Phase, StepKey, TaskState, WaitReason, Worker,
+    live::Speed,
+    room::{Found, FreeWorker, RoomSearch},
+};
+use crate::{JobSpec, Name, Stage, Step, TaskId};
 
 /// A worker that was idle for this long is polled before a start is sent to it.
 const LONG_IDLE_MS: Millisecond = 5_000;
@@ -27,11 +27,25 @@
 /// Where a task is placed.
 enum Spot {
     /// On this worker.
-    On(Name),
+    On(Found),
     /// Nowhere yet: the task waits for room near its data, until this moment at most.
     WaitForNear(Moment),
-    /// Nowhere: there is no room for the task.
-    NoRoom,
+    /// Nowhere, for this reason.
+    Nowhere(WaitReason),
+}
+
+/// What became of a step in one placement.
+struct StepOutcome {
+    /// How many of its tasks were placed.
+    placed: usize,
+    /// Why the others wait.
+    reason: Option<WaitReason>,
+}
+
+impl StepOutcome {
+    fn waits(reason: WaitReason) -> Self {
+        Self { placed: 0, reason: Some(reason) }
+    }
 }
 
 impl Coordinator {
@@ -46,91 +60,163 @@
             return;
         }
         let mut room = most;
+        self.last_placed = now;
         self.near_wait_ends = None;
-        let mut unplaced: FastMap<Name, u32> = FastMap::default();
+        let mut search = RoomSearch::new(&self.workers, now);
         for id in self.ranked(now) {
             if room == 0 {
                 break;
             }
             let Some(job) = self.jobs.get(&id) else { continue };
-            let pool = job.spec.route.pool.clone();
-            if unplaced.get(&pool).is_some_and(|it| *it >= MAX_UNPLACED_PER_POOL) {
-                continue;
-            }
             for (occurrence, step) in job.open_steps() {
-                let unplaced_count = self.place_step(&id, (occurrence, step), &mut room, now);
-                *unplaced.entry(pool.clone()).or_insert(0) += unplaced_count;
+                let key =
+                    StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
+                let outcome = self.place_step(&key, &mut search, room, now);
+                room = room.saturating_sub(outcome.placed);
+                self.note_wait(&key, outcome.reason, outcome.placed > 0, now);
             }
         }
         // Gangs that found no room have released what they took, which set the flag although nothing has changed.
         self.needs_placing = room == 0;
-        self.full_pools = unplaced.into_iter().filter(|it| it.1 > 0).map(|it| it.0).collect();
+        self.full_pools = search.full_pools();
     }
 
-    /// Places the waiting tasks of a step, and takes them off `most`. Returns how many found no room: all missing tasks
-    /// of a gang, at most one of another step.
+    /// Places at most so many of the waiting tasks of a step, but a gang as a whole.
     fn place_step(
         &mut self,
-        id: &Name,
-        (occurrence, step): (usize, usize),
-        most: &mut usize,
+        key: &StepKey,
+        search: &mut RoomSearch,
+        most: usize,
         now: Moment,
-    ) -> u32 {
-        if *most == 0 {
-            return 0;
-        }
-        let Some(job) = self.jobs.get(id) else { return 0 };
+    ) -> StepOutcome {
+        let (occurrence, step) = (key.occurrence as usize, key.step as usize);
+        let Some(job) = self.jobs.get(&key.job).filter(|_| most > 0) else {
+            return StepOutcome::waits(WaitReason::Turn);
+        };
         let spec = job.spec.clone();
         let wanted = &spec.steps[step];
-        let tasks = &job.occurrences[occurrence].steps[step].tasks;
-        let waiting =
-            (0..tasks.len() as u32).filter(|it| tasks[*it as usize].state == TaskState::Waiting);
-        let waiting: Vec<u32> =
-            if wanted.gang { waiting.collect() } else { waiting.take(*most).collect() };
-        let run = tasks.iter().map(|it| it.run).max().unwrap_or(0) + 1;
-        if wanted.gang && waiting.len() < tasks.len() {
-            return 0;
+        if let Some(reason) = self.known_obstacle(&spec, wanted, search) {
+            return StepOutcome::waits(reason);
         }
+        let run = &job.occurrences[occurrence].steps[step];
         if wanted.gang {
-            self.align_gang(id, occurrence, step);
+            return match run.waiting as usize == run.tasks.len() {
+                true => self.place_gang(key, &spec, search, now),
+                false => StepOutcome::waits(WaitReason::Gang),
+            };
         }
-        let near = self.near_rack(id, occurrence, step, waiting.len());
+        let is_waiting = |it: &u32| run.tasks[*it as usize].state == TaskState::Waiting;
+        let waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).take(most).collect();
+        let is_last = waiting.len() == run.waiting as usize;
+        let near = self.near_rack(&key.job, occurrence, step, waiting.len());
         let mut placed = Vec::new();
-        let mut is_full = false;
-        for index in &waiting {
-            let task = TaskId {
-                job: id.clone(),
-                occurrence: occurrence as u32,
-                step: step as u16,
-                index: *index,
-            };
-            match self.find_spot(&task, &spec, near.as_ref(), now) {
-                Spot::On(worker) => self.assign(&task, &worker, wanted.gang.then_some(run), now),
+        let mut reason = (!is_last).then_some(WaitReason::Turn);
+        for index in waiting {
+            let task = key.task(index);
+            match self.find_spot(&task, &spec, near.as_ref(), search, now) {
+                Spot::On(found) => {
+                    search.take(&spec.route.pool, found.position, wanted.room());
+                    self.assign(&task, &found.id, None, now);
+                    placed.push(task);
+                }
                 Spot::WaitForNear(until) => {
                     self.note_near_wait(&task, until, now);
+                    reason = Some(WaitReason::NearData);
                     break;
                 }
-                Spot::NoRoom => {
-                    is_full = true;
+                Spot::Nowhere(why) => {
+                    self.note_obstacle(key, &spec, why, search, now);
+                    reason = Some(why);
                     break;
                 }
             }
-            placed.push(task);
         }
-        let missing = if is_full { (waiting.len() - placed.len()) as u32 } else { 0 };
-        if missing > 0 && spec.route.advised {
-            let key = StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
-            self.ask_advice(key, &spec.route.pool, now);
+        placed.iter().for_each(|it| self.order_start(it, now));
+        StepOutcome { placed: placed.len(), reason }
+    }
+
+    /// Places all tasks of a gang, or none.
+    fn place_gang(
+        &mut self,
+        key: &StepKey,
+        spec: &JobSpec,
+        search: &mut RoomSearch,
+        now: Moment,
+    ) -> StepOutcome {
+        let (occurrence, step) = (key.occurrence as usize, key.step as usize);
+        let wanted = &spec.steps[step];
+        let pool = &spec.route.pool;
+        if search.places(pool, wanted) < u64::from(wanted.count) {
+            return StepOutcome::waits(WaitReason::Room);
         }
-        if wanted.gang && placed.len() < waiting.len() {
-            placed.iter().for_each(|it| self.requeue(it, now));
-            return missing;
+        self.align_gang(&key.job, occurrence, step);
+        let near = self.near_rack(&key.job, occurrence, step, wanted.count as usize);
+        let tasks = &self.jobs[&key.job].occurrences[occurrence].steps[step].tasks;
+        let run = tasks.iter().map(|it| it.run).max().unwrap_or(0) + 1;
+        let mut placed: Vec<(TaskId, usize)> = Vec::new();
+        let mut reason = None;
+        for index in 0..wanted.count {
+            let task = key.task(index);
+            match self.find_spot(&task, spec, near.as_ref(), search, now) {
+                Spot::On(found) => {
+                    search.take(pool, found.position, wanted.room());
+                    self.assign(&task, &found.id, Some(run), now);
+                    placed.push((task, found.position));
+                    continue;
+                }
+                Spot::WaitForNear(until) => {
+                    self.note_near_wait(&task, until, now);
+                    reason = Some(WaitReason::NearData);
+                }
+                Spot::Nowhere(why) => reason = Some(why),
+            }
+            break;
+        }
+        let Some(reason) = reason else {
+            placed.iter().for_each(|(task, _)| self.order_start(task, now));
+            return StepOutcome { placed: placed.len(), reason: None };
+        };
+        for (task, position) in &placed {
+            search.give_back(pool, *position, wanted.room());
+            self.requeue(task, now);
+        }
+        // What the first members took may be what the others lack, so that only the first one tells of the pool.
+        if placed.is_empty() || reason == WaitReason::Permit {
+            self.note_obstacle(key, spec, reason, search, now);
+        }
+        StepOutcome::waits(reason)
+    }
+
+    /// Returns why no task of a step can be placed, as far as that is known without a search.
+    fn known_obstacle(
+        &self,
+        spec: &JobSpec,
+        step: &Step,
+        search: &RoomSearch,
+    ) -> Option<WaitReason> {
+        match self.fits_limit(&spec.team, step.size) {
+            true => search.unmet(&spec.route.pool, step),
+            false => Some(WaitReason::TeamLimit),
         }
-        *most = most.saturating_sub(placed.len());
-        for task in placed {
-            self.order_start(&task, now);
+    }
+
+    /// Notes what a search has shown of the pool, and asks for permits if only these are missing.
+    fn note_obstacle(
+        &mut self,
+        key: &StepKey,
+        spec: &JobSpec,
+        reason: WaitReason,
+        search: &mut RoomSearch,
+        now: Moment,
+    ) {
+        let step = &spec.steps[key.step as usize];
+        match reason {
+            WaitReason::Label | WaitReason::Size | WaitReason::Room => {
+                search.note_unmet(&spec.route.pool, step, reason);
+            }
+            WaitReason::Permit => self.ask_advice(key.clone(), &spec.route.pool, now),
+            _ => {}
         }
-        missing.min(1)
     }
 
     /// Returns whether the team's upper limit leaves room for one more task of this size.
@@ -144,42 +230,79 @@
     }
 
     /// Returns the best place for a task, where `near` is the rack in which it is fast.
-    fn find_spot(&self, task: &TaskId, spec: &JobSpec, near: Option<&Name>, now: Moment) -> Spot {
+    fn find_spot(
+        &self,
+        task: &TaskId,
+        spec: &JobSpec,
+        near: Option<&Name>,
+        search: &RoomSearch,
+        now: Moment,
+    ) -> Spot {
         let step = &spec.steps[task.step as usize];
         if !self.fits_limit(&spec.team, step.size) {
-            return Spot::NoRoom;
+            return Spot::Nowhere(WaitReason::TeamLimit);
         }
-        let Some((fit, worker)) = self.best_worker(task, step, &spec.route, near, now) else {
-            return Spot::NoRoom;
-        };
-        match fit.far.then(|| self.near_wait(task, now)).flatten() {
-            Some(until) => Spot::WaitForNear(until),
-            None => Spot::On(worker),
+        match self.best_worker(task, spec, near, search, now) {
+            Err(reason) => Spot::Nowhere(reason),
+            Ok((fit, found)) => match fit.far.then(|| self.near_wait(task, now)).flatten() {
+                Some(until) => Spot::WaitForNear(until),
+                None => Spot::On(found),
+            },
         }
     }
 
     fn best_worker(
         &self,
         task: &TaskId,
-        step: &Step,
-        route: &RouteSettings,
+        spec: &JobSpec,
         near: Option<&Name>,
+        search: &RoomSearch,
         now: Moment,
-    ) -> Option<(Fit, Name)> {
+    ) -> std::result::Result<(Fit, Found), WaitReason> {
+        let step = &spec.steps[task.step as usize];
         let room = step.room();
-        let key = StepKey::from(task);
-        let candidates = self.workers.values().filter(|it| {
-            it.seen.pool == route.pool
-                && it.takes_tasks(now)
-                && it.free().fits(room)
-                && step.label.as_ref().is_none_or(|label| it.has_label(label))
-                && step.per_worker.is_none_or(|most| siblings_on(it, task) < most)
-                && (!route.advised || self.ticket(&key, &it.seen.id, now).is_some())
-        });
-        let (fit, worker) = candidates
-            .map(|it| (fit(it, step, near, room), it))
-            .min_by(|(a, x), (b, y)| a.cmp(b).then(x.seen.id.cmp(&y.seen.id)))?;
-        Some((fit, worker.seen.id.clone()))
+        let pool = search.pool(&spec.route.pool).ok_or(WaitReason::Room)?;
+        let mut best: Option<(Fit, &Name, usize)> = None;
+        let mut reason = WaitReason::Label;
+        for (position, it) in pool.workers.iter().enumerate() {
+            if let Err(why) = self.suits(it, task, spec, now) {
+                reason = reason.max(why);
+                continue;
+            }
+            let fit = fit(&self.workers[&it.id], step, near, room);
+            if best.as_ref().is_none_or(|(than, id, _)| (fit, &it.id) < (*than, *id)) {
+                best = Some((fit, &it.id, position));
+            }
+        }
+        let (fit, id, position) = best.ok_or(reason)?;
+        Ok((fit, Found { position, id: id.clone() }))
+    }
+
+    /// Returns whether a task may be placed on a worker now, or why not.
+    pub(super) fn suits(
+        &self,
+        on: &FreeWorker,
+        task: &TaskId,
+        spec: &JobSpec,
+        now: Moment,
+    ) -> std::result::Result<(), WaitReason> {
+        let step = &spec.steps[task.step as usize];
+        let room = step.room();
+        let worker = || &self.workers[&on.id];
+        match () {
+            () if step.label.as_ref().is_some_and(|label| !worker().has_label(label)) => {
+                Err(WaitReason::Label)
+            }
+            () if !on.capacity.fits(room) => Err(WaitReason::Size),
+            () if !on.free.fits(room) => Err(WaitReason::Room),
+            () if step.per_worker.is_some_and(|most| siblings_on(worker(), task) >= most) => {
+                Err(WaitReason::PerWorker)
+            }
+            () if spec.route.advised && self.ticket(&task.into(), &on.id, now).is_none() => {
+                Err(WaitReason::Permit)
+            }
+            () => Ok(()),
+        }
     }
 
     fn assign(&mut self, id: &TaskId, worker: &Name, run: Option<u32>, now: Moment) {
--- a/crates/fleet/src/coordinator/tick.rs
+++ b/crates/fleet/src/coordinator/tick.rs
@@ -1,10 +1,13 @@
 //! Changes that are due only because time passes.
 
-use fuchsiamill_model::units::{Moment, WallTime};
+use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
 use super::{Coordinator, Worker};
 use crate::{Name, TaskId, timing::with_drift};
 
+/// Waiting tasks are considered again after this time even if nothing is known to have changed for them.
+const PLACE_AGAIN_MS: Millisecond = 500;
+
 /// Runs whose tasks start elsewhere only once the leases of their worker have lapsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldRuns {
@@ -25,6 +28,7 @@
         self.end_advice_waits(now);
         self.ask_health(now);
         self.late_starts.retain(|_, until| now < *until);
+        self.needs_placing |= now.since(self.last_placed) >= PLACE_AGAIN_MS;
         let lease = with_drift(self.timing.lease_ms);
         let lapsed: Vec<Name> = self
             .workers
--- /dev/null
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -0,0 +1,122 @@
+//! Why steps wait, and since when.
+
+use fuchsiamill_model::units::{Millisecond, Moment};
+
+use super::{Coordinator, Job, StepKey};
+
+/// Why a task that may run is not started. Ordered by how far the search for a worker got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum WaitReason {
+    /// Its team runs as much as its limit allows.
+    TeamLimit,
+    /// No worker of its pool that takes tasks has the label that it needs.
+    Label,
+    /// No worker is large enough.
+    Size,
+    /// Workers that are large enough are full.
+    Room,
+    /// Each worker with room runs as many tasks of the step as may share one.
+    PerWorker,
+    /// The advice service has not allowed a worker that has room.
+    Permit,
+    /// It waits for room near its data.
+    NearData,
+    /// Former members of its gang have not ended yet.
+    Gang,
+    /// As many tasks were placed as can be started at once; it is considered next time.
+    Turn,
+}
+
+impl WaitReason {
+    /// All reasons.
+    pub const ALL: [WaitReason; 9] = [
+        WaitReason::TeamLimit,
+        WaitReason::Label,
+        WaitReason::Size,
+        WaitReason::Room,
+        WaitReason::PerWorker,
+        WaitReason::Permit,
+        WaitReason::NearData,
+        WaitReason::Gang,
+        WaitReason::Turn,
+    ];
+
+    /// Returns the reason as it is logged.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            WaitReason::TeamLimit => "team-limit",
+            WaitReason::Label => "label",
+            WaitReason::Size => "size",
+            WaitReason::Room => "room",
+            WaitReason::PerWorker => "per-worker",
+            WaitReason::Permit => "permit",
+            WaitReason::NearData => "near-data",
+            WaitReason::Gang => "gang",
+            WaitReason::Turn => "turn",
+        }
+    }
+}
+
+/// The wait of a step whose tasks could not all be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// Why the last placement left tasks of it.
+    pub reason: WaitReason,
+    /// Since when none of its tasks was placed.
+    pub since: Moment,
+}
+
+/// A step that waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingStep {
+    /// The step.
+    pub step: StepKey,
+    /// Why it waits.
+    pub reason: WaitReason,
+    /// How long none of its tasks was placed, in milliseconds.
+    pub age_ms: Millisecond,
+    /// How many of its tasks wait.
+    pub tasks: u32,
+    /// Whether its tasks run until their job is cancelled.
+    pub long_running: bool,
+}
+
+impl Coordinator {
+    /// Notes why a step waits after a placement, or that nothing of it waits. `has_placed` tells whether a task of it was
+    /// placed.
+    pub(super) fn note_wait(
+        &mut self,
+        key: &StepKey,
+        reason: Option<WaitReason>,
+        has_placed: bool,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let step = job.step_mut(key.occurrence as usize, key.step as usize);
+        let since = step.wait.filter(|_| !has_placed).map_or(now, |it| it.since);
+        step.wait = reason.map(|reason| Wait { reason, since });
+    }
+
+    /// Returns the steps that wait, as of the last placement.
+    pub fn waiting_steps(&self, now: Moment) -> impl Iterator<Item = WaitingStep> {
+        let open = self.jobs.values().filter(|it| !it.stage.is_over());
+        open.flat_map(move |it| waiting_steps_of(it, now))
+    }
+}
+
+fn waiting_steps_of(job: &Job, now: Moment) -> impl Iterator<Item = WaitingStep> {
+    job.occurrences.iter().enumerate().flat_map(move |(occurrence, run)| {
+        run.steps.iter().enumerate().filter_map(move |(number, step)| {
+            let wait = step.wait.filter(|_| step.waiting > 0)?;
+            let key =
+                StepKey { job: job.id.clone(), occurrence: occurrence as u32, step: number as u16 };
+            Some(WaitingStep {
+                step: key,
+                reason: wait.reason,
+                age_ms: now.since(wait.since),
+                tasks: step.waiting,
+                long_running: job.spec.steps[number].long_running,
+            })
+        })
+    })
+}
--- a/crates/fleet/tests/passed_over.rs
+++ b/crates/fleet/tests/passed_over.rs
@@ -2,8 +2,16 @@
 
 mod common;
 
-use common::{Bench, cores, job, step, worker};
-use fuchsiamill_fleet::{Ending, JobSpec, Name, Step, WorkerInfo};
+use common::{Bench, WALL, config, cores, job, step, worker};
+use fuchsiamill_fleet::{
+    Config, Ending, JobSpec, Name, Step, Team, WorkerInfo, job::RouteSettings,
+};
+use fuchsiamill_model::Resources;
+
+const WORKERS: usize = 20;
+
+/// More steps than a placement used to consider in a pool without room.
+const BLOCKED: usize = 45;
 
 const DAY_MS: u64 = 86_400_000;
 
@@ -11,6 +19,76 @@
     job(vec![Step { long_running: true, ..step(1) }])
 }
 
+/// Returns a configuration with a team that may run one task at a time.
+fn one_at_a_time() -> Config {
+    let mut config = config();
+    let team = Team { name: "capped".into(), weight: 1_000.0, limit: cores(1) };
+    config.teams.insert(team.name.clone(), team);
+    config
+}
+
+/// Returns whether a long-running task of another team starts at once behind `blocked` jobs.
+fn starts_behind(blocked: JobSpec) -> bool {
+    let mut bench = Bench::with(one_at_a_time());
+    (0..WORKERS).for_each(|it| bench.add(worker(&format!("w{it}"))));
+    (0..BLOCKED).for_each(|it| bench.accept(&format!("a{it:03}"), blocked.clone()));
+    bench.run();
+    (0..BLOCKED).for_each(|it| bench.accept(&format!("b{it:03}"), blocked.clone()));
+    bench.accept("last", JobSpec { team: "north".into(), ..long_running() });
+    bench.run().iter().any(|it| it.0.job == "last")
+}
+
+fn at_most_one(spec: JobSpec) -> JobSpec {
+    JobSpec { team: "capped".into(), ..spec }
+}
+
+#[test]
+fn team_at_its_limit_does_not_hold_back_another_one() {
+    assert!(starts_behind(at_most_one(job(vec![step(1)]))));
+    assert!(starts_behind(at_most_one(long_running())));
+}
+
+#[test]
+fn steps_without_a_worker_of_their_label_hold_nothing_back() {
+    let label = Some("kind-z".into());
+    assert!(starts_behind(job(vec![Step { label, long_running: true, ..step(1) }])));
+}
+
+#[test]
+fn steps_that_are_too_large_hold_nothing_back() {
+    let accelerator = Resources { accelerators: 1, ..cores(1) };
+    for size in [cores(64), accelerator] {
+        assert!(starts_behind(job(vec![Step { size, long_running: true, ..step(1) }])));
+    }
+}
+
+#[test]
+fn gangs_without_room_hold_nothing_back() {
+    let count = WORKERS as u32 + 1;
+    let wide = Step { gang: true, size: cores(8), estimate_ms: 1, ..step(count) };
+    assert!(starts_behind(job(vec![wide])));
+}
+
+#[test]
+fn steps_that_wait_for_advice_hold_nothing_back() {
+    let spec = long_running();
+    let route = RouteSettings { advised: true, ..spec.route.clone() };
+    assert!(starts_behind(JobSpec { route, ..spec }));
+}
+
+#[test]
+fn steps_that_may_not_share_workers_hold_nothing_back() {
+    let apart = Step { per_worker: Some(1), long_running: true, ..step(WORKERS as u32 + 5) };
+    let mut bench = Bench::new();
+    (0..WORKERS).for_each(|it| {
+        bench.add(WorkerInfo { capacity: cores(64), ..worker(&format!("w{it}")) });
+    });
+    (0..BLOCKED).for_each(|it| bench.accept(&format!("a{it:03}"), job(vec![apart.clone()])));
+    bench.run();
+    bench.accept("last", long_running());
+    assert!(bench.run().iter().any(|it| it.0.job == "last"));
+}
+
 /// Returns the job that gets the only place after the coordinator has been up for this long.
 fn first_in_line(up_ms: u64) -> Name {
     let mut bench = Bench::new();
@@ -32,3 +110,15 @@
         assert_eq!(first_in_line(up_ms), "last", "up for {up_ms} ms");
     }
 }
+
+#[test]
+fn waiting_tasks_are_considered_again_without_an_event() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![Step { size: cores(64), ..step(1) }]));
+    bench.run();
+    assert!(!bench.coordinator.has_work());
+    bench.wait(600);
+    bench.coordinator.tick(bench.now, WALL);
+    assert!(bench.coordinator.has_work());
+}
