Advice is asked about workers that could take the task now

Cause: a request named workers that were permitted before first, and 30 at most. Once 30 permitted workers were full, or had a task of the step, each further request named these 30.

Change: a request names workers that have room for the task, the label, and no other task of the step too many, and whose permit is missing or over. Where there are none, nothing is asked.

Test seen failing: passed_over full_permitted_workers_do_not_crowd_out_others, 30 for 36.

--- a/crates/fleet/src/coordinator/advice.rs
+++ b/crates/fleet/src/coordinator/advice.rs
@@ -5,8 +5,11 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, Order};
-use crate::{Name, TaskId};
+use super::{
+    Coordinator, Order, WaitReason,
+    room::{FreeWorker, RoomSearch},
+};
+use crate::{JobSpec, Name, TaskId};
 
 /// The most workers in one request: a longer list takes longer to answer.
 const MAX_WORKERS_ASKED: usize = 30;
@@ -71,29 +74,40 @@
         (permit.until >= now + TICKET_MARGIN_MS).then(|| permit.ticket.clone())
     }
 
-    /// Asks about workers of a pool for a step, unless a request is pending.
-    pub(super) fn ask_advice(&mut self, step: StepKey, pool: &Name, now: Moment) {
+    /// Asks which of the workers that have room for a step may run it, unless a request is pending.
+    pub(super) fn ask_advice(
+        &mut self,
+        step: &StepKey,
+        spec: &JobSpec,
+        search: &RoomSearch,
+        now: Moment,
+    ) {
         let known = self.advice.entry(step.clone()).or_default();
         if known.asked.is_some_and(|at| now.since(at) < REQUEST_TIMEOUT_MS) {
             return;
         }
-        let is_open = |it: &&super::Worker| {
-            it.seen.pool == *pool && it.takes_tasks(now) && !known.refused.contains(&it.seen.id)
+        let known = &self.advice[step];
+        let Some(pool) = search.pool(&spec.route.pool) else { return };
+        let task = step.task(0);
+        let is_open = |it: &&FreeWorker| {
+            !known.refused.contains(&it.id)
+                && self.suits(it, &task, spec, now) == Err(WaitReason::Permit)
         };
-        let mut workers: Vec<&super::Worker> = self.workers.values().filter(is_open).collect();
-        // Workers that were permitted before come first, then those with most room.
+        let mut workers: Vec<&FreeWorker> = pool.workers.iter().filter(is_open).collect();
+        // Workers whose permits are over come first, then those with most room.
         workers.sort_by_key(|it| {
-            let is_new = !known.permits.contains_key(&it.seen.id);
-            (is_new, std::cmp::Reverse(it.free().millicores), it.seen.id.clone())
+            let is_new = !known.permits.contains_key(&it.id);
+            (is_new, std::cmp::Reverse(it.free.millicores), it.id.clone())
         });
         let workers: Vec<Name> =
-            workers.into_iter().take(MAX_WORKERS_ASKED).map(|it| it.seen.id.clone()).collect();
+            workers.into_iter().take(MAX_WORKERS_ASKED).map(|it| it.id.clone()).collect();
         if workers.is_empty() {
             return;
         }
+        let known = self.advice.entry(step.clone()).or_default();
         known.asked = Some(now);
         known.failed = None;
-        self.ready_orders.push(Order::Advise { step, workers });
+        self.ready_orders.push(Order::Advise { step: step.clone(), workers });
     }
 
     /// Handles the answer to a request; `permits` is `None` if the advice service did not answer.
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -214,7 +214,7 @@
             WaitReason::Label | WaitReason::Size | WaitReason::Room => {
                 search.note_unmet(&spec.route.pool, step, reason);
             }
-            WaitReason::Permit => self.ask_advice(key.clone(), &spec.route.pool, now),
+            WaitReason::Permit => self.ask_advice(key, spec, search, now),
             _ => {}
         }
     }
--- a/crates/fleet/tests/passed_over.rs
+++ b/crates/fleet/tests/passed_over.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{Bench, WALL, config, cores, job, step, worker};
 use fuchsiamill_fleet::{
-    Config, Ending, JobSpec, Name, Step, Team, WorkerInfo, job::RouteSettings,
+    Config, Ending, JobSpec, Name, Order, Step, TaskId, Team, WorkerInfo,
+    coordinator::{Permit, StartReply},
+    job::RouteSettings,
 };
 use fuchsiamill_model::Resources;
 
@@ -89,6 +93,51 @@
     assert!(bench.run().iter().any(|it| it.0.job == "last"));
 }
 
+/// Returns how many tasks of a step that is spread over workers run, where of ten workers `permitted` may run it.
+fn advised_tasks(tasks: u32, workers: usize, permitted: usize) -> usize {
+    let mut bench = Bench::new();
+    (0..workers).for_each(|it| bench.add(worker(&format!("w{it:03}"))));
+    let spec = job(vec![Step { per_worker: Some(1), long_running: true, ..step(tasks) }]);
+    let route = RouteSettings { advised: true, ..spec.route.clone() };
+    bench.accept("j", JobSpec { route, ..spec });
+    let mut running: BTreeMap<TaskId, Name> = BTreeMap::new();
+    for _ in 0..20 {
+        for order in bench.step() {
+            match order {
+                Order::Advise { step, workers } => {
+                    let is_permitted =
+                        |it: &&Name| it[1..].parse::<usize>().unwrap() % 10 < permitted;
+                    let permit = Permit { ticket: "t".into(), until: bench.now + 3_000 };
+                    let permits = workers.iter().filter(is_permitted);
+                    let permits = permits.map(|it| (it.clone(), permit.clone())).collect();
+                    bench.coordinator.advice_answered(&step, &workers, Some(permits));
+                }
+                Order::Start { task, run, worker, .. } => {
+                    bench.coordinator.start_answered(&task, run, StartReply::Running, bench.now);
+                    running.insert(task, worker);
+                }
+                _ => {}
+            }
+        }
+        bench.wait(500);
+        for number in 0..workers {
+            let id = format!("w{number:03}");
+            let own = running.iter().filter(|it| *it.1 == id).map(|it| (it.0.clone(), 1));
+            let own: Vec<_> = own.collect();
+            bench.report(&id, &own, &[]);
+        }
+    }
+    running.len()
+}
+
+/// Thirty workers with useless permits were asked about again and again.
+#[test]
+fn full_permitted_workers_do_not_crowd_out_others() {
+    for (tasks, permitted) in [(36, 10), (36, 8), (36, 6), (60, 9)] {
+        assert_eq!(advised_tasks(tasks, 70, permitted), tasks as usize, "{permitted} of 10");
+    }
+}
+
 /// Returns the job that gets the only place after the coordinator has been up for this long.
 fn first_in_line(up_ms: u64) -> Name {
     let mut bench = Bench::new();
