--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -325,14 +325,6 @@
         }
     }
 
-    /// Removes a start order that was not sent because its record is not stored yet.
-    fn withdraw_start(&mut self, id: &TaskId, run: u32) {
-        self.pending_orders.retain(|it| !is_start_of(it, id, run));
-        if let Some((_, orders)) = &mut self.commit_in_flight {
-            orders.retain(|it| !is_start_of(it, id, run));
-        }
-    }
-
     fn reserve_room(&mut self, id: &TaskId, worker: &Name, spec: &JobSpec, now: Moment) {
         let step = &spec.steps[id.step as usize];
         let used = self.used_by_team.entry(spec.team.clone()).or_default();
@@ -395,7 +387,3 @@
 
 /// Jobs above the weight that are tolerated within the window, since arrivals are uneven.
 const EXCESS_SLACK_JOBS: f64 = 1.0;
-
-fn is_start_of(order: &Order, id: &TaskId, of: u32) -> bool {
-    matches!(order, Order::Start { task, run, .. } if task == id && *run == of)
-}
--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Removes a start order that was not sent because its record is not stored yet.
+    pub(super) fn withdraw_start(&mut self, id: &TaskId, run: u32) {
+        self.pending_orders.retain(|it| !is_start_of(it, id, run));
+        if let Some((_, orders)) = &mut self.commit_in_flight {
+            orders.retain(|it| !is_start_of(it, id, run));
+        }
+    }
+
     /// Notes that the commit is stored, and releases the orders that waited for it.
     pub fn committed(&mut self, now: Moment) {
         let Some((ids, orders)) = self.commit_in_flight.take() else { return };
@@ -133,3 +141,7 @@
         std::mem::take(&mut self.ready_orders)
     }
 }
+
+fn is_start_of(order: &Order, id: &TaskId, of: u32) -> bool {
+    matches!(order, Order::Start { task, run, .. } if task == id && *run == of)
+}
