Log why a step waits, and keep the story of lasting tasks and restarts in the log

A gap in a task's lines could not be told from lines that were left out, and nothing said that a task waits, or why.

Cause: lines are limited by their place in the code, and all starts share one; at peaks there are more than 1,000 a second. The placement kept no reason.

Change: starts of lasting tasks and later runs, and ends other than a first run's as done, have lines of their own place.

Orders that were dropped in silence have an outcome: a start whose worker has no link is given back and the worker gets a link, a speed is ordered again, a question without an advice service counts as failed. These three are by reading; no run has shown them.

--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -32,6 +32,7 @@
     standing::HolderState,
     start_queue::{StartQueue, StartQueueContext},
     takeover::{stronger_available, takeover, watch_former, watch_stronger},
+    waits::WaitLog,
 };
 use crate::tables;
 
@@ -85,6 +86,7 @@
     config_version: u64,
     pool_log: PoolLog,
     load_log: LoadLog,
+    wait_log: WaitLog,
     pub(super) start_queue: StartQueue,
 }
 
@@ -201,6 +203,7 @@
             config_version: 0,
             pool_log: PoolLog::default(),
             load_log,
+            wait_log: WaitLog::default(),
             cx,
         })
     }
@@ -277,6 +280,7 @@
             self.coordinator.plan_hosts(now);
             self.pool_log.log_changes(self.coordinator.pool_needs(), now);
             self.log_load(now);
+            self.wait_log.log(&self.coordinator, &self.cx.metrics, now);
             self.close_unknown_links();
             self.purge(now);
             self.purge_cancels(now);
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -18,6 +18,7 @@
 mod standing;
 mod start_queue;
 mod takeover;
+mod waits;
 
 use std::{cell::Cell, rc::Rc};
 
@@ -32,6 +33,7 @@
 pub use lease::LeaseRow;
 pub use load_log::{Exchanged, Load};
 pub use standing::{Standing, serve as serve_standing};
+pub use waits::Waits;
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -1,7 +1,7 @@
 //! Applies news of the tables, the workers and the hosts to the coordinator.
 
 use fuchsiamill_fleet::{
-    Name, WorkerReport,
+    Ending, Name, WorkerReport,
     coordinator::{HeldRuns, RunToEnd},
 };
 use fuchsiamill_model::{
@@ -108,7 +108,15 @@
         let taken = known.filter(|it| it.seen.born == report.born).map_or(0, |it| it.last_end);
         for end in report.ended.iter().filter(|it| it.number > taken) {
             let (task, run, ending) = (&end.task, end.run, end.ending);
-            tracing::info!(event = "task-ended", %task, run, worker = %id, ending = ?ending);
+            // As with starts, the many ends of tasks that are done at once must not push out the others.
+            match ending == Ending::Done && run == 1 {
+                true => {
+                    tracing::info!(event = "task-ended", %task, run, worker = %id, ending = "Done")
+                }
+                false => {
+                    tracing::info!(event = "task-ended", %task, run, worker = %id, ending = ?ending)
+                }
+            }
         }
     }
 
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_fleet::{
     Name, Order, WorkerInfo,
-    coordinator::{HostDuty, StepKey},
+    coordinator::{HostDuty, StartReply, StepKey},
 };
 
 use super::{
@@ -41,12 +41,8 @@
                 monoio::spawn(link.clone().ask_health(path));
             }
             Order::Start { worker, task, run, payload, checkpoint, ticket } => {
-                let Some(link) = self.links.get(&worker) else { return };
-                tracing::info!(event = "task-started", %task, run, %worker);
-                let job = self.coordinator.job(&task.job);
-                let accepted_by = job.map(|it| it.spec.accepted_by.clone()).unwrap_or_default();
                 let start = StartOrder { task, run, payload, checkpoint, ticket };
-                self.start_queue.start(&accepted_by, link, start);
+                self.start_run(&worker, start);
             }
             Order::Stop { worker, task, run } => {
                 let Some(link) = self.links.get(&worker) else {
@@ -57,7 +53,10 @@
                 monoio::spawn(link.clone().stop(task, run));
             }
             Order::Pace { worker, task, run, percent } => {
-                let Some(link) = self.links.get(&worker) else { return };
+                let Some(link) = self.links.get(&worker) else {
+                    tracing::warn!(event = "pace-not-sent", %task, run, %worker, cause = "no link");
+                    return self.coordinator.pace_failed(&task, run);
+                };
                 tracing::info!(event = "task-paced", %task, run, %worker, percent);
                 monoio::spawn(link.clone().pace(task, run, percent));
             }
@@ -69,6 +68,30 @@
         }
     }
 
+    /// Queues a start. One whose worker has no link is given back, and the worker gets a link.
+    fn start_run(&mut self, worker: &Name, start: StartOrder) {
+        let (task, run) = (&start.task, start.run);
+        let Some(link) = self.links.get(worker).cloned() else {
+            tracing::warn!(event = "start-not-sent", %task, run, %worker, cause = "no link");
+            let now = self.cx.clock.now();
+            self.coordinator.start_answered(task, run, StartReply::NotSent, now);
+            if let Some(known) = self.coordinator.workers().get(worker) {
+                self.open_link(known.seen.clone());
+            }
+            return;
+        };
+        let job = self.coordinator.job(&task.job);
+        let step = job.and_then(|it| it.spec.steps.get(task.step as usize));
+        // Lines are limited by their place in the code: first starts of short tasks must not push out the others.
+        let long_running = step.is_some_and(|it| it.long_running);
+        match run == 1 && !long_running {
+            true => tracing::info!(event = "task-started", %task, run, %worker),
+            false => tracing::info!(event = "task-started", %task, run, %worker, long_running),
+        }
+        let accepted_by = job.map(|it| it.spec.accepted_by.clone()).unwrap_or_default();
+        self.start_queue.start(&accepted_by, &link, start);
+    }
+
     fn count_order(&self, order: &Order) {
         let kind = match order {
             Order::Start { .. } => "start",
@@ -84,7 +107,10 @@
     }
 
     fn ask_advice(&mut self, step: StepKey, workers: Vec<Name>) {
-        let Some(advice) = self.cx.advice.clone() else { return };
+        let Some(advice) = self.cx.advice.clone() else {
+            tracing::warn!(event = "advice-failed", job = %step.job, error = "no advice service is set");
+            return self.coordinator.advice_answered(&step, &workers, None);
+        };
         let (event_sender, clock) = (self.event_sender.clone(), self.cx.clock);
         monoio::spawn(async move {
             let permits = advice::ask(&advice, &step, &workers, clock).await;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    lead::{Exchanged, Load},
+    lead::{Exchanged, Load, Waits},
     logging,
     meters::Meters,
 };
@@ -34,6 +34,8 @@
     coordinating: Gauge<u64>,
     open_jobs: Gauge<u64>,
     workers: Gauge<u64>,
+    waiting_tasks: Gauge<u64>,
+    longest_wait: Gauge<f64>,
     runs_to_end: Gauge<u64>,
     longest_to_end: Gauge<f64>,
     exchanged_bytes: Counter<u64>,
@@ -66,6 +68,8 @@
             coordinating: meter.u64_gauge("coordinating").build(),
             open_jobs: meter.u64_gauge("open_jobs").build(),
             workers: meter.u64_gauge("workers").build(),
+            waiting_tasks: meter.u64_gauge("waiting_tasks").build(),
+            longest_wait: meter.f64_gauge("longest_wait").with_unit("s").build(),
             runs_to_end: meter.u64_gauge("runs_to_end").build(),
             longest_to_end: meter.f64_gauge("longest_run_to_end").with_unit("s").build(),
             exchanged_bytes: meter.u64_counter("exchanged_bytes").build(),
@@ -124,6 +128,13 @@
         self.workers.record(workers as u64, &[]);
     }
 
+    /// Records how many tasks wait for a reason, and the longest time for which nothing of one of their steps was placed.
+    pub fn set_waits(&self, reason: &'static str, waits: Waits) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.waiting_tasks.record(waits.tasks, &labels);
+        self.longest_wait.record(waits.longest_ms as f64 / 1_000.0, &labels);
+    }
+
     /// Records how many runs have to end, and the longest time that one of them has been in its phase.
     pub fn set_runs_to_end(&self, runs: RunsToEnd) {
         self.runs_to_end.record(runs.count as u64, &[]);
