Pools: tasks that last and wait for room get further hosts

Cause: a pool's size is the sum of what its tasks need, with 15 per cent on top. Tasks that take more than half of a host's memory leave the rest unused, and a task that stands apart from its siblings needs another host where one is full or avoided.

Change: steps of tasks that last, of which nothing was placed for 1 s for want of room or of a worker without a sibling, ask for as many hosts beyond those whose workers take tasks as they fill. Hosts on their way count, so that none is asked for twice.

--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -2,6 +2,9 @@
 //!
 //! The need is forecast from the jobs that arrived within the last second, so that hosts are on their way before tasks
 //! wait. Work that needs a label, or has its data in a rack, asks for hosts that have the label or are in the rack.
+//!
+//! The forecast adds up what tasks need and so does not see that large tasks leave room unused. Tasks that run all the time
+//! therefore ask for further hosts once they have waited for room.
 
 use fuchsiamill_model::{
     FastMap, Resources,
@@ -9,8 +12,9 @@
 };
 
 use super::{
-    Coordinator, Host, HostDuty, Job, Task,
+    Coordinator, Host, HostDuty, Job, Task, WaitReason,
     demand::{Demand, DemandKey, HostAffinity, Load},
+    job::StepRun,
 };
 use crate::{HostState, JobSpec, Name, Step};
 
@@ -20,6 +24,9 @@
 /// How long the worker of a host that just came up may take to answer.
 const WORKER_JOIN_MS: Millisecond = 2_500;
 
+/// Long-running tasks that wait for room for this long ask for further hosts. Tasks that end meanwhile often make room.
+const ROOM_WAIT_MS: Millisecond = 1_000;
+
 /// The fewest hosts that a pool keeps, so that the first jobs of a peak start at once.
 const MIN_HOSTS: u64 = 2;
 
@@ -59,6 +66,10 @@
     pub(super) recent_peak: u64,
     /// Hosts that one of its jobs needs because a worker may have only some of its tasks.
     spread_hosts: u64,
+    /// The steps whose long-running tasks have waited for room.
+    waits: Vec<RoomWait>,
+    /// Hosts whose workers take tasks.
+    ready: u64,
     /// The capacity of its largest worker; zero without workers.
     host: Resources,
     /// Hosts that may leave, with the one that has been idle longest last.
@@ -67,6 +78,22 @@
     pub(super) affinities: FastMap<HostAffinity, AffinityView>,
 }
 
+/// Tasks of one step that wait for room.
+#[derive(Clone, Copy, Debug)]
+struct RoomWait {
+    tasks: u64,
+    size: Resources,
+    /// The most tasks of the step that may share a worker.
+    per_worker: u64,
+}
+
+impl RoomWait {
+    /// Returns how many empty hosts of this capacity the tasks fill.
+    fn hosts(self, host: Resources) -> u64 {
+        self.tasks.div_ceil(host.times(self.size).clamp(1, self.per_worker.max(1)))
+    }
+}
+
 /// The part of a pool's work that asks for certain hosts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AffinityView {
@@ -90,6 +117,12 @@
         part.load = part.load.plus(load);
     }
 
+    /// Returns the hosts with which the tasks that wait for room can start, where those on their way count.
+    fn hosts_for_waits(&self, host: Resources) -> u64 {
+        let more = self.waits.iter().map(|it| it.hosts(host)).max();
+        more.map_or(0, |it| self.ready + it)
+    }
+
     /// Counts a host as one of the pool's.
     pub(super) fn add_host(&mut self, labels: &[Name]) {
         self.need.hosts += 1;
@@ -145,7 +178,7 @@
 
     /// Returns every pool with the hosts that it has and needs.
     pub(super) fn pool_views(&mut self, now: Moment) -> Views {
-        let mut views = self.present_work();
+        let mut views = self.present_work(now);
         self.demand.retain(|key, it| key.affinity.is_none() || !it.is_over(now));
         for key in self.demand.keys() {
             if let (Some(view), Some(affinity)) = (views.get_mut(&key.pool), &key.affinity) {
@@ -159,7 +192,7 @@
     }
 
     /// Returns the present work and the size of workers by pool, in one pass over jobs and workers for all pools.
-    fn present_work(&self) -> Views {
+    fn present_work(&self, now: Moment) -> Views {
         let new = |pool: &Name| {
             let need = PoolNeed { pool: pool.clone(), ..PoolNeed::default() };
             (pool.clone(), PoolView { need, ..PoolView::default() })
@@ -167,7 +200,7 @@
         let mut views: Views = self.config.pools.keys().map(new).collect();
         for job in self.jobs.values().filter(|it| !it.stage.is_over()) {
             let Some(view) = views.get_mut(&job.spec.route.pool) else { continue };
-            self.add_work(view, job);
+            self.add_work(view, job, now);
             view.spread_hosts = view.spread_hosts.max(spread_hosts_of(job));
         }
         for worker in self.workers.values() {
@@ -180,7 +213,7 @@
     }
 
     /// Adds a job's tasks that run or could run to the present work.
-    fn add_work(&self, view: &mut PoolView, job: &Job) {
+    fn add_work(&self, view: &mut PoolView, job: &Job, now: Moment) {
         for (k, run) in job.occurrences.iter().enumerate() {
             for (s, step) in run.steps.iter().enumerate() {
                 let step_spec = &job.spec.steps[s];
@@ -189,6 +222,11 @@
                 if live + waiting == 0 {
                     continue;
                 }
+                if waiting > 0 && step_spec.long_running && has_waited_for_room(step, now) {
+                    let per_worker = step_spec.per_worker.map_or(u64::MAX, u64::from);
+                    let size = step_spec.room();
+                    view.waits.push(RoomWait { tasks: waiting, size, per_worker });
+                }
                 let load = Load::of(step_spec.room(), live + waiting);
                 view.load = view.load.plus(load);
                 if job.excess {
@@ -239,7 +277,7 @@
             view.need.expected = demand.expected(now).millicores_on(host);
             view.need.present = view.load.millicores_on(host);
             let owed = view.load.minus(view.excess).millicores_on(host);
-            let least = view.spread_hosts.max(MIN_HOSTS);
+            let least = view.spread_hosts.max(view.hosts_for_waits(host)).max(MIN_HOSTS);
             let hosts = |work: u64| {
                 let hosts = with_headroom(work).div_ceil(u64::from(host.millicores.max(1)));
                 hosts.max(least)
@@ -282,6 +320,7 @@
                 continue;
             }
             view.add_host(&host.seen.labels);
+            view.ready += u64::from(self.worker_on(name).is_some_and(|it| it.takes_tasks(now)));
             if host.duty.is_none()
                 && host.seen.state == HostState::Up
                 && let Some(worker) = self.worker_on(name)
@@ -316,6 +355,15 @@
     }
 }
 
+/// Returns whether tasks of a step were not placed for a while because the workers of its pool are too full, or have too many
+/// of its tasks.
+fn has_waited_for_room(step: &StepRun, now: Moment) -> bool {
+    step.wait.is_some_and(|it| {
+        matches!(it.reason, WaitReason::Room | WaitReason::PerWorker)
+            && now.since(it.since) >= ROOM_WAIT_MS
+    })
+}
+
 fn with_headroom(millicores: u64) -> u64 {
     millicores.saturating_mul(100 + HEADROOM_PERCENT) / 100
 }
