A worker on which tasks run for long is not avoided for their later failures

Three failures in a row, however far apart, leave a worker out for 8 s, and on a worker that has only tasks that last no other end comes between them. Where the task may not share a worker with its siblings and the others are taken, it waits for that time.

Change: a failure after 8 s of running begins the count anew.

Test seen failing: slow_workers worker_on_which_tasks_run_for_long_is_not_left_out_for_their_failures.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -8,10 +8,12 @@
 };
 use crate::{Ending, Name, RunInfo, TaskId};
 
-/// Consecutive task failures after which a worker is avoided for a while.
+/// Consecutive task failures after which a worker is avoided for a while. A task that has run for longer than that while
+/// shows that the worker runs tasks.
 const FAILURES_TO_AVOID: u32 = 3;
 
-/// How long a worker that fails everything or lets tasks stall is avoided.
+/// How long a worker that fails everything or lets tasks stall is avoided, and how long a task runs on one that does not fail
+/// everything.
 pub(super) const AVOID_FAILING_MS: Millisecond = 8_000;
 
 /// How long a slow worker is avoided before it is tried again.
@@ -71,6 +73,9 @@
 impl Coordinator {
     /// Updates the health of a worker after a run on it has ended.
     pub(super) fn note_run_end(&mut self, worker: &Name, id: &TaskId, ending: Ending, now: Moment) {
+        let has_run_well = self.live_mut(id).is_some_and(|it| {
+            it.phase == Phase::Running && now.since(it.since) >= AVOID_FAILING_MS
+        });
         let mut ratio = None;
         if ending == Ending::Done {
             self.note_duration(id, now);
@@ -82,6 +87,7 @@
                 worker.failures = 0;
                 worker.health.task_done(now);
             }
+            Ending::Failed if has_run_well => worker.failures = 1,
             Ending::Failed => worker.failures += 1,
             _ => {}
         }
--- a/crates/fleet/tests/slow_workers.rs
+++ b/crates/fleet/tests/slow_workers.rs
@@ -114,6 +114,21 @@
     assert!(bench.run().iter().any(|it| it.2 == "w1"));
 }
 
+/// A task that runs all the time may fail at any moment; three such failures in an hour left its worker out.
+#[test]
+fn worker_on_which_tasks_run_for_long_is_not_left_out_for_their_failures() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("a", job(vec![Step { long_running: true, ..step(1) }]));
+    for _ in 0..6 {
+        let started = bench.run();
+        assert_eq!(started.len(), 1);
+        let (task, run) = (started[0].0.clone(), started[0].1);
+        bench.wait(60_000);
+        bench.report("w1", &[], &[(task, run, Ending::Failed)]);
+    }
+}
+
 #[test]
 fn slow_worker_is_left_out_for_a_while() {
     let mut bench = Bench::new();
