The order of a host that is lost for good is over

A host that is lost during its maintenance counts as down for the rest of its wave, so that a wave with room for one host stands still. One that is lost on its way to a pool is counted there for ever, so that the pool has one host too few.

Cause: a confirmed order ended only where the host was listed as up again.

Change: a list that shows a host down or missing for 15 s, after which it counts as lost, ends its confirmed order.

Tests seen failing: the two new ones of host_duties.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -70,6 +70,10 @@
             // The list may not have shown the host's worker when the order was given or ended.
             self.update_reserved(&name);
         }
+        // The order of a lost host is over as well, although the host never comes back from it.
+        for host in self.hosts.values_mut().filter(|it| it.is_lost(asked)) {
+            host.duty.take_if(|it| it.confirmed.is_some());
+        }
         self.hosts_known = true;
         self.end_absent_workers(listing)
     }
--- a/crates/fleet/tests/host_duties.rs
+++ b/crates/fleet/tests/host_duties.rs
@@ -124,6 +124,52 @@
     assert_eq!(maintained(&bench.step()), ["h2"]);
 }
 
+/// Returns the hosts that are ordered to be maintained in the 20 s after h1 was lost during its maintenance.
+fn maintained_after_a_loss(left: &[HostInfo]) -> Vec<String> {
+    let mut bench = with_wave(1);
+    assert_eq!(maintained(&bench.step()), ["h1"]);
+    answer(&mut bench, "h1", DutyReply::Done);
+    let mut all = Vec::new();
+    for _ in 0..50 {
+        bench.wait(400);
+        list(&mut bench, left.to_vec());
+        bench.report("w2", &[], &[]);
+        all.extend(maintained(&bench.step()));
+    }
+    all.dedup();
+    all
+}
+
+/// The order of such a host was never completed, so that it counted as down for the rest of the wave.
+#[test]
+fn host_lost_in_its_maintenance_does_not_hold_up_the_wave() {
+    let other = host("h2", "web", Some("w2"));
+    let down = HostInfo { state: HostState::Down, ..host("h1", "web", None) };
+    assert_eq!(maintained_after_a_loss(&[down, other.clone()]), ["h2"]);
+    assert_eq!(maintained_after_a_loss(&[other]), ["h2"]);
+}
+
+/// The order of such a host was never completed, so that its new pool counted it for ever.
+#[test]
+fn host_lost_on_its_way_to_a_pool_is_not_counted() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    let spare = |state| HostInfo { state, ..host("h2", "spare", None) };
+    list(&mut bench, vec![host("h1", "web", Some("w1")), spare(HostState::Up)]);
+    let moved = moves(&bench.step());
+    assert_eq!(moved, [("h2".to_owned(), "web".to_owned())]);
+    let duty = HostDuty::Move { pool: "web".into() };
+    bench.coordinator.host_answered(&"h2".into(), &duty, DutyReply::Done, bench.now);
+    for _ in 0..50 {
+        bench.wait(400);
+        list(&mut bench, vec![host("h1", "web", Some("w1")), spare(HostState::Down)]);
+        bench.report("w1", &[], &[]);
+        bench.step();
+    }
+    let hosts = bench.coordinator.pool_needs().iter().find(|it| it.pool == "web").unwrap().hosts;
+    assert_eq!(hosts, 1);
+}
+
 fn report_running(bench: &mut Bench, id: &str, running: &[u32]) {
     bench.wait(1);
     let running = running.iter().map(|it| run_info(&task("j", 0, *it), 1, 100)).collect();
