A pool without a worker that takes tasks lacks room, not a label

What on-call engineers would see: with no worker in a pool that takes tasks, a step smaller than one before it is logged as waiting for a label, and the pool no longer counts as full for the rank of its jobs.

Cause: a search over no workers ended with the reason that it begins with. The smaller need then replaces the larger one.

Test seen failing: the new one of passed_over.

--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -261,7 +261,8 @@
     ) -> std::result::Result<(Fit, Found), WaitReason> {
         let step = &spec.steps[task.step as usize];
         let room = step.room();
-        let pool = search.pool(&spec.route.pool).ok_or(WaitReason::Room)?;
+        let pool = search.pool(&spec.route.pool).filter(|it| !it.workers.is_empty());
+        let pool = pool.ok_or(WaitReason::Room)?;
         let mut best: Option<(Fit, &Name, usize)> = None;
         let mut reason = WaitReason::Label;
         for (position, it) in pool.workers.iter().enumerate() {
--- a/crates/fleet/tests/passed_over.rs
+++ b/crates/fleet/tests/passed_over.rs
@@ -7,7 +7,7 @@
 use common::{Bench, WALL, config, cores, job, step, worker};
 use fuchsiamill_fleet::{
     Config, Ending, JobSpec, Name, Order, Step, TaskId, Team, WorkerInfo,
-    coordinator::{Permit, StartReply},
+    coordinator::{Permit, StartReply, WaitReason},
     job::RouteSettings,
 };
 use fuchsiamill_model::Resources;
@@ -160,6 +160,18 @@
     }
 }
 
+/// The log told of a missing label, and the pool no longer counted as full.
+#[test]
+fn pool_without_a_worker_that_takes_tasks_lacks_room() {
+    let mut bench = Bench::new();
+    bench.accept("a", job(vec![Step { size: cores(4), ..step(1) }]));
+    bench.accept("b", job(vec![step(1)]));
+    bench.run();
+    let waiting = bench.coordinator.waiting_steps(bench.now);
+    let reasons: Vec<WaitReason> = waiting.map(|it| it.reason).collect();
+    assert_eq!(reasons, [WaitReason::Room; 2]);
+}
+
 #[test]
 fn waiting_tasks_are_considered_again_without_an_event() {
     let mut bench = Bench::new();
