The return of a worker's entry after a takeover is no restart

What callers would see: a coordinator takes over while entries have lapsed with the store. A worker whose entry comes back and that then falls silent holds its tasks for the longest lease (10.2 s) and not for a lease (5.6 s).

Cause: the worker is known from a record of its run only, without a start time, so that its entry looks like that of a next life.

Change: it counts as restarted only if a recorded run is of another life.

Test seen failing: the new one of worker_loss.

--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -56,6 +56,10 @@
     fn begin_incarnation(&mut self, seen: WorkerInfo, now: Moment) {
         let id = seen.id.clone();
         let born = seen.born;
+        let is_former = |it: &(TaskId, LiveRun)| it.1.born != born;
+        // A worker that was known only from records of runs of this incarnation has not restarted.
+        let has_restarted = self.workers.get(&id).is_some_and(|it| it.seen.born != 0)
+            || self.live_on(&id).iter().any(is_former);
         self.carry_over_runs(&id, born, now);
         self.expect_late_starts(&id, now);
         self.forget_advice_on(&id);
@@ -63,7 +67,8 @@
         worker.former_born = Some(worker.seen.born);
         worker.seen = seen;
         // Starts for the former incarnation name times on a clock that was ahead of this one's.
-        worker.longest_lease_until = Some(now + with_drift(self.timing.longest_lease_ms));
+        let longest_lease_until = now + with_drift(self.timing.longest_lease_ms);
+        worker.longest_lease_until = has_restarted.then_some(longest_lease_until);
         worker.last_end = 0;
         worker.acknowledged = None;
         worker.unknown = Default::default();
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -270,6 +270,19 @@
     assert!(!bench.run().is_empty());
 }
 
+/// The entry lapsed while the store was down; its return was taken for a restart.
+#[test]
+fn worker_whose_entry_comes_back_after_a_takeover_keeps_its_tasks_for_one_lease() {
+    let mut bench = inherited_on("w9", AT_ONCE);
+    bench.coordinator.worker_listed(worker("w9"), bench.now);
+    bench.report("w9", &[(task("j", 0, 0), 4)], &[]);
+    bench.coordinator.worker_silent(&"w9".into(), bench.now);
+    bench.wait(5_000);
+    assert!(bench.run().is_empty());
+    bench.wait(1_300);
+    assert_eq!(bench.run().len(), 1);
+}
+
 /// An entry that cannot be read may be that of the worker's host.
 #[test]
 fn list_with_unreadable_entries_does_not_end_an_inherited_worker() {
