Tests: what the list of hosts and the search for room must not do

Six changes to the code that would do harm passed all of worker_loss, passed_over and advised_steps: ends of workers by an empty list, or before they are silent; a placement that does not count what it has placed, or what a gang gave back; a gang's shortage taken for that of the pool; a gang that is permitted in part and not asked for again.

No product code is changed.

--- a/crates/fleet/tests/advised_steps.rs
+++ b/crates/fleet/tests/advised_steps.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Bench, job, starts, step, worker};
+use common::{Bench, cores, job, starts, step, worker};
 use fuchsiamill_fleet::{
     JobSpec, Name, Order, Step, WorkerInfo, WorkerReport,
     coordinator::{Permit, StepKey},
@@ -51,6 +51,20 @@
     assert_eq!(bench.run().len(), 2);
 }
 
+/// Its first members have found permitted workers, the others have not.
+#[test]
+fn gang_that_is_permitted_for_a_part_is_asked_for_again() {
+    let mut bench = advised(Step { gang: true, size: cores(8), ..step(2) });
+    bench.add(worker("w2"));
+    assert_eq!(asked(&bench.step()), [["w1", "w2"]]);
+    let key = StepKey { job: "j".into(), occurrence: 0, step: 0 };
+    let permit = Permit { ticket: "t".into(), until: bench.now + 60_000 };
+    let workers = ["w1".into(), "w2".into()];
+    bench.coordinator.advice_answered(&key, &workers, Some(vec![("w1".into(), permit)]));
+    bench.add(worker("w3"));
+    assert_eq!(asked(&bench.step()), [["w3"]]);
+}
+
 /// No other event triggers placement.
 #[test]
 fn failed_question_is_asked_again_when_it_is_quiet() {
--- a/crates/fleet/tests/passed_over.rs
+++ b/crates/fleet/tests/passed_over.rs
@@ -73,6 +73,40 @@
     assert!(starts_behind(job(vec![wide])));
 }
 
+/// What its first members took is free again for the steps behind it.
+#[test]
+fn gang_that_finds_room_for_a_part_holds_nothing_back() {
+    let mut bench = Bench::new();
+    for (number, kind) in ["kind-a", "kind-a", "kind-b", "kind-b"].into_iter().enumerate() {
+        let labels = vec![kind.into(), "rack-1".into()];
+        bench.add(WorkerInfo { labels, ..worker(&format!("w{number}")) });
+    }
+    let wanted = Step { size: cores(8), label: Some("kind-a".into()), ..step(3) };
+    bench.accept("gang", job(vec![Step { gang: true, estimate_ms: 1, ..wanted.clone() }]));
+    bench.accept("last", job(vec![Step { count: 2, estimate_ms: 60_000, ..wanted }]));
+    assert_eq!(bench.run().iter().filter(|it| it.0.job == "last").count(), 2);
+}
+
+/// Each placement counts what it has placed itself.
+#[test]
+fn one_placement_does_not_fill_a_worker_beyond_its_capacity() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("a", job(vec![Step { size: cores(5), ..step(3) }]));
+    bench.accept("b", job(vec![Step { size: cores(4), ..step(2) }]));
+    bench.accept("g", job(vec![Step { size: cores(3), gang: true, ..step(2) }]));
+    let taken: u32 = bench
+        .run()
+        .iter()
+        .map(|it| match it.0.job.as_str() {
+            "a" => 5,
+            "b" => 4,
+            _ => 3,
+        })
+        .sum();
+    assert!((1..=8).contains(&taken), "{taken} of 8 cores");
+}
+
 #[test]
 fn steps_that_wait_for_advice_hold_nothing_back() {
     let spec = long_running();
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -295,6 +295,25 @@
     assert!(bench.run().is_empty());
 }
 
+/// A service of hosts that lists none tells nothing of workers.
+#[test]
+fn empty_host_list_does_not_end_an_inherited_worker() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(400);
+    list(&mut bench, Vec::new());
+    assert!(bench.run().is_empty());
+}
+
+/// Its first poll is not over, so that it may run on.
+#[test]
+fn inherited_worker_that_is_not_silent_keeps_its_tasks_whatever_the_host_list_shows() {
+    let mut bench = inherited(Takeover { renewals_end: START + 12_000, ..AT_ONCE });
+    bench.wait(400);
+    list(&mut bench, vec![host("h2", "web", Some("w2"))]);
+    assert!(bench.run().is_empty());
+}
+
 /// The list was requested before the worker was known, so that its host may have got it later.
 #[test]
 fn former_host_list_does_not_end_a_worker_that_has_not_answered() {
