--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,6 +4,7 @@
 mod entry_hosts;
 mod fleet;
 mod jobs;
+mod placement;
 mod plans;
 mod share_meter;
 mod sites;
@@ -27,6 +28,7 @@
     Capacity(capacity::CapacityArgs),
     Fleet(fleet::FleetArgs),
     Jobs(jobs::JobsArgs),
+    Placement(placement::PlacementArgs),
     Plans(plans::PlansArgs),
     Sites(sites::SitesArgs),
     Slots(slots::SlotsArgs),
@@ -40,6 +42,7 @@
         Command::Capacity(args) => capacity::run(&args),
         Command::Fleet(args) => fleet::run(&args),
         Command::Jobs(args) => jobs::run(&args),
+        Command::Placement(args) => placement::run(&args),
         Command::Plans(args) => plans::run(&args),
         Command::Sites(args) => sites::run(&args),
         Command::Slots(args) => slots::run(&args),
