Placement: steps that are known to wait cost one look-up, and full workers none

With 50,000 steps waiting on 21,542 hosts, a placement took 228 ms (median) when most steps are kept apart: each of them looked at all workers of its pool and determined a rack for its tasks before it was known that there is room. Workers are now ordered by the processor time that they had left when the placement began, and a search ends at the full ones. The rack is determined once a worker suits. A job whose open steps are all known to wait is noted as such with one look-up, the number of waiting tasks is kept by job, and a job of one step needs no list for its critical path. The decisions and the reasons that are logged stay the same.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -4,7 +4,9 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
-use super::{LiveRun, Phase, Wait, gang::GangCheckpoints, health::RunningMean, live::Speed};
+use super::{
+    LiveRun, Phase, Wait, WaitReason, gang::GangCheckpoints, health::RunningMean, live::Speed,
+};
 use crate::{JobRecord, JobSpec, Name, RECORD_TASKS, Stage, TaskId, TaskRecord};
 
 /// A job that has not ended, or whose last runs are being stopped.
@@ -24,6 +26,8 @@
     pub occurrences: Vec<Occurrence>,
     /// The number of tasks that may be on a worker.
     pub live: u32,
+    /// The number of tasks that wait for a worker, including those whose step may not run yet.
+    pub waiting: u32,
     /// Whether a worker is known to have started one of its tasks.
     pub has_begun: bool,
     /// The number of rows that its progress takes in the store.
@@ -110,6 +114,12 @@
         }
     }
 
+    /// Notes why it waits after a placement, or that nothing of it waits.
+    pub(super) fn note_wait(&mut self, reason: Option<WaitReason>, has_placed: bool, now: Moment) {
+        let since = self.wait.filter(|_| !has_placed).map_or(now, |it| it.since);
+        self.wait = reason.map(|reason| Wait { reason, since });
+    }
+
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
@@ -128,6 +138,7 @@
             excess: false,
             occurrences: Vec::new(),
             live: 0,
+            waiting: 0,
             has_begun: false,
             parts: 1,
             dirty_parts: 0,
@@ -151,6 +162,7 @@
 
     fn open_next(&mut self) {
         let steps = self.spec.steps.iter().map(|it| StepRun::new(it.count)).collect();
+        self.waiting += self.spec.steps.iter().map(|it| it.count).sum::<u32>();
         self.occurrences.push(Occurrence { steps });
     }
 
@@ -169,7 +181,7 @@
 
     /// Returns whether a task waits, including tasks whose step may not run yet.
     pub fn has_waiting(&self) -> bool {
-        self.occurrences.iter().any(|run| run.steps.iter().any(|it| it.waiting > 0))
+        self.waiting > 0
     }
 
     /// Returns the occurrence and step numbers of the steps that may run and have waiting tasks.
@@ -208,12 +220,18 @@
         let step = step.steps.get_mut(id.step as usize)?;
         let task = step.tasks.get_mut(id.index as usize)?;
         match &task.state {
-            TaskState::Waiting => step.waiting -= 1,
+            TaskState::Waiting => {
+                step.waiting -= 1;
+                self.waiting -= 1;
+            }
             TaskState::Done => step.done -= 1,
             TaskState::Live(_) => self.live -= 1,
         }
         match &state {
-            TaskState::Waiting => step.waiting += 1,
+            TaskState::Waiting => {
+                step.waiting += 1;
+                self.waiting += 1;
+            }
             TaskState::Done if task.is_superseded => {}
             TaskState::Done => step.done += 1,
             TaskState::Live(_) => self.live += 1,
--- a/crates/fleet/src/coordinator/near.rs
+++ b/crates/fleet/src/coordinator/near.rs
@@ -4,6 +4,8 @@
 //! Therefore it waits for room near its data while it can still be done in time there, and is placed far from it once
 //! waiting gains nothing.
 
+use std::cell::OnceCell;
+
 use fuchsiamill_model::{
     FastMap,
     units::{Millisecond, Moment},
@@ -15,17 +17,30 @@
 /// The longest wait for room near a step's data. If no task there has ended by then, the tasks there are long ones.
 const NEAR_WAIT_MS: Millisecond = 2_000;
 
+/// The rack in which the tasks of a step are fast. It is determined before the first task of the step is placed, once
+/// there is room for that.
+pub(super) struct Near {
+    waiting: usize,
+    rack: OnceCell<Option<Name>>,
+}
+
+impl Near {
+    /// Returns it for a step of which so many tasks wait.
+    pub(super) fn of(waiting: usize) -> Self {
+        Self { waiting, rack: OnceCell::new() }
+    }
+}
+
 impl Coordinator {
     /// Returns the rack in which the waiting tasks of a step are fast: that of their data, or a common rack for a step
     /// that is slow when it is spread over racks.
-    pub(super) fn near_rack(
-        &self,
-        id: &Name,
-        occurrence: usize,
-        step: usize,
-        waiting: usize,
-    ) -> Option<Name> {
-        let job = self.jobs.get(id)?;
+    pub(super) fn near_rack<'a>(&self, task: &TaskId, near: &'a Near) -> Option<&'a Name> {
+        near.rack.get_or_init(|| self.find_near_rack(task, near.waiting)).as_ref()
+    }
+
+    fn find_near_rack(&self, task: &TaskId, waiting: usize) -> Option<Name> {
+        let (occurrence, step) = (task.occurrence as usize, task.step as usize);
+        let job = self.jobs.get(&task.job)?;
         let step_spec = &job.spec.steps[step];
         if step_spec.rack.is_some() || !step_spec.one_rack {
             return step_spec.rack.clone();
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -8,6 +8,7 @@
 use super::{
     Coordinator, LiveRun, Order, Phase, StepKey, TaskState, WaitReason, Worker,
     live::Speed,
+    near::Near,
     room::{Found, FreeWorker, RoomSearch},
 };
 use crate::{JobSpec, Name, Stage, Step, TaskId};
@@ -67,8 +68,7 @@
             if room == 0 {
                 break;
             }
-            let Some(job) = self.jobs.get(&id) else { continue };
-            for (occurrence, step) in job.open_steps() {
+            for (occurrence, step) in self.open_steps(&id, &search, now) {
                 let key =
                     StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
                 let outcome = self.place_step(&key, &mut search, room, now);
@@ -108,12 +108,12 @@
         let is_waiting = |it: &u32| run.tasks[*it as usize].state == TaskState::Waiting;
         let waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).take(most).collect();
         let is_last = waiting.len() == run.waiting as usize;
-        let near = self.near_rack(&key.job, occurrence, step, waiting.len());
+        let near = Near::of(waiting.len());
         let mut placed = Vec::new();
         let mut reason = (!is_last).then_some(WaitReason::Turn);
         for index in waiting {
             let task = key.task(index);
-            match self.find_spot(&task, &spec, near.as_ref(), search, now) {
+            match self.find_spot(&task, &spec, &near, search, now) {
                 Spot::On(found) => {
                     search.take(&spec.route.pool, found.position, wanted.room());
                     self.assign(&task, &found.id, None, now);
@@ -150,14 +150,14 @@
             return StepOutcome::waits(WaitReason::Room);
         }
         self.align_gang(&key.job, occurrence, step);
-        let near = self.near_rack(&key.job, occurrence, step, wanted.count as usize);
+        let near = Near::of(wanted.count as usize);
         let tasks = &self.jobs[&key.job].occurrences[occurrence].steps[step].tasks;
         let run = tasks.iter().map(|it| it.run).max().unwrap_or(0) + 1;
         let mut placed: Vec<(TaskId, usize)> = Vec::new();
         let mut reason = None;
         for index in 0..wanted.count {
             let task = key.task(index);
-            match self.find_spot(&task, spec, near.as_ref(), search, now) {
+            match self.find_spot(&task, spec, &near, search, now) {
                 Spot::On(found) => {
                     search.take(pool, found.position, wanted.room());
                     self.assign(&task, &found.id, Some(run), now);
@@ -188,7 +188,7 @@
     }
 
     /// Returns why no task of a step can be placed, as far as that is known without a search.
-    fn known_obstacle(
+    pub(super) fn known_obstacle(
         &self,
         spec: &JobSpec,
         step: &Step,
@@ -229,12 +229,12 @@
             && within(limit.accelerators, used.accelerators)
     }
 
-    /// Returns the best place for a task, where `near` is the rack in which it is fast.
+    /// Returns the best place for a task.
     fn find_spot(
         &self,
         task: &TaskId,
         spec: &JobSpec,
-        near: Option<&Name>,
+        near: &Near,
         search: &RoomSearch,
         now: Moment,
     ) -> Spot {
@@ -255,7 +255,7 @@
         &self,
         task: &TaskId,
         spec: &JobSpec,
-        near: Option<&Name>,
+        near: &Near,
         search: &RoomSearch,
         now: Moment,
     ) -> std::result::Result<(Fit, Found), WaitReason> {
@@ -266,11 +266,17 @@
         let mut best: Option<(Fit, &Name, usize)> = None;
         let mut reason = WaitReason::Label;
         for (position, it) in pool.workers.iter().enumerate() {
+            // The workers that follow are full, which is the reason already or less of one.
+            if it.free_at_first < room.millicores && reason >= WaitReason::Room {
+                break;
+            }
             if let Err(why) = self.suits(it, task, spec, now) {
                 reason = reason.max(why);
                 continue;
             }
+            let near = self.near_rack(task, near);
             let fit = fit(&self.workers[&it.id], step, near, room);
+            reason = WaitReason::Room;
             if best.as_ref().is_none_or(|(than, id, _)| (fit, &it.id) < (*than, *id)) {
                 best = Some((fit, &it.id, position));
             }
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -140,6 +140,9 @@
 
 /// Returns the length of the longest chain of steps, where each step takes what `step_ms` returns.
 fn critical_path_ms(spec: &JobSpec, mut step_ms: impl FnMut(usize) -> Millisecond) -> Millisecond {
+    if spec.steps.len() == 1 {
+        return step_ms(0);
+    }
     let mut ends: Vec<Millisecond> = Vec::with_capacity(spec.steps.len());
     for (number, step) in spec.steps.iter().enumerate() {
         let begin = step.after.iter().filter_map(|it| ends.get(*it as usize)).max();
--- a/crates/fleet/src/coordinator/room.rs
+++ b/crates/fleet/src/coordinator/room.rs
@@ -17,6 +17,7 @@
 /// The workers of one pool, and the needs that it does not meet.
 #[derive(Default)]
 pub(super) struct PoolRoom {
+    /// Those that had most processor time left when the placement began come first.
     pub(super) workers: Vec<FreeWorker>,
     /// Needs that no worker had room for. None of them covers another one.
     unmet: Vec<UnmetNeed>,
@@ -27,6 +28,8 @@
     pub(super) id: Name,
     pub(super) capacity: Resources,
     pub(super) free: Resources,
+    /// What it had left of its processor time when the placement began, in millicores.
+    pub(super) free_at_first: u32,
 }
 
 struct UnmetNeed {
@@ -52,13 +55,18 @@
     pub(super) fn new(workers: &FastMap<Name, Worker>, now: Moment) -> Self {
         let mut pools: FastMap<Name, PoolRoom> = FastMap::default();
         for worker in workers.values().filter(|it| it.takes_tasks(now)) {
+            let free = worker.free();
             let free = FreeWorker {
                 id: worker.seen.id.clone(),
                 capacity: worker.seen.capacity,
-                free: worker.free(),
+                free,
+                free_at_first: free.millicores,
             };
             pools.entry(worker.seen.pool.clone()).or_default().workers.push(free);
         }
+        for pool in pools.values_mut() {
+            pool.workers.sort_unstable_by_key(|it| std::cmp::Reverse(it.free_at_first));
+        }
         Self { pools }
     }
 
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -2,7 +2,8 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use super::{Coordinator, Job, StepKey};
+use super::{Coordinator, Job, StepKey, room::RoomSearch};
+use crate::Name;
 
 /// Why a task that may run is not started. Ordered by how far the search for a worker got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -82,6 +83,28 @@
 }
 
 impl Coordinator {
+    /// Returns the open steps of a job. If it is known of each that it waits, that is noted and none is returned.
+    pub(super) fn open_steps(
+        &mut self,
+        id: &Name,
+        search: &RoomSearch,
+        now: Moment,
+    ) -> Vec<(usize, usize)> {
+        let Some(job) = self.jobs.get(id) else { return Vec::new() };
+        let open = job.open_steps();
+        let obstacle =
+            |it: &(usize, usize)| self.known_obstacle(&job.spec, &job.spec.steps[it.1], search);
+        let Some(reasons) = open.iter().map(obstacle).collect::<Option<Vec<_>>>() else {
+            return open;
+        };
+        if let Some(job) = self.jobs.get_mut(id) {
+            for ((occurrence, step), reason) in open.into_iter().zip(reasons) {
+                job.step_mut(occurrence, step).note_wait(Some(reason), false, now);
+            }
+        }
+        Vec::new()
+    }
+
     /// Notes why a step waits after a placement, or that nothing of it waits. `has_placed` tells whether a task of it was
     /// placed.
     pub(super) fn note_wait(
@@ -93,8 +116,7 @@
     ) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let step = job.step_mut(key.occurrence as usize, key.step as usize);
-        let since = step.wait.filter(|_| !has_placed).map_or(now, |it| it.since);
-        step.wait = reason.map(|reason| Wait { reason, since });
+        step.note_wait(reason, has_placed, now);
     }
 
     /// Returns the steps that wait, as of the last placement.
