The link of a worker that a whole read of the list lacks is closed

What callers would see: a worker without runs that a whole read of the list of workers lacks, and that is back before the next tick, would get no tasks for the rest of its life: its idle link stays, the order to watch it finds that link, and nothing polls the worker, so that it never answers this coordinator. Found by review, by reading; no run has shown it and no test brings it about.

Change: as where a single row is removed, the link is closed with the worker.

--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -44,6 +44,7 @@
                 let known: Vec<Name> = self.coordinator.workers().keys().cloned().collect();
                 for id in known.iter().filter(|it| !listed.contains(it)) {
                     self.coordinator.worker_unlisted(id);
+                    self.close_link_if_unknown(id);
                 }
                 self.unreadable_workers.retain(&listed);
                 self.apply_worker_rows(&rows);
