A worker whose host a list misses has ended once a second whole list lacks it

What callers would see: a task that runs twice. A list of hosts is read in pages; where one list misses the host of a worker that is cut off, the worker was taken for ended at once since.

Change: a host that is listed without its former worker still shows the end at once.

--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -74,6 +74,7 @@
         worker.unknown = Default::default();
         worker.answered = false;
         worker.known_since = now;
+        worker.absent = false;
         worker.unlisted = false;
         worker.silent_since = None;
         worker.failures = 0;
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -46,6 +46,8 @@
     pub answered: bool,
     /// When this coordinator first knew of this incarnation.
     pub known_since: Moment,
+    /// Whether the last whole list of hosts lacked it while it was silent.
+    pub absent: bool,
     /// Whether its entry is gone from the worker list.
     pub unlisted: bool,
     /// The start time of the incarnation before this one, in Unix milliseconds.
@@ -86,6 +88,7 @@
             acknowledged: None,
             answered: false,
             known_since: now,
+            absent: false,
             unlisted: false,
             former_born: None,
             longest_lease_until: None,
