Explorer any_place: nothing that could start waits long

Cause: no explorer covered the placement's liveness.

Change: random workers, limits, jobs, advice, faults and takeovers. In parts without faults a step that could start, by the test's own lists of workers and runs, waits 700 ms at most, or 3,700 ms and 200 ms for each 30 workers where advice is needed. After each placement no other task was started where a lasting or scheduled one of at least its priority has room.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -8,6 +8,8 @@
 pub mod events;
 pub mod hosts;
 pub mod advice;
+pub mod places;
+pub mod startable;
 pub mod sim_worker;
 pub mod world;
 
