--- a/crates/standin/src/fleet/hosts.rs
+++ b/crates/standin/src/fleet/hosts.rs
@@ -9,7 +9,10 @@
 use http::StatusCode;
 use serde_json::{Value, json};
 
-use super::{lock, world::World};
+use super::{
+    lock,
+    world::{Host, Loss, World},
+};
 use crate::reply;
 
 /// How long a move or maintenance takes.
@@ -36,11 +39,12 @@
         .hosts
         .iter()
         .enumerate()
+        .filter(|(_, it)| it.loss != Some(Loss::Unlisted))
         .map(|(number, it)| {
             json!({
                 "machine": format!("m-{number}"),
                 "pool": it.pool,
-                "state": if it.back.is_some() { "moving" } else { "up" },
+                "state": state(it),
                 "zone": format!("dc-{}", number % 3),
                 "labels": ["a", format!("rack-{}", number / 4)],
                 "capacity": { "cpu": 8_000, "mem_mb": 32_768, "gpu": 0 },
@@ -51,12 +55,23 @@
     reply::value(&json!({ "machines": machines, "next_token": null }))
 }
 
+fn state(host: &Host) -> &'static str {
+    match (host.loss, host.back) {
+        (Some(_), _) => "down",
+        (None, Some(_)) => "moving",
+        (None, None) => "up",
+    }
+}
+
 fn duty(world: &mut World, body: &Value, pool: Option<&str>) -> Response {
     let name = body["machine"].as_str().unwrap_or_default();
     let number = name.strip_prefix("m-").and_then(|it| it.parse::<usize>().ok());
     let Some(number) = number.filter(|it| *it < world.hosts.len()) else {
         return Response::empty(StatusCode::BAD_REQUEST);
     };
+    if world.hosts[number].loss.is_some() {
+        return Response::json(StatusCode::CONFLICT, r#"{"reason":"down"}"#);
+    }
     if world.hosts[number].back.is_some() {
         return Response::json(StatusCode::CONFLICT, r#"{"reason":"busy"}"#);
     }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 pub use narrow_link::NarrowLinks;
 pub use rows::{Rows, StoreFault};
 pub use workers::HEALTH_PATH;
-pub use world::{RunRecord, Worker, WorkerFault, World};
+pub use world::{Loss, RunRecord, Worker, WorkerFault, World};
 
 use crate::{proxy, reply, run::block_on};
 
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -56,6 +56,15 @@
     pub record: usize,
 }
 
+/// How the list of hosts shows a host that is gone for good. Neither way does it tell an id of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It is listed as down.
+    Down,
+    /// It has no entry.
+    Unlisted,
+}
+
 /// How a run ended that was done on a worker whose life was over before anybody acknowledged it.
 const LOST_DONE: &str = "done, never acknowledged";
 
@@ -85,6 +94,7 @@
     pub addr: Option<SocketAddr>,
     pub worker: Option<Worker>,
     pub back: Option<Instant>,
+    pub loss: Option<Loss>,
 }
 
 /// The state of everything.
@@ -128,7 +138,8 @@
     }
 
     pub(super) fn add_host(&mut self, pool: &str) -> usize {
-        self.hosts.push(Host { pool: pool.to_owned(), addr: None, worker: None, back: None });
+        let pool = pool.to_owned();
+        self.hosts.push(Host { pool, addr: None, worker: None, back: None, loss: None });
         self.hosts.len() - 1
     }
 
@@ -227,11 +238,24 @@
 
     /// A worker crashes; its host starts another one.
     pub fn crash(&mut self, host: usize) {
-        if let Some(addr) = self.hosts[host].addr {
+        let at = &self.hosts[host];
+        if let Some(addr) = at.addr.filter(|_| at.loss.is_none()) {
             self.boot(host, addr);
         }
     }
 
+    /// A host is gone for good, and its worker with it. The entry of the worker stays, as it does until it lapses.
+    pub fn lose(&mut self, host: usize, loss: Loss) {
+        self.end_worker(host, "gone");
+        self.hosts[host].loss = Some(loss);
+        self.hosts[host].back = None;
+    }
+
+    /// The host that has the worker with this id.
+    pub fn host_of(&self, id: &str) -> Option<usize> {
+        self.hosts.iter().position(|it| it.worker.as_ref().is_some_and(|it| it.id == id))
+    }
+
     /// A worker crashes and is started anew under its id, at its address.
     pub fn rebirth(&mut self, host: usize) {
         let Some(id) = self.hosts[host].worker.as_ref().map(|it| it.id.clone()) else { return };
