Soak: workers and then the coordinator are lost for good, and nothing waits beside a free worker

Tasks that last were all cancelled before the check.

Change: a job of four tasks lasts through each soak. At a moment drawn by a generator of its own, fresh seeds lose up to two hosts that run them, and within 0.6 s the coordinator, which stays silent until the first check is over; the others' faults go on. Once all faults but this are lifted, and again at the end, the stand-in's records are watched: a task that lasts, or a job that is accepted and not over, of which nothing runs for 9 s (the users' rule LOST) while a worker has half of its room, fails the soak, as does something that still waits after 30 s. Kept seeds play without the loss, so that their scripts stay as they were.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod jobs;
 pub mod load;
+pub mod losses;
 pub mod net;
 pub mod operator;
 pub mod process;
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -15,6 +15,7 @@
 use common::{
     callers::{Call, Callers},
     fleet::{Fleet, Process, job},
+    losses::Losses,
     wait_until,
 };
 use fastrand::Rng;
@@ -94,22 +95,26 @@
     let time = Duration::from_secs(number("SOAK_SECONDS", 6));
     let fails = |seed: &u64| {
         println!("seed {seed}");
-        catch_unwind(|| soak(*seed, time)).is_err()
+        // What is lost for good leaves the scripts of kept seeds as they were.
+        catch_unwind(|| soak(*seed, time, !REGRESSIONS.contains(seed))).is_err()
     };
     let failed: Vec<u64> = seeds.filter(fails).collect();
     assert!(failed.is_empty(), "failed, each for the reason above: {failed:?}");
 }
 
-fn soak(seed: u64, time: Duration) {
+fn soak(seed: u64, time: Duration, loses: bool) {
     // A generator of its own leaves the scripts of kept seeds as they were.
     let mut late_rng = Rng::with_seed(seed ^ LATE_SEED);
     let weak = if late_rng.bool() { WEAK } else { "" };
     let fleet = Fleet::start_each(&[weak, "", ""], HOSTS, |_| {});
     each_worker(&fleet, |it| it.stop_time = STOP_TIME);
     let fronts: Vec<_> = fleet.entries.iter().map(|it| it.front).collect();
+    let routes = fleet.route_workers();
+    let losses = Losses::start(&fleet, seed, loses.then_some(time));
     let callers = Callers::start(CALLERS, &fronts, seed);
     let mut soak = Soak {
-        routes: fleet.route_workers(),
+        routes,
+        losses,
         fleet,
         rng: Rng::with_seed(seed),
         late_rng,
@@ -127,9 +132,11 @@
         }
         soak.delay_coordinators();
         soak.lose_links();
+        soak.lose_for_good();
         thread::sleep(Duration::from_millis(soak.rng.u64(0..PAUSE_MS)));
     }
     soak.heal();
+    soak.losses.check_lasting(&soak.fleet);
     let calls = callers.finish();
     soak.check(&calls, seed);
 }
@@ -145,6 +152,7 @@
     routes: Vec<SocketAddr>,
     /// Hosts whose links refuse connections, and until when.
     refused: Vec<(Instant, usize)>,
+    losses: Losses,
     /// Entry hosts that stand still, and until when.
     frozen: Vec<(Instant, usize)>,
     /// Workers whose entries lapsed, and when these come back.
@@ -263,7 +271,11 @@
     }
 
     fn is_frozen(&self, entry: usize) -> bool {
-        self.frozen.iter().any(|it| it.1 == entry)
+        self.losses.silent == Some(entry) || self.frozen.iter().any(|it| it.1 == entry)
+    }
+
+    fn lose_for_good(&mut self) {
+        self.losses.act(&self.fleet, |entry| self.frozen.iter().any(|it| it.1 == entry));
     }
 
     fn freeze(&mut self) {
@@ -340,6 +352,7 @@
     /// Checks what callers were promised, now that nothing is in the way.
     fn check(&self, calls: &[Call], seed: u64) {
         self.fleet.wait_ready();
+        self.losses.check(&self.fleet, calls);
         let probe = self.fleet.accept(&job(20, &[1]), PATIENCE).expect("a job is accepted");
         self.fleet.wait_state(&probe, "completed");
         let calm = Instant::now();
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -277,6 +277,11 @@
     }
 
     /// The worker on a host.
+    pub fn worker(&self, host: usize) -> Option<&Worker> {
+        self.hosts[host].worker.as_ref()
+    }
+
+    /// The worker on a host, to be changed.
     pub fn worker_mut(&mut self, host: usize) -> Option<&mut Worker> {
         self.hosts[host].worker.as_mut()
     }
