Log and metric: hosts of a pool that are drained, and those with tasks that last

What on-call engineers saw: a lasting task waits for room, and pool-planned counts the pool's hosts without those that are drained for a move or for maintenance. That these had room was only to be had from the starts and ends of all runs.

pool-planned tells `drained` and `standing`; the metric pool_hosts has the sizes of each pool. No decision changes.

--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -49,6 +49,10 @@
     pub present: u64,
     /// Hosts that may leave.
     pub idle: u64,
+    /// Hosts that take no new tasks until theirs have ended, before a move or maintenance. They do not count as the pool's.
+    pub drained: u64,
+    /// Hosts with tasks that run until their job is cancelled.
+    pub standing: u64,
     /// Affinities for which the pool has too few hosts.
     pub lacking: Vec<HostAffinity>,
 }
@@ -316,6 +320,10 @@
                 None => &host.seen.pool,
             };
             let Some(view) = views.get_mut(pool) else { continue };
+            if let Some(worker) = self.worker_on(name) {
+                view.need.drained += u64::from(worker.reserved && host.duty.is_none());
+                view.need.standing += u64::from(worker.has_long_running());
+            }
             if !self.is_usable(name, host, now) {
                 continue;
             }
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -14,6 +14,7 @@
     room: Resources,
     serves: u32,
     best_effort: u32,
+    long_running: bool,
 }
 
 /// Runs that a worker lists and the coordinator has no record of.
@@ -151,12 +152,18 @@
         self.seen.capacity.minus(self.used).minus(self.unknown.room)
     }
 
+    /// Returns whether one of its tasks runs until its job is cancelled.
+    pub fn has_long_running(&self) -> bool {
+        self.live.values().any(|it| it.long_running)
+    }
+
     /// Adds a run and takes its room.
     pub fn add_run(&mut self, id: TaskId, step: &Step) {
         let usage = RunUsage {
             room: step.room(),
             serves: u32::from(step.tail_target_ms.is_some()),
             best_effort: u32::from(step.best_effort),
+            long_running: step.long_running,
         };
         self.used = self.used.plus(usage.room);
         self.serving += usage.serves;
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -278,7 +278,7 @@
             self.apply_config();
             self.coordinator.tick(now, self.cx.clock.wall());
             self.coordinator.plan_hosts(now);
-            self.pool_log.log_changes(self.coordinator.pool_needs(), now);
+            self.pool_log.log_changes(self.coordinator.pool_needs(), &self.cx.metrics, now);
             self.log_load(now);
             self.wait_log.log(&self.coordinator, &self.cx.metrics, now);
             self.close_unknown_links();
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 
 use anyhow::Result;
-use fuchsiamill_fleet::coordinator::RunsToEnd;
+use fuchsiamill_fleet::coordinator::{PoolNeed, RunsToEnd};
 use fuchsiamill_model::FastMap;
 use opentelemetry::{
     KeyValue,
@@ -36,6 +36,7 @@
     workers: Gauge<u64>,
     waiting_tasks: Gauge<u64>,
     longest_wait: Gauge<f64>,
+    pool_hosts: Gauge<u64>,
     runs_to_end: Gauge<u64>,
     longest_to_end: Gauge<f64>,
     exchanged_bytes: Counter<u64>,
@@ -70,6 +71,7 @@
             workers: meter.u64_gauge("workers").build(),
             waiting_tasks: meter.u64_gauge("waiting_tasks").build(),
             longest_wait: meter.f64_gauge("longest_wait").with_unit("s").build(),
+            pool_hosts: meter.u64_gauge("pool_hosts").build(),
             runs_to_end: meter.u64_gauge("runs_to_end").build(),
             longest_to_end: meter.f64_gauge("longest_run_to_end").with_unit("s").build(),
             exchanged_bytes: meter.u64_counter("exchanged_bytes").build(),
@@ -135,6 +137,21 @@
         self.longest_wait.record(waits.longest_ms as f64 / 1_000.0, &labels);
     }
 
+    /// Records the hosts of a pool: those that it has and needs, and what keeps some of them from other work.
+    pub fn set_pool(&self, need: &PoolNeed) {
+        let kinds = [
+            ("in-pool", need.hosts),
+            ("wanted", need.wanted),
+            ("standing", need.standing),
+            ("drained", need.drained),
+        ];
+        for (kind, hosts) in kinds {
+            let labels =
+                [KeyValue::new("pool", need.pool.to_string()), KeyValue::new("kind", kind)];
+            self.pool_hosts.record(hosts, &labels);
+        }
+    }
+
     /// Records how many runs have to end, and the longest time that one of them has been in its phase.
     pub fn set_runs_to_end(&self, runs: RunsToEnd) {
         self.runs_to_end.record(runs.count as u64, &[]);
