Hosts that are short go to work in the order in which tasks start, whatever pools are called

Cause: pools that were short were filled in the order of their names, and a pool that was short itself gave nothing, whatever it held. A wait for room raised a need that had no effect when all needs exceeded the hosts.

Change: each pool has a claim (lasting tasks), and needs for jobs in time, late ones and excess; the hosts are divided need by need, in proportion where they do not suffice (shares.rs). Pools beyond their share give idle hosts first, then those whose tasks end soonest. One pool without a host that may be drained no longer ends the search for donors.

Test: scarce_hosts. Three of its four tests fail on (the lasting tasks never start; 30 and 0 hosts; jobs in time never done); the fourth bounds the moves of a host.

--- a/crates/fleet/src/coordinator/advice.rs
+++ b/crates/fleet/src/coordinator/advice.rs
@@ -25,7 +25,7 @@
 const REQUEST_RETRY_MS: Millisecond = 500;
 
 /// A step of one occurrence of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StepKey {
     /// The id of the job.
     pub job: Name,
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -5,7 +5,7 @@
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
 use super::{
-    LiveRun, Phase, Wait, WaitReason, gang::GangCheckpoints, health::RunningMean, live::Speed,
+    LiveRun, Phase, Tier, Wait, WaitReason, gang::GangCheckpoints, health::RunningMean, live::Speed,
 };
 use crate::{JobRecord, JobSpec, Name, RECORD_TASKS, Stage, TaskId, TaskRecord};
 
@@ -22,6 +22,8 @@
     pub accepted: Moment,
     /// Whether its team had exceeded its weight when the job arrived.
     pub excess: bool,
+    /// Its tier in the last placement that looked at it.
+    pub tier: Tier,
     /// Occurrences that are due, by number.
     pub occurrences: Vec<Occurrence>,
     /// The number of tasks that may be on a worker.
@@ -116,8 +118,7 @@
 
     /// Notes why it waits after a placement, or that nothing of it waits.
     pub(super) fn note_wait(&mut self, reason: Option<WaitReason>, has_placed: bool, now: Moment) {
-        let since = self.wait.filter(|_| !has_placed).map_or(now, |it| it.since);
-        self.wait = reason.map(|reason| Wait { reason, since });
+        self.wait = reason.map(|reason| Wait::after(self.wait, reason, has_placed, now));
     }
 
     /// Returns whether every task is done.
@@ -130,12 +131,14 @@
     /// Creates a job that was just accepted, or that an earlier coordinator left.
     pub fn new(id: Name, spec: Arc<JobSpec>, now: Moment, wall: WallTime) -> Self {
         let age = wall.0.saturating_sub(spec.accepted.0);
+        let tier = if spec.is_standing() { Tier::Standing } else { Tier::InTime };
         Self {
             id,
             spec,
             stage: Stage::Queued,
             accepted: now - age,
             excess: false,
+            tier,
             occurrences: Vec::new(),
             live: 0,
             waiting: 0,
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -19,6 +19,7 @@
 mod orders;
 mod outbox;
 mod place;
+mod pool_view;
 mod pools;
 mod rank;
 mod replies;
@@ -26,6 +27,7 @@
 mod reports;
 mod retention;
 mod room;
+mod shares;
 mod sharing;
 mod tick;
 mod waits;
@@ -44,9 +46,10 @@
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Task, TaskState, objective_ms};
 pub use live::{LiveRun, Phase};
-pub use needs::PoolNeed;
 pub use orders::Order;
 pub use outbox::Commit;
+pub use pool_view::PoolNeed;
+pub use rank::Tier;
 pub use replies::{Refusal, StartReply};
 pub use tick::HeldRuns;
 pub use waits::{Wait, WaitReason, WaitingStep};
@@ -103,7 +106,7 @@
     waves: Vec<hosts::WaveState>,
     dirty_waves: FastSet<u64>,
     demand: FastMap<demand::DemandKey, demand::Demand>,
-    pool_needs: Vec<needs::PoolNeed>,
+    pool_needs: Vec<PoolNeed>,
     /// Hosts that finish their tasks before they move to another pool, each with that pool.
     draining_to: FastMap<Name, Name>,
     advice: FastMap<StepKey, advice::StepAdvice>,
@@ -179,6 +182,9 @@
         // After a takeover older jobs arrive all at once, so the rate at which they were sent is unknown.
         let is_new = now.since(job.accepted) <= EXCESS_WINDOW_MS;
         job.excess = is_new && self.is_excess(&job.spec.team, now);
+        if job.excess && job.tier != Tier::Standing {
+            job.tier = Tier::Excess;
+        }
         if record.is_none() && !job.excess {
             self.note_demand(&job.spec, now);
         }
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -7,14 +7,15 @@
 //! therefore ask for further hosts once they have waited for room.
 
 use fuchsiamill_model::{
-    FastMap, Resources,
+    FastMap,
     units::{Millisecond, Moment},
 };
 
 use super::{
-    Coordinator, Host, HostDuty, Job, Task, WaitReason,
+    Coordinator, Host, HostDuty, Job, StepKey, Task, Tier,
     demand::{Demand, DemandKey, HostAffinity, Load},
-    job::StepRun,
+    pool_view::{AffinityView, PoolNeed, PoolView, RoomWait, Views},
+    shares,
 };
 use crate::{HostState, JobSpec, Name, Step};
 
@@ -24,135 +25,9 @@
 /// How long the worker of a host that just came up may take to answer.
 const WORKER_JOIN_MS: Millisecond = 2_500;
 
-/// Long-running tasks that wait for room for this long ask for further hosts. Tasks that end meanwhile often make room.
-const ROOM_WAIT_MS: Millisecond = 1_000;
-
 /// The fewest hosts that a pool keeps, so that the first jobs of a peak start at once.
 const MIN_HOSTS: u64 = 2;
 
-/// How many hosts a pool has and needs, and what that was computed from.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PoolNeed {
-    /// The pool.
-    pub pool: Name,
-    /// Hosts that are in the pool or on their way to it.
-    pub hosts: u64,
-    /// Hosts that the pool needs.
-    pub wanted: u64,
-    /// Hosts that the pool needs without the jobs that teams sent beyond their weight.
-    pub owed: u64,
-    /// Hosts that the present work needs, without the jobs that teams sent beyond their weight.
-    pub pressing: u64,
-    /// Processors for the expected work, in millicores; memory counts as the processors of as many hosts.
-    pub expected: u64,
-    /// Processors for the present work, in millicores.
-    pub present: u64,
-    /// Hosts that may leave.
-    pub idle: u64,
-    /// Hosts that take no new tasks until theirs have ended, before a move or maintenance. They do not count as the pool's.
-    pub drained: u64,
-    /// Hosts with tasks that run until their job is cancelled.
-    pub standing: u64,
-    /// Affinities for which the pool has too few hosts.
-    pub lacking: Vec<HostAffinity>,
-}
-
-/// A pool while hosts are planned.
-#[derive(Clone, Debug, Default)]
-pub(super) struct PoolView {
-    /// The needs that are reported for the pool.
-    pub(super) need: PoolNeed,
-    /// The present work.
-    load: Load,
-    /// The part of the present work that teams sent beyond their weight.
-    excess: Load,
-    /// The most hosts that the pool needed recently.
-    pub(super) recent_peak: u64,
-    /// Hosts that one of its jobs needs because a worker may have only some of its tasks.
-    spread_hosts: u64,
-    /// The steps whose long-running tasks have waited for room.
-    waits: Vec<RoomWait>,
-    /// Hosts whose workers take tasks.
-    ready: u64,
-    /// The capacity of its largest worker; zero without workers.
-    host: Resources,
-    /// Hosts that may leave, with the one that has been idle longest last.
-    pub(super) idle: Vec<(Moment, Name)>,
-    /// The parts of its work that ask for certain hosts.
-    pub(super) affinities: FastMap<HostAffinity, AffinityView>,
-}
-
-/// Tasks of one step that wait for room.
-#[derive(Clone, Copy, Debug)]
-struct RoomWait {
-    tasks: u64,
-    size: Resources,
-    /// The most tasks of the step that may share a worker.
-    per_worker: u64,
-}
-
-impl RoomWait {
-    /// Returns how many empty hosts of this capacity the tasks fill.
-    fn hosts(self, host: Resources) -> u64 {
-        self.tasks.div_ceil(host.times(self.size).clamp(1, self.per_worker.max(1)))
-    }
-}
-
-/// The part of a pool's work that asks for certain hosts.
-#[derive(Clone, Debug, Default)]
-pub(super) struct AffinityView {
-    /// The present work.
-    load: Load,
-    /// Such hosts that it needs.
-    pub(super) wanted: u64,
-    /// The most such hosts that it needed recently.
-    pub(super) recent_peak: u64,
-    /// Such hosts that are in the pool or on their way to it.
-    pub(super) hosts: u64,
-}
-
-impl PoolView {
-    pub(super) fn is_short(&self) -> bool {
-        self.need.wanted > self.need.hosts || !self.need.lacking.is_empty()
-    }
-
-    fn add(&mut self, affinity: HostAffinity, load: Load) {
-        let part = self.affinities.entry(affinity).or_default();
-        part.load = part.load.plus(load);
-    }
-
-    /// Returns the hosts with which the tasks that wait for room can start, where those on their way count.
-    fn hosts_for_waits(&self, host: Resources) -> u64 {
-        let more = self.waits.iter().map(|it| it.hosts(host)).max();
-        more.map_or(0, |it| self.ready + it)
-    }
-
-    /// Counts a host as one of the pool's.
-    pub(super) fn add_host(&mut self, labels: &[Name]) {
-        self.need.hosts += 1;
-        for (_, part) in self.affinities.iter_mut().filter(|it| it.0.is_met_by(labels)) {
-            part.hosts += 1;
-        }
-    }
-
-    /// Counts a host out of the pool. A host whose worker stopped answering meanwhile was not counted, so the counts
-    /// may be zero.
-    pub(super) fn remove_host(&mut self, labels: &[Name]) {
-        self.need.hosts = self.need.hosts.saturating_sub(1);
-        for (_, part) in self.affinities.iter_mut().filter(|it| it.0.is_met_by(labels)) {
-            part.hosts = part.hosts.saturating_sub(1);
-        }
-    }
-
-    /// Returns whether a host with these labels may leave without the pool becoming short of such hosts.
-    pub(super) fn can_spare(&self, labels: &[Name]) -> bool {
-        let mut met = self.affinities.iter().filter(|it| it.0.is_met_by(labels));
-        met.all(|(_, it)| it.hosts > it.recent_peak)
-    }
-}
-
-pub(super) type Views = FastMap<Name, PoolView>;
-
 impl Coordinator {
     /// Counts a new job's work as demand on its pool, and on the pool's hosts with the labels that it asks for.
     pub(super) fn note_demand(&mut self, spec: &JobSpec, now: Moment) {
@@ -192,9 +67,29 @@
         self.count_hosts(&mut views, now);
         self.cap_labelled(&mut views);
         self.size_pools(&mut views, now);
+        self.share_hosts(&mut views, now);
         views
     }
 
+    /// Computes the share that each pool gets of the hosts that there are.
+    fn share_hosts(&self, views: &mut Views, now: Moment) {
+        let spare = self.config.spare_pool().map(|it| it.name.clone());
+        let mut names: Vec<Name> = views.keys().cloned().collect();
+        names.sort();
+        names.retain(|it| Some(it) != spare.as_ref());
+        let free = spare.map_or(0, |it| self.spare_hosts(&it, now).len());
+        // A host that is drained for another pool counts in neither yet.
+        let drained = self.draining_to.keys().filter(|it| self.may_be_drained(it)).count();
+        let hosts =
+            (free + drained) as u64 + names.iter().map(|it| views[it].need.hosts).sum::<u64>();
+        let needs: Vec<_> = names.iter().map(|it| views[it].need.by_tier()).collect();
+        for (name, share) in names.iter().zip(shares::divide(hosts, &needs)) {
+            if let Some(view) = views.get_mut(name) {
+                view.need.share = share;
+            }
+        }
+    }
+
     /// Returns the present work and the size of workers by pool, in one pass over jobs and workers for all pools.
     fn present_work(&self, now: Moment) -> Views {
         let new = |pool: &Name| {
@@ -205,7 +100,11 @@
         for job in self.jobs.values().filter(|it| !it.stage.is_over()) {
             let Some(view) = views.get_mut(&job.spec.route.pool) else { continue };
             self.add_work(view, job, now);
-            view.spread_hosts = view.spread_hosts.max(spread_hosts_of(job));
+            let spread = spread_hosts_of(job);
+            view.spread_hosts = view.spread_hosts.max(spread);
+            if job.tier == Tier::Standing {
+                view.standing_spread = view.standing_spread.max(spread);
+            }
         }
         for worker in self.workers.values() {
             let Some(view) = views.get_mut(&worker.seen.pool) else { continue };
@@ -226,21 +125,33 @@
                 if live + waiting == 0 {
                     continue;
                 }
-                if waiting > 0 && step_spec.long_running && has_waited_for_room(step, now) {
-                    let per_worker = step_spec.per_worker.map_or(u64::MAX, u64::from);
-                    let size = step_spec.room();
-                    view.waits.push(RoomWait { tasks: waiting, size, per_worker });
+                if let Some(wait) = step.wait.filter(|it| it.asks_for_room(now))
+                    && waiting > 0
+                    && step_spec.long_running
+                {
+                    view.waits.push(RoomWait {
+                        step: StepKey { job: job.id.clone(), occurrence: k as u32, step: s as u16 },
+                        priority: job.spec.route.priority,
+                        since: wait.since,
+                        tasks: waiting,
+                        size: step_spec.room(),
+                        per_worker: step_spec.per_worker.map_or(u64::MAX, u64::from),
+                    });
                 }
                 let load = Load::of(step_spec.room(), live + waiting);
                 view.load = view.load.plus(load);
-                if job.excess {
-                    view.excess = view.excess.plus(load);
+                match job.tier {
+                    Tier::Standing => view.standing = view.standing.plus(load),
+                    Tier::InTime => {}
+                    Tier::Late => view.late = view.late.plus(load),
+                    Tier::Excess => view.excess = view.excess.plus(load),
                 }
                 for affinity in HostAffinity::of_step(step_spec) {
                     // A task that already runs far from its data is not moved any more.
                     let live =
                         step.tasks.iter().filter(|it| self.is_live_at(it, &affinity)).count();
-                    view.add(affinity, Load::of(step_spec.room(), live as u64 + waiting));
+                    let load = Load::of(step_spec.room(), live as u64 + waiting);
+                    view.add(affinity, load, job.tier == Tier::Standing);
                 }
             }
         }
@@ -264,6 +175,7 @@
                     beyond = beyond.plus(part.load.minus(room));
                 }
                 part.load = part.load.at_most(room);
+                part.standing = part.standing.at_most(room);
                 count > 0
             });
             view.load = view.load.minus(beyond);
@@ -276,25 +188,37 @@
         let all = self.hosts.values().map(|it| it.seen.capacity);
         let any = all.max_by_key(|it| it.millicores).unwrap_or_default();
         for (pool, view) in views {
-            let host = if view.host.millicores == 0 { any } else { view.host };
+            if view.host.millicores == 0 {
+                view.host = any;
+            }
+            let host = view.host;
+            view.waits.sort_by_key(|it| (it.priority, it.since, it.step.clone()));
             let demand = self.demand_for(pool, None);
             view.need.expected = demand.expected(now).millicores_on(host);
             view.need.present = view.load.millicores_on(host);
-            let owed = view.load.minus(view.excess).millicores_on(host);
-            let least = view.spread_hosts.max(view.hosts_for_waits(host)).max(MIN_HOSTS);
-            let hosts = |work: u64| {
-                let hosts = with_headroom(work).div_ceil(u64::from(host.millicores.max(1)));
-                hosts.max(least)
-            };
-            view.need.wanted = hosts(view.need.expected.max(view.need.present));
-            view.need.owed = hosts(view.need.expected.max(owed));
-            view.need.pressing = hosts(owed);
+            let owed = view.load.minus(view.excess);
+            let in_time = owed.minus(view.late).millicores_on(host);
+            let owed = owed.millicores_on(host);
+            let standing = view.standing.millicores_on(host);
+            let least = view.spread_hosts.max(view.hosts_for_waits()).max(MIN_HOSTS);
+            let hosts = |work: u64| with_headroom(work).div_ceil(u64::from(host.millicores.max(1)));
+            view.need.wanted = hosts(view.need.expected.max(view.need.present)).max(least);
+            view.need.owed = hosts(view.need.expected.max(owed)).max(least);
+            view.need.pressing = hosts(owed).max(least);
+            let claim = hosts(standing).max(view.standing_spread);
+            view.need.claim = claim.max(view.standing_hosts_with_waits()).min(view.need.owed);
+            let in_time = hosts(view.need.expected.max(in_time)).max(MIN_HOSTS);
+            view.need.in_time = in_time.max(view.need.claim).min(view.need.owed);
             view.recent_peak = demand.most_needed(view.need.wanted, now);
             for (affinity, part) in &mut view.affinities {
                 let demand = self.demand_for(pool, Some(affinity));
                 let expected = demand.expected(now).millicores_on(host);
                 let work = with_headroom(expected.max(part.load.millicores_on(host)));
-                part.wanted = affinity.hosts_for(work, host.millicores.max(1).into(), far_percent);
+                let hosts_for = |work: u64| {
+                    affinity.hosts_for(work, host.millicores.max(1).into(), far_percent)
+                };
+                part.wanted = hosts_for(work);
+                part.claim = hosts_for(with_headroom(part.standing.millicores_on(host)));
                 part.recent_peak = demand.most_needed(part.wanted, now);
             }
             let is_lacking = |it: &(&HostAffinity, &AffinityView)| it.1.wanted > it.1.hosts;
@@ -322,13 +246,20 @@
             let Some(view) = views.get_mut(pool) else { continue };
             if let Some(worker) = self.worker_on(name) {
                 view.need.drained += u64::from(worker.reserved && host.duty.is_none());
-                view.need.standing += u64::from(worker.has_long_running());
             }
             if !self.is_usable(name, host, now) {
                 continue;
             }
             view.add_host(&host.seen.labels);
-            view.ready += u64::from(self.worker_on(name).is_some_and(|it| it.takes_tasks(now)));
+            let is_here = host.duty.is_none() && host.seen.state == HostState::Up;
+            match self.worker_on(name).filter(|it| is_here && it.answered) {
+                Some(it) if it.takes_tasks(now) => {
+                    view.ready += 1;
+                    view.need.standing += u64::from(it.has_long_running());
+                }
+                Some(_) => {}
+                None => view.coming += 1,
+            }
             if host.duty.is_none()
                 && host.seen.state == HostState::Up
                 && let Some(worker) = self.worker_on(name)
@@ -363,15 +294,6 @@
     }
 }
 
-/// Returns whether tasks of a step were not placed for a while because the workers of its pool are too full, or have too many
-/// of its tasks.
-fn has_waited_for_room(step: &StepRun, now: Moment) -> bool {
-    step.wait.is_some_and(|it| {
-        matches!(it.reason, WaitReason::Room | WaitReason::PerWorker)
-            && now.since(it.since) >= ROOM_WAIT_MS
-    })
-}
-
 fn with_headroom(millicores: u64) -> u64 {
     millicores.saturating_mul(100 + HEADROOM_PERCENT) / 100
 }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -64,7 +64,7 @@
         self.last_placed = now;
         self.near_wait_ends = None;
         let mut search = RoomSearch::new(&self.workers, now);
-        for id in self.ranked(now) {
+        for id in self.rank_jobs(now) {
             if room == 0 {
                 break;
             }
--- /dev/null
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -0,0 +1,197 @@
+//! The hosts of one pool and the needs for them, while hosts are planned.
+
+use fuchsiamill_model::{FastMap, Resources, units::Moment};
+
+use super::{
+    StepKey,
+    demand::{HostAffinity, Load},
+    shares::{TIERS, TierNeeds},
+};
+use crate::Name;
+
+/// How many hosts a pool has and needs, and what that was computed from.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolNeed {
+    /// The pool.
+    pub pool: Name,
+    /// Hosts that are in the pool or on their way to it.
+    pub hosts: u64,
+    /// Hosts that the pool needs.
+    pub wanted: u64,
+    /// Hosts that the pool needs without the jobs that teams sent beyond their weight.
+    pub owed: u64,
+    /// Hosts that the pool needs for jobs that can be in time, present and expected, and for its claim.
+    pub in_time: u64,
+    /// Hosts that the pool needs for tasks that run all the time or at a time of day.
+    pub claim: u64,
+    /// Hosts that the pool gets of those that there are.
+    pub share: u64,
+    /// Hosts that the present work needs, without the jobs that teams sent beyond their weight.
+    pub pressing: u64,
+    /// Processors for the expected work, in millicores; memory counts as the processors of as many hosts.
+    pub expected: u64,
+    /// Processors for the present work, in millicores.
+    pub present: u64,
+    /// Hosts that may leave.
+    pub idle: u64,
+    /// Hosts that take no new tasks until theirs have ended, before a move or maintenance. They do not count as the pool's.
+    pub drained: u64,
+    /// Hosts with tasks that run until their job is cancelled.
+    pub standing: u64,
+    /// Affinities for which the pool has too few hosts.
+    pub lacking: Vec<HostAffinity>,
+}
+
+impl PoolNeed {
+    /// Returns the hosts that it needs for its work up to each tier.
+    pub(super) fn by_tier(&self) -> TierNeeds {
+        [self.claim, self.in_time, self.owed, self.wanted]
+    }
+
+    /// Returns whether there are too few hosts for it.
+    pub fn is_scarce(&self) -> bool {
+        self.share < self.wanted
+    }
+}
+
+/// A pool while hosts are planned.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PoolView {
+    /// The needs that are reported for the pool.
+    pub(super) need: PoolNeed,
+    /// The present work.
+    pub(super) load: Load,
+    /// The part of the present work that teams sent beyond their weight.
+    pub(super) excess: Load,
+    /// The part of the present work that is late.
+    pub(super) late: Load,
+    /// The part of the present work that is to run all the time or at a time of day.
+    pub(super) standing: Load,
+    /// The most hosts that the pool needed recently.
+    pub(super) recent_peak: u64,
+    /// Hosts that one of its jobs needs because a worker may have only some of its tasks.
+    pub(super) spread_hosts: u64,
+    /// The same of jobs with tasks that run all the time or at a time of day.
+    pub(super) standing_spread: u64,
+    /// The long-running tasks that have waited for room, the most urgent ones first.
+    pub(super) waits: Vec<RoomWait>,
+    /// Hosts whose workers take tasks.
+    pub(super) ready: u64,
+    /// Hosts on their way to the pool, or whose workers do not answer yet.
+    pub(super) coming: u64,
+    /// The capacity of its largest worker, or of the largest host if it has none.
+    pub(super) host: Resources,
+    /// Hosts that may leave, with the one that has been idle longest last.
+    pub(super) idle: Vec<(Moment, Name)>,
+    /// The parts of its work that ask for certain hosts.
+    pub(super) affinities: FastMap<HostAffinity, AffinityView>,
+}
+
+/// Tasks of one step that wait for room.
+#[derive(Clone, Debug)]
+pub(super) struct RoomWait {
+    pub(super) step: StepKey,
+    pub(super) priority: u32,
+    pub(super) since: Moment,
+    pub(super) tasks: u64,
+    pub(super) size: Resources,
+    /// The most tasks of the step that may share a worker.
+    pub(super) per_worker: u64,
+}
+
+impl RoomWait {
+    /// Returns how many of the tasks an empty host of this capacity holds.
+    pub(super) fn tasks_per(&self, host: Resources) -> u64 {
+        host.times(self.size).clamp(1, self.per_worker.max(1))
+    }
+
+    /// Returns how many empty hosts of this capacity the tasks fill.
+    fn hosts(&self, host: Resources) -> u64 {
+        self.tasks.div_ceil(self.tasks_per(host))
+    }
+}
+
+/// The part of a pool's work that asks for certain hosts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AffinityView {
+    /// The present work.
+    pub(super) load: Load,
+    /// Such hosts that it needs.
+    pub(super) wanted: u64,
+    /// The most such hosts that it needed recently.
+    pub(super) recent_peak: u64,
+    /// Such hosts that are in the pool or on their way to it.
+    pub(super) hosts: u64,
+    /// Its work that is to run all the time or at a time of day.
+    pub(super) standing: Load,
+    /// Such hosts that this part needs.
+    pub(super) claim: u64,
+}
+
+impl PoolView {
+    pub(super) fn add(&mut self, affinity: HostAffinity, load: Load, is_standing: bool) {
+        let part = self.affinities.entry(affinity).or_default();
+        part.load = part.load.plus(load);
+        if is_standing {
+            part.standing = part.standing.plus(load);
+        }
+    }
+
+    /// Returns the hosts with which the tasks that wait for room can start, where those on their way count.
+    pub(super) fn hosts_for_waits(&self) -> u64 {
+        self.more_for_waits().map_or(0, |more| self.ready + more)
+    }
+
+    /// Returns the hosts that the tasks which run all the time need if no other tasks share them.
+    pub(super) fn standing_hosts_with_waits(&self) -> u64 {
+        self.more_for_waits().map_or(0, |more| self.need.standing + more)
+    }
+
+    fn more_for_waits(&self) -> Option<u64> {
+        self.waits.iter().map(|it| it.hosts(self.host)).max()
+    }
+
+    /// Counts a host as one of the pool's.
+    pub(super) fn add_host(&mut self, labels: &[Name]) {
+        self.need.hosts += 1;
+        for (_, part) in self.affinities.iter_mut().filter(|it| it.0.is_met_by(labels)) {
+            part.hosts += 1;
+        }
+    }
+
+    /// Counts a host out of the pool. A host whose worker stopped answering meanwhile was not counted, so the counts
+    /// may be zero.
+    pub(super) fn remove_host(&mut self, labels: &[Name]) {
+        self.need.hosts = self.need.hosts.saturating_sub(1);
+        for (_, part) in self.affinities.iter_mut().filter(|it| it.0.is_met_by(labels)) {
+            part.hosts = part.hosts.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether a host with these labels may leave. While hosts are scarce, only long-running work keeps hosts of
+    /// its kind.
+    pub(super) fn can_spare(&self, labels: &[Name]) -> bool {
+        let mut met = self.affinities.iter().filter(|it| it.0.is_met_by(labels));
+        match self.need.is_scarce() {
+            true => met.all(|(_, it)| it.hosts > it.claim),
+            false => met.all(|(_, it)| it.hosts > it.recent_peak),
+        }
+    }
+
+    /// Returns the hosts that the pool is to get for its work up to a tier.
+    pub(super) fn due(&self, tier: usize) -> u64 {
+        self.need.by_tier()[tier].min(self.need.share)
+    }
+
+    /// Returns the first tier for which it has fewer hosts than it is to get.
+    pub(super) fn short_tier(&self) -> Option<usize> {
+        (0..TIERS).find(|tier| self.due(*tier) > self.need.hosts)
+    }
+
+    /// Returns how many more hosts it has than it is to get.
+    pub(super) fn beyond_share(&self) -> u64 {
+        self.need.hosts.saturating_sub(self.need.share)
+    }
+}
+
+pub(super) type Views = FastMap<Name, PoolView>;
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -3,12 +3,18 @@
 //! Queues peak in turn, far above what their pool holds, and are nearly idle in between. Therefore hosts follow the
 //! demand.
 
-use fuchsiamill_model::units::{Millisecond, Moment};
+use std::cmp::Ordering;
+
+use fuchsiamill_model::{
+    FastMap, FastSet,
+    units::{Millisecond, Moment},
+};
 
 use super::{
-    Coordinator, HostDuty,
+    Coordinator, HostDuty, TaskState, Worker,
     demand::HostAffinity,
-    needs::{PoolNeed, PoolView, Views},
+    pool_view::{PoolNeed, PoolView, Views},
+    shares::TIERS,
 };
 use crate::{HostState, Name, TaskId};
 
@@ -16,6 +22,20 @@
 /// much as about two seconds in a pool.
 const IDLE_MS: Millisecond = 800;
 
+/// How long a host stays in a pool before it is emptied for another one: longer than a move takes.
+const MIN_STAY_MS: Millisecond = 2_000;
+
+/// Hosts are emptied in a pool that has more than its share by more than this part of it, so that small changes of the
+/// shares move none.
+const SHARE_SLACK_DIVISOR: u64 = 16;
+
+/// The tier of tasks that run all the time or at a time of day. Hosts for it are taken without regard to the slack and to how
+/// long they have been in their pool.
+const STANDING: usize = 0;
+
+/// A host and the pool that it is moved to.
+pub(super) type Move = (Name, Name);
+
 impl Coordinator {
     /// Moves hosts to the pools that need them, and idle ones to the spare pool.
     pub(super) fn plan_pools(&mut self, now: Moment) {
@@ -24,7 +44,7 @@
         self.pool_needs = views.values().map(|it| it.need.clone()).collect();
         let mut moves = self.move_drained(&mut views, now);
         moves.extend(self.grow(&mut views, &spare, now));
-        self.drain_hosts(&mut views, &spare);
+        self.drain_hosts(&mut views, &spare, now);
         moves.extend(self.shrink(&mut views, &spare, now));
         for (host, pool) in moves {
             self.give_duty(&host, HostDuty::Move { pool }, now);
@@ -33,29 +53,22 @@
 
     /// Returns moves of hosts to pools that are short of them. Affinities that lack hosts come first, since no other
     /// hosts will do.
-    fn grow(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<(Name, Name)> {
+    fn grow(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<Move> {
         let mut free = self.spare_hosts(spare, now);
-        let short = pools_where(views, |name, it| name != spare && it.is_short());
         let mut moves = Vec::new();
-        for pool in &short {
-            for affinity in views[pool].need.lacking.clone() {
-                while views[pool].affinities[&affinity].wanted
-                    > views[pool].affinities[&affinity].hosts
-                    && let Some(host) = self.take_host(&mut free, views, pool, Some(&affinity))
-                {
-                    moves.push((host, pool.clone()));
+        for is_claim in [true, false] {
+            let mut given_up: FastSet<(Name, HostAffinity)> = FastSet::default();
+            while let Some((pool, affinity)) = most_lacking(views, spare, is_claim, &given_up) {
+                match self.take_host(&mut free, views, &pool, Some(&affinity)) {
+                    Some(host) => moves.push((host, pool)),
+                    None => drop(given_up.insert((pool, affinity))),
                 }
             }
         }
-        // Jobs within the weights of teams come first, in every pool; then the jobs beyond them.
-        for need in [|it: &PoolNeed| it.owed, |it: &PoolNeed| it.wanted] {
-            for pool in &short {
-                while need(&views[pool].need) > views[pool].need.hosts
-                    && let Some(host) = self.take_host(&mut free, views, pool, None)
-                {
-                    moves.push((host, pool.clone()));
-                }
-            }
+        while let Some(pool) = shortest(views, spare, |it| it.short_tier())
+            && let Some(host) = self.take_host(&mut free, views, &pool, None)
+        {
+            moves.push((host, pool));
         }
         moves
     }
@@ -78,7 +91,7 @@
         Some(host)
     }
 
-    /// Takes an idle host from the pool that has most beyond its need.
+    /// Takes an idle host from the pool that has most beyond its share.
     fn take_idle(
         &self,
         views: &mut Views,
@@ -90,19 +103,18 @@
                 |it: &(Moment, Name)| suits(&it.1) && view.can_spare(self.labels_of(&it.1));
             view.idle.iter().rposition(can_leave)
         };
-        let surplus = |it: &PoolView| it.need.hosts.saturating_sub(it.need.wanted);
         let (_, view, at) = views
             .iter_mut()
-            .filter(|(name, it)| *name != for_pool && surplus(it) > 0)
+            .filter(|(name, it)| *name != for_pool && it.beyond_share() > 0)
             .filter_map(|(name, it)| may_go(it).map(|at| (name, it, at)))
-            .max_by_key(|(name, it, _)| (surplus(it), (*name).clone()))?;
+            .max_by_key(|(name, it, _)| (it.beyond_share(), (*name).clone()))?;
         let (_, host) = view.idle.remove(at);
         view.remove_host(self.labels_of(&host));
         Some(host)
     }
 
     /// Returns moves to the spare pool, of hosts that were idle for long in pools that have enough.
-    fn shrink(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<(Name, Name)> {
+    fn shrink(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<Move> {
         let mut moves = Vec::new();
         for (_, view) in views.iter_mut().filter(|it| it.0 != spare) {
             while view.need.hosts > view.recent_peak {
@@ -119,19 +131,18 @@
     }
 
     /// Returns moves of hosts that have finished their tasks for another pool. Hosts stay where that pool has enough
-    /// meanwhile.
-    fn move_drained(&mut self, views: &mut Views, now: Moment) -> Vec<(Name, Name)> {
+    /// meanwhile, or where their own pool lacks hosts for its long-running tasks.
+    fn move_drained(&mut self, views: &mut Views, now: Moment) -> Vec<Move> {
         let mut moves = Vec::new();
-        let mut draining_to: Vec<(Name, Name)> =
+        let mut draining_to: Vec<Move> =
             std::mem::take(&mut self.draining_to).into_iter().collect();
         draining_to.sort();
         for (host, pool) in draining_to {
             // A host with another order stays reserved for that order.
-            if !self.may_be_drained(&host) {
-                self.update_reserved(&host);
-                continue;
-            }
-            if views.get(&pool).is_none_or(|it| it.need.pressing <= it.need.hosts) {
+            let goes = self.may_be_drained(&host)
+                && views.get(&pool).is_some_and(|it| presses(it, it.due(TIERS - 1)))
+                && !self.is_pool_below_claim(views, &host);
+            if !goes {
                 self.update_reserved(&host);
                 continue;
             }
@@ -147,45 +158,105 @@
         moves
     }
 
+    fn is_pool_below_claim(&self, views: &Views, host: &Name) -> bool {
+        let pool = self.hosts.get(host).and_then(|it| views.get(&it.seen.pool));
+        pool.is_some_and(|it| it.short_tier() == Some(STANDING))
+    }
+
     /// Returns whether a host is up and has no order.
-    fn may_be_drained(&self, host: &Name) -> bool {
+    pub(super) fn may_be_drained(&self, host: &Name) -> bool {
         let Some(host) = self.hosts.get(host) else { return false };
         host.duty.is_none() && host.seen.state == HostState::Up
     }
 
-    /// Starts to drain hosts of pools that have more than their `owed` hosts, for pools with fewer than their
-    /// `pressing` hosts.
-    fn drain_hosts(&mut self, views: &mut Views, spare: &Name) {
-        let is_short = |it: &PoolView| it.need.pressing > it.need.hosts;
-        for pool in pools_where(views, |name, it| name != spare && is_short(it)) {
-            while views[&pool].need.pressing > views[&pool].need.hosts
-                && let Some(host) = self.host_to_drain(views, spare)
-            {
-                self.reassign_host(views, &host, &pool);
-                self.draining_to.insert(host.clone(), pool.clone());
-                self.update_reserved(&host);
-            }
+    /// Starts to drain hosts of pools that have more than their share, for present work of pools that have less.
+    fn drain_hosts(&mut self, views: &mut Views, spare: &Name, now: Moment) {
+        let short_tier = |it: &PoolView| it.short_tier().filter(|tier| presses(it, it.due(*tier)));
+        if shortest(views, spare, short_tier).is_none() {
+            return;
+        }
+        let mut drainable = self.drainable_hosts(views, spare, now);
+        while let Some(pool) = shortest(views, spare, short_tier)
+            && let Some(tier) = short_tier(&views[&pool])
+            && let Some(host) = self.host_to_drain(&mut drainable, views, tier, now)
+        {
+            self.reassign_host(views, &host, &pool);
+            self.draining_to.insert(host.clone(), pool);
+            self.update_reserved(&host);
         }
     }
 
-    /// Returns the host with the fewest tasks in the pool that has most beyond its `owed` hosts. Hosts with
-    /// long-running tasks are left out.
-    fn host_to_drain(&self, views: &Views, spare: &Name) -> Option<Name> {
-        let surplus = |it: &PoolView| it.need.hosts.saturating_sub(it.need.owed);
-        let donors = views.iter().filter(|(name, it)| *name != spare && surplus(it) > 0);
-        let (donor, view) = donors.max_by_key(|(name, it)| (surplus(it), (*name).clone()))?;
-        let may_go = |host: &&Name| {
-            let Some(worker) = self.worker_on(host) else { return false };
-            let long_running = |it: &TaskId| self.step_of(it).is_some_and(|step| step.long_running);
-            self.hosts[*host].seen.pool == *donor
-                && self.may_be_drained(host)
+    /// Returns the hosts that may be drained, by pool, of pools that have more than their share. Hosts with long-running tasks
+    /// are left out. Those whose tasks end soonest come last.
+    fn drainable_hosts(
+        &self,
+        views: &Views,
+        spare: &Name,
+        now: Moment,
+    ) -> FastMap<Name, Vec<Name>> {
+        let mut drainable: FastMap<Name, Vec<(Millisecond, usize, Name)>> = FastMap::default();
+        for (name, host) in &self.hosts {
+            let pool = &host.seen.pool;
+            if pool == spare || views.get(pool).is_none_or(|it| it.beyond_share() == 0) {
+                continue;
+            }
+            if let Some(worker) = self.worker_on(name)
+                && self.may_be_drained(name)
                 && worker.answered
                 && !worker.is_leaving()
-                && !worker.live.keys().any(long_running)
-                && view.can_spare(self.labels_of(host))
+                && !worker.has_long_running()
+            {
+                let key = (self.busy_ms(worker, now), worker.live.len(), name.clone());
+                drainable.entry(pool.clone()).or_default().push(key);
+            }
+        }
+        let sorted = |(pool, mut hosts): (Name, Vec<(Millisecond, usize, Name)>)| {
+            hosts.sort_by(|a, b| b.cmp(a));
+            (pool, hosts.into_iter().map(|it| it.2).collect())
         };
-        let hosts = self.hosts.keys().filter(may_go);
-        hosts.min_by_key(|it| (self.task_count_on(it), (*it).clone())).cloned()
+        drainable.into_iter().map(sorted).collect()
+    }
+
+    /// Returns how long the tasks of a worker that end by themselves are expected to run on. A task that is overdue is
+    /// expected to take as long again as it is overdue.
+    pub(super) fn busy_ms(&self, worker: &Worker, now: Moment) -> Millisecond {
+        let left = |it: &TaskId| {
+            let job = self.jobs.get(&it.job)?;
+            let TaskState::Live(live) = &job.task(it)?.state else { return None };
+            let is_endless = job.spec.steps[it.step as usize].long_running;
+            let expected = self.expected_ms(&job.spec, it.step as usize);
+            (!is_endless).then(|| expected.abs_diff(now.since(live.since)))
+        };
+        worker.live.keys().filter_map(left).max().unwrap_or(0)
+    }
+
+    /// Takes the host whose tasks end soonest in the pool that has most beyond its share.
+    fn host_to_drain(
+        &self,
+        drainable: &mut FastMap<Name, Vec<Name>>,
+        views: &Views,
+        tier: usize,
+        now: Moment,
+    ) -> Option<Name> {
+        let slack = |it: &PoolView| match tier {
+            STANDING => 0,
+            _ => it.need.share / SHARE_SLACK_DIVISOR,
+        };
+        let mut donors: Vec<(u64, &Name)> = drainable
+            .keys()
+            .filter(|it| views[*it].beyond_share() > slack(&views[*it]))
+            .map(|it| (views[it].beyond_share(), it))
+            .collect();
+        donors.sort_by(|a, b| b.cmp(a));
+        let (pool, at) = donors.into_iter().find_map(|(_, pool)| {
+            let may_go = |it: &Name| {
+                let host = &self.hosts[it];
+                (tier == STANDING || now.since(host.up_since) >= MIN_STAY_MS)
+                    && views[pool].can_spare(&host.seen.labels)
+            };
+            Some((pool.clone(), drainable[pool].iter().rposition(may_go)?))
+        })?;
+        drainable.get_mut(&pool).map(|it| it.remove(at))
     }
 
     /// Counts a host for the pool that it will move to, instead of its own pool.
@@ -203,7 +274,8 @@
         self.hosts.get(host).map_or(&[], |it| &it.seen.labels)
     }
 
-    fn spare_hosts(&self, spare: &Name, now: Moment) -> Vec<Name> {
+    /// Returns the hosts of the spare pool that may be moved now, in a fixed order.
+    pub(super) fn spare_hosts(&self, spare: &Name, now: Moment) -> Vec<Name> {
         let is_spare =
             |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name, now);
         let mut hosts: Vec<Name> = self.hosts.keys().filter(is_spare).cloned().collect();
@@ -217,10 +289,72 @@
     }
 }
 
-/// Returns the names of the matching pools, in a fixed order.
-fn pools_where(views: &Views, is_meant: impl Fn(&Name, &PoolView) -> bool) -> Vec<Name> {
-    let meant = views.iter().filter(|(name, it)| is_meant(name, it));
-    let mut names: Vec<Name> = meant.map(|(name, _)| name.clone()).collect();
-    names.sort();
-    names
+/// Returns whether present work needs more hosts than the pool has, of so many that it is to get.
+fn presses(view: &PoolView, due: u64) -> bool {
+    view.need.pressing.min(due) > view.need.hosts
+}
+
+/// Returns the pool that gets the next host: of those that are short for the first tier, the one that has the smallest part of
+/// what it is to get. `short_tier` returns for which tier a pool is short.
+fn shortest(
+    views: &Views,
+    spare: &Name,
+    short_tier: impl Fn(&PoolView) -> Option<usize>,
+) -> Option<Name> {
+    let short = views.iter().filter(|it| it.0 != spare);
+    let short = short.filter_map(|(name, it)| Some((short_tier(it)?, name, it)));
+    let key = |it: &PoolView, tier: usize| Part { has: it.need.hosts, of: it.due(tier) };
+    let first = short.min_by(|(tier_a, a, view_a), (tier_b, b, view_b)| {
+        let parts = || key(view_a, *tier_a).cmp(&key(view_b, *tier_b));
+        tier_a.cmp(tier_b).then_with(parts).then_with(|| a.cmp(b))
+    });
+    first.map(|it| it.1.clone())
+}
+
+/// Returns the pool and the affinity of its work that has the smallest part of the hosts that it needs. A pool that has its
+/// share of scarce hosts gets no further ones for being near their data only.
+fn most_lacking(
+    views: &Views,
+    spare: &Name,
+    is_claim: bool,
+    given_up: &FastSet<(Name, HostAffinity)>,
+) -> Option<(Name, HostAffinity)> {
+    let mut first: Option<(Part, (Name, HostAffinity))> = None;
+    for (pool, view) in views.iter().filter(|it| it.0 != spare) {
+        let has_share = view.need.is_scarce() && view.need.hosts >= view.need.share;
+        for (affinity, part) in &view.affinities {
+            let needs = if is_claim { part.claim } else { part.wanted };
+            let is_left_out = has_share && matches!(affinity, HostAffinity::Rack(_));
+            let found = (Part { has: part.hosts, of: needs }, (pool.clone(), affinity.clone()));
+            if part.hosts < needs
+                && !is_left_out
+                && !given_up.contains(&found.1)
+                && first.as_ref().is_none_or(|it| found < *it)
+            {
+                first = Some(found);
+            }
+        }
+    }
+    first.map(|it| it.1)
+}
+
+/// A part of a number of hosts. The smaller part comes first, among equal ones that of more hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Part {
+    has: u64,
+    of: u64,
+}
+
+impl Ord for Part {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let product = |a: u64, b: u64| u128::from(a) * u128::from(b);
+        let by_part = product(self.has, other.of).cmp(&product(other.has, self.of));
+        by_part.then_with(|| other.of.cmp(&self.of))
+    }
+}
+
+impl PartialOrd for Part {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
 }
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -46,11 +46,13 @@
     Work(u64),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
+/// Groups of jobs that get room one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
     /// The job has tasks that are to run at a time of day or all the time: it gains from room as long as it has it.
     Standing,
     /// The job can still be completed within its objective.
+    #[default]
     InTime,
     /// The job is late or will be; other jobs gain more from the room.
     Late,
@@ -59,19 +61,24 @@
 }
 
 impl Coordinator {
-    /// Returns the jobs with waiting tasks, the first to get room first.
-    pub(super) fn ranked(&self, now: Moment) -> Vec<Name> {
+    /// Returns the jobs with waiting tasks, the first to get room first, and notes their tiers.
+    pub(super) fn rank_jobs(&mut self, now: Moment) -> Vec<Name> {
         let waiting = self.jobs.values().filter(|it| !it.stage.is_over() && it.has_waiting());
-        let mut ranked: Vec<(Rank, &Name)> =
-            waiting.map(|it| (self.rank(it, now), &it.id)).collect();
+        let mut ranked: Vec<(Rank, Name)> =
+            waiting.map(|it| (self.rank(it, now), it.id.clone())).collect();
         ranked.sort();
-        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+        for (rank, id) in &ranked {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.tier = rank.tier;
+            }
+        }
+        ranked.into_iter().map(|(_, id)| id).collect()
     }
 
     fn rank(&self, job: &Job, now: Moment) -> Rank {
         let priority = job.spec.route.priority;
         let due = self.due(job);
-        if job.spec.long_running() || job.spec.schedule.is_some() {
+        if job.spec.is_standing() {
             return Rank { priority, tier: Tier::Standing, urgency: Urgency::Due(due) };
         }
         let (path, work) = self.remaining_work(job);
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -65,6 +65,36 @@
     pub reason: WaitReason,
     /// Since when none of its tasks was placed.
     pub since: Moment,
+    /// Whether none was placed for [`ROOM_WAIT_MS`] since all of them were placed last.
+    pub is_long: bool,
+}
+
+/// Long-running tasks that wait for room for this long ask for further hosts, and hold room on those that there are. Tasks
+/// that end meanwhile often make room.
+const ROOM_WAIT_MS: Millisecond = 1_000;
+
+impl Wait {
+    /// Returns the wait after another placement, for this reason.
+    pub(super) fn after(
+        before: Option<Wait>,
+        reason: WaitReason,
+        has_placed: bool,
+        now: Moment,
+    ) -> Self {
+        let is_long = before.is_some_and(|it| it.is_long_at(now));
+        let since = before.filter(|_| !has_placed).map_or(now, |it| it.since);
+        Self { reason, since, is_long }
+    }
+
+    fn is_long_at(&self, now: Moment) -> bool {
+        self.is_long || now.since(self.since) >= ROOM_WAIT_MS
+    }
+
+    /// Returns whether further hosts are asked for: the workers of its pool have been too full for a while, or have had too many
+    /// of its tasks.
+    pub(super) fn asks_for_room(&self, now: Moment) -> bool {
+        matches!(self.reason, WaitReason::Room | WaitReason::PerWorker) && self.is_long_at(now)
+    }
 }
 
 /// A step that waits.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -164,4 +164,9 @@
     pub fn long_running(&self) -> bool {
         self.steps.iter().any(|it| it.long_running)
     }
+
+    /// Returns whether it has tasks that are to run all the time or at a time of day.
+    pub fn is_standing(&self) -> bool {
+        self.long_running() || self.schedule.is_some()
+    }
 }
--- /dev/null
+++ b/crates/fleet/tests/scarce_hosts.rs
@@ -0,0 +1,85 @@
+//! Hosts that are too few for all pools go to work in the order in which tasks start, whatever pools are called.
+
+mod common;
+
+use common::{
+    cores,
+    pools::{PoolFleet, job_in, with_pools},
+    step,
+};
+use fuchsiamill_fleet::Step;
+use fuchsiamill_model::units::Millisecond;
+
+const HOSTS: usize = 30;
+
+/// Wait for room until hosts are asked for, the longest short task, a move and a start, each with a round.
+const LASTING_BOUND_MS: Millisecond = 1_000 + 1_000 + 1_500 + 500;
+
+fn lasting(count: u32) -> Step {
+    Step { long_running: true, size: cores(4), ..step(count) }
+}
+
+/// Two pools are short: one of short tasks far beyond all hosts, one of long-running tasks that come when all hosts are taken.
+/// Returns the fleet after some time.
+fn overload(short: &str, long: &str) -> PoolFleet {
+    let mut fleet = PoolFleet::new(with_pools(&[short, long]), &["spare"; HOSTS]);
+    fleet.accept("mass", job_in(short, vec![step(20_000)]));
+    fleet.play(5_000);
+    fleet.accept("long", job_in(long, vec![lasting(12)]));
+    fleet.play(20_000);
+    fleet
+}
+
+#[test]
+fn long_running_tasks_wait_for_no_pool_of_another_name() {
+    let (first, second) = (overload("aaa", "zzz"), overload("zzz", "aaa"));
+    for fleet in [&first, &second] {
+        let (idle, task) = &fleet.longest_idle;
+        assert!(*idle <= LASTING_BOUND_MS, "{task:?} does not run for {idle} ms");
+    }
+    let moves = |fleet: &PoolFleet| fleet.hosts.iter().map(|it| it.moves).collect::<Vec<_>>();
+    assert_eq!(moves(&first), moves(&second));
+    assert_eq!(first.hosts_in("zzz"), second.hosts_in("aaa"));
+}
+
+/// Hosts that both pools lack went to the first by name.
+#[test]
+fn pools_that_lack_hosts_get_the_same_part() {
+    for (a, b) in [("aaa", "zzz"), ("zzz", "aaa")] {
+        let mut fleet = PoolFleet::new(with_pools(&[a, b]), &["spare"; HOSTS]);
+        fleet.accept("large", job_in(a, vec![step(20_000)]));
+        fleet.accept("small", job_in(b, vec![step(10_000)]));
+        fleet.play(5_000);
+        let (large, small) = (fleet.hosts_in(a), fleet.hosts_in(b));
+        assert_eq!(large + small, HOSTS);
+        assert!(large.abs_diff(2 * small) <= 3, "{large} and {small}");
+    }
+}
+
+/// A pool with a backlog kept all hosts while jobs of another one that could be in time waited behind it.
+#[test]
+fn backlog_of_one_pool_makes_no_other_pool_late() {
+    let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["spare"; HOSTS]);
+    fleet.accept("backlog", job_in("aaa", vec![step(20_000)]));
+    fleet.play(5_000);
+    for number in 0..40 {
+        let mut spec = job_in("zzz", vec![step(4)]);
+        spec.accepted = fleet.wall();
+        fleet.accept(&format!("small-{number:02}"), spec);
+        fleet.play(200);
+    }
+    fleet.play(5_000);
+    let took = |id: &String| fleet.done[id.as_str()].since(fleet.accepted[id.as_str()]);
+    let ids: Vec<String> = (0..40).map(|it| format!("small-{it:02}")).collect();
+    // The first jobs wait until hosts are emptied and have moved.
+    let late: Vec<_> = ids.iter().skip(20).filter(|it| took(it) > 2_000).collect();
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// A host that goes back and forth works in neither pool.
+#[test]
+fn scarce_hosts_do_not_go_back_and_forth() {
+    let fleet = overload("aaa", "zzz");
+    let most = fleet.hosts.iter().map(|it| it.moves).max().unwrap();
+    assert!(most <= 2, "{most} moves of one host");
+}
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -137,11 +137,13 @@
         self.longest_wait.record(waits.longest_ms as f64 / 1_000.0, &labels);
     }
 
-    /// Records the hosts of a pool: those that it has and needs, and what keeps some of them from other work.
+    /// Records the hosts of a pool: those that it has, its claim and share, and what keeps some of them from other work.
     pub fn set_pool(&self, need: &PoolNeed) {
         let kinds = [
             ("in-pool", need.hosts),
             ("wanted", need.wanted),
+            ("claim", need.claim),
+            ("share", need.share),
             ("standing", need.standing),
             ("drained", need.drained),
         ];
