Room is held for long-running tasks that wait, also on hosts that are drained

Cause: a worker that is drained for a move or for maintenance takes nothing, however long it waits to become empty and whoever waits for room in its pool. Beside that, short tasks took each core as it became free, so that a larger lasting task found no room on a full pool.

Change: once a lasting task has waited for 1 s and no host is on its way, workers of its pool hold room for it; drained ones are recalled if no others will do (held.rs).

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -184,7 +184,7 @@
             }
             if self.is_free(&name, now) {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
-            } else {
+            } else if !self.recalled.contains(&name) {
                 draining.insert(name);
             }
         }
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod gang;
 mod health;
+mod held;
 mod host_orders;
 mod hosts;
 mod job;
@@ -109,6 +110,8 @@
     pool_needs: Vec<PoolNeed>,
     /// Hosts that finish their tasks before they move to another pool, each with that pool.
     draining_to: FastMap<Name, Name>,
+    /// Drained hosts that take tasks again because tasks of their pool found no other room.
+    recalled: FastSet<Name>,
     advice: FastMap<StepKey, advice::StepAdvice>,
     queue_durations: FastMap<Name, rank::QueueDurations>,
     /// Pools whose workers were too full for some tasks in the last placement.
@@ -150,6 +153,7 @@
             demand: FastMap::default(),
             pool_needs: Vec::new(),
             draining_to: FastMap::default(),
+            recalled: FastSet::default(),
             advice: FastMap::default(),
             queue_durations: FastMap::default(),
             full_pools: FastSet::default(),
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -246,6 +246,7 @@
             let Some(view) = views.get_mut(pool) else { continue };
             if let Some(worker) = self.worker_on(name) {
                 view.need.drained += u64::from(worker.reserved && host.duty.is_none());
+                view.need.held += u64::from(worker.held_for.is_some());
             }
             if !self.is_usable(name, host, now) {
                 continue;
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -150,7 +150,7 @@
             Some(label) => self.workers[id].has_label(label),
             None => true,
         };
-        if search.places(pool, wanted, has_label) < u64::from(wanted.count) {
+        if search.places(spec, wanted, has_label) < u64::from(wanted.count) {
             return StepOutcome::waits(WaitReason::Room);
         }
         self.align_gang(&key.job, occurrence, step);
@@ -199,7 +199,7 @@
         search: &RoomSearch,
     ) -> Option<WaitReason> {
         match self.fits_limit(&spec.team, step.size) {
-            true => search.unmet(&spec.route.pool, step),
+            true => search.unmet(spec, step),
             false => Some(WaitReason::TeamLimit),
         }
     }
@@ -216,7 +216,7 @@
         let step = &spec.steps[key.step as usize];
         match reason {
             WaitReason::Label | WaitReason::Size | WaitReason::Room => {
-                search.note_unmet(&spec.route.pool, step, reason);
+                search.note_unmet(spec, step, reason);
             }
             WaitReason::Permit => self.ask_advice(key, spec, search, now),
             _ => {}
@@ -305,7 +305,7 @@
                 Err(WaitReason::Label)
             }
             () if !on.capacity.fits(room) => Err(WaitReason::Size),
-            () if !on.free.fits(room) => Err(WaitReason::Room),
+            () if !on.free.fits(room) || !on.takes(spec) => Err(WaitReason::Room),
             () if step.per_worker.is_some_and(|most| siblings_on(worker(), task) >= most) => {
                 Err(WaitReason::PerWorker)
             }
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -38,6 +38,8 @@
     pub drained: u64,
     /// Hosts with tasks that run until their job is cancelled.
     pub standing: u64,
+    /// Hosts whose room is held for such tasks.
+    pub held: u64,
     /// Affinities for which the pool has too few hosts.
     pub lacking: Vec<HostAffinity>,
 }
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -46,6 +46,7 @@
         moves.extend(self.grow(&mut views, &spare, now));
         self.drain_hosts(&mut views, &spare, now);
         moves.extend(self.shrink(&mut views, &spare, now));
+        self.hold_room(&views, &moves, now);
         for (host, pool) in moves {
             self.give_duty(&host, HostDuty::Move { pool }, now);
         }
@@ -204,6 +205,7 @@
                 && self.may_be_drained(name)
                 && worker.answered
                 && !worker.is_leaving()
+                && worker.held_for.is_none()
                 && !worker.has_long_running()
             {
                 let key = (self.busy_ms(worker, now), worker.live.len(), name.clone());
--- a/crates/fleet/src/coordinator/room.rs
+++ b/crates/fleet/src/coordinator/room.rs
@@ -7,7 +7,7 @@
 use fuchsiamill_model::{FastMap, FastSet, Resources, units::Moment};
 
 use super::{Worker, waits::WaitReason};
-use crate::{Name, Step};
+use crate::{JobSpec, Name, Step};
 
 /// The workers that take tasks during one placement, by pool.
 pub(super) struct RoomSearch {
@@ -28,20 +28,44 @@
     pub(super) id: Name,
     pub(super) capacity: Resources,
     pub(super) free: Resources,
+    /// See [`Worker::held_for`].
+    pub(super) held_for: Option<u32>,
     /// What it had left of its processor time when the placement began, in millicores.
     pub(super) free_at_first: u32,
 }
 
+impl FreeWorker {
+    /// Returns whether its room is not held for other work.
+    pub(super) fn takes(&self, spec: &JobSpec) -> bool {
+        spec.is_standing() || self.held_for.is_none_or(|held| spec.route.priority < held)
+    }
+}
+
 struct UnmetNeed {
     room: Resources,
     label: Option<Name>,
+    /// Whether workers that hold room were searched too.
+    is_standing: bool,
     reason: WaitReason,
 }
 
 impl UnmetNeed {
+    fn of(spec: &JobSpec, step: &Step, reason: WaitReason) -> Self {
+        let is_standing = spec.is_standing();
+        Self { room: step.room(), label: step.label.clone(), is_standing, reason }
+    }
+
     /// Returns whether a step needs at least as much, so that there is no room for it either.
-    fn covers(&self, room: Resources, label: Option<&Name>) -> bool {
-        room.fits(self.room) && (self.label.is_none() || self.label.as_ref() == label)
+    fn covers(&self, spec: &JobSpec, step: &Step) -> bool {
+        step.room().fits(self.room)
+            && (self.label.is_none() || self.label == step.label)
+            && (self.is_standing || !spec.is_standing())
+    }
+
+    fn covers_need(&self, other: &UnmetNeed) -> bool {
+        other.room.fits(self.room)
+            && (self.label.is_none() || self.label == other.label)
+            && (self.is_standing || !other.is_standing)
     }
 }
 
@@ -60,6 +84,7 @@
                 id: worker.seen.id.clone(),
                 capacity: worker.seen.capacity,
                 free,
+                held_for: worker.held_for,
                 free_at_first: free.millicores,
             };
             pools.entry(worker.seen.pool.clone()).or_default().workers.push(free);
@@ -75,30 +100,29 @@
     }
 
     /// Returns why there is no room for a task of the step, if that is known from an earlier search.
-    pub(super) fn unmet(&self, pool: &Name, step: &Step) -> Option<WaitReason> {
-        let unmet = &self.pools.get(pool)?.unmet;
-        let (room, label) = (step.room(), step.label.as_ref());
-        unmet.iter().find(|it| it.covers(room, label)).map(|it| it.reason)
+    pub(super) fn unmet(&self, spec: &JobSpec, step: &Step) -> Option<WaitReason> {
+        let unmet = &self.pools.get(&spec.route.pool)?.unmet;
+        unmet.iter().find(|it| it.covers(spec, step)).map(|it| it.reason)
     }
 
     /// Notes that no worker has room for a task of the step.
-    pub(super) fn note_unmet(&mut self, pool: &Name, step: &Step, reason: WaitReason) {
-        let need = UnmetNeed { room: step.room(), label: step.label.clone(), reason };
-        let unmet = &mut self.pools.entry(pool.clone()).or_default().unmet;
-        unmet.retain(|it| !need.covers(it.room, it.label.as_ref()));
+    pub(super) fn note_unmet(&mut self, spec: &JobSpec, step: &Step, reason: WaitReason) {
+        let need = UnmetNeed::of(spec, step, reason);
+        let unmet = &mut self.pools.entry(spec.route.pool.clone()).or_default().unmet;
+        unmet.retain(|it| !need.covers_need(it));
         unmet.push(need);
     }
 
     /// Returns how many tasks of the step there is room for on workers with its label.
     pub(super) fn places(
         &self,
-        pool: &Name,
+        spec: &JobSpec,
         step: &Step,
         has_label: impl Fn(&Name) -> bool,
     ) -> u64 {
         let most = step.per_worker.map_or(u64::MAX, u64::from);
-        let workers = self.pools.get(pool).map_or(&[][..], |it| &it.workers);
-        let workers = workers.iter().filter(|it| has_label(&it.id));
+        let workers = self.pools.get(&spec.route.pool).map_or(&[][..], |it| &it.workers);
+        let workers = workers.iter().filter(|it| it.takes(spec) && has_label(&it.id));
         let places = workers.map(|it| it.free.times(step.room()).min(most));
         places.fold(0, u64::saturating_add)
     }
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -66,6 +66,11 @@
     pub serving: u32,
     /// The number of best-effort tasks on it.
     pub best_effort: u32,
+    /// Room that is taken by its tasks that run until their job is cancelled.
+    pub long_running: Resources,
+    /// Whether its room is held for tasks that run all the time, and against which work: that of this priority and of less
+    /// urgent ones.
+    pub held_for: Option<u32>,
     /// How long its tasks take relative to other tasks of their steps.
     pub slowness: RunningMean,
     /// Whether it takes no new tasks because its host is about to leave the pool or to be maintained.
@@ -98,6 +103,8 @@
             failures: 0,
             serving: 0,
             best_effort: 0,
+            long_running: Resources::default(),
+            held_for: None,
             slowness: RunningMean::default(),
             reserved: false,
             idle_since: now,
@@ -107,9 +114,13 @@
 
     /// Returns whether new tasks may be placed on it.
     pub fn takes_tasks(&self, now: Moment) -> bool {
+        !self.reserved && self.is_sound(now)
+    }
+
+    /// Returns whether it would take new tasks if it were not reserved.
+    pub fn is_sound(&self, now: Moment) -> bool {
         self.answered
             && !self.unlisted
-            && !self.reserved
             && self.silent_since.is_none()
             && !self.unknown.has_unsized
             && self.seen.state == WorkerState::Ready
@@ -168,6 +179,9 @@
         self.used = self.used.plus(usage.room);
         self.serving += usage.serves;
         self.best_effort += usage.best_effort;
+        if usage.long_running {
+            self.long_running = self.long_running.plus(usage.room);
+        }
         self.live.insert(id, usage);
     }
 
@@ -177,6 +191,9 @@
             self.used = self.used.minus(usage.room);
             self.serving -= usage.serves;
             self.best_effort -= usage.best_effort;
+            if usage.long_running {
+                self.long_running = self.long_running.minus(usage.room);
+            }
             if self.live.is_empty() {
                 self.idle_since = now;
             }
--- a/crates/site/src/lead/pools.rs
+++ b/crates/site/src/lead/pools.rs
@@ -37,6 +37,7 @@
                 idle = need.idle,
                 standing = need.standing,
                 drained = need.drained,
+                held = need.held,
                 expected_millicores = need.expected,
                 present_millicores = need.present,
                 lacking = ?need.lacking,
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -146,6 +146,7 @@
             ("share", need.share),
             ("standing", need.standing),
             ("drained", need.drained),
+            ("held", need.held),
         ];
         for (kind, hosts) in kinds {
             let labels =
