Long-running tasks leave a host for a place elsewhere, or all at once

Cause: evacuate stopped as many tasks as may be away, spread over the drained hosts, without a look at where they can start. With each other host at its limit of tasks a worker, none became empty, none was maintained, and the stopped tasks waited for as long.

Change: a task is stopped if a worker has room for it besides what others of its step need, or if all lasting tasks on its host may be away at once.

Test: evacuated_hosts; wave_over_full_hosts_stops_no_long_running_task_for_nothing fails on (19.3 s without a run, for a bound of 3.0 s).

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -1,5 +1,6 @@
 //! Orders to hosts: maintenance waves, and moves between pools.
 
+mod evacuation;
 mod host;
 mod replaced;
 mod reserved;
@@ -47,11 +48,6 @@
 /// Extra time for the host list to show the end of an order.
 const DUTY_SLACK_MS: Millisecond = 300;
 
-/// After a takeover no task is moved for this long. The former coordinator may have stopped tasks that their workers
-/// still list as running. Such stops end within a second, and reports from before their end must have become too old to
-/// count.
-const SETTLING_MS: Millisecond = 3_300;
-
 impl Coordinator {
     /// Records the host list. Returns the workers that have ended by this list.
     pub fn hosts_listed(&mut self, listing: &HostListing) -> Vec<Name> {
@@ -283,31 +279,6 @@
             }
         }
     }
-
-    /// Stops long-running tasks on reserved and draining workers so that they start elsewhere, at most as many at a
-    /// time as their step may miss.
-    fn evacuate(&mut self, now: Moment) {
-        if now.since(self.takeover.at) < SETTLING_MS {
-            return;
-        }
-        let leaving: Vec<Name> = self
-            .workers
-            .values()
-            .filter(|it| !it.live.is_empty() && it.is_leaving())
-            .map(|it| it.seen.id.clone())
-            .collect();
-        for worker in leaving {
-            for (task, live) in self.live_on(&worker) {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
-                if !job.spec.steps[task.step as usize].long_running || !live.is_serving(now) {
-                    continue;
-                }
-                if job.may_stop(&task, now) {
-                    self.stop_run(&task, now);
-                }
-            }
-        }
-    }
 }
 
 /// Returns whether the host list shows that an order has been carried out.
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -309,17 +309,6 @@
         (0..count).map(|index| TaskId { index, ..id.clone() }).collect()
     }
 
-    /// Returns whether a task may be stopped: enough other tasks of its step are working. Only long-running steps need
-    /// that.
-    pub fn may_stop(&self, id: &TaskId, now: Moment) -> bool {
-        let step_spec = &self.spec.steps[id.step as usize];
-        let is_away = |it: &Task| !it.live().is_some_and(|live| live.is_serving(now));
-        let tasks = &self.occurrences[id.occurrence as usize].steps[id.step as usize].tasks;
-        let others = tasks.iter().enumerate().filter(|it| it.0 != id.index as usize);
-        let away = others.filter(|it| is_away(it.1)).count() as u32;
-        !step_spec.long_running || away < step_spec.max_unavailable.unwrap_or(1)
-    }
-
     /// Returns the row in which a task's progress is stored.
     pub fn part_of(&self, id: &TaskId) -> u32 {
         self.spec.record_part((id.occurrence, id.step, id.index))
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -18,7 +18,7 @@
 
 /// What a worker would look like with one more task; the smallest value wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Fit {
+pub(super) struct Fit {
     far: bool,
     disturbs: bool,
     empty: bool,
@@ -255,7 +255,7 @@
         }
     }
 
-    fn best_worker(
+    pub(super) fn best_worker(
         &self,
         task: &TaskId,
         spec: &JobSpec,
@@ -370,7 +370,7 @@
     }
 }
 
-fn siblings_on(worker: &Worker, id: &TaskId) -> u32 {
+pub(super) fn siblings_on(worker: &Worker, id: &TaskId) -> u32 {
     let is_sibling =
         |it: &&TaskId| it.job == id.job && it.occurrence == id.occurrence && it.step == id.step;
     worker.live.keys().filter(is_sibling).count() as u32
