Hold room where it comes: not behind tasks that hang, refused permits, other labels or unanswered moves

A worker whose short tasks hang was kept as the one that holds room for a waiting lasting task, a host whose tasks hang was emptied for another pool for ever, a move that is never answered counted as a host on its way, and several waiting steps each counted the same hosts on their way.

Change: a task that is overdue by more than 2 s and twice its expected time is not waited for; room is held only on workers with the step's label that the advice service has not refused; hosts on their way hold room like workers, and not once their order had to be repeated.

The parts on labels, permits and unanswered moves are by reading, without a test.

--- a/crates/fleet/src/coordinator/advice.rs
+++ b/crates/fleet/src/coordinator/advice.rs
@@ -61,7 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StepAdvice {
     permits: FastMap<Name, Permit>,
-    refused: FastSet<Name>,
+    pub(super) refused: FastSet<Name>,
     asked: Option<Moment>,
     /// When the last request was made, if it has failed.
     failed: Option<Moment>,
--- a/crates/fleet/src/coordinator/hosts/host.rs
+++ b/crates/fleet/src/coordinator/hosts/host.rs
@@ -34,6 +34,13 @@
     pub calls: u32,
 }
 
+impl PendingDuty {
+    /// Returns whether it was repeated and is not confirmed.
+    pub(in crate::coordinator) fn is_unanswered(&self) -> bool {
+        self.confirmed.is_none() && self.calls > 1
+    }
+}
+
 /// What a host is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Duty {
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -136,6 +136,7 @@
                         tasks: waiting,
                         size: step_spec.room(),
                         per_worker: step_spec.per_worker.map_or(u64::MAX, u64::from),
+                        label: step_spec.label.clone(),
                     });
                 }
                 let load = Load::of(step_spec.room(), live + waiting);
@@ -259,6 +260,8 @@
                     view.need.standing += u64::from(it.has_long_running());
                 }
                 Some(_) => {}
+                // An order that had to be repeated may stay unanswered for long.
+                None if host.duty.as_ref().is_some_and(|it| it.is_unanswered()) => {}
                 None => view.coming += 1,
             }
             if host.duty.is_none()
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -99,6 +99,7 @@
     pub(super) size: Resources,
     /// The most tasks of the step that may share a worker.
     pub(super) per_worker: u64,
+    pub(super) label: Option<Name>,
 }
 
 impl RoomWait {
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -11,12 +11,12 @@
 };
 
 use super::{
-    Coordinator, HostDuty, TaskState, Worker,
+    Coordinator, HostDuty,
     demand::HostAffinity,
     pool_view::{PoolNeed, PoolView, Views},
     shares::TIERS,
 };
-use crate::{HostState, Name, TaskId};
+use crate::{HostState, Name};
 
 /// How long a host is idle before it leaves a pool that has enough hosts. A host that leaves and comes back costs as
 /// much as about two seconds in a pool.
@@ -132,7 +132,7 @@
     }
 
     /// Returns moves of hosts that have finished their tasks for another pool. Hosts stay where that pool has enough
-    /// meanwhile, or where their own pool lacks hosts for its long-running tasks.
+    /// meanwhile, where their own pool lacks hosts for its long-running tasks, or where a task does not end.
     fn move_drained(&mut self, views: &mut Views, now: Moment) -> Vec<Move> {
         let mut moves = Vec::new();
         let mut draining_to: Vec<Move> =
@@ -141,6 +141,7 @@
         for (host, pool) in draining_to {
             // A host with another order stays reserved for that order.
             let goes = self.may_be_drained(&host)
+                && self.worker_on(&host).is_none_or(|it| self.busy_ms(it, now).is_some())
                 && views.get(&pool).is_some_and(|it| presses(it, it.due(TIERS - 1)))
                 && !self.is_pool_below_claim(views, &host);
             if !goes {
@@ -187,8 +188,8 @@
         }
     }
 
-    /// Returns the hosts that may be drained, by pool, of pools that have more than their share. Hosts with long-running tasks
-    /// are left out. Those whose tasks end soonest come last.
+    /// Returns the hosts that may be drained, by pool, of pools that have more than their share. Hosts with tasks of which no end
+    /// is in sight are left out. Those whose tasks end soonest come last.
     fn drainable_hosts(
         &self,
         views: &Views,
@@ -206,9 +207,9 @@
                 && worker.answered
                 && !worker.is_leaving()
                 && worker.held_for.is_none()
-                && !worker.has_long_running()
+                && let Some(busy_ms) = self.busy_ms(worker, now)
             {
-                let key = (self.busy_ms(worker, now), worker.live.len(), name.clone());
+                let key = (busy_ms, worker.live.len(), name.clone());
                 drainable.entry(pool.clone()).or_default().push(key);
             }
         }
@@ -219,19 +220,6 @@
         drainable.into_iter().map(sorted).collect()
     }
 
-    /// Returns how long the tasks of a worker that end by themselves are expected to run on. A task that is overdue is
-    /// expected to take as long again as it is overdue.
-    pub(super) fn busy_ms(&self, worker: &Worker, now: Moment) -> Millisecond {
-        let left = |it: &TaskId| {
-            let job = self.jobs.get(&it.job)?;
-            let TaskState::Live(live) = &job.task(it)?.state else { return None };
-            let is_endless = job.spec.steps[it.step as usize].long_running;
-            let expected = self.expected_ms(&job.spec, it.step as usize);
-            (!is_endless).then(|| expected.abs_diff(now.since(live.since)))
-        };
-        worker.live.keys().filter_map(left).max().unwrap_or(0)
-    }
-
     /// Takes the host whose tasks end soonest in the pool that has most beyond its share.
     fn host_to_drain(
         &self,
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -66,8 +66,6 @@
     pub serving: u32,
     /// The number of best-effort tasks on it.
     pub best_effort: u32,
-    /// Room that is taken by its tasks that run until their job is cancelled.
-    pub long_running: Resources,
     /// Whether its room is held for tasks that run all the time, and against which work: that of this priority and of less
     /// urgent ones.
     pub held_for: Option<u32>,
@@ -103,7 +101,6 @@
             failures: 0,
             serving: 0,
             best_effort: 0,
-            long_running: Resources::default(),
             held_for: None,
             slowness: RunningMean::default(),
             reserved: false,
@@ -168,6 +165,12 @@
         self.live.values().any(|it| it.long_running)
     }
 
+    /// Returns the room that is left once the runs for which `ends` holds have ended.
+    pub fn room_after(&self, ends: impl Fn(&TaskId) -> bool) -> Resources {
+        let left = self.live.iter().filter(|it| !ends(it.0)).map(|it| it.1.room);
+        left.fold(self.seen.capacity.minus(self.unknown.room), Resources::minus)
+    }
+
     /// Adds a run and takes its room.
     pub fn add_run(&mut self, id: TaskId, step: &Step) {
         let usage = RunUsage {
@@ -179,9 +182,6 @@
         self.used = self.used.plus(usage.room);
         self.serving += usage.serves;
         self.best_effort += usage.best_effort;
-        if usage.long_running {
-            self.long_running = self.long_running.plus(usage.room);
-        }
         self.live.insert(id, usage);
     }
 
@@ -191,9 +191,6 @@
             self.used = self.used.minus(usage.room);
             self.serving -= usage.serves;
             self.best_effort -= usage.best_effort;
-            if usage.long_running {
-                self.long_running = self.long_running.minus(usage.room);
-            }
             if self.live.is_empty() {
                 self.idle_since = now;
             }
--- a/crates/fleet/tests/scarce_hosts.rs
+++ b/crates/fleet/tests/scarce_hosts.rs
@@ -15,6 +15,9 @@
 /// Wait for room until hosts are asked for, the longest short task, a move and a start, each with a round.
 const LASTING_BOUND_MS: Millisecond = 1_000 + 1_000 + 1_500 + 500;
 
+/// A short task counts as hanging once it has run for longer than expected by this.
+const OVERDUE_MS: Millisecond = 2_000;
+
 fn lasting(count: u32) -> Step {
     Step { long_running: true, size: cores(4), ..step(count) }
 }
@@ -42,6 +45,28 @@
     assert_eq!(first.hosts_in("zzz"), second.hosts_in("aaa"));
 }
 
+/// Hosts whose tasks hang while they are drained never become empty; the pool that waits for them gets others.
+#[test]
+fn hosts_whose_tasks_hang_are_not_waited_for() {
+    let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["spare"; HOSTS]);
+    fleet.accept("mass", job_in("aaa", vec![step(20_000)]));
+    fleet.play(5_000);
+    fleet.accept("long", job_in("zzz", vec![lasting(12)]));
+    fleet.play(100);
+    let workers = fleet.bench.coordinator.workers().values();
+    let drained: Vec<String> =
+        workers.filter(|it| it.reserved).map(|it| it.seen.id.to_string()).collect();
+    assert!(!drained.is_empty());
+    for id in drained {
+        let (number, _) = id[1..].split_once('-').unwrap();
+        fleet.hang(number.parse().unwrap());
+    }
+    fleet.play(15_000);
+    let (idle, task) = &fleet.longest_idle;
+    let bound = LASTING_BOUND_MS + OVERDUE_MS;
+    assert!(*idle <= bound, "{task:?} does not run for {idle} ms");
+}
+
 /// Hosts that both pools lack went to the first by name.
 #[test]
 fn pools_that_lack_hosts_get_the_same_part() {
