A drained host goes to the pool that is shortest once it is empty

Cause: a host was drained for one pool. While its last task ran on, hosts that were empty sooner went to the pools that they had been drained for, and the pool that was one host below its claim counted the slow one as its own.

Change: the drained host that is empty first goes to the pool that is shortest then.

--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -14,7 +14,6 @@
     Coordinator, HostDuty,
     demand::HostAffinity,
     pool_view::{PoolNeed, PoolView, Views},
-    shares::TIERS,
 };
 use crate::{HostState, Name};
 
@@ -42,7 +41,7 @@
         let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
         self.pool_needs = views.values().map(|it| it.need.clone()).collect();
-        let mut moves = self.move_drained(&mut views, now);
+        let mut moves = self.move_drained(&mut views, &spare, now);
         moves.extend(self.grow(&mut views, &spare, now));
         self.drain_hosts(&mut views, &spare, now);
         moves.extend(self.shrink(&mut views, &spare, now));
@@ -131,20 +130,25 @@
         moves
     }
 
-    /// Returns moves of hosts that have finished their tasks for another pool. Hosts stay where that pool has enough
-    /// meanwhile, where their own pool lacks hosts for its long-running tasks, or where a task does not end.
-    fn move_drained(&mut self, views: &mut Views, now: Moment) -> Vec<Move> {
+    /// Returns moves of hosts that have finished their tasks for another pool. The host that is empty first goes to the pool that
+    /// is shortest now, whichever it was drained for. Hosts stay where no other pool is shorter meanwhile, where their own pool lacks
+    /// hosts for its long-running tasks, or where a task does not end.
+    fn move_drained(&mut self, views: &mut Views, spare: &Name, now: Moment) -> Vec<Move> {
         let mut moves = Vec::new();
-        let mut draining_to: Vec<Move> =
-            std::mem::take(&mut self.draining_to).into_iter().collect();
-        draining_to.sort();
-        for (host, pool) in draining_to {
+        let mut drained: Vec<(Option<Millisecond>, Name)> = std::mem::take(&mut self.draining_to)
+            .into_keys()
+            .map(|it| (self.worker_on(&it).and_then(|worker| self.busy_ms(worker, now)), it))
+            .collect();
+        drained.sort();
+        for (busy_ms, host) in drained {
             // A host with another order stays reserved for that order.
-            let goes = self.may_be_drained(&host)
-                && self.worker_on(&host).is_none_or(|it| self.busy_ms(it, now).is_some())
-                && views.get(&pool).is_some_and(|it| presses(it, it.due(TIERS - 1)))
-                && !self.is_pool_below_claim(views, &host);
-            if !goes {
+            let own = self.hosts.get(&host).map(|it| it.seen.pool.clone());
+            let pool = shortest(views, spare, pressing_tier).filter(|it| Some(it) != own.as_ref());
+            let (true, Some(_), Some(pool)) = (self.may_be_drained(&host), busy_ms, pool) else {
+                self.update_reserved(&host);
+                continue;
+            };
+            if self.is_pool_below_claim(views, &host) {
                 self.update_reserved(&host);
                 continue;
             }
@@ -173,13 +177,12 @@
 
     /// Starts to drain hosts of pools that have more than their share, for present work of pools that have less.
     fn drain_hosts(&mut self, views: &mut Views, spare: &Name, now: Moment) {
-        let short_tier = |it: &PoolView| it.short_tier().filter(|tier| presses(it, it.due(*tier)));
-        if shortest(views, spare, short_tier).is_none() {
+        if shortest(views, spare, pressing_tier).is_none() {
             return;
         }
         let mut drainable = self.drainable_hosts(views, spare, now);
-        while let Some(pool) = shortest(views, spare, short_tier)
-            && let Some(tier) = short_tier(&views[&pool])
+        while let Some(pool) = shortest(views, spare, pressing_tier)
+            && let Some(tier) = pressing_tier(&views[&pool])
             && let Some(host) = self.host_to_drain(&mut drainable, views, tier, now)
         {
             self.reassign_host(views, &host, &pool);
@@ -279,9 +282,10 @@
     }
 }
 
-/// Returns whether present work needs more hosts than the pool has, of so many that it is to get.
-fn presses(view: &PoolView, due: u64) -> bool {
-    view.need.pressing.min(due) > view.need.hosts
+/// Returns the first tier for which a pool is short and has present work.
+fn pressing_tier(view: &PoolView) -> Option<usize> {
+    let tier = view.short_tier()?;
+    (view.need.pressing.min(view.due(tier)) > view.need.hosts).then_some(tier)
 }
 
 /// Returns the pool that gets the next host: of those that are short for the first tier, the one that has the smallest part of
