--- a/crates/fleet/src/coordinator/held.rs
+++ b/crates/fleet/src/coordinator/held.rs
@@ -1,4 +1,4 @@
-//! Room that is held for tasks that run all the time and have waited for it.
+//! Room that is held for tasks that run all the time and have waited for it, or have to leave their host.
 //!
 //! Such a task is placed before others, but a worker on which short tasks follow one another never has room for a larger one,
 //! and a worker that is drained takes no tasks at all. Therefore some workers take no other new tasks until the waiting ones
@@ -11,7 +11,7 @@
 
 use super::{
     Coordinator, StepKey, TaskState, Worker,
-    pool_view::{PoolView, RoomWait, Views},
+    pool_view::{PoolView, RoomWait, Views, WaitUrgency},
     pools::Move,
 };
 use crate::{Name, TaskId};
@@ -25,107 +25,196 @@
     host: Option<&'a Name>,
     /// The room that it has without tasks that end by themselves, and that is not held yet.
     room: Resources,
-    /// The tasks of each step that it has or holds room for.
+    /// The tasks of each waiting step that it has or holds room for.
     siblings: FastMap<StepKey, u64>,
 }
 
 impl Candidate<'_> {
-    /// Takes room for at most so many tasks of a step; returns for how many.
-    fn hold(&mut self, wait: &RoomWait, most: u64) -> u64 {
+    /// Returns how many tasks of a step it has room for.
+    fn places(&self, wait: &RoomWait) -> u64 {
+        if !self.room.fits(wait.size) {
+            return 0;
+        }
         let has_label = |it: &Name| self.worker.is_some_and(|worker| worker.has_label(it));
         if !wait.label.as_ref().is_none_or(has_label) {
             return 0;
         }
         let siblings = self.siblings.get(&wait.step).copied().unwrap_or(0);
-        let places = self.room.times(wait.size).min(wait.per_worker.saturating_sub(siblings));
-        let tasks = places.min(most);
-        if tasks > 0 {
-            self.siblings.insert(wait.step.clone(), siblings + tasks);
-            (0..tasks).for_each(|_| self.room = self.room.minus(wait.size));
-        }
-        tasks
+        self.room.times(wait.size).min(wait.per_worker.saturating_sub(siblings))
+    }
+
+    fn hold(&mut self, wait: &RoomWait, tasks: u64) {
+        *self.siblings.entry(wait.step.clone()).or_insert(0) += tasks;
+        (0..tasks).for_each(|_| self.room = self.room.minus(wait.size));
+    }
+
+    fn is_drained(&self) -> bool {
+        self.worker.is_some_and(|it| it.reserved)
     }
 }
 
+/// The workers of all pools, with their hosts.
+type WorkersByPool<'a> = FastMap<&'a Name, Vec<(&'a Worker, Option<&'a Name>)>>;
+
+/// What is held in one plan.
+#[derive(Default)]
+struct Held {
+    /// Workers, with the priority of the tasks that room is held for.
+    workers: FastMap<Name, u32>,
+    /// Drained hosts that hold room.
+    recalled: FastSet<Name>,
+}
+
 impl Coordinator {
     /// Selects the workers that hold room for the waiting tasks, as far as hosts on their way have none for them.
     pub(super) fn hold_room(&mut self, views: &Views, moves: &[Move], now: Moment) {
-        let mut held: FastMap<Name, u32> = FastMap::default();
-        let mut recalled: FastSet<Name> = FastSet::default();
-        for (pool, view) in views.iter().filter(|it| !it.1.waits.is_empty()) {
-            let moved = moves.iter().filter(|it| it.1 == *pool).count() as u64;
-            let mut candidates = self.hold_candidates(pool, view, view.coming + moved, now);
-            for wait in &view.waits {
-                let mut left = wait.tasks;
-                let refused = self.advice.get(&wait.step).map(|it| &it.refused);
-                for it in &mut candidates {
-                    let id = it.worker.map(|it| &it.seen.id);
-                    if id.is_some_and(|id| refused.is_some_and(|it| it.contains(id))) {
-                        continue;
-                    }
-                    let tasks = it.hold(wait, left);
-                    left -= tasks;
-                    if let Some(id) = id.filter(|_| tasks > 0) {
-                        held.entry(id.clone()).or_insert(wait.priority);
-                        let is_drained = it.worker.is_some_and(|it| it.reserved);
-                        recalled.extend(it.host.filter(|_| is_drained).cloned());
-                    }
-                }
+        let mut held = Held::default();
+        let mut leaving = self.leaving_tasks(now);
+        if !leaving.is_empty() || views.values().any(|it| !it.waits.is_empty()) {
+            let by_pool = self.workers_by_pool(now);
+            for (pool, view) in views {
+                let leaving = leaving.remove(pool).unwrap_or_default();
+                let moved = moves.iter().filter(|it| it.1 == *pool).count() as u64;
+                let coming = view.coming + moved;
+                let workers = by_pool.get(pool).map_or(&[][..], |it| it);
+                self.hold_in_pool(view, &leaving, workers, coming, &mut held, now);
             }
         }
         for (id, worker) in &mut self.workers {
-            let held_for = held.remove(id);
+            let held_for = held.workers.remove(id);
             self.needs_placing |= worker.held_for.is_some() && held_for.is_none();
             worker.held_for = held_for;
         }
-        self.recall_hosts(recalled);
+        self.recall_hosts(held.recalled);
     }
 
-    /// Returns the hosts on their way to a pool, then its workers on which waiting tasks may be placed, the first to have room
-    /// first.
-    fn hold_candidates(
+    /// Holds room for the tasks of a pool that wait, then for those that leave their hosts. These have a host as long as
+    /// there is no other, so that no drained one is recalled for them.
+    fn hold_in_pool(
         &self,
-        pool: &Name,
         view: &PoolView,
+        leaving: &[RoomWait],
+        workers: &[(&Worker, Option<&Name>)],
         coming: u64,
+        held: &mut Held,
         now: Moment,
-    ) -> Vec<Candidate<'_>> {
+    ) {
+        if view.waits.is_empty() && leaving.is_empty() {
+            return;
+        }
+        let steps: FastSet<&StepKey> =
+            view.waits.iter().chain(leaving).map(|it| &it.step).collect();
+        let mut candidates = self.hold_candidates(view, workers, &steps, coming, now);
+        // Room only shrinks, so that what found none is not searched for again, and neither is anything larger.
+        let mut unmet: Vec<Resources> = Vec::new();
+        let waits = view.waits.iter().map(|it| (it, true));
+        for (wait, may_recall) in waits.chain(leaving.iter().map(|it| (it, false))) {
+            if unmet.iter().any(|it| wait.size.fits(*it)) {
+                continue;
+            }
+            let refused = self.advice.get(&wait.step).map(|it| &it.refused);
+            let suits = |it: &Candidate| {
+                let is_refused = |worker: &Worker| {
+                    refused.is_some_and(|refused| refused.contains(&worker.seen.id))
+                };
+                (may_recall || !it.is_drained()) && !it.worker.is_some_and(is_refused)
+            };
+            if wait.is_gang {
+                let places = candidates.iter().filter(|it| suits(it)).map(|it| it.places(wait));
+                if places.fold(0, u64::saturating_add) < wait.tasks {
+                    continue;
+                }
+            }
+            let mut left = wait.tasks;
+            for it in candidates.iter_mut().filter(|it| suits(it)) {
+                let tasks = it.places(wait).min(left);
+                if tasks == 0 {
+                    continue;
+                }
+                it.hold(wait, tasks);
+                left -= tasks;
+                if let Some(worker) = it.worker {
+                    held.workers.entry(worker.seen.id.clone()).or_insert(wait.urgency.priority);
+                    held.recalled.extend(it.host.filter(|_| it.is_drained()).cloned());
+                }
+                if left == 0 {
+                    break;
+                }
+            }
+            if left > 0 && !candidates.iter().any(|it| it.room.fits(wait.size)) {
+                unmet.push(wait.size);
+            }
+        }
+    }
+
+    /// Returns the workers that would take tasks if they were not drained, by pool.
+    fn workers_by_pool(&self, now: Moment) -> WorkersByPool<'_> {
         let listed =
             self.hosts.iter().filter_map(|(name, it)| Some((it.seen.worker.as_ref()?, name)));
         let host_of: FastMap<&Name, &Name> = listed.collect();
-        let steps: FastSet<&StepKey> = view.waits.iter().map(|it| &it.step).collect();
-        let may_hold = |worker: &&Worker| {
-            let host = host_of.get(&worker.seen.id).and_then(|it| self.hosts.get(*it));
-            let is_drained = host.is_some_and(|it| it.duty.is_none());
-            worker.seen.pool == *pool && worker.is_sound(now) && (!worker.reserved || is_drained)
-        };
-        let mut workers: Vec<&Worker> = self.workers.values().filter(may_hold).collect();
-        workers.sort_by_cached_key(|it| {
+        let mut by_pool = WorkersByPool::default();
+        for worker in self.workers.values().filter(|it| it.is_sound(now)) {
+            let host = host_of.get(&worker.seen.id).copied();
+            let is_drained =
+                host.is_some_and(|it| self.hosts.get(it).is_some_and(|it| it.duty.is_none()));
+            if !worker.reserved || is_drained {
+                by_pool.entry(&worker.seen.pool).or_default().push((worker, host));
+            }
+        }
+        by_pool
+    }
+
+    /// Returns the hosts on their way to a pool, then its workers on which tasks may be placed, the first to have room first.
+    fn hold_candidates<'a>(
+        &self,
+        view: &PoolView,
+        workers: &[(&'a Worker, Option<&'a Name>)],
+        steps: &FastSet<&StepKey>,
+        coming: u64,
+        now: Moment,
+    ) -> Vec<Candidate<'a>> {
+        let mut workers = workers.to_vec();
+        workers.sort_by_cached_key(|(it, _)| {
             let is_new = it.held_for.is_none();
             (it.reserved, is_new, self.ending_ms(it, now), it.seen.id.clone())
         });
-        let candidate = |worker: &Worker| {
+        let on_its_way = |_| Candidate {
+            worker: None,
+            host: None,
+            room: view.host,
+            siblings: FastMap::default(),
+        };
+        let candidate = |(worker, host): (&'a Worker, Option<&'a Name>)| {
             let mut siblings: FastMap<StepKey, u64> = FastMap::default();
             for step in worker.live.keys().map(StepKey::from).filter(|it| steps.contains(it)) {
                 *siblings.entry(step).or_insert(0) += 1;
             }
-            let ends = |it: &TaskId| self.ends_in(it, now).is_some();
-            let host = host_of.get(&worker.seen.id).copied();
-            (host, worker.room_after(ends), siblings)
+            let room = worker.room_after(|it| self.ends_in(it, now).is_some());
+            Candidate { worker: Some(worker), host, room, siblings }
         };
-        let mut candidates: Vec<Candidate> = (0..coming)
-            .map(|_| Candidate {
-                worker: None,
-                host: None,
-                room: view.host,
-                siblings: FastMap::default(),
-            })
-            .collect();
-        for worker in workers {
-            let (host, room, siblings) = candidate(worker);
-            candidates.push(Candidate { worker: Some(worker), host, room, siblings });
+        (0..coming).map(on_its_way).chain(workers.into_iter().map(candidate)).collect()
+    }
+
+    /// Returns the long-running tasks that are to leave their workers and may be stopped, by pool.
+    fn leaving_tasks(&self, now: Moment) -> FastMap<Name, Vec<RoomWait>> {
+        let mut by_step: FastMap<StepKey, u64> = FastMap::default();
+        let leaving = self.workers.values().filter(|it| it.has_long_running() && it.is_leaving());
+        for task in leaving.flat_map(|it| self.stoppable_on(&it.seen.id, now)) {
+            if self.jobs.get(&task.job).is_some_and(|it| it.may_stop(&task, now)) {
+                *by_step.entry(StepKey::from(&task)).or_insert(0) += 1;
+            }
+        }
+        let mut by_pool: FastMap<Name, Vec<RoomWait>> = FastMap::default();
+        for (key, tasks) in by_step {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let step = &job.spec.steps[key.step as usize];
+            let urgency = WaitUrgency { priority: job.spec.route.priority, since: now };
+            let most = step.max_unavailable.unwrap_or(1).into();
+            let wait = RoomWait::new(key, urgency, tasks.min(most), step);
+            by_pool.entry(job.spec.route.pool.clone()).or_default().push(wait);
         }
-        candidates
+        by_pool.values_mut().for_each(|it| it.sort_by(|a, b| a.step.cmp(&b.step)));
+        by_pool
     }
 
     /// Returns how long a live task is expected to run on; `None` if it runs until its job is cancelled or is long overdue.
@@ -149,6 +238,14 @@
         worker.live.keys().try_fold(0, |longest, it| Some(longest.max(self.ends_in(it, now)?)))
     }
 
+    /// Returns how long the tasks of a worker are expected to run on that do not run until their job is cancelled; `None` if
+    /// that is not known of all.
+    pub(super) fn short_busy_ms(&self, worker: &Worker, now: Moment) -> Option<Millisecond> {
+        let is_short = |it: &&TaskId| self.step_of(it).is_some_and(|step| !step.long_running);
+        let mut short = worker.live.keys().filter(is_short);
+        short.try_fold(0, |longest, it| Some(longest.max(self.ends_in(it, now)?)))
+    }
+
     /// Lets drained hosts take tasks again. They are not drained while they are among these.
     fn recall_hosts(&mut self, hosts: FastSet<Name>) {
         let before = std::mem::replace(&mut self.recalled, hosts.clone());
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -171,6 +171,9 @@
         left.sort_by_key(|it| (self.task_count_on(it), it.clone()));
         let mut draining = FastSet::default();
         for name in left {
+            if self.recalled.contains(&name) {
+                continue;
+            }
             // A host that may be under an order of a former coordinator already counts as down.
             match self.may_be_under_former_order(&name, now) {
                 true if down > at_once => continue,
@@ -180,7 +183,7 @@
             }
             if self.is_free(&name, now) {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
-            } else if !self.recalled.contains(&name) {
+            } else {
                 draining.insert(name);
             }
         }
@@ -244,6 +247,7 @@
         let Some(host) = self.hosts.get_mut(name) else { return };
         host.duty = Some(PendingDuty {
             duty: duty.clone(),
+            begun: now,
             since: now,
             confirmed: None,
             is_sent: false,
--- a/crates/fleet/src/coordinator/hosts/evacuation.rs
+++ b/crates/fleet/src/coordinator/hosts/evacuation.rs
@@ -5,8 +5,10 @@
 use crate::{
     JobSpec, Name, TaskId,
     coordinator::{
-        Coordinator, Job, Phase, StepKey, Task, TaskState, WaitReason, Worker, near::Near,
-        place::siblings_on, room::RoomSearch,
+        Coordinator, Job, LiveRun, Phase, StepKey, Task, WaitReason, Worker,
+        near::Near,
+        place::siblings_on,
+        room::{FreeWorker, RoomSearch},
     },
 };
 
@@ -15,6 +17,9 @@
 /// count.
 const SETTLING_MS: Millisecond = 3_300;
 
+/// Long-running tasks are stopped for an empty host only if its other tasks end within this time.
+const EMPTY_WITHIN_MS: Millisecond = 1_000;
+
 impl Coordinator {
     /// Stops long-running tasks on reserved and draining workers so that they start elsewhere, at most as many at a
     /// time as their step may miss. Without room elsewhere a task stays, unless its worker can be emptied at once: a host that
@@ -31,6 +36,7 @@
         }
         leaving.sort_by_key(|it| (self.workers[it].live.len(), it.clone()));
         let mut search = RoomSearch::new(&self.workers, now);
+        self.take_places_of_stopped(&leaving, &mut search, now);
         for worker in leaving {
             let tasks = self.stoppable_on(&worker, now);
             let is_emptied = self.can_empty(&worker, &tasks, now);
@@ -44,7 +50,7 @@
     }
 
     /// Returns the long-running tasks on a worker that serve their users.
-    fn stoppable_on(&self, worker: &Name, now: Moment) -> Vec<TaskId> {
+    pub(in crate::coordinator) fn stoppable_on(&self, worker: &Name, now: Moment) -> Vec<TaskId> {
         let is_long = |it: &TaskId| self.step_of(it).is_some_and(|step| step.long_running);
         let on = self.live_on(worker).into_iter();
         let mut tasks: Vec<TaskId> =
@@ -53,25 +59,59 @@
         tasks
     }
 
+    /// Takes the room that tasks need which are being stopped.
+    fn take_places_of_stopped(&self, leaving: &[Name], search: &mut RoomSearch, now: Moment) {
+        let is_stopped =
+            |live: &LiveRun| matches!(live.phase, Phase::Stopping | Phase::StopConfirmed);
+        for worker in leaving {
+            let mut stopped = self.live_on(worker);
+            stopped.retain(|it| is_stopped(&it.1));
+            stopped.sort_by(|a, b| a.0.cmp(&b.0));
+            for (task, _) in stopped {
+                self.take_place(&task, search, now);
+            }
+        }
+    }
+
     /// Takes room for a task on a worker that it may move to; returns whether there is any besides what other tasks of its step
-    /// need that wait or are being stopped. A permit that is missing is asked for once the task waits.
+    /// need that wait. A permit that is missing is asked for once the task waits.
     fn take_place(&self, task: &TaskId, search: &mut RoomSearch, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return false };
         let step = &job.spec.steps[task.step as usize];
-        let is_away = |it: &&Task| match &it.state {
-            TaskState::Waiting => true,
-            TaskState::Live(live) => matches!(live.phase, Phase::Stopping | Phase::StopConfirmed),
-            TaskState::Done => false,
-        };
         let run = &job.occurrences[task.occurrence as usize].steps[task.step as usize];
-        let away = run.tasks.iter().filter(is_away).count() as u64;
-        match self.best_worker(task, &job.spec, &Near::of(1), search, now) {
-            Ok((_, found)) if self.places_left(task, &job.spec, search, now) > away => {
-                search.take(&job.spec.route.pool, found.position, step.room());
-                true
-            }
-            Ok(_) => false,
-            Err(reason) => reason == WaitReason::Permit,
+        let pool = &job.spec.route.pool;
+        let position = match self.best_worker(task, &job.spec, &Near::of(1), search, now) {
+            Ok((_, found)) => Some(found.position),
+            Err(WaitReason::Permit) => self.askable_worker(task, &job.spec, search, now),
+            Err(_) => None,
+        };
+        let Some(position) = position else { return false };
+        if self.places_left(task, &job.spec, search, now) <= run.waiting.into() {
+            return false;
+        }
+        search.take(pool, position, step.room());
+        true
+    }
+
+    /// Returns the position of a worker that lacks nothing but a permit which the advice service has not refused.
+    fn askable_worker(
+        &self,
+        task: &TaskId,
+        spec: &JobSpec,
+        search: &RoomSearch,
+        now: Moment,
+    ) -> Option<usize> {
+        let workers = &search.pool(&spec.route.pool)?.workers;
+        workers.iter().position(|it| self.may_take(it, task, spec, now))
+    }
+
+    /// Returns whether a worker has a place for a task, if the advice service allows it.
+    fn may_take(&self, on: &FreeWorker, task: &TaskId, spec: &JobSpec, now: Moment) -> bool {
+        let known = self.advice.get(&StepKey::from(task));
+        match self.suits(on, task, spec, now) {
+            Ok(()) => true,
+            Err(WaitReason::Permit) => known.is_none_or(|it| !it.refused.contains(&on.id)),
+            Err(_) => false,
         }
     }
 
@@ -79,7 +119,7 @@
     fn places_left(&self, task: &TaskId, spec: &JobSpec, search: &RoomSearch, now: Moment) -> u64 {
         let step = &spec.steps[task.step as usize];
         let workers = search.pool(&spec.route.pool).map_or(&[][..], |it| &it.workers);
-        let suitable = workers.iter().filter(|it| self.suits(it, task, spec, now).is_ok());
+        let suitable = workers.iter().filter(|it| self.may_take(it, task, spec, now));
         let places = suitable.map(|it| {
             let siblings = siblings_on(&self.workers[&it.id], task);
             let most = step.per_worker.map_or(u64::MAX, |it| it.saturating_sub(siblings).into());
@@ -88,13 +128,15 @@
         places.fold(0, u64::saturating_add)
     }
 
-    /// Returns whether all of these tasks, the long-running ones on a worker, may be stopped at once.
+    /// Returns whether all of these tasks, the long-running ones on a worker, may be stopped at once, and its others end soon.
     fn can_empty(&self, worker: &Name, tasks: &[TaskId], now: Moment) -> bool {
         let is_long = |it: &&TaskId| self.step_of(it).is_some_and(|step| step.long_running);
         let is_whole = self.workers[worker].live.keys().filter(is_long).count() == tasks.len();
         let of_step =
             |step: &StepKey| tasks.iter().filter(|it| StepKey::from(*it) == *step).count();
+        let busy_ms = self.short_busy_ms(&self.workers[worker], now);
         is_whole
+            && busy_ms.is_some_and(|it| it <= EMPTY_WITHIN_MS)
             && tasks.iter().all(|it| {
                 let beside = of_step(&StepKey::from(it)) as u32 - 1;
                 self.jobs.get(&it.job).is_some_and(|job| job.may_stop_beside(it, beside, now))
--- a/crates/fleet/src/coordinator/hosts/host.rs
+++ b/crates/fleet/src/coordinator/hosts/host.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use crate::{HostInfo, HostState, Name};
+use crate::{HostInfo, HostState, Name, Timing};
 
 /// A host and the order that it has, if any.
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
 pub struct PendingDuty {
     /// What the host is ordered to do.
     pub duty: Duty,
+    /// When the order was first given.
+    pub begun: Moment,
     /// When the order was last given.
     pub since: Moment,
     /// When the order was confirmed; `None` before that.
@@ -34,13 +36,6 @@
     pub calls: u32,
 }
 
-impl PendingDuty {
-    /// Returns whether it was repeated and is not confirmed.
-    pub(in crate::coordinator) fn is_unanswered(&self) -> bool {
-        self.confirmed.is_none() && self.calls > 1
-    }
-}
-
 /// What a host is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Duty {
@@ -70,6 +65,10 @@
 /// A host that is away this long is considered lost: crashed hosts are restarted sooner.
 pub(super) const LOST_MS: Millisecond = 15_000;
 
+/// How much longer than it takes an order may be under way until its host is no longer counted on. Orders are repeated after 1.5 s,
+/// and the list of hosts is up to a second old.
+const DUTY_LATE_MS: Millisecond = 3_000;
+
 impl Host {
     pub(super) fn new(seen: &HostInfo, now: Moment) -> Self {
         Self {
@@ -101,6 +100,16 @@
         self.seen = seen;
     }
 
+    /// Returns whether it has an order that should have been carried out by now.
+    pub(in crate::coordinator) fn is_late(&self, now: Moment, timing: &Timing) -> bool {
+        let Some(pending) = &self.duty else { return false };
+        let takes = match pending.duty {
+            Duty::Move { .. } => timing.move_ms,
+            Duty::Maintain { .. } => timing.maintenance_ms,
+        };
+        now.since(pending.begun) > takes + DUTY_LATE_MS
+    }
+
     /// Returns whether the host has been away for so long that it is considered lost.
     pub(super) fn is_lost(&self, now: Moment) -> bool {
         self.away_since.is_some_and(|since| now.since(since) >= LOST_MS)
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod host_orders;
 mod hosts;
 mod job;
+mod limits;
 mod listed;
 mod live;
 mod lives;
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -14,7 +14,7 @@
 use super::{
     Coordinator, Host, HostDuty, Job, StepKey, Task, Tier,
     demand::{Demand, DemandKey, HostAffinity, Load},
-    pool_view::{AffinityView, PoolNeed, PoolView, RoomWait, Views},
+    pool_view::{AffinityView, PoolNeed, PoolView, RoomWait, Views, WaitUrgency},
     shares,
 };
 use crate::{HostState, JobSpec, Name, Step};
@@ -77,7 +77,7 @@
         let mut names: Vec<Name> = views.keys().cloned().collect();
         names.sort();
         names.retain(|it| Some(it) != spare.as_ref());
-        let free = spare.map_or(0, |it| self.spare_hosts(&it, now).len());
+        let free = spare.map_or(0, |it| self.spare_hosts(&it, now).count());
         // A host that is drained for another pool counts in neither yet.
         let drained = self.draining_to.keys().filter(|it| self.may_be_drained(it)).count();
         let hosts =
@@ -125,24 +125,28 @@
                 if live + waiting == 0 {
                     continue;
                 }
+                let startable = waiting.min(self.left_of_limit(&job.spec.team, step_spec.size));
                 if let Some(wait) = step.wait.filter(|it| it.asks_for_room(now))
-                    && waiting > 0
+                    && startable > 0
                     && step_spec.long_running
                 {
-                    view.waits.push(RoomWait {
-                        step: StepKey { job: job.id.clone(), occurrence: k as u32, step: s as u16 },
-                        priority: job.spec.route.priority,
-                        since: wait.since,
-                        tasks: waiting,
-                        size: step_spec.room(),
-                        per_worker: step_spec.per_worker.map_or(u64::MAX, u64::from),
-                        label: step_spec.label.clone(),
-                    });
+                    let key = StepKey { job: job.id.clone(), occurrence: k as u32, step: s as u16 };
+                    let asks_for_hosts = wait.asks_for_hosts(now) && step_spec.label.is_none();
+                    let priority = job.spec.route.priority;
+                    let urgency = WaitUrgency { priority, since: wait.since };
+                    let wait = RoomWait::new(key, urgency, startable, step_spec);
+                    view.waits.push(RoomWait { asks_for_hosts, ..wait });
                 }
+                let is_beyond = step.wait.is_some_and(|it| it.is_beyond_hosts());
+                let blocked = if is_beyond { waiting } else { waiting - startable };
                 let load = Load::of(step_spec.room(), live + waiting);
+                let blocked = Load::of(step_spec.room(), blocked);
                 view.load = view.load.plus(load);
                 match job.tier {
-                    Tier::Standing => view.standing = view.standing.plus(load),
+                    Tier::Standing => {
+                        view.standing = view.standing.plus(load.minus(blocked));
+                        view.late = view.late.plus(blocked);
+                    }
                     Tier::InTime => {}
                     Tier::Late => view.late = view.late.plus(load),
                     Tier::Excess => view.excess = view.excess.plus(load),
@@ -193,7 +197,7 @@
                 view.host = any;
             }
             let host = view.host;
-            view.waits.sort_by_key(|it| (it.priority, it.since, it.step.clone()));
+            view.waits.sort_by(|a, b| (a.urgency, &a.step).cmp(&(b.urgency, &b.step)));
             let demand = self.demand_for(pool, None);
             view.need.expected = demand.expected(now).millicores_on(host);
             view.need.present = view.load.millicores_on(host);
@@ -260,8 +264,6 @@
                     view.need.standing += u64::from(it.has_long_running());
                 }
                 Some(_) => {}
-                // An order that had to be repeated may stay unanswered for long.
-                None if host.duty.as_ref().is_some_and(|it| it.is_unanswered()) => {}
                 None => view.coming += 1,
             }
             if host.duty.is_none()
@@ -283,13 +285,15 @@
 
     /// Returns whether a host runs tasks of its pool, or will soon.
     fn is_usable(&self, name: &Name, host: &Host, now: Moment) -> bool {
+        if host.seen.state == HostState::Down || host.is_late(now, &self.timing) {
+            return false;
+        }
         if host.duty.is_some()
             || matches!(host.seen.state, HostState::Moving | HostState::Maintenance)
         {
             return true;
         }
         match self.worker_on(name) {
-            _ if host.seen.state == HostState::Down => false,
             Some(it) if it.answered => {
                 it.silent_since.is_none() && !it.unlisted && !it.is_leaving()
             }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -223,16 +223,6 @@
         }
     }
 
-    /// Returns whether the team's upper limit leaves room for one more task of this size.
-    fn fits_limit(&self, team: &Name, size: Resources) -> bool {
-        let Some(limit) = self.config.teams.get(team).map(|it| it.limit) else { return true };
-        let used = self.used_by_team.get(team).copied().unwrap_or_default().plus(size);
-        let within = |limit: u32, used: u32| limit == 0 || used <= limit;
-        within(limit.millicores, used.millicores)
-            && within(limit.memory_mib, used.memory_mib)
-            && within(limit.accelerators, used.accelerators)
-    }
-
     /// Returns the best place for a task.
     fn find_spot(
         &self,
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -7,7 +7,7 @@
     demand::{HostAffinity, Load},
     shares::{TIERS, TierNeeds},
 };
-use crate::Name;
+use crate::{Name, Step};
 
 /// How many hosts a pool has and needs, and what that was computed from.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -93,16 +93,40 @@
 #[derive(Clone, Debug)]
 pub(super) struct RoomWait {
     pub(super) step: StepKey,
-    pub(super) priority: u32,
-    pub(super) since: Moment,
+    pub(super) urgency: WaitUrgency,
     pub(super) tasks: u64,
     pub(super) size: Resources,
     /// The most tasks of the step that may share a worker.
     pub(super) per_worker: u64,
     pub(super) label: Option<Name>,
+    /// Whether all of the tasks start together or none.
+    pub(super) is_gang: bool,
+    /// Whether further hosts of any kind would do.
+    pub(super) asks_for_hosts: bool,
+}
+
+/// The order in which waits get room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WaitUrgency {
+    pub(super) priority: u32,
+    pub(super) since: Moment,
 }
 
 impl RoomWait {
+    /// Returns the wait of so many tasks of a step.
+    pub(super) fn new(key: StepKey, urgency: WaitUrgency, tasks: u64, step: &Step) -> Self {
+        Self {
+            step: key,
+            urgency,
+            tasks,
+            size: step.room(),
+            per_worker: step.per_worker.map_or(u64::MAX, u64::from),
+            label: step.label.clone(),
+            is_gang: step.gang,
+            asks_for_hosts: false,
+        }
+    }
+
     /// Returns how many of the tasks an empty host of this capacity holds.
     pub(super) fn tasks_per(&self, host: Resources) -> u64 {
         host.times(self.size).clamp(1, self.per_worker.max(1))
@@ -151,7 +175,7 @@
     }
 
     fn more_for_waits(&self) -> Option<u64> {
-        self.waits.iter().map(|it| it.hosts(self.host)).max()
+        self.waits.iter().filter(|it| it.asks_for_hosts).map(|it| it.hosts(self.host)).max()
     }
 
     /// Counts a host as one of the pool's.
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -38,9 +38,11 @@
 impl Coordinator {
     /// Moves hosts to the pools that need them, and idle ones to the spare pool.
     pub(super) fn plan_pools(&mut self, now: Moment) {
-        let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else { return };
         let mut views = self.pool_views(now);
         self.pool_needs = views.values().map(|it| it.need.clone()).collect();
+        let Some(spare) = self.config.spare_pool().map(|it| it.name.clone()) else {
+            return self.hold_room(&views, &[], now);
+        };
         let mut moves = self.move_drained(&mut views, &spare, now);
         moves.extend(self.grow(&mut views, &spare, now));
         self.drain_hosts(&mut views, &spare, now);
@@ -54,7 +56,8 @@
     /// Returns moves of hosts to pools that are short of them. Affinities that lack hosts come first, since no other
     /// hosts will do.
     fn grow(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<Move> {
-        let mut free = self.spare_hosts(spare, now);
+        let mut free: Vec<Name> = self.spare_hosts(spare, now).cloned().collect();
+        free.sort();
         let mut moves = Vec::new();
         for is_claim in [true, false] {
             let mut given_up: FastSet<(Name, HostAffinity)> = FastSet::default();
@@ -267,13 +270,11 @@
         self.hosts.get(host).map_or(&[], |it| &it.seen.labels)
     }
 
-    /// Returns the hosts of the spare pool that may be moved now, in a fixed order.
-    pub(super) fn spare_hosts(&self, spare: &Name, now: Moment) -> Vec<Name> {
+    /// Returns the hosts of the spare pool that may be moved now.
+    pub(super) fn spare_hosts(&self, spare: &Name, now: Moment) -> impl Iterator<Item = &Name> {
         let is_spare =
-            |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name, now);
-        let mut hosts: Vec<Name> = self.hosts.keys().filter(is_spare).cloned().collect();
-        hosts.sort();
-        hosts
+            move |name: &&Name| self.hosts[*name].seen.pool == *spare && self.is_free(name, now);
+        self.hosts.keys().filter(is_spare)
     }
 
     /// Returns what each pool needs according to the last plan.
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -92,9 +92,20 @@
 
     /// Returns whether further hosts are asked for: the workers of its pool have been too full for a while, or have had too many
     /// of its tasks.
-    pub(super) fn asks_for_room(&self, now: Moment) -> bool {
+    pub(super) fn asks_for_hosts(&self, now: Moment) -> bool {
         matches!(self.reason, WaitReason::Room | WaitReason::PerWorker) && self.is_long_at(now)
     }
+
+    /// Returns whether room is to be held. Workers with the label or of the size may be there and take no tasks now.
+    pub(super) fn asks_for_room(&self, now: Moment) -> bool {
+        let has_none = matches!(self.reason, WaitReason::Label | WaitReason::Size);
+        self.asks_for_hosts(now) || (has_none && self.is_long_at(now))
+    }
+
+    /// Returns whether no host that the pool might get would do.
+    pub(super) fn is_beyond_hosts(&self) -> bool {
+        matches!(self.reason, WaitReason::TeamLimit | WaitReason::Label | WaitReason::Size)
+    }
 }
 
 /// A step that waits.
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -14,7 +14,7 @@
     room: Resources,
     serves: u32,
     best_effort: u32,
-    long_running: bool,
+    long_running: u32,
 }
 
 /// Runs that a worker lists and the coordinator has no record of.
@@ -66,6 +66,8 @@
     pub serving: u32,
     /// The number of best-effort tasks on it.
     pub best_effort: u32,
+    /// The number of its tasks that run until their job is cancelled.
+    pub long_running: u32,
     /// Whether its room is held for tasks that run all the time, and against which work: that of this priority and of less
     /// urgent ones.
     pub held_for: Option<u32>,
@@ -101,6 +103,7 @@
             failures: 0,
             serving: 0,
             best_effort: 0,
+            long_running: 0,
             held_for: None,
             slowness: RunningMean::default(),
             reserved: false,
@@ -162,7 +165,7 @@
 
     /// Returns whether one of its tasks runs until its job is cancelled.
     pub fn has_long_running(&self) -> bool {
-        self.live.values().any(|it| it.long_running)
+        self.long_running > 0
     }
 
     /// Returns the room that is left once the runs for which `ends` holds have ended.
@@ -177,11 +180,12 @@
             room: step.room(),
             serves: u32::from(step.tail_target_ms.is_some()),
             best_effort: u32::from(step.best_effort),
-            long_running: step.long_running,
+            long_running: u32::from(step.long_running),
         };
         self.used = self.used.plus(usage.room);
         self.serving += usage.serves;
         self.best_effort += usage.best_effort;
+        self.long_running += usage.long_running;
         self.live.insert(id, usage);
     }
 
@@ -191,6 +195,7 @@
             self.used = self.used.minus(usage.room);
             self.serving -= usage.serves;
             self.best_effort -= usage.best_effort;
+            self.long_running -= usage.long_running;
             if self.live.is_empty() {
                 self.idle_since = now;
             }
--- a/crates/fleet/tests/common/pools.rs
+++ b/crates/fleet/tests/common/pools.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use fuchsiamill_fleet::{
-    Config, Ending, HostInfo, HostState, JobSpec, Name, Order, Pool, RunEnd, TaskId, Timing,
+    Config, Ending, HostInfo, HostState, JobSpec, Name, Order, Pool, RunEnd, Step, TaskId, Timing,
     WorkerInfo, WorkerReport,
     coordinator::{DutyReply, HostDuty, StartReply},
     worker::Wave,
@@ -13,7 +13,7 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Bench, WALL, config, host, job, list, run_info, starts, stops, worker};
+use super::{Bench, WALL, config, cores, host, job, list, run_info, starts, step, stops, worker};
 
 /// Time between two rounds.
 pub const ROUND_MS: Millisecond = 100;
@@ -35,6 +35,10 @@
     pub running: BTreeMap<TaskId, (u32, Option<Moment>, Ending)>,
     /// How often it changed its pool.
     pub moves: u32,
+    /// Labels of the host and of its workers, in addition to those of every worker.
+    pub labels: Vec<Name>,
+    /// Whether orders to it are neither answered nor carried out.
+    pub is_deaf: bool,
 }
 
 /// The fleet, and what became of tasks.
@@ -71,10 +75,27 @@
     spec
 }
 
-pub fn job_in(pool: &str, steps: Vec<fuchsiamill_fleet::Step>) -> JobSpec {
+pub fn job_in(pool: &str, steps: Vec<Step>) -> JobSpec {
     in_pool(pool, job(steps))
 }
 
+/// Returns a step of tasks that run until their job is cancelled.
+pub fn lasting(count: u32, size: u32) -> Step {
+    Step { long_running: true, size: cores(size), ..step(count) }
+}
+
+/// Sends short tasks to a pool that end one by one: so many in each round.
+pub fn busy(fleet: &mut PoolFleet, pool: &str, prefix: &str, rounds: u64, each: u64) {
+    for round in 0..rounds {
+        for number in 0..each {
+            let estimate_ms = 700 + ((round * each + number) * 37) % 800;
+            let spec = job_in(pool, vec![Step { estimate_ms, ..step(1) }]);
+            fleet.accept(&format!("{prefix}-{round:04}-{number}"), spec);
+        }
+        fleet.play(100);
+    }
+}
+
 impl PoolFleet {
     /// `pools` has the pool of each host.
     pub fn new(config: Config, pools: &[&str]) -> Self {
@@ -85,6 +106,8 @@
             life: 1,
             running: BTreeMap::new(),
             moves: 0,
+            labels: Vec::new(),
+            is_deaf: false,
         };
         let mut fleet = Self {
             bench: Bench::with(config),
@@ -107,6 +130,19 @@
         self.bench.accept(id, spec);
     }
 
+    /// Gives a host a label, with the worker that it has.
+    pub fn label(&mut self, number: usize, label: &str) {
+        self.hosts[number].labels.push(label.into());
+        if self.has_worker(number) {
+            let id = self.worker_id(number);
+            let mut info =
+                WorkerInfo { pool: self.hosts[number].pool.as_str().into(), ..worker(&id) };
+            info.labels.extend(self.hosts[number].labels.clone());
+            self.bench.add(info);
+        }
+        self.list();
+    }
+
     /// Requests a wave of maintenance of these hosts.
     pub fn maintain(&mut self, hosts: std::ops::Range<usize>, at_once: usize) {
         let hosts = hosts.map(|it| format!("h{it}").into()).collect();
@@ -157,15 +193,27 @@
             if let Some(id) = &id
                 && !self.bench.coordinator.workers().contains_key(id)
             {
-                let info = WorkerInfo { pool: seen.pool.as_str().into(), ..worker(id) };
+                let mut info = WorkerInfo { pool: seen.pool.as_str().into(), ..worker(id) };
+                info.labels.extend(seen.labels.clone());
                 self.bench.add(info);
             }
             let info = host(&format!("h{number}"), &seen.pool, id.as_deref());
-            infos.push(HostInfo { state: seen.state, ..info });
+            infos.push(HostInfo { state: seen.state, labels: seen.labels.clone(), ..info });
         }
         list(&mut self.bench, infos);
     }
 
+    /// Returns how many jobs with names that begin so are done.
+    pub fn done(&self, prefix: &str) -> usize {
+        self.done.keys().filter(|it| it.starts_with(prefix)).count()
+    }
+
+    /// Checks that no long-running task was without a run for longer.
+    pub fn assert_runs(&self, bound: Millisecond) {
+        let (idle, task) = &self.longest_idle;
+        assert!(*idle <= bound, "{task:?} does not run for {idle} ms");
+    }
+
     /// Plays some time.
     pub fn play(&mut self, ms: Millisecond) {
         for _ in 0..ms.div_ceil(ROUND_MS) {
@@ -217,6 +265,9 @@
         let (now, timing) = (self.bench.now, Timing::default());
         let number: usize = name[1..].parse().unwrap();
         let ordered = &mut self.hosts[number];
+        if ordered.is_deaf {
+            return;
+        }
         assert!(ordered.running.is_empty(), "{name} is ordered away with {:?}", ordered.running);
         let reply = match (ordered.state, duty) {
             (HostState::Up, HostDuty::Move { pool }) => {
@@ -257,7 +308,15 @@
                 let checkpoint = Name::default();
                 ended.push(RunEnd { number: self.ends, task, run, ending, checkpoint });
             }
-            let running = running.iter().map(|(task, it)| run_info(task, it.0, 100)).collect();
+            let is_long = |it: &TaskId| self.specs[&it.job].steps[it.step as usize].long_running;
+            // A run that hangs makes no progress.
+            let percent = |task: &TaskId, ends: Option<Moment>| match ends {
+                None if !is_long(task) => 50,
+                _ => 100,
+            };
+            let running = running.iter();
+            let running = running.map(|(task, it)| run_info(task, it.0, percent(task, it.1)));
+            let running = running.collect();
             let (asked, has_more_ends) = (now, false);
             let report = WorkerReport { asked, born: 7, ended, running, has_more_ends };
             self.bench.coordinator.worker_reported(&id, report, now);
--- a/crates/fleet/tests/scarce_hosts.rs
+++ b/crates/fleet/tests/scarce_hosts.rs
@@ -3,11 +3,9 @@
 mod common;
 
 use common::{
-    cores,
-    pools::{PoolFleet, job_in, with_pools},
+    pools::{PoolFleet, job_in, lasting, with_pools},
     step,
 };
-use fuchsiamill_fleet::Step;
 use fuchsiamill_model::units::Millisecond;
 
 const HOSTS: usize = 30;
@@ -18,17 +16,13 @@
 /// A short task counts as hanging once it has run for longer than expected by this.
 const OVERDUE_MS: Millisecond = 2_000;
 
-fn lasting(count: u32) -> Step {
-    Step { long_running: true, size: cores(4), ..step(count) }
-}
-
 /// Two pools are short: one of short tasks far beyond all hosts, one of long-running tasks that come when all hosts are taken.
 /// Returns the fleet after some time.
 fn overload(short: &str, long: &str) -> PoolFleet {
     let mut fleet = PoolFleet::new(with_pools(&[short, long]), &["spare"; HOSTS]);
     fleet.accept("mass", job_in(short, vec![step(20_000)]));
     fleet.play(5_000);
-    fleet.accept("long", job_in(long, vec![lasting(12)]));
+    fleet.accept("long", job_in(long, vec![lasting(12, 4)]));
     fleet.play(20_000);
     fleet
 }
@@ -51,7 +45,7 @@
     let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["spare"; HOSTS]);
     fleet.accept("mass", job_in("aaa", vec![step(20_000)]));
     fleet.play(5_000);
-    fleet.accept("long", job_in("zzz", vec![lasting(12)]));
+    fleet.accept("long", job_in("zzz", vec![lasting(12, 4)]));
     fleet.play(100);
     let workers = fleet.bench.coordinator.workers().values();
     let drained: Vec<String> =
