A report that overtook a start does not end its run

Cause: a start that was given up without an answer was stopped by the first later report that did not list its run.

Evidence: run_answers report_that_overtakes_a_start_does_not_end_its_run on: the first report after the unanswered start is followed by a stop of run 1, which then began.

Change: the same order (worker, number of the run, checkpoint) is sent again, once; it is idempotent. What is answered to it says nothing of the first order, unless the run is or was there. The stop follows if the run is still not listed 2 s after the start was first given up, and at once if the worker drains, has no entry, or its ticket is over. Until then the run keeps its place, so that TWICE, LIMIT and QUOTA stand; the lease counts from when the last order was given up. A lost start is thus made up for on the same worker.

Tests: the one above; refusal_of_a_start_that_was_sent_again_frees_no_room; unanswered_start_is_not_sent_again_to_a_draining_worker; member_that_is_started_again_has_the_checkpoint_of_its_gang, which fails where the order takes the task's present checkpoint. unanswered_start_is_stopped_before_another demanded the stop after the first report, which is the fault. It now demands that until the stop is confirmed nothing but the same order goes to the same worker, and the stop after 2 s. lost_stops_of_a_step_do_not_block_each_other reaches its two lost stops by the same way, after 2 s; its assertions are unchanged.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -366,6 +366,8 @@
                     progress: None,
                     speed: Speed::Unknown,
                     stop_ordered: None,
+                    checkpoint: it.checkpoint.clone(),
+                    lost_start: None,
                 };
                 self.set_state(&id, TaskState::Live(run.clone()));
                 if it.done {
--- a/crates/fleet/src/coordinator/live.rs
+++ b/crates/fleet/src/coordinator/live.rs
@@ -2,6 +2,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
+use super::replies::LostStart;
 use crate::Name;
 
 /// A run that takes room on a worker.
@@ -23,6 +24,10 @@
     pub speed: Speed,
     /// When its stop was last ordered; `None` if that order is known to have failed.
     pub stop_ordered: Option<Moment>,
+    /// The checkpoint that its start names.
+    pub checkpoint: Name,
+    /// Its start, if that was given up without an answer.
+    pub lost_start: Option<LostStart>,
 }
 
 /// What is known of a run's speed.
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -329,6 +329,8 @@
             progress: None,
             speed: Speed::Full,
             stop_ordered: None,
+            checkpoint: job.task(id).map(|it| it.checkpoint.clone()).unwrap_or_default(),
+            lost_start: None,
         };
         job.set_state(id, TaskState::Live(live));
         let task = job.task_mut(id).expect("the task is being placed");
@@ -352,21 +354,27 @@
     }
 
     fn order_start(&mut self, id: &TaskId, now: Moment) {
-        let Some(job) = self.jobs.get(&id.job) else { return };
-        let Some(task) = job.task(id) else { return };
-        let TaskState::Live(live) = &task.state else { return };
+        let order = self.start_order(id, now);
+        self.pending_orders.extend(order);
+    }
+
+    /// Returns the order to start a run that was placed.
+    pub(super) fn start_order(&self, id: &TaskId, now: Moment) -> Option<Order> {
+        let job = self.jobs.get(&id.job)?;
+        let task = job.task(id)?;
+        let live = task.live()?;
         let ticket = match job.spec.route.advised {
             true => self.ticket(&StepKey::from(id), &live.worker, now).unwrap_or_default(),
             false => Name::default(),
         };
-        self.pending_orders.push(Order::Start {
+        Some(Order::Start {
             ticket,
             worker: live.worker.clone(),
             task: id.clone(),
             run: task.run,
             payload: job.spec.payload.clone(),
-            checkpoint: task.checkpoint.clone(),
-        });
+            checkpoint: live.checkpoint.clone(),
+        })
     }
 }
 
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -241,8 +241,7 @@
             if is_missing {
                 self.requeue(&task, now);
             } else if live.phase == Phase::Unanswered && report.asked > live.since {
-                // The order may still arrive; the stop prevents that.
-                self.stop_run(&task, now);
+                self.lost_start_missing(&task, worker, now);
             }
         }
     }
@@ -326,11 +325,15 @@
             return;
         }
         let worker = live.worker.clone();
+        let answer = match live.lost_start {
+            Some(_) => answer.after(StartReply::Unknown),
+            None => answer,
+        };
         match answer {
             StartReply::Running => self.run_began(id, now),
             StartReply::Unknown => {
                 self.avoid(&worker, now + AVOID_UNRESPONSIVE_MS);
-                self.set_phase(id, Phase::Unanswered, now);
+                self.note_lost_start(id, now);
                 self.ready_orders.push(Order::Look { worker });
             }
             StartReply::NotSent => self.requeue(id, now),
--- a/crates/fleet/tests/lost_wishes.rs
+++ b/crates/fleet/tests/lost_wishes.rs
@@ -75,6 +75,13 @@
         bench.coordinator.start_answered(id, *run, StartReply::Unknown, bench.now);
     }
     bench.step();
+    // The starts are sent again, and not answered either.
+    for (id, run, on) in &started {
+        bench.report(on, &[], &[]);
+        bench.coordinator.start_answered(id, *run, StartReply::Unknown, bench.now);
+    }
+    bench.step();
+    bench.wait(2_000);
     for (_, _, on) in &started {
         bench.report(on, &[], &[]);
     }
