late_coordinator: the test of the full link is no longer known red

What callers saw: KNOWN-RED 9, "wanted work was ended", four of nine beside load at the time.

Evidence: on the test itself no longer failed beside load (66 of 66 passed, three copies at a time, load average 30 to 46 on 8 processors), so the order of calls was forced on a trial stand-in. Where a quarter of the polls overtake what waits for the link, failed two of nine; one of them had a run started at 27.005 s, its stop ordered at 28.007 by a report without it, the stop unanswered until 29.008 behind the start, and the end "Stopped" listed at 30.116. The other one had ends of a worker whose host was given back before their acknowledgement had passed the link, all of them recorded.

Change: links of the stand-in where polls overtake other calls. The test is moved out of the module known_red, its assertions unchanged.

Test: reports_that_overtake_starts_end_no_work; on six of six failed beside load, 2 to 31 stops in each.

--- a/crates/daemon/tests/late_coordinator.rs
+++ b/crates/daemon/tests/late_coordinator.rs
@@ -195,40 +195,50 @@
     assert_eq!(runs.len(), workers, "nothing was started again");
 }
 
-/// Tests that fail because of a known fault, see KNOWN-RED.txt.
-mod known_red {
-    use super::*;
-
-    /// The first round of starts takes the link of the coordinator two seconds.
-    #[test]
-    fn full_link_is_not_taken_for_silent_workers() {
-        let bytes_per_s = 400_000;
-        let fleet =
-            Fleet::start_on(1, 12, |world| world.links = Some(NarrowLinks::new(bytes_per_s)));
-        let kept = fleet.accept(&job(300_000, &[12]), PATIENCE).expect("accepted");
-        wait_until("all of its tasks are at work", || runs_of(&fleet, &kept).len() == 12);
-        let jobs: Vec<String> = (0..60)
-            .map(|_| fleet.accept(&bulky_job(400, 8), PATIENCE).expect("accepted"))
-            .collect();
-        let cancelled: Vec<(&String, Instant)> =
-            jobs.iter().skip(40).map(|it| (it, cancel(&fleet, it))).collect();
-        for it in &jobs[..40] {
-            fleet.wait_state(it, "completed");
-        }
-        thread::sleep(END_TIME);
-        cancelled.iter().for_each(|(id, answered)| check_cancelled(&fleet, id, *answered));
-        let world = fleet.site.world();
-        assert!(world.twice.is_empty(), "ran twice: {:?}", world.twice);
-        let is_wanted = |it: &&RunRecord| {
-            it.task.starts_with(&kept) || jobs[..40].iter().any(|id| it.task.starts_with(id))
-        };
-        let lost: Vec<_> = world
-            .runs
-            .iter()
-            .filter(is_wanted)
-            .filter(|it| it.ended.as_ref().is_some_and(|(_, how)| how != "done"))
-            .map(|it| (&it.task, it.run, &it.ended))
-            .collect();
-        assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
+/// The first round of starts takes the link of the coordinator two seconds.
+#[test]
+fn full_link_is_not_taken_for_silent_workers() {
+    let bytes_per_s = 400_000;
+    let fleet = Fleet::start_on(1, 12, |world| world.links = Some(NarrowLinks::new(bytes_per_s)));
+    let kept = fleet.accept(&job(300_000, &[12]), PATIENCE).expect("accepted");
+    wait_until("all of its tasks are at work", || runs_of(&fleet, &kept).len() == 12);
+    let jobs: Vec<String> =
+        (0..60).map(|_| fleet.accept(&bulky_job(400, 8), PATIENCE).expect("accepted")).collect();
+    let cancelled: Vec<(&String, Instant)> =
+        jobs.iter().skip(40).map(|it| (it, cancel(&fleet, it))).collect();
+    for it in &jobs[..40] {
+        fleet.wait_state(it, "completed");
     }
+    thread::sleep(END_TIME);
+    cancelled.iter().for_each(|(id, answered)| check_cancelled(&fleet, id, *answered));
+    let world = fleet.site.world();
+    assert!(world.twice.is_empty(), "ran twice: {:?}", world.twice);
+    let is_wanted = |it: &&RunRecord| {
+        it.task.starts_with(&kept) || jobs[..40].iter().any(|id| it.task.starts_with(id))
+    };
+    let lost: Vec<_> = world
+        .runs
+        .iter()
+        .filter(is_wanted)
+        .filter(|it| it.ended.as_ref().is_some_and(|(_, how)| how != "done"))
+        .map(|it| (&it.task, it.run, &it.ended))
+        .collect();
+    assert!(lost.is_empty(), "wanted work was ended: {lost:?}");
+}
+
+/// Polls overtake the starts, which take the link longer than a start is waited for: their reports do not show yet what
+/// begins.
+#[test]
+fn reports_that_overtake_starts_end_no_work() {
+    let links = Some(NarrowLinks::with_fast_polls(250_000));
+    let fleet = Fleet::start_on(1, 12, |world| world.links = links);
+    fleet.wait_state(&fleet.accept(&job(100, &[2]), PATIENCE).expect("accepted"), "completed");
+    let jobs: Vec<String> =
+        (0..12).map(|_| fleet.accept(&bulky_job(4_000, 8), PATIENCE).expect("accepted")).collect();
+    jobs.iter().for_each(|it| fleet.wait_state(it, "completed"));
+    let world = fleet.site.world();
+    let is_first =
+        |it: &&RunRecord| it.run == 1 && it.ended.as_ref().is_some_and(|(_, how)| how == "done");
+    let others: Vec<_> = world.runs.iter().filter(|it| !is_first(it)).collect();
+    assert!(others.is_empty(), "stopped or started again: {others:?}");
 }
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -48,7 +48,8 @@
 
 impl Handler for Port {
     async fn handle(&self, incoming: Incoming) -> Response {
-        if lock(&self.world).links.is_none() {
+        let path = incoming.request.path();
+        if lock(&self.world).links.as_ref().is_none_or(|it| !it.holds(path)) {
             return self.serve(incoming).await;
         }
         // The call arrives although its sender gives it up.
