Tests with processes: lasting tasks while another pool has the hosts, and in a wave

Change: lasting_tasks plays entry hosts as processes against the stand-in with pools of any names. The stand-in takes pools of different sizes, a spare pool of any name and tasks that run until they are stopped; it shows hosts in maintenance as such, records moves and maintenances, and answers a repeated maintenance of a wave as done.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -10,7 +10,7 @@
 use fuchsiamill_http::{Request, Response};
 use fuchsiamill_standin::{
     admin::{Route, RouteFault, SetRouteFault},
-    fleet::{FleetSite, HEALTH_PATH, World},
+    fleet::{FleetSite, HEALTH_PATH, LASTING, World},
 };
 use http::{HeaderName, HeaderValue, Method};
 use serde_json::{Value, json};
@@ -32,6 +32,39 @@
     pub site: FleetSite,
     pub entries: Vec<Process>,
     pub jobs: RefCell<Vec<String>>,
+    /// The queues and pools that every configuration has.
+    layout: Layout,
+}
+
+/// The pools of a site.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Pools with queues of their own, `/NAME/`, and how many hosts each has at first.
+    pub own: Vec<(&'static str, usize)>,
+    /// The pool of the queue `/jobs/`, if there is one, and how many hosts it has at first.
+    pub web: Option<usize>,
+    /// The pool whose hosts are off, and how many it has at first.
+    pub spare: (&'static str, usize),
+}
+
+impl Layout {
+    /// Pools `web` and `spare` of so many hosts each.
+    pub fn of_web(hosts: usize) -> Self {
+        Self { own: Vec::new(), web: Some(hosts), spare: ("spare", hosts) }
+    }
+
+    fn pools(&self) -> Vec<(&'static str, usize)> {
+        let web = self.web.map(|it| ("web", it));
+        web.into_iter().chain(self.own.iter().copied()).chain([self.spare]).collect()
+    }
+
+    fn config(&self, version: u64, host: &str, prefixes: &[&str]) -> Value {
+        let web = prefixes.iter().map(|it| ((*it).to_owned(), "web"));
+        let own = self.own.iter().map(|it| (format!("/{}/", it.0), it.0));
+        let queues: Vec<(String, &str)> = web.filter(|_| self.web.is_some()).chain(own).collect();
+        let pools: Vec<&str> = self.pools().iter().map(|it| it.0).collect();
+        config(version, host, &queues, &pools, self.spare.0)
+    }
 }
 
 /// One entry host.
@@ -69,14 +102,20 @@
 
     /// Starts an entry host with each of these further settings, after the platform was set up.
     pub fn start_each(settings: &[&str], hosts: usize, set_up: impl FnOnce(&mut World)) -> Self {
+        Self::start_pools(settings, Layout::of_web(hosts), set_up)
+    }
+
+    /// Does so with these pools.
+    pub fn start_pools(settings: &[&str], layout: Layout, set_up: impl FnOnce(&mut World)) -> Self {
         let net = LoopbackNet::new();
-        let site = FleetSite::start(net.any(), &["web", "spare"], hosts).expect("it starts");
+        let pools = layout.pools();
+        let site = FleetSite::start_pools(net.any(), &pools, layout.spare.0).expect("it starts");
         set_up(&mut site.world());
         let fleet_ip = net.any().ip().to_string();
-        site.world().rows.put("op", "config", &config(1, &fleet_ip, &["/jobs/"]));
+        site.world().rows.put("op", "config", &layout.config(1, &fleet_ip, &["/jobs/"]));
         let each = settings.iter().enumerate();
         let entries = each.map(|(it, own)| Process::start(&site, &net, it, own)).collect();
-        let fleet = Self { site, entries, jobs: RefCell::default() };
+        let fleet = Self { site, entries, jobs: RefCell::default(), layout };
         fleet.wait_ready();
         fleet
     }
@@ -90,7 +129,7 @@
     /// Puts a newer configuration with these queues in force.
     pub fn configure(&self, version: u64, prefixes: &[&str]) {
         let ip = self.entries[0].front.ip().to_string();
-        self.site.world().rows.put("op", "config", &config(version, &ip, prefixes));
+        self.site.world().rows.put("op", "config", &self.layout.config(version, &ip, prefixes));
     }
 
     /// The entry host that coordinates, by the lease.
@@ -111,11 +150,18 @@
 
     /// Posts a job until it is accepted or `patience` is over.
     pub fn accept(&self, job: &Value, patience: Duration) -> Option<String> {
+        self.accept_in("jobs", job, patience)
+    }
+
+    /// Posts a job to a queue, which has the name of its pool, until it is accepted or `patience` is over.
+    pub fn accept_in(&self, queue: &str, job: &Value, patience: Duration) -> Option<String> {
         let id = format!("{:016x}", fastrand::u64(..));
+        let path = format!("/{queue}/{id}");
         let until = Instant::now() + patience;
         while Instant::now() < until {
             let entry = &self.entries[fastrand::usize(0..self.entries.len())];
-            if entry.post(&id, job).is_some_and(|it| it.status.is_success()) {
+            let answer = entry.send_to(Method::POST, &path, Some(job), KEY);
+            if answer.is_some_and(|it| it.status.is_success()) {
                 self.jobs.borrow_mut().push(id.clone());
                 return Some(id);
             }
@@ -286,13 +332,32 @@
     json!({ "spec": format!("ms={ms}"), "steps": steps })
 }
 
-fn config(version: u64, host: &str, prefixes: &[&str]) -> Value {
-    let routes: Vec<Value> = prefixes
+/// A job of one step whose tasks run until it is cancelled.
+pub fn lasting_job(tasks: u32, cpu: u32) -> Value {
+    let step = json!({ "count": tasks, "cpu": cpu, "mem_mb": 64, "long_running": true });
+    json!({ "spec": LASTING, "steps": [step] })
+}
+
+fn config(
+    version: u64,
+    host: &str,
+    queues: &[(String, &str)],
+    pools: &[&str],
+    spare: &str,
+) -> Value {
+    let service = |name: &&str| match *name == spare {
+        true => json!({ "name": name, "rejects_overload": true, "spare": true }),
+        false => json!({
+            "name": name, "rejects_overload": true, "spare": false, "health_path": HEALTH_PATH
+        }),
+    };
+    let services: Vec<Value> = pools.iter().map(service).collect();
+    let routes: Vec<Value> = queues
         .iter()
-        .map(|prefix| {
+        .map(|(prefix, pool)| {
             json!({
                 "name": format!("queue{}", prefix.replace('/', "-")), "host": host,
-                "path_prefix": prefix, "service": "web", "kind": "non_idempotent",
+                "path_prefix": prefix, "service": pool, "kind": "non_idempotent",
                 "timeout_ms": 3000, "target_duration_ms": 600, "priority": 0,
                 "max_attempts": 3, "stretch": 1.6, "public": false
             })
@@ -301,12 +366,7 @@
     json!({
         "version": version,
         "routes": routes,
-        "services": [
-            {
-                "name": "web", "rejects_overload": true, "spare": false, "health_path": HEALTH_PATH
-            },
-            { "name": "spare", "rejects_overload": true, "spare": true }
-        ],
+        "services": services,
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 262144 },
         "tenants": [
             {
--- a/crates/standin/src/fleet/hosts.rs
+++ b/crates/standin/src/fleet/hosts.rs
@@ -1,6 +1,7 @@
 //! The service that has the hosts.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -11,12 +12,74 @@
 
 use super::{
     lock,
-    world::{Host, Loss, World},
+    world::{Worker, World},
 };
 use crate::reply;
 
 /// How long a move or maintenance takes.
-const DUTY_TIME: Duration = Duration::from_millis(300);
+pub const DUTY_TIME: Duration = Duration::from_millis(300);
+
+/// How the list of hosts shows a host that is gone for good. Neither way does it tell an id of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// It is listed as down.
+    Down,
+    /// It has no entry.
+    Unlisted,
+}
+
+/// What a host was ordered to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// To move to this pool.
+    Move(String),
+    /// To be maintained in the wave with this number.
+    Maintain(u64),
+}
+
+/// An order to a host that was carried out.
+#[derive(Clone, Debug)]
+pub struct DutyRecord {
+    /// The host.
+    pub host: usize,
+    /// What it did.
+    pub duty: Duty,
+    /// When it began.
+    pub began: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Host {
+    pub pool: String,
+    pub addr: Option<SocketAddr>,
+    pub worker: Option<Worker>,
+    pub back: Option<Instant>,
+    pub is_maintained: bool,
+    pub loss: Option<Loss>,
+}
+
+impl World {
+    pub(super) fn add_host(&mut self, pool: &str) -> usize {
+        self.hosts.push(Host { pool: pool.to_owned(), ..Host::default() });
+        self.hosts.len() - 1
+    }
+
+    /// The pool of a host.
+    pub fn pool(&self, host: usize) -> &str {
+        &self.hosts[host].pool
+    }
+
+    /// Whether a host is gone for good.
+    pub fn is_lost(&self, host: usize) -> bool {
+        self.hosts[host].loss.is_some()
+    }
+
+    /// The hosts that were maintained in a wave.
+    pub fn maintained(&self, wave: u64) -> Vec<usize> {
+        let duties = self.duties.iter().filter(|it| it.duty == Duty::Maintain(wave));
+        duties.map(|it| it.host).collect()
+    }
+}
 
 /// The service's port.
 pub struct Port(pub Arc<Mutex<World>>);
@@ -27,8 +90,14 @@
         let body: Value = serde_json::from_slice(&incoming.request.body).unwrap_or_default();
         match incoming.request.path() {
             "/machines" => list(&world),
-            "/machine-move" => duty(&mut world, &body, body["pool"].as_str()),
-            "/machine-upkeep" => duty(&mut world, &body, None),
+            "/machine-move" => {
+                let pool = body["pool"].as_str().unwrap_or_default();
+                carry_out(&mut world, &body, Duty::Move(pool.to_owned()))
+            }
+            "/machine-upkeep" => {
+                let wave = body["wave"].as_u64().unwrap_or_default();
+                carry_out(&mut world, &body, Duty::Maintain(wave))
+            }
             _ => Response::empty(StatusCode::NOT_FOUND),
         }
     }
@@ -58,17 +127,21 @@
 fn state(host: &Host) -> &'static str {
     match (host.loss, host.back) {
         (Some(_), _) => "down",
+        (None, Some(_)) if host.is_maintained => "upkeep",
         (None, Some(_)) => "moving",
         (None, None) => "up",
     }
 }
 
-fn duty(world: &mut World, body: &Value, pool: Option<&str>) -> Response {
+fn carry_out(world: &mut World, body: &Value, duty: Duty) -> Response {
     let name = body["machine"].as_str().unwrap_or_default();
     let number = name.strip_prefix("m-").and_then(|it| it.parse::<usize>().ok());
     let Some(number) = number.filter(|it| *it < world.hosts.len()) else {
         return Response::empty(StatusCode::BAD_REQUEST);
     };
+    if matches!(duty, Duty::Maintain(wave) if world.maintained(wave).contains(&number)) {
+        return reply::value(&json!({}));
+    }
     if world.hosts[number].loss.is_some() {
         return Response::json(StatusCode::CONFLICT, r#"{"reason":"down"}"#);
     }
@@ -76,9 +149,13 @@
         return Response::json(StatusCode::CONFLICT, r#"{"reason":"busy"}"#);
     }
     world.end_life(number, "moved");
-    if let Some(pool) = pool {
-        world.hosts[number].pool = pool.to_owned();
+    let now = Instant::now();
+    let host = &mut world.hosts[number];
+    if let Duty::Move(pool) = &duty {
+        host.pool.clone_from(pool);
     }
-    world.hosts[number].back = Some(Instant::now() + DUTY_TIME);
+    host.is_maintained = matches!(duty, Duty::Maintain(_));
+    host.back = Some(now + DUTY_TIME);
+    world.duties.push(DutyRecord { host: number, duty, began: now });
     reply::value(&json!({}))
 }
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -20,10 +20,11 @@
 use fuchsiamill_http::Bounds;
 use monoio::time::sleep;
 
+pub use hosts::{DUTY_TIME, Duty, DutyRecord, Loss};
 pub use narrow_link::NarrowLinks;
 pub use rows::{Rows, StoreFault};
 pub use workers::HEALTH_PATH;
-pub use world::{Loss, RunRecord, Worker, WorkerFault, World};
+pub use world::{LASTING, RunRecord, Worker, WorkerFault, World};
 
 use crate::{proxy, reply, run::block_on};
 
@@ -44,14 +45,21 @@
 impl FleetSite {
     /// Starts the stand-in with `count` hosts in each of `pools` and as many in the pool `spare`.
     pub fn start(listen: SocketAddr, pools: &[&str], count: usize) -> Result<Self> {
-        let world = Arc::new(Mutex::new(World::default()));
-        let pools: Vec<String> = pools.iter().map(|it| (*it).to_owned()).collect();
+        let pools: Vec<(&str, usize)> = pools.iter().map(|it| (*it, count)).collect();
+        Self::start_pools(listen, &pools, "spare")
+    }
+
+    /// Starts the stand-in with so many hosts in each of `pools`; those of the pool `spare` are off.
+    pub fn start_pools(listen: SocketAddr, pools: &[(&str, usize)], spare: &str) -> Result<Self> {
+        let world = World::with_spare(spare);
+        let world = Arc::new(Mutex::new(world));
+        let pools: Vec<(String, usize)> = pools.iter().map(|it| (it.0.to_owned(), it.1)).collect();
         let (tx, rx) = mpsc::channel();
         let shared = world.clone();
         thread::Builder::new().name("fleet".into()).spawn(move || {
             block_on(async move {
                 // The other side waits for it.
-                let _ = tx.send(serve(listen, &shared, &pools, count));
+                let _ = tx.send(serve(listen, &shared, &pools));
                 loop {
                     sleep(TICK).await;
                     lock(&shared).tick();
@@ -71,14 +79,13 @@
 fn serve(
     listen: SocketAddr,
     world: &Arc<Mutex<World>>,
-    pools: &[String],
-    count: usize,
+    pools: &[(String, usize)],
 ) -> Result<(SocketAddr, SocketAddr, SocketAddr)> {
     let bounds = Bounds { body_bytes: 8 * 1024 * 1024, connections: 4_096, ..Bounds::default() };
     let store = reply::serve(listen, bounds, std::rc::Rc::new(rows::Port(world.clone())))?;
     let hosts = reply::serve(listen, bounds, std::rc::Rc::new(hosts::Port(world.clone())))?;
-    for pool in pools {
-        for _ in 0..count {
+    for (pool, count) in pools {
+        for _ in 0..*count {
             let number = lock(world).add_host(pool);
             let port = workers::Port { world: world.clone(), host: number };
             let addr = reply::serve(listen, bounds, std::rc::Rc::new(port))?;
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -198,7 +198,10 @@
         .iter()
         .map(|(task, it)| {
             let left = it.until.saturating_duration_since(Instant::now()).as_millis() as u64;
-            let percent = 100 - (left * 100 / it.work_ms.max(1)).min(100);
+            let percent = match it.is_lasting {
+                true => 100,
+                false => 100 - (left * 100 / it.work_ms.max(1)).min(100),
+            };
             json!([task, it.run, "", percent, 0])
         })
         .collect();
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -8,7 +8,11 @@
 
 use serde_json::json;
 
-use super::{narrow_link::NarrowLinks, rows::Rows};
+use super::{
+    hosts::{DutyRecord, Host, Loss},
+    narrow_link::NarrowLinks,
+    rows::Rows,
+};
 
 /// How a worker treats its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -52,18 +56,17 @@
     pub run: u64,
     pub until: Instant,
     pub work_ms: u64,
+    /// It runs until it is stopped, and is at work from the start.
+    pub is_lasting: bool,
     pub ending: &'static str,
     pub record: usize,
 }
 
-/// How the list of hosts shows a host that is gone for good. Neither way does it tell an id of a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Loss {
-    /// It is listed as down.
-    Down,
-    /// It has no entry.
-    Unlisted,
-}
+/// The payload of tasks that run until they are stopped.
+pub const LASTING: &str = "lasting";
+
+/// How long they run if they are not stopped.
+const LASTING_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// How a run ended that was done on a worker whose life was over before anybody acknowledged it.
 const LOST_DONE: &str = "done, never acknowledged";
@@ -88,15 +91,6 @@
     pub stop_time: Duration,
 }
 
-#[derive(Debug)]
-pub(super) struct Host {
-    pub pool: String,
-    pub addr: Option<SocketAddr>,
-    pub worker: Option<Worker>,
-    pub back: Option<Instant>,
-    pub loss: Option<Loss>,
-}
-
 /// The state of everything.
 #[derive(Debug)]
 pub struct World {
@@ -111,6 +105,10 @@
     /// Workers renew their leases when they are polled; their reports and what they tell of their health get lost, also
     /// those of workers that start meanwhile.
     pub loses_reports: bool,
+    /// Every move and maintenance of a host.
+    pub duties: Vec<DutyRecord>,
+    /// The pool whose hosts are off.
+    pub(super) spare: String,
     pub(super) hosts: Vec<Host>,
     pub(super) began: Instant,
     lives: u64,
@@ -124,6 +122,8 @@
             twice: Vec::new(),
             links: None,
             loses_reports: false,
+            duties: Vec::new(),
+            spare: "spare".to_owned(),
             hosts: Vec::new(),
             began: Instant::now(),
             lives: 0,
@@ -132,22 +132,20 @@
 }
 
 impl World {
+    pub(super) fn with_spare(spare: &str) -> Self {
+        Self { spare: spare.to_owned(), ..Self::default() }
+    }
+
     /// The store's clock.
     pub fn now_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
 
-    pub(super) fn add_host(&mut self, pool: &str) -> usize {
-        let pool = pool.to_owned();
-        self.hosts.push(Host { pool, addr: None, worker: None, back: None, loss: None });
-        self.hosts.len() - 1
-    }
-
     /// Starts a host's worker anew.
     pub(super) fn boot(&mut self, host: usize, addr: SocketAddr) {
         self.hosts[host].addr = Some(addr);
         self.end_life(host, "gone");
-        if self.hosts[host].pool == "spare" {
+        if self.hosts[host].pool == self.spare {
             return;
         }
         self.lives += 1;
@@ -329,12 +327,13 @@
             self.twice.push(task.to_owned());
         }
         let Some(worker) = &mut self.hosts[host].worker else { return };
+        let is_lasting = payload == LASTING;
         let work_ms = payload.split('=').nth(1).and_then(|it| it.parse().ok()).unwrap_or(100);
         let is_sick = worker.fault == WorkerFault::Sick;
         let ending = if is_sick || payload.starts_with("fail") { "failed" } else { "done" };
         let record = self.runs.len();
-        let until = now + Duration::from_millis(work_ms);
-        let running = Running { run, until, work_ms, ending, record };
+        let time = if is_lasting { LASTING_TIME } else { Duration::from_millis(work_ms) };
+        let running = Running { run, until: now + time, work_ms, is_lasting, ending, record };
         worker.running.insert(task.to_owned(), running);
         self.runs.push(RunRecord {
             task: task.to_owned(),
