Soak: what it does to a site stands in a file of its own

Change: common/soak.rs has the faults and their end, fleet_soak.rs the seeds and the checks. Scripts, checks and bounds are as before.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -16,6 +16,7 @@
 pub mod operator;
 pub mod process;
 pub mod session;
+pub mod soak;
 pub mod waves;
 
 use std::{
--- /dev/null
+++ b/crates/daemon/tests/common/soak.rs
@@ -0,0 +1,331 @@
+//! What a soak does to a site: faults in series that overlap, and their end.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use fuchsiamill_standin::{
+    admin::RouteFault,
+    fleet::{NarrowLinks, StoreFault, Worker, WorkerFault},
+};
+
+use super::{
+    fleet::{Fleet, Process},
+    losses::Losses,
+};
+
+const ENTRY_HOSTS: usize = 3;
+const HOSTS: usize = 5;
+
+/// The most actions without a pause between them.
+const SERIES: usize = 3;
+
+/// The longest pause between two actions.
+const PAUSE_MS: u64 = 250;
+
+/// How long a paused process stands still.
+const FREEZE_MS: u64 = 2_500;
+
+/// The longest time for which the entry of a worker is gone.
+const LAPSE_MS: u64 = 3_000;
+
+/// The bandwidth of a narrow link. A poll takes some 400 bytes.
+const LINK_BYTES_PER_S: std::ops::Range<u32> = 6_000..60_000;
+
+/// Makes a second generator of a seed.
+const LATE_SEED: u64 = 0x6c61_7465;
+
+/// Makes a third generator of a seed.
+const LINK_SEED: u64 = 0x6c69_6e6b;
+
+/// How long the links of workers refuse connections: less and more than a lease.
+const REFUSE_MS: std::ops::Range<u64> = 100..7_000;
+
+/// When the next life of a worker writes its entry.
+const ENTRY_MS: u64 = 1_500;
+
+/// Settings of an entry host that is much weaker than the others.
+const WEAK: &str = "link-mbps = 10";
+
+/// How long a run goes on after the order to stop it.
+const STOP_TIME: Duration = Duration::from_millis(300);
+
+/// A site under faults.
+pub struct Soak {
+    pub fleet: Fleet,
+    rng: Rng,
+    /// Decides what makes coordinators late.
+    late_rng: Rng,
+    /// Decides what happens to the links of workers.
+    link_rng: Rng,
+    /// The way to each host's worker, through the proxy.
+    routes: Vec<SocketAddr>,
+    /// Hosts whose links refuse connections, and until when.
+    refused: Vec<(Instant, usize)>,
+    pub losses: Losses,
+    /// Entry hosts that stand still, and until when.
+    frozen: Vec<(Instant, usize)>,
+    /// Workers whose entries lapsed, and when these come back.
+    lapsed: Vec<(Instant, usize)>,
+    /// Of the configuration.
+    version: u64,
+}
+
+impl Soak {
+    /// Starts a site and the tasks that last on it; something is lost for good within `time` if `loses` holds.
+    pub fn start(seed: u64, time: Duration, loses: bool) -> Self {
+        // A generator of its own leaves the scripts of kept seeds as they were.
+        let mut late_rng = Rng::with_seed(seed ^ LATE_SEED);
+        let weak = if late_rng.bool() { WEAK } else { "" };
+        let fleet = Fleet::start_each(&[weak, "", ""], HOSTS, |_| {});
+        each_worker(&fleet, |it| it.stop_time = STOP_TIME);
+        let routes = fleet.route_workers();
+        let losses = Losses::start(&fleet, seed, loses.then_some(time));
+        Self {
+            routes,
+            losses,
+            fleet,
+            rng: Rng::with_seed(seed),
+            late_rng,
+            link_rng: Rng::with_seed(seed ^ LINK_SEED),
+            refused: Vec::new(),
+            frozen: Vec::new(),
+            lapsed: Vec::new(),
+            version: 1,
+        }
+    }
+
+    /// Does what is due and a series of actions, and pauses.
+    pub fn step(&mut self) {
+        self.thaw();
+        for _ in 0..self.rng.usize(1..=SERIES) {
+            self.act();
+        }
+        self.delay_coordinators();
+        self.lose_links();
+        self.lose_for_good();
+        thread::sleep(Duration::from_millis(self.rng.u64(0..PAUSE_MS)));
+    }
+
+    fn thaw(&mut self) {
+        let now = Instant::now();
+        for (_, entry) in self.frozen.extract_if(.., |it| it.0 <= now) {
+            self.fleet.entries[entry].signal("CONT");
+        }
+        for (_, host) in self.lapsed.extract_if(.., |it| it.0 <= now) {
+            self.fleet.site.world().list(host);
+        }
+        for (_, host) in self.refused.extract_if(.., |it| it.0 <= now) {
+            self.fleet.route_fault(self.routes[host], RouteFault::None);
+        }
+    }
+
+    /// Refuses the connections of a worker or of all, or starts a worker again under its id; its entry follows.
+    fn lose_links(&mut self) {
+        let host = self.link_rng.usize(0..self.routes.len());
+        let refused = match self.link_rng.u32(0..12) {
+            0 | 1 => vec![host],
+            2 => (0..self.routes.len()).collect(),
+            3 | 4 => return self.restart_worker(host),
+            _ => return,
+        };
+        let span = Duration::from_millis(self.link_rng.u64(REFUSE_MS));
+        for host in refused {
+            self.fleet.route_fault(self.routes[host], RouteFault::Refuse);
+            self.refused.push((Instant::now() + span, host));
+        }
+    }
+
+    fn restart_worker(&mut self, host: usize) {
+        let route = self.routes[host];
+        self.fleet.route_fault(route, RouteFault::Cut);
+        {
+            let mut world = self.fleet.site.world();
+            world.rebirth_with_former_entry(host);
+            if let Some(worker) = world.worker_mut(host) {
+                worker.stop_time = STOP_TIME;
+            }
+        }
+        self.fleet.route_fault(route, RouteFault::None);
+        let back = Instant::now() + Duration::from_millis(self.link_rng.u64(50..ENTRY_MS));
+        self.lapsed.push((back, host));
+    }
+
+    fn act(&mut self) {
+        match self.rng.u32(0..24) {
+            0 => self.freeze(),
+            1 => self.restart(),
+            2 => self.restart_several(),
+            3 | 4 => self.lose_coordinator(),
+            5 => {
+                let entry = self.any_entry();
+                if entry.hears_hup() {
+                    entry.signal("HUP");
+                }
+            }
+            6 => self.configure(),
+            7 | 8 => {
+                let fault = *self.rng.choice(&ROUTE_FAULTS).expect("a fault");
+                self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), fault);
+            }
+            9..=11 => self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), RouteFault::None),
+            12 => {
+                let fault = *self.rng.choice(&STORE_FAULTS).expect("a fault");
+                self.fleet.site.world().rows.fault = fault;
+            }
+            13 | 14 => self.fleet.site.world().rows.fault = StoreFault::None,
+            15 => self.fleet.site.world().rows.forget_history(),
+            16 => {
+                let mut world = self.fleet.site.world();
+                let host = self.rng.usize(0..world.host_count());
+                world.crash(host);
+                if let Some(worker) = world.worker_mut(host) {
+                    worker.stop_time = STOP_TIME;
+                }
+            }
+            17 | 18 => self.lapse(),
+            19 => {
+                let fault = *self.rng.choice(&WORKER_FAULTS).expect("a fault");
+                each_worker(&self.fleet, |it| it.fault = fault);
+            }
+            _ => {
+                let fault = *self.rng.choice(&WORKER_FAULTS).expect("a fault");
+                let mut world = self.fleet.site.world();
+                let host = self.rng.usize(0..world.host_count());
+                if let Some(worker) = world.worker_mut(host) {
+                    worker.fault = fault;
+                }
+            }
+        }
+    }
+
+    /// Narrows the link to the workers, silences the feed of jobs, or ends both.
+    fn delay_coordinators(&mut self) {
+        let mut world = self.fleet.site.world();
+        match self.late_rng.u32(0..12) {
+            0 => world.links = Some(NarrowLinks::new(self.late_rng.u32(LINK_BYTES_PER_S))),
+            1 => world.rows.mute_feed = Some("jobs"),
+            2 | 3 => world.links = None,
+            4 | 5 => world.rows.mute_feed = None,
+            _ => {}
+        }
+    }
+
+    fn any_entry(&mut self) -> &Process {
+        &self.fleet.entries[self.rng.usize(0..ENTRY_HOSTS)]
+    }
+
+    fn is_frozen(&self, entry: usize) -> bool {
+        self.losses.silent == Some(entry) || self.frozen.iter().any(|it| it.1 == entry)
+    }
+
+    fn lose_for_good(&mut self) {
+        self.losses.act(&self.fleet, |entry| self.frozen.iter().any(|it| it.1 == entry));
+    }
+
+    fn freeze(&mut self) {
+        let entry = self.rng.usize(0..ENTRY_HOSTS);
+        if !self.is_frozen(entry) {
+            self.fleet.entries[entry].signal("STOP");
+            let span = Duration::from_millis(self.rng.u64(100..FREEZE_MS));
+            self.frozen.push((Instant::now() + span, entry));
+        }
+    }
+
+    fn restart(&mut self) {
+        let entry = self.rng.usize(0..ENTRY_HOSTS);
+        if !self.is_frozen(entry) {
+            self.fleet.entries[entry].replace(self.rng.bool());
+        }
+    }
+
+    /// Several shut down at once while a configuration comes, one after another is up again.
+    fn restart_several(&mut self) {
+        let first = self.rng.usize(0..ENTRY_HOSTS);
+        let others = (0..ENTRY_HOSTS).filter(|it| *it != first && !self.is_frozen(*it));
+        let others: Vec<usize> = others.collect();
+        others.iter().for_each(|it| self.fleet.entries[*it].signal("TERM"));
+        self.configure();
+        for entry in others {
+            self.fleet.entries[entry].wait_end();
+            self.fleet.entries[entry].restart();
+        }
+    }
+
+    fn lose_coordinator(&mut self) {
+        if let Some(leader) = self.fleet.coordinator().filter(|it| !self.is_frozen(*it)) {
+            self.fleet.entries[leader].replace(false);
+        }
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        let queues: &[&str] = if self.rng.bool() { &["/jobs/"] } else { &["/jobs/", "/other/"] };
+        self.fleet.configure(self.version, queues);
+    }
+
+    fn lapse(&mut self) {
+        let mut world = self.fleet.site.world();
+        let host = self.rng.usize(0..world.host_count());
+        let back = Instant::now() + Duration::from_millis(self.rng.u64(50..LAPSE_MS));
+        world.lapse(host);
+        self.lapsed.push((back, host));
+    }
+
+    /// Ends all faults but what is lost for good.
+    pub fn heal(&mut self) {
+        for (_, entry) in self.frozen.drain(..) {
+            self.fleet.entries[entry].signal("CONT");
+        }
+        for entry in 0..ENTRY_HOSTS {
+            self.fleet.store_fault(entry, RouteFault::None);
+        }
+        {
+            let mut world = self.fleet.site.world();
+            world.rows.fault = StoreFault::None;
+            world.rows.mute_feed = None;
+            world.links = None;
+        }
+        for (_, host) in self.lapsed.drain(..) {
+            self.fleet.site.world().list(host);
+        }
+        for (_, host) in self.refused.drain(..) {
+            self.fleet.route_fault(self.routes[host], RouteFault::None);
+        }
+        each_worker(&self.fleet, |it| it.fault = WorkerFault::None);
+    }
+}
+
+fn each_worker(fleet: &Fleet, mut act: impl FnMut(&mut Worker)) {
+    let mut world = fleet.site.world();
+    for host in 0..world.host_count() {
+        if let Some(worker) = world.worker_mut(host) {
+            act(worker);
+        }
+    }
+}
+
+const ROUTE_FAULTS: [RouteFault; 5] = [
+    RouteFault::Delay { ms: 150 },
+    RouteFault::Cut,
+    RouteFault::HoldForward,
+    RouteFault::HoldBack,
+    RouteFault::HoldBoth,
+];
+
+const STORE_FAULTS: [StoreFault; 4] =
+    [StoreFault::Down, StoreFault::Silent, StoreFault::Slow(200), StoreFault::LoseAnswers(40)];
+
+const WORKER_FAULTS: [WorkerFault; 8] = [
+    WorkerFault::None,
+    WorkerFault::None,
+    WorkerFault::Silent,
+    WorkerFault::AnswersLost,
+    WorkerFault::Late(1_500),
+    WorkerFault::StopsLate(1_000),
+    WorkerFault::StopsLate(6_000),
+    WorkerFault::OrdersLate(1_500),
+];
