--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -16,6 +16,8 @@
 pub mod operator;
 pub mod process;
 pub mod session;
+pub mod soak;
+pub mod standing;
 pub mod waves;
 
 use std::{
