The log tells how long each part of a takeover took

The log had the times of `lease-taken` and `state-loaded` only, so that nothing told where the rest went.

Change: with its first start a new coordinator writes the line `takeover-done` with the parts in milliseconds (noticed, taken, loaded, polled, placed, recorded, sent) and their sum. The row of the lease tells no time, so the sum begins when the new coordinator saw the former's last write, at most one poll of the lease later. No decision changes.

--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -68,6 +68,12 @@
     pub former: LeaseRow,
     /// What is known about the former holder.
     pub holder_state: HolderState,
+    /// When this process first saw the former holder's last write of the row.
+    pub last_write_seen: Moment,
+    /// When this process found that the former holder does not coordinate or does not answer.
+    pub noticed: Moment,
+    /// When this process found that it holds the lease.
+    pub taken: Moment,
 }
 
 /// An attempt to take the lease that the store did not answer.
@@ -85,6 +91,8 @@
 struct Observations {
     /// The last version of the row, and when this process first saw it.
     last: Option<(u64, Moment)>,
+    /// Since when the holder has been found not to coordinate or not to answer, without an answer since.
+    noticed: Option<Moment>,
     /// Since when the lease has been free to take.
     free_since: Option<Moment>,
     unanswered: Option<UnansweredTake>,
@@ -104,6 +112,15 @@
         self.last = Some((version, since));
         now.since(since)
     }
+
+    fn note_state(&mut self, state: LeaseState, now: Moment) {
+        match state {
+            LeaseState::Held => self.noticed = None,
+            LeaseState::Uncertain | LeaseState::Free(_) => {
+                self.noticed.get_or_insert(now);
+            }
+        }
+    }
 }
 
 impl Election {
@@ -148,14 +165,16 @@
     ) -> NextStep {
         if let Some(it) = observed.unanswered.take_if(|it| it.row == row) {
             let lease = Lease::from_unanswered_take(self.store.clone(), row, version, store_ms);
-            return self.won(lease, it.former, it.holder_state);
+            return self.won(observed, lease, it.former, it.holder_state);
         }
         if observed.unanswered.take_if(|it| it.after != version).is_some() {
             self.term.set(0);
         }
         let now = self.clock.now();
         let unchanged_ms = observed.unchanged_ms(version, now);
-        let holder_state = match self.lease_state(&row, unchanged_ms).await {
+        let state = self.lease_state(&row, unchanged_ms).await;
+        observed.note_state(state, self.clock.now());
+        let holder_state = match state {
             LeaseState::Free(holder_state) => holder_state,
             state => {
                 observed.free_since = None;
@@ -219,7 +238,7 @@
         // Set before the row is written: a process that reads the new row and asks must not be told an older term.
         self.term.set(row.term);
         match Lease::try_take(self.store.clone(), row.clone(), version).await {
-            TakeOutcome::Held(lease) => return self.won(lease, former, holder_state),
+            TakeOutcome::Held(lease) => return self.won(observed, lease, former, holder_state),
             // An earlier unanswered attempt may have taken the lease; the next poll finds out.
             TakeOutcome::Conflict if observed.unanswered.is_some() => {}
             TakeOutcome::Conflict => self.term.set(0),
@@ -231,8 +250,17 @@
         NextStep::Pause(RECHECK_INTERVAL_MS)
     }
 
-    fn won(&self, lease: Lease, former: LeaseRow, holder_state: HolderState) -> NextStep {
+    fn won(
+        &self,
+        observed: &Observations,
+        lease: Lease,
+        former: LeaseRow,
+        holder_state: HolderState,
+    ) -> NextStep {
         tracing::info!(event = "lease-taken", term = lease.term(), former = %former.holder);
-        NextStep::Won(WonLease { lease, former, holder_state })
+        let taken = self.clock.now();
+        let noticed = observed.noticed.unwrap_or(taken);
+        let last_write_seen = observed.last.map_or(noticed, |it| it.1);
+        NextStep::Won(WonLease { lease, former, holder_state, last_write_seen, noticed, taken })
     }
 }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -32,6 +32,7 @@
     standing::HolderState,
     start_queue::{StartQueue, StartQueueContext},
     takeover::{stronger_available, takeover, watch_former, watch_stronger},
+    takeover_log::TakeoverLog,
     waits::WaitLog,
 };
 use crate::tables;
@@ -88,6 +89,7 @@
     load_log: LoadLog,
     wait_log: WaitLog,
     pub(super) start_queue: StartQueue,
+    pub(super) takeover_log: TakeoverLog,
 }
 
 impl Leader {
@@ -112,14 +114,14 @@
     }
 
     /// Loads the state and starts the tasks that send events; fails if the lease is lost or left meanwhile.
-    async fn start(cx: Candidate, won: WonLease) -> Result<Self, LeaveReason> {
+    async fn start(cx: Candidate, mut won: WonLease) -> Result<Self, LeaveReason> {
         let taken = cx.clock.now();
-        let WonLease { mut lease, former, holder_state } = won;
-        let store_offset = (lease.store_ms(), taken);
+        let holder_state = won.holder_state;
+        let store_offset = (won.lease.store_ms(), taken);
         let state = load(&cx, takeover(&cx, holder_state, taken), store_offset.0);
         let stronger = stronger_available(cx.entries.clone(), cx.clock, cx.keeps_until);
-        let Some(loaded) = renew_while(&mut lease, unless(stronger, state)).await? else {
-            release(&mut lease).await;
+        let Some(loaded) = renew_while(&mut won.lease, unless(stronger, state)).await? else {
+            release(&mut won.lease).await;
             return Err(LeaveReason::Yielding);
         };
         let Loaded {
@@ -130,6 +132,8 @@
             waves,
             orphans,
         } = loaded;
+        let takeover_log = TakeoverLog::new(&won, cx.clock.now());
+        let WonLease { lease, former, .. } = won;
         let is_leading = Rc::new(Cell::new(true));
         let (event_sender, events) = EventSender::channel();
         if holder_state != HolderState::Stopped {
@@ -184,6 +188,7 @@
         });
         Ok(Self {
             start_queue,
+            takeover_log,
             coordinator,
             unreadable_workers,
             links: FastMap::default(),
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -18,6 +18,7 @@
 mod standing;
 mod start_queue;
 mod takeover;
+mod takeover_log;
 mod waits;
 
 use std::{cell::Cell, rc::Rc};
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -64,6 +64,7 @@
         let now = self.cx.clock.now();
         match event {
             LinkEvent::Reported(id, report) => {
+                self.takeover_log.note_polled(now);
                 self.log_ends(&id, &report);
                 self.coordinator.worker_reported(&id, report, now);
                 self.log_overdue(&id, now);
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -18,8 +18,10 @@
         for order in self.coordinator.take_orders() {
             self.execute(order);
         }
-        let own_room = self.link_context.lateness.borrow_mut().start_room(self.cx.clock.now());
-        self.start_queue.flush(own_room);
+        let now = self.cx.clock.now();
+        let own_room = self.link_context.lateness.borrow_mut().start_room(now);
+        let sent = self.start_queue.flush(own_room);
+        self.takeover_log.note_sent(sent, now);
     }
 
     fn execute(&mut self, order: Order) {
@@ -90,6 +92,8 @@
         }
         let accepted_by = job.map(|it| it.spec.accepted_by.clone()).unwrap_or_default();
         self.start_queue.start(&accepted_by, &link, start);
+        // A start is released by the commit of its record, before the next transaction begins.
+        self.takeover_log.note_recorded(self.last_commit_begin, self.last_commit);
     }
 
     fn count_order(&self, order: &Order) {
--- a/crates/site/src/lead/start_queue.rs
+++ b/crates/site/src/lead/start_queue.rs
@@ -119,18 +119,19 @@
     }
 
     /// Sends as many of the waiting starts as `own_room` and the other senders take now, and gives up those that waited
-    /// too long.
-    pub fn flush(&mut self, own_room: usize) {
+    /// too long. Returns how many were sent or handed over.
+    pub fn flush(&mut self, own_room: usize) -> usize {
         let now = self.cx.clock.now();
         let mut own = std::mem::take(&mut self.own);
         self.give_up_old(&self.cx.own_address, &mut own, now);
         let count = own_room.min(own.len());
         own.drain(..count).for_each(|it| it.handed.0.start(it.handed.1));
         self.own = own;
-        self.flush_others(now);
+        count + self.flush_others(now)
     }
 
-    fn flush_others(&mut self, now: Moment) {
+    fn flush_others(&mut self, now: Moment) -> usize {
+        let mut sent = 0;
         for (address, mut queue) in std::mem::take(&mut self.queued) {
             self.give_up_old(&address, &mut queue, now);
             let count = self.handover.borrow_mut().take(&address).min(queue.len());
@@ -138,10 +139,12 @@
             if !queue.is_empty() {
                 self.queued.insert(address.clone(), queue);
             }
+            sent += batch.len();
             if !batch.is_empty() {
                 self.hand_over(&address, batch, now);
             }
         }
+        sent
     }
 
     fn give_up_old(&self, sender: &Name, queue: &mut VecDeque<Waiting>, now: Moment) {
