A new coordinator polls workers with runs whose entries have lapsed

Cause: where a worker takes orders stands in its entry only. The former coordinator remembers it and goes on polling. The next one knows the worker from the records of its runs, has no address, and waits until no lease can hold them.

Change: when a worker with runs leaves the list, the coordinator stores its address, pool, size and the start of its life (100 workers at most, one row, in a transaction without the board row, so that none gets larger). The next one polls those that it knows from records of runs of the same life. They take no new tasks; without an answer the wait is as before. An address of another life is ignored, since a refusal from there would end a run that is alive.

Test: lapsed_entries (processes; coordinator killed, silent): both runs lapsed on, both go on with this change in three runs. unlisted_workers in fleet. any_order, any_turn and any_cancel play takeovers with this row, stored or out of date, and pass. All tests of fleet, fleet_path, fleet_soak, next_lives, lost_together and recovery_times pass, one run each beside other work.

--- a/crates/fleet/src/coordinator/ending.rs
+++ b/crates/fleet/src/coordinator/ending.rs
@@ -96,7 +96,7 @@
 
     /// Returns whether a worker has or may have runs, known ones or not, so that it has to be polled.
     pub fn has_runs(&self, worker: &str) -> bool {
-        self.late_starts.contains_key(worker)
+        self.lives.late_starts.contains_key(worker)
             || self.workers.get(worker).is_some_and(|it| !it.live.is_empty() || it.reports_runs)
     }
 
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -47,6 +47,7 @@
 pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
 pub use job::{Job, Task, TaskState, objective_ms};
 pub use live::{LiveRun, Phase};
+pub use lives::UnlistedWorker;
 pub use orders::Order;
 pub use outbox::Commit;
 pub use pool_view::PoolNeed;
@@ -79,7 +80,7 @@
     expiring: FastSet<Name>,
     workers: FastMap<Name, Worker>,
     /// Workers whose next life may carry out starts that were meant for the former one, each with the end of that time.
-    late_starts: FastMap<Name, Moment>,
+    lives: lives::Lives,
     used_by_team: FastMap<Name, Resources>,
     recent_jobs: FastMap<Name, VecDeque<Moment>>,
     /// Cancellations of jobs that were not accepted yet.
@@ -130,7 +131,7 @@
             ended_jobs: FastMap::default(),
             expiring: FastSet::default(),
             workers: FastMap::default(),
-            late_starts: FastMap::default(),
+            lives: lives::Lives::default(),
             used_by_team: FastMap::default(),
             recent_jobs: FastMap::default(),
             early_cancels: FastMap::default(),
@@ -385,11 +386,6 @@
     pub fn workers(&self) -> &FastMap<Name, Worker> {
         &self.workers
     }
-
-    /// Returns the number of jobs that have not ended, or whose last runs are being stopped.
-    pub fn open_jobs(&self) -> usize {
-        self.jobs.len()
-    }
 }
 
 /// The window over which a team's jobs are counted against its weight.
--- a/crates/fleet/src/coordinator/retention.rs
+++ b/crates/fleet/src/coordinator/retention.rs
@@ -24,6 +24,11 @@
 }
 
 impl Coordinator {
+    /// Returns the number of jobs that have not ended, or whose last runs are being stopped.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Returns at most `most` ended jobs that were kept for `Timing::retention_ms`; their rows may be deleted.
     pub fn take_expired(&mut self, now: Moment, most: usize) -> Vec<Name> {
         let is_expired = |it: &EndedJob| now.since(it.at) >= self.timing.retention_ms;
--- a/crates/fleet/src/coordinator/tick.rs
+++ b/crates/fleet/src/coordinator/tick.rs
@@ -27,7 +27,7 @@
         self.end_near_waits(now);
         self.end_advice_waits(now);
         self.ask_health(now);
-        self.late_starts.retain(|_, until| now < *until);
+        self.lives.late_starts.retain(|_, until| now < *until);
         self.needs_placing |= now.since(self.last_placed) >= PLACE_AGAIN_MS;
         let lease = with_drift(self.timing.lease_ms);
         let lapsed: Vec<Name> = self
--- a/crates/fleet/tests/common/events.rs
+++ b/crates/fleet/tests/common/events.rs
@@ -130,6 +130,11 @@
         {
             self.stored.extend(commit.records);
         }
+        if let Some(unlisted) = self.coordinator.take_unlisted_workers()
+            && is_stored
+        {
+            self.unlisted = unlisted;
+        }
         let renewals = with_drift(self.timing.renewal_ms);
         let renewals_end = if is_over { self.now } else { self.now + renewals };
         self.former_until = if is_over { Moment(0) } else { self.now + self.timing.renewal_ms };
@@ -139,13 +144,15 @@
         self.drop_stops();
         let takeover = Takeover { renewals_end, at: self.now };
         self.coordinator = Coordinator::new(self.timing.clone(), self.config.clone(), takeover);
-        // In the order of `load` in the site crate: workers, then jobs, then cancellations.
+        // In the order of `load` in the site crate: workers, then jobs, then unlisted workers.
         self.list_workers();
         let wall = self.wall();
         for (id, spec) in &self.specs {
             let record = self.stored.get(id);
             self.coordinator.accept(id.clone(), spec.clone(), record, self.now, wall);
         }
+        let unlisted = self.unlisted.iter().cloned();
+        unlisted.for_each(|it| self.coordinator.worker_remembered(it));
         self.cancelled.values_mut().for_each(|it| *it = false);
         self.read_cancellations();
     }
--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -9,7 +9,7 @@
 
 use fuchsiamill_fleet::{
     Config, Coordinator, Ending, JobRecord, JobSpec, Name, Stage, TaskId, Timing,
-    coordinator::{Commit, DutyReply, Takeover},
+    coordinator::{Commit, DutyReply, Takeover, UnlistedWorker},
 };
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
@@ -45,6 +45,8 @@
     pub(super) delivery: Delivery,
     pub(super) specs: BTreeMap<Name, Arc<JobSpec>>,
     pub(super) stored: BTreeMap<Name, JobRecord>,
+    /// Workers with runs whose list entries had expired, as a coordinator stored them last.
+    pub(super) unlisted: Vec<UnlistedWorker>,
     /// Jobs with a stored cancellation, and whether this coordinator has read it.
     pub(super) cancelled: BTreeMap<Name, bool>,
     pub(super) pending_commit: Option<Commit>,
@@ -89,6 +91,7 @@
             delivery,
             specs: BTreeMap::new(),
             stored: BTreeMap::new(),
+            unlisted: Vec::new(),
             cancelled: BTreeMap::new(),
             pending_commit: None,
             fence: 1,
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -37,8 +37,10 @@
         let records = self.coordinator.next_commit().unwrap_or_default().records;
         let waves = self.coordinator.take_wave_records();
         let ordered = self.coordinator.take_recent_orders();
+        let unlisted = self.coordinator.take_unlisted_workers();
         let is_due = now.since(self.last_commit) >= RENEW_INTERVAL_MS;
-        if records.is_empty() && waves.is_empty() && ordered.is_none() && !is_due {
+        let is_empty = records.is_empty() && waves.is_empty();
+        if is_empty && ordered.is_none() && unlisted.is_none() && !is_due {
             // Orders that depend on no record can be released without a transaction.
             self.coordinator.committed(now);
             return;
@@ -49,7 +51,10 @@
         if let Some(ordered) = ordered {
             puts.push(self.host_orders_row(ordered));
         }
-        if now.since(self.board_written) >= BOARD_INTERVAL_MS {
+        if let Some(unlisted) = unlisted {
+            tracing::info!(event = "unlisted-workers-stored", count = unlisted.len());
+            puts.push((tables::unlisted_workers_key(), encode(&unlisted)));
+        } else if now.since(self.board_written) >= BOARD_INTERVAL_MS {
             self.board_written = now;
             let usable =
                 self.coordinator.workers().values().filter(|it| it.takes_tasks(now)).count();
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -4,7 +4,7 @@
 
 use fuchsiamill_fleet::{
     Coordinator, JobRecord, JobSpec, Name, RecordKey,
-    coordinator::{Takeover, WaveRecord},
+    coordinator::{Takeover, UnlistedWorker, WaveRecord},
 };
 use fuchsiamill_model::{FastMap, FastSet, units::Moment};
 use fuchsiamill_platform::{InvalidEntry, Row, read_worker, tables as shared};
@@ -65,6 +65,7 @@
         let record = records.get(&row.key.key).map_or(&[][..], Vec::as_slice);
         apply_job(&mut coordinator, row, record, cx);
     }
+    apply_unlisted_workers(&mut coordinator, &own);
     let known: FastSet<&Name> = jobs.iter().map(|it| &it.key.key).collect();
     // While some job rows are unreadable, a progress row without a job may belong to one of them. It is kept for a
     // coordinator that can read them.
@@ -118,6 +119,15 @@
     }
 }
 
+/// Passes on where workers take orders that have runs and whose entries are gone.
+fn apply_unlisted_workers(coordinator: &mut Coordinator, rows: &[Row]) {
+    let Some(row) = rows.iter().find(|it| it.key == tables::unlisted_workers_key()) else { return };
+    match serde_json::from_slice::<Vec<UnlistedWorker>>(&row.value) {
+        Ok(stored) => stored.into_iter().for_each(|it| coordinator.worker_remembered(it)),
+        Err(e) => tracing::error!(event = "unlisted-workers-unreadable", error = %e),
+    }
+}
+
 fn read_wave_record(row: &Row) -> Option<(u64, WaveRecord)> {
     let number = row.key.key.strip_prefix(tables::WAVE_PREFIX)?.parse().ok()?;
     let record = serde_json::from_slice(&row.value)
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -84,6 +84,11 @@
     Key::new(COORDINATOR, COORDINATOR_PART, "host-orders")
 }
 
+/// Returns the key of the row of workers with runs that are no longer in the worker list.
+pub fn unlisted_workers_key() -> Key {
+    Key::new(COORDINATOR, COORDINATOR_PART, "unlisted-workers")
+}
+
 /// Returns the key of the row in which an entry host publishes its address and strength.
 pub fn entry_key(name: &str) -> Key {
     Key::new(COORDINATOR, ENTRY_PART, name)
