--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -68,6 +68,12 @@
     pub former: LeaseRow,
     /// What is known about the former holder.
     pub holder_state: HolderState,
+    /// When this process first saw the former holder's last write of the row.
+    pub last_write_seen: Moment,
+    /// When this process found that the former holder does not coordinate or does not answer.
+    pub noticed: Moment,
+    /// When this process found that it holds the lease.
+    pub taken: Moment,
 }
 
 /// An attempt to take the lease that the store did not answer.
@@ -85,6 +91,8 @@
 struct Observations {
     /// The last version of the row, and when this process first saw it.
     last: Option<(u64, Moment)>,
+    /// Since when the holder has been found not to coordinate or not to answer, without an answer since.
+    noticed: Option<Moment>,
     /// Since when the lease has been free to take.
     free_since: Option<Moment>,
     unanswered: Option<UnansweredTake>,
@@ -96,13 +104,22 @@
 }
 
 impl Observations {
-    fn unchanged_ms(&mut self, version: u64, now: Moment) -> u64 {
+    fn unchanged_since(&mut self, version: u64, now: Moment) -> Moment {
         let since = match self.last {
             Some((seen, since)) if seen == version => since,
             _ => now,
         };
         self.last = Some((version, since));
-        now.since(since)
+        since
+    }
+
+    fn note_state(&mut self, state: LeaseState, now: Moment) {
+        match state {
+            LeaseState::Held => self.noticed = None,
+            LeaseState::Uncertain | LeaseState::Free(_) => {
+                self.noticed.get_or_insert(now);
+            }
+        }
     }
 }
 
@@ -148,14 +165,16 @@
     ) -> NextStep {
         if let Some(it) = observed.unanswered.take_if(|it| it.row == row) {
             let lease = Lease::from_unanswered_take(self.store.clone(), row, version, store_ms);
-            return self.won(lease, it.former, it.holder_state);
+            return self.won(observed, lease, it.former, it.holder_state);
         }
         if observed.unanswered.take_if(|it| it.after != version).is_some() {
             self.term.set(0);
         }
+        let since = observed.unchanged_since(version, self.clock.now());
+        let state = self.lease_state(&row, since).await;
         let now = self.clock.now();
-        let unchanged_ms = observed.unchanged_ms(version, now);
-        let holder_state = match self.lease_state(&row, unchanged_ms).await {
+        observed.note_state(state, now);
+        let holder_state = match state {
             LeaseState::Free(holder_state) => holder_state,
             state => {
                 observed.free_since = None;
@@ -186,24 +205,25 @@
         self.read().await.is_ok_and(|it| it.1 == version)
     }
 
-    /// Returns whether a holder in this state, whose row has not changed for this time, leaves the lease to others.
-    fn is_silent(&self, holder_state: HolderState, unchanged_ms: u64) -> bool {
+    /// Returns whether a holder in this state, whose row is unchanged since this moment, leaves the lease to others. The
+    /// row was read before the holder was asked; if the holder has written it since, the take fails.
+    fn is_silent(&self, holder_state: HolderState, unchanged_since: Moment) -> bool {
         let margin = self.store.typical_latency() * SILENCE_RESPONSE_TIMES;
         let silence_ms = match holder_state {
             HolderState::Refusing => REFUSING_SILENCE_MS,
             _ => SILENCE_MS,
         };
-        unchanged_ms >= silence_ms + margin.as_millis() as u64
+        self.clock.now().since(unchanged_since) >= silence_ms + margin.as_millis() as u64
     }
 
-    async fn lease_state(&self, row: &LeaseRow, unchanged_ms: u64) -> LeaseState {
+    async fn lease_state(&self, row: &LeaseRow, unchanged_since: Moment) -> LeaseState {
         let was_self = row.holder == self.own.holder && row.incarnation != self.own.incarnation;
         if row.holder.is_empty() || was_self {
             return LeaseState::Free(HolderState::Stopped);
         }
         match query_holder(row).await {
             HolderState::Stopped => LeaseState::Free(HolderState::Stopped),
-            it if self.is_silent(it, unchanged_ms) => LeaseState::Free(HolderState::Unknown),
+            it if self.is_silent(it, unchanged_since) => LeaseState::Free(HolderState::Unknown),
             HolderState::Refusing | HolderState::Unknown => LeaseState::Uncertain,
             HolderState::Active => LeaseState::Held,
         }
@@ -219,7 +239,7 @@
         // Set before the row is written: a process that reads the new row and asks must not be told an older term.
         self.term.set(row.term);
         match Lease::try_take(self.store.clone(), row.clone(), version).await {
-            TakeOutcome::Held(lease) => return self.won(lease, former, holder_state),
+            TakeOutcome::Held(lease) => return self.won(observed, lease, former, holder_state),
             // An earlier unanswered attempt may have taken the lease; the next poll finds out.
             TakeOutcome::Conflict if observed.unanswered.is_some() => {}
             TakeOutcome::Conflict => self.term.set(0),
@@ -231,8 +251,17 @@
         NextStep::Pause(RECHECK_INTERVAL_MS)
     }
 
-    fn won(&self, lease: Lease, former: LeaseRow, holder_state: HolderState) -> NextStep {
+    fn won(
+        &self,
+        observed: &Observations,
+        lease: Lease,
+        former: LeaseRow,
+        holder_state: HolderState,
+    ) -> NextStep {
         tracing::info!(event = "lease-taken", term = lease.term(), former = %former.holder);
-        NextStep::Won(WonLease { lease, former, holder_state })
+        let taken = self.clock.now();
+        let noticed = observed.noticed.unwrap_or(taken);
+        let last_write_seen = observed.last.map_or(noticed, |it| it.1);
+        NextStep::Won(WonLease { lease, former, holder_state, last_write_seen, noticed, taken })
     }
 }
