--- a/crates/fleet/src/coordinator/lives.rs
+++ b/crates/fleet/src/coordinator/lives.rs
@@ -61,7 +61,7 @@
         }
         let is_kept = |it: &&Worker| it.unlisted && it.seen.born != 0 && !it.live.is_empty();
         let mut kept: Vec<&Worker> = self.workers.values().filter(is_kept).collect();
-        kept.sort_by_key(|it| (it.long_running == Resources::default(), &it.seen.id));
+        kept.sort_by_key(|it| (it.long_running == 0, &it.seen.id));
         let unlisted = kept.into_iter().take(MAX_UNLISTED).map(|it| UnlistedWorker {
             id: it.seen.id.clone(),
             born: it.seen.born,
