Tasks of several steps that wait for room ask for hosts together

Seen: a pool with two steps of long-running tasks that waited for room got one host, which one of them took, and asked for the next one after that; the other one waited for 7.1 s, with a bound of 7.1 s for the whole. Cause: the hosts for tasks that wait were the most that one step fills, not what all fill. Change: the tasks that wait are placed on empty hosts one step after the other, and these are counted. Steps share a host that has room for both.

--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -107,9 +107,21 @@
         host.times(self.size).clamp(1, self.per_worker.max(1))
     }
 
-    /// Returns how many empty hosts of this capacity the tasks fill.
-    fn hosts(&self, host: Resources) -> u64 {
-        self.tasks.div_ceil(self.tasks_per(host))
+    /// Returns how many of the tasks fit into this room.
+    fn places(&self, free: Resources) -> u64 {
+        free.times(self.size).min(self.per_worker)
+    }
+
+    /// Returns what so many of the tasks leave of a room.
+    fn rest(&self, free: Resources, tasks: u64) -> Resources {
+        let part = |has: u32, needs: u32| {
+            u64::from(has).saturating_sub(u64::from(needs).saturating_mul(tasks)) as u32
+        };
+        Resources {
+            millicores: part(free.millicores, self.size.millicores),
+            memory_mib: part(free.memory_mib, self.size.memory_mib),
+            accelerators: part(free.accelerators, self.size.accelerators),
+        }
     }
 }
 
@@ -149,8 +161,35 @@
         self.more_for_waits().map_or(0, |more| self.need.standing + more)
     }
 
+    /// Returns how many empty hosts the tasks that wait for room fill. Tasks of several steps share a host that has room for
+    /// them.
     fn more_for_waits(&self) -> Option<u64> {
-        self.waits.iter().map(|it| it.hosts(self.host)).max()
+        // Hosts with the same room left, each with their number.
+        let mut filled: Vec<(Resources, u64)> = Vec::new();
+        for wait in &self.waits {
+            let mut left = wait.tasks;
+            let mut filled_anew = Vec::new();
+            for (free, hosts) in &mut filled {
+                let on_each = wait.places(*free);
+                let used = left.checked_div(on_each).map_or(0, |it| it.min(*hosts));
+                if used > 0 {
+                    *hosts -= used;
+                    left -= used * on_each;
+                    filled_anew.push((wait.rest(*free, on_each), used));
+                }
+                if (1..on_each).contains(&left) && *hosts > 0 {
+                    *hosts -= 1;
+                    filled_anew.push((wait.rest(*free, left), 1));
+                    left = 0;
+                }
+            }
+            let on_each = wait.tasks_per(self.host);
+            filled_anew.push((wait.rest(self.host, on_each), left / on_each));
+            filled_anew.push((wait.rest(self.host, left % on_each), u64::from(left % on_each > 0)));
+            filled.extend(filled_anew);
+            filled.retain(|it| it.1 > 0);
+        }
+        (!self.waits.is_empty()).then(|| filled.iter().map(|it| it.1).sum())
     }
 
     /// Counts a host as one of the pool's.
