A claim gets hosts of every pool that has more than its own

Seen: a long-running task waited for a host although another pool had two idle ones and no such task. One that needed a label waited for ever beside the only host with it, idle in a pool of one host. Cause: a pool that has its share gives nothing. Where the host beyond a share is on its way or busy, or has not the label, a claim waits in spite of hosts that nobody claims; which pool has its share is a matter of rounding, by name. Change: for a claim, pools that have more than their claim give hosts too, after those beyond their share. They get others.

--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -233,6 +233,11 @@
     pub(super) fn beyond_share(&self) -> u64 {
         self.need.hosts.saturating_sub(self.need.share)
     }
+
+    /// Returns how many more hosts it has than it is to get for its work up to a tier.
+    pub(super) fn beyond(&self, tier: usize) -> u64 {
+        self.need.hosts.saturating_sub(self.due(tier))
+    }
 }
 
 pub(super) type Views = FastMap<Name, PoolView>;
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -60,14 +60,16 @@
         for is_claim in [true, false] {
             let mut given_up: FastSet<(Name, HostAffinity)> = FastSet::default();
             while let Some((pool, affinity)) = most_lacking(views, spare, is_claim, &given_up) {
-                match self.take_host(&mut free, views, &pool, Some(&affinity)) {
+                let tier = if is_claim { STANDING } else { TIERS - 1 };
+                match self.take_host(&mut free, views, &pool, tier, Some(&affinity)) {
                     Some(host) => moves.push((host, pool)),
                     None => drop(given_up.insert((pool, affinity))),
                 }
             }
         }
         while let Some(pool) = shortest(views, spare, |it| it.short_tier())
-            && let Some(host) = self.take_host(&mut free, views, &pool, None)
+            && let Some(tier) = views[&pool].short_tier()
+            && let Some(host) = self.take_host(&mut free, views, &pool, tier, None)
         {
             moves.push((host, pool));
         }
@@ -80,23 +82,25 @@
         free: &mut Vec<Name>,
         views: &mut Views,
         pool: &Name,
+        tier: usize,
         affinity: Option<&HostAffinity>,
     ) -> Option<Name> {
         let suits =
             |it: &Name| affinity.is_none_or(|affinity| affinity.is_met_by(self.labels_of(it)));
         let host = match free.iter().rposition(suits) {
             Some(at) => free.remove(at),
-            None => self.take_idle(views, pool, suits)?,
+            None => self.take_idle(views, pool, tier, suits)?,
         };
         views.get_mut(pool)?.add_host(self.labels_of(&host));
         Some(host)
     }
 
-    /// Takes an idle host from the pool that has most beyond its share.
+    /// Takes an idle host from the pool that has most beyond its share; for a claim, also from one that has its share.
     fn take_idle(
         &self,
         views: &mut Views,
         for_pool: &Name,
+        tier: usize,
         suits: impl Fn(&Name) -> bool,
     ) -> Option<Name> {
         let may_go = |view: &PoolView| {
@@ -106,9 +110,9 @@
         };
         let (_, view, at) = views
             .iter_mut()
-            .filter(|(name, it)| *name != for_pool && it.beyond_share() > 0)
+            .filter(|(name, it)| *name != for_pool && may_give(it, tier))
             .filter_map(|(name, it)| may_go(it).map(|at| (name, it, at)))
-            .max_by_key(|(name, it, _)| (it.beyond_share(), (*name).clone()))?;
+            .max_by_key(|(name, it, _)| (surplus(it), (*name).clone()))?;
         let (_, host) = view.idle.remove(at);
         view.remove_host(self.labels_of(&host));
         Some(host)
@@ -187,7 +191,7 @@
         }
     }
 
-    /// Returns the hosts that may be drained, by pool, of pools that have more than their share. Hosts with long-running tasks
+    /// Returns the hosts that may be drained, by pool, of pools that have more than their claim. Hosts with long-running tasks
     /// are left out. Those whose tasks end soonest come last.
     fn drainable_hosts(
         &self,
@@ -198,7 +202,7 @@
         let mut drainable: FastMap<Name, Vec<(Millisecond, usize, Name)>> = FastMap::default();
         for (name, host) in &self.hosts {
             let pool = &host.seen.pool;
-            if pool == spare || views.get(pool).is_none_or(|it| it.beyond_share() == 0) {
+            if pool == spare || views.get(pool).is_none_or(|it| !may_give(it, STANDING)) {
                 continue;
             }
             if let Some(worker) = self.worker_on(name)
@@ -232,7 +236,8 @@
         worker.live.keys().filter_map(left).max().unwrap_or(0)
     }
 
-    /// Takes the host whose tasks end soonest in the pool that has most beyond its share.
+    /// Takes the host whose tasks end soonest in the pool that has most beyond its share; for a claim, also in one that has
+    /// its share.
     fn host_to_drain(
         &self,
         drainable: &mut FastMap<Name, Vec<Name>>,
@@ -240,14 +245,14 @@
         tier: usize,
         now: Moment,
     ) -> Option<Name> {
-        let slack = |it: &PoolView| match tier {
-            STANDING => 0,
-            _ => it.need.share / SHARE_SLACK_DIVISOR,
+        let has_enough = |it: &PoolView| match tier {
+            STANDING => may_give(it, tier),
+            _ => it.beyond_share() > it.need.share / SHARE_SLACK_DIVISOR,
         };
-        let mut donors: Vec<(u64, &Name)> = drainable
+        let mut donors: Vec<((u64, u64), &Name)> = drainable
             .keys()
-            .filter(|it| views[*it].beyond_share() > slack(&views[*it]))
-            .map(|it| (views[it].beyond_share(), it))
+            .filter(|it| has_enough(&views[*it]))
+            .map(|it| (surplus(&views[it]), it))
             .collect();
         donors.sort_by(|a, b| b.cmp(a));
         let (pool, at) = donors.into_iter().find_map(|(_, pool)| {
@@ -291,6 +296,20 @@
     }
 }
 
+/// Returns whether a pool may give a host to another one that is short for this tier. Hosts beyond the claims of other pools may
+/// all be busy or on their way, so that a claim waits for them no longer than for any other host.
+fn may_give(view: &PoolView, tier: usize) -> bool {
+    match tier {
+        STANDING => view.beyond(STANDING) > 0,
+        _ => view.beyond_share() > 0,
+    }
+}
+
+/// Returns what a pool has beyond its share, and beyond its claim.
+fn surplus(view: &PoolView) -> (u64, u64) {
+    (view.beyond_share(), view.beyond(STANDING))
+}
+
 /// Returns whether present work needs more hosts than the pool has, of so many that it is to get.
 fn presses(view: &PoolView, due: u64) -> bool {
     view.need.pressing.min(due) > view.need.hosts
