A long-running task asks for a host 1 s after its step began to wait

Seen: of twelve tasks that waited, the last one asked for a host 1 s after the others had begun, and started 3.8 s after it came. Cause: the time until hosts are asked for began anew with each task of the step that was placed, though the others went on waiting. Change: the time counts from when the step was last placed as a whole.

--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -65,8 +65,8 @@
     pub reason: WaitReason,
     /// Since when none of its tasks was placed.
     pub since: Moment,
-    /// Whether none was placed for [`ROOM_WAIT_MS`] since all of them were placed last.
-    pub is_long: bool,
+    /// Since when not all of its tasks are placed.
+    pub begun: Moment,
 }
 
 /// Long-running tasks that wait for room for this long ask for further hosts, and hold room on those that there are. Tasks
@@ -81,19 +81,16 @@
         has_placed: bool,
         now: Moment,
     ) -> Self {
-        let is_long = before.is_some_and(|it| it.is_long_at(now));
         let since = before.filter(|_| !has_placed).map_or(now, |it| it.since);
-        Self { reason, since, is_long }
-    }
-
-    fn is_long_at(&self, now: Moment) -> bool {
-        self.is_long || now.since(self.since) >= ROOM_WAIT_MS
+        let begun = before.map_or(now, |it| it.begun);
+        Self { reason, since, begun }
     }
 
     /// Returns whether further hosts are asked for: the workers of its pool have been too full for a while, or have had too many
     /// of its tasks.
     pub(super) fn asks_for_room(&self, now: Moment) -> bool {
-        matches!(self.reason, WaitReason::Room | WaitReason::PerWorker) && self.is_long_at(now)
+        matches!(self.reason, WaitReason::Room | WaitReason::PerWorker)
+            && now.since(self.begun) >= ROOM_WAIT_MS
     }
 }
 
