Explorer any_pool: pools that are short of hosts

Change: random scripts on the real coordinator with hosts that follow their orders (common/pools): 2 to 5 pools, 4 to 40 hosts, short tasks far beyond these, tasks that last, hosts lost for good, waves, cancellations, takeovers. In parts without events each task that lasts and could run, by the true state of the hosts, begins within the bound of the design notes. The same script with the names of pools exchanged gives pools of the same sizes but for ties: exact equality does not hold, since pools that are short alike are served by name. Orders to hosts end nothing, no task runs twice, hosts do not go back and forth, a last wave is completed. The fleet of common/pools keeps what is stored, so that coordinators can be replaced. Test: any_pool.

--- a/crates/fleet/tests/common/pools.rs
+++ b/crates/fleet/tests/common/pools.rs
@@ -1,19 +1,27 @@
 //! Hosts that follow their orders between pools, with workers that run what they are told to and answer at once.
 
-use std::collections::BTreeMap;
+pub mod due;
+mod stored;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fuchsiamill_fleet::{
-    Config, Ending, HostInfo, HostState, JobSpec, Name, Order, Pool, RunEnd, TaskId, Timing,
+    Config, Ending, HostInfo, HostState, JobSpec, Name, Order, Pool, RunEnd, Step, TaskId, Timing,
     WorkerInfo, WorkerReport,
     coordinator::{DutyReply, HostDuty, StartReply},
     worker::Wave,
 };
 use fuchsiamill_model::{
-    FastMap,
+    Resources,
     units::{Millisecond, Moment},
 };
 
-use super::{Bench, WALL, config, host, job, list, run_info, starts, stops, worker};
+use stored::Stored;
+
+use super::{Bench, WALL, config, cores, host, job, list, run_info, starts, stops, worker};
 
 /// Time between two rounds.
 pub const ROUND_MS: Millisecond = 100;
@@ -22,17 +30,21 @@
 const STOP_MS: Millisecond = 300;
 
 /// Name of the pool of spare hosts.
-const SPARE: &str = "spare";
+pub const SPARE: &str = "spare";
+
+/// A run on a worker: its number, when it ends and how.
+type Run = (u32, Option<Moment>, Ending);
 
 /// The true state of a host.
 pub struct PoolHost {
     pub pool: String,
     pub state: HostState,
+    pub capacity: Resources,
+    pub labels: Vec<Name>,
     /// When the host is up again.
     until: Moment,
     life: u32,
-    /// The runs on its worker, each with its number and its end.
-    pub running: BTreeMap<TaskId, (u32, Option<Moment>, Ending)>,
+    pub running: BTreeMap<TaskId, Run>,
     /// How often it changed its pool.
     pub moves: u32,
 }
@@ -41,7 +53,9 @@
 pub struct PoolFleet {
     pub bench: Bench,
     pub hosts: Vec<PoolHost>,
-    pub specs: BTreeMap<Name, JobSpec>,
+    pub specs: BTreeMap<Name, Arc<JobSpec>>,
+    /// How often each task was started.
+    pub runs: BTreeMap<TaskId, u32>,
     /// Since when each long-running task has not run.
     pub idle_since: BTreeMap<TaskId, Moment>,
     /// The longest time for which a long-running task did not run, with the task.
@@ -49,8 +63,14 @@
     /// When each job was accepted and its last task done.
     pub accepted: BTreeMap<Name, Moment>,
     pub done: BTreeMap<Name, Moment>,
-    maintained: Vec<usize>,
+    /// The hosts that were maintained, each with the number of the wave.
+    maintained: Vec<(u64, usize)>,
     ends: u64,
+    config: Arc<Config>,
+    /// Workers that the coordinator has seen in the list of workers.
+    listed: BTreeSet<Name>,
+    waves: Vec<Wave>,
+    stored: Stored,
 }
 
 /// Returns a configuration with these pools and the spare pool.
@@ -71,38 +91,60 @@
     spec
 }
 
-pub fn job_in(pool: &str, steps: Vec<fuchsiamill_fleet::Step>) -> JobSpec {
+pub fn job_in(pool: &str, steps: Vec<Step>) -> JobSpec {
     in_pool(pool, job(steps))
 }
 
-impl PoolFleet {
-    /// `pools` has the pool of each host.
-    pub fn new(config: Config, pools: &[&str]) -> Self {
-        let new = |pool: &&str| PoolHost {
-            pool: (*pool).to_owned(),
+impl PoolHost {
+    pub fn new(pool: &str) -> Self {
+        Self {
+            pool: pool.to_owned(),
             state: HostState::Up,
+            capacity: cores(8),
+            labels: vec!["kind-a".into(), "rack-1".into()],
             until: Moment(0),
             life: 1,
             running: BTreeMap::new(),
             moves: 0,
-        };
+        }
+    }
+
+    pub fn has_worker(&self) -> bool {
+        self.state == HostState::Up && self.pool != SPARE
+    }
+}
+
+impl PoolFleet {
+    /// `pools` has the pool of each host.
+    pub fn new(config: Config, pools: &[&str]) -> Self {
+        let new = |pool: &&str| PoolHost::new(pool);
+        let hosts = pools.iter().map(new).collect();
+        Self::of_hosts(config, hosts)
+    }
+
+    pub fn of_hosts(config: Config, hosts: Vec<PoolHost>) -> Self {
         let mut fleet = Self {
-            bench: Bench::with(config),
-            hosts: pools.iter().map(new).collect(),
+            bench: Bench::with(config.clone()),
+            hosts,
             specs: BTreeMap::new(),
+            runs: BTreeMap::new(),
             idle_since: BTreeMap::new(),
             longest_idle: (0, None),
             accepted: BTreeMap::new(),
             done: BTreeMap::new(),
             maintained: Vec::new(),
             ends: 0,
+            config: Arc::new(config),
+            listed: BTreeSet::new(),
+            waves: Vec::new(),
+            stored: Stored::default(),
         };
         fleet.list();
         fleet
     }
 
     pub fn accept(&mut self, id: &str, spec: JobSpec) {
-        self.specs.insert(id.into(), spec.clone());
+        self.specs.insert(id.into(), Arc::new(spec.clone()));
         self.accepted.insert(id.into(), self.bench.now);
         self.bench.accept(id, spec);
     }
@@ -110,8 +152,9 @@
     /// Requests a wave of maintenance of these hosts.
     pub fn maintain(&mut self, hosts: std::ops::Range<usize>, at_once: usize) {
         let hosts = hosts.map(|it| format!("h{it}").into()).collect();
-        let wave = Wave { number: 1, hosts, within_ms: 20_000, at_once };
-        self.bench.coordinator.waves_requested(&[wave], &FastMap::default());
+        let number = self.waves.len() as u64 + 1;
+        self.waves.push(Wave { number, hosts, within_ms: 20_000, at_once });
+        self.ask_waves();
     }
 
     /// Returns how many hosts were maintained.
@@ -130,11 +173,16 @@
         self.bench.coordinator.worker_silent(&id, now);
     }
 
-    /// Lets a run on a host go on for ever, as one that hangs.
+    /// Lets the runs on a host go on for ever, as ones that hang.
     pub fn hang(&mut self, number: usize) {
         self.hosts[number].running.values_mut().for_each(|it| it.1 = None);
     }
 
+    /// Returns the step of a task.
+    pub fn step_of(&self, task: &TaskId) -> &Step {
+        &self.specs[&task.job].steps[task.step as usize]
+    }
+
     pub fn hosts_in(&self, pool: &str) -> usize {
         let is_up = |it: &&PoolHost| it.pool == pool && it.state != HostState::Down;
         self.hosts.iter().filter(is_up).count()
@@ -145,23 +193,31 @@
     }
 
     fn has_worker(&self, number: usize) -> bool {
-        let host = &self.hosts[number];
-        host.state == HostState::Up && host.pool != SPARE
+        self.hosts[number].has_worker()
     }
 
     fn list(&mut self) {
         let mut infos: Vec<HostInfo> = Vec::new();
         for number in 0..self.hosts.len() {
             let id = self.has_worker(number).then(|| self.worker_id(number));
-            let seen = &self.hosts[number];
             if let Some(id) = &id
-                && !self.bench.coordinator.workers().contains_key(id)
+                && self.listed.insert(id.clone())
             {
-                let info = WorkerInfo { pool: seen.pool.as_str().into(), ..worker(id) };
-                self.bench.add(info);
+                let seen = &self.hosts[number];
+                let info = WorkerInfo {
+                    pool: seen.pool.as_str().into(),
+                    capacity: seen.capacity,
+                    labels: seen.labels.clone(),
+                    ..worker(id)
+                };
+                self.bench.coordinator.worker_listed(info, self.bench.now);
+                self.bench.wait(1);
+                self.report(number);
             }
+            let seen = &self.hosts[number];
             let info = host(&format!("h{number}"), &seen.pool, id.as_deref());
-            infos.push(HostInfo { state: seen.state, ..info });
+            let (state, capacity, labels) = (seen.state, seen.capacity, seen.labels.clone());
+            infos.push(HostInfo { state, capacity, labels, ..info });
         }
         list(&mut self.bench, infos);
     }
@@ -173,7 +229,7 @@
         }
     }
 
-    fn round(&mut self) {
+    pub fn round(&mut self) {
         let now = self.bench.now;
         for it in self.hosts.iter_mut().filter(|it| it.state != HostState::Down) {
             if it.state != HostState::Up && now >= it.until {
@@ -182,7 +238,7 @@
             }
         }
         self.list();
-        let orders = self.bench.step();
+        let orders = self.step();
         self.obey(&orders);
         self.report_all();
         self.note_idle();
@@ -205,8 +261,11 @@
         }
         for (task, run, on) in starts(orders) {
             let number = (0..self.hosts.len()).find(|it| self.worker_id(*it) == on).unwrap();
+            let is_twice = self.hosts.iter().any(|it| it.running.contains_key(&task));
+            assert!(!is_twice, "{task:?} runs twice");
             assert!(self.has_worker(number), "{on} is started on, and not there");
-            let step = &self.specs[&task.job].steps[task.step as usize];
+            *self.runs.entry(task.clone()).or_default() += 1;
+            let step = self.step_of(&task);
             let ends = (!step.long_running).then(|| now + step.estimate_ms);
             self.hosts[number].running.insert(task.clone(), (run, ends, Ending::Done));
             self.bench.coordinator.start_answered(&task, run, StartReply::Running, now);
@@ -226,10 +285,10 @@
                 ordered.moves += 1;
                 DutyReply::Done
             }
-            (HostState::Up, HostDuty::Maintain { .. }) => {
+            (HostState::Up, HostDuty::Maintain { wave }) => {
                 ordered.state = HostState::Maintenance;
                 ordered.until = now + timing.maintenance_ms;
-                self.maintained.push(number);
+                self.maintained.push((*wave, number));
                 DutyReply::Done
             }
             _ => DutyReply::Refused,
@@ -238,37 +297,39 @@
     }
 
     fn report_all(&mut self) {
-        for number in 0..self.hosts.len() {
-            if !self.has_worker(number) {
-                continue;
-            }
-            let id = self.worker_id(number);
-            let (now, running) = (self.bench.now, &mut self.hosts[number].running);
-            let is_over =
-                |it: &(&TaskId, &(u32, Option<Moment>, Ending))| it.1.1.is_some_and(|at| now >= at);
-            let over: Vec<TaskId> = running.iter().filter(is_over).map(|it| it.0.clone()).collect();
-            let mut ended = Vec::new();
-            for task in over {
-                let Some((run, _, ending)) = running.remove(&task) else { continue };
-                self.ends += 1;
-                if ending == Ending::Done {
-                    self.done.insert(task.job.clone(), now);
-                }
-                let checkpoint = Name::default();
-                ended.push(RunEnd { number: self.ends, task, run, ending, checkpoint });
+        let here: Vec<usize> = (0..self.hosts.len()).filter(|it| self.has_worker(*it)).collect();
+        here.into_iter().for_each(|it| self.report(it));
+    }
+
+    /// Reports what runs on a worker, and what has ended there.
+    fn report(&mut self, number: usize) {
+        let id = self.worker_id(number);
+        let (now, running) = (self.bench.now, &mut self.hosts[number].running);
+        let is_over = |it: &(&TaskId, &Run)| it.1.1.is_some_and(|at| now >= at);
+        let over: Vec<TaskId> = running.iter().filter(is_over).map(|it| it.0.clone()).collect();
+        let mut ended = Vec::new();
+        for task in over {
+            let Some((run, _, ending)) = running.remove(&task) else { continue };
+            self.ends += 1;
+            if ending == Ending::Done {
+                self.done.insert(task.job.clone(), now);
             }
-            let running = running.iter().map(|(task, it)| run_info(task, it.0, 100)).collect();
-            let (asked, has_more_ends) = (now, false);
-            let report = WorkerReport { asked, born: 7, ended, running, has_more_ends };
-            self.bench.coordinator.worker_reported(&id, report, now);
+            let checkpoint = Name::default();
+            ended.push(RunEnd { number: self.ends, task, run, ending, checkpoint });
         }
+        let running = running.iter().map(|(task, it)| run_info(task, it.0, 100)).collect();
+        let (asked, has_more_ends) = (now, false);
+        let report = WorkerReport { asked, born: 7, ended, running, has_more_ends };
+        self.bench.coordinator.worker_reported(&id, report, now);
     }
 
     /// Notes how long each long-running task of an open job has not run.
     fn note_idle(&mut self) {
         let now = self.bench.now;
         for (id, spec) in &self.specs {
-            if self.bench.coordinator.job(id).is_none_or(|it| it.stage.is_over()) {
+            if !spec.long_running()
+                || self.bench.coordinator.job(id).is_none_or(|it| it.stage.is_over())
+            {
                 continue;
             }
             let steps = spec.steps.iter().enumerate().filter(|it| it.1.long_running);
