A host that has moved counts as arrived while its order is still pending

Seen: the last of twelve long-running tasks began 5.6 s after it could, with a bound of 5.6 s: a host that was emptied for it was released again and took short tasks. Cause: an order to move counts as pending until 0.3 s after its end. So long the host counted as on its way, and its tasks neither as running nor as waiting, so that the claim of its pool fell for one plan. Change: a host that is up in the pool it was moved to, by an order that was answered, counts as one that has come.

--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -252,7 +252,14 @@
                 continue;
             }
             view.add_host(&host.seen.labels);
-            let is_here = host.duty.is_none() && host.seen.state == HostState::Up;
+            // The order to move here may still count as pending for a while.
+            let has_come = || {
+                host.duty.as_ref().is_none_or(|it| match &it.duty {
+                    HostDuty::Move { pool } => it.confirmed.is_some() && host.seen.pool == *pool,
+                    HostDuty::Maintain { .. } => false,
+                })
+            };
+            let is_here = host.seen.state == HostState::Up && has_come();
             match self.worker_on(name).filter(|it| is_here && it.answered) {
                 Some(it) if it.takes_tasks(now) => {
                     view.ready += 1;
--- a/crates/fleet/tests/any_pool.rs
+++ b/crates/fleet/tests/any_pool.rs
@@ -307,10 +307,11 @@
 /// Scripts that were found with other seeds.
 #[test]
 fn scripts_that_were_found_hold() {
-    let found: [&[u32]; 3] = [
+    let found: [&[u32]; 4] = [
         &[1_323_173, 532_767_334],
         &[224_095_332, 532_767_244, 217_715_644, 0, 1_363_059_490],
         &[78_016, 1_894_302_103, 2_979_273_967],
+        &[2_205_580_342, 4_294_967_295, 2_964_058_170, 340_836_749],
     ];
     let fails: Vec<_> = found.iter().filter(|it| !holds(it, Kinds::default())).collect();
     assert!(fails.is_empty(), "{fails:?}");
@@ -333,13 +334,6 @@
         assert!(holds(&[20, 0, 3_359_080_503, 1_953_383_224], kinds));
     }
 
-    /// The last of several tasks begins later than the bound.
-    #[test]
-    fn last_of_many_tasks_begins_in_time() {
-        let script = [2_205_580_342, 4_294_967_295, 2_964_058_170, 340_836_749];
-        assert!(holds(&script, Kinds::default()));
-    }
-
     /// A pool asks for no larger hosts than it has.
     #[test]
     fn tasks_too_large_for_the_hosts_of_their_pool_get_others() {
