job_operators: the two cancellations are a millisecond apart

Cause: rows of the audit trail sort by the millisecond and then by the random id of the change.

Change: the test waits 2 ms between them; what it checks is as before. That the order of records within a millisecond is by chance stays so, and is open: no call tells which came first.

--- a/crates/daemon/tests/job_operators.rs
+++ b/crates/daemon/tests/job_operators.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::{thread, time::Duration};
+
 use common::{Site, jobs::TestJob, operator, session::Session, wait_until};
 use fuchsiamill_api::{JobFilter, JobView};
 use fuchsiamill_policy::jobs::WaitCause;
@@ -54,6 +56,8 @@
     ada.run(&format!("job show {runs}"));
     ada.run(&format!("job cancel {limited}"));
     ada.run(&format!("job cancel {limited}"));
+    // The audit trail lists records of one millisecond by their ids.
+    thread::sleep(Duration::from_millis(2));
     ada.run(&format!("job cancel {runs}"));
     wait_until("the cancelled job is over", || site.job_state(0, "north", &runs) == "cancelled");
     wait_until("there is room for the large job", || {
