Pools share the starts while more tasks wait than may be started

Cause: a placement walked the jobs by rank and stopped when the starts were used up. What ranked lower was not looked at, whatever was idle: jobs are ranked by priority, then by the least work left, so that two pools whose workers had room again each time a task ended took all starts, while hosts were moved to other pools for their need. A lasting task of a queue that yields to a busy one waited in the same way beside an idle worker. The reason of the wait stayed that of the last placement that had looked (`room`).

Change: starts are divided among pools by the rule that divides hosts, and what a pool has no room for goes to the others in the order of jobs. Up to half go to pools one by one, since rounding would give none to a pool with one task. A step that is not looked at waits for its `turn`.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -32,6 +32,7 @@
 mod shares;
 mod sharing;
 mod tick;
+mod turns;
 mod waits;
 mod worker;
 
@@ -59,6 +60,7 @@
 pub use worker::Worker;
 
 use crate::{Config, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing};
+use limits::EXCESS_WINDOW_MS;
 use retention::EndedJob;
 
 /// The limits of what a former coordinator may have done.
@@ -98,6 +100,8 @@
     needs_placing: bool,
     /// When tasks were last placed.
     last_placed: Moment,
+    /// When a task of each pool was last placed.
+    last_start_in: FastMap<Name, Moment>,
     /// When `tick` was last called.
     last_tick: Moment,
     hosts: FastMap<Name, Host>,
@@ -143,6 +147,7 @@
             commit_in_flight: None,
             needs_placing: false,
             last_placed: takeover.at,
+            last_start_in: FastMap::default(),
             last_tick: takeover.at,
             hosts: FastMap::default(),
             hosts_known: false,
@@ -215,18 +220,6 @@
         }
     }
 
-    /// Counts a new job of a team and returns whether it exceeds the team's weight, in jobs per second. The team is not
-    /// entitled to hosts for such jobs.
-    fn is_excess(&mut self, team: &Name, now: Moment) -> bool {
-        let Some(weight) = self.config.teams.get(team).map(|it| it.weight) else { return false };
-        let recent = self.recent_jobs.entry(team.clone()).or_default();
-        while recent.front().is_some_and(|it| now.since(*it) > EXCESS_WINDOW_MS) {
-            recent.pop_front();
-        }
-        recent.push_back(now);
-        recent.len() as f64 > weight * EXCESS_WINDOW_MS as f64 / 1_000.0 + EXCESS_SLACK_JOBS
-    }
-
     /// Notes that the former coordinator is known to give no more orders.
     pub fn former_coordinator_ended(&mut self, now: Moment) {
         self.takeover.renewals_end = self.takeover.renewals_end.min(now);
@@ -388,9 +381,3 @@
         &self.workers
     }
 }
-
-/// The window over which a team's jobs are counted against its weight.
-const EXCESS_WINDOW_MS: u64 = 1_000;
-
-/// Jobs above the weight that are tolerated within the window, since arrivals are uneven.
-const EXCESS_SLACK_JOBS: f64 = 1.0;
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -36,11 +36,11 @@
 }
 
 /// What became of a step in one placement.
-struct StepOutcome {
+pub(super) struct StepOutcome {
     /// How many of its tasks were placed.
-    placed: usize,
+    pub(super) placed: usize,
     /// Why the others wait.
-    reason: Option<WaitReason>,
+    pub(super) reason: Option<WaitReason>,
 }
 
 impl StepOutcome {
@@ -60,29 +60,18 @@
         if most == 0 || !std::mem::take(&mut self.needs_placing) {
             return;
         }
-        let mut room = most;
         self.last_placed = now;
         self.near_wait_ends = None;
         let mut search = RoomSearch::new(&self.workers, now);
-        for id in self.rank_jobs(now) {
-            if room == 0 {
-                break;
-            }
-            for (occurrence, step) in self.open_steps(&id, &search, now) {
-                let key =
-                    StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
-                let outcome = self.place_step(&key, &mut search, room, now);
-                room = room.saturating_sub(outcome.placed);
-                self.note_wait(&key, outcome.reason, outcome.placed > 0, now);
-            }
-        }
+        let ranked = self.rank_jobs(now);
+        let is_used_up = self.place_jobs(ranked, most, &mut search, now);
         // Gangs that found no room have released what they took, which set the flag although nothing has changed.
-        self.needs_placing = room == 0;
+        self.needs_placing = is_used_up;
         self.full_pools = search.full_pools();
     }
 
     /// Places at most so many of the waiting tasks of a step, but a gang as a whole.
-    fn place_step(
+    pub(super) fn place_step(
         &mut self,
         key: &StepKey,
         search: &mut RoomSearch,
