The window of starts follows the delay of calls, without a ceiling

Callers saw accepted jobs that never began and most of the workers' room free: with far more work than hosts the coordinator sent some 1,250 starts a second, however wide its link and however early the answers.

Cause: at most 128 starts were under way (64 for each sender). While calls were on time the window went to that number and stayed; starts are not handed to other entry hosts before calls are late, which 128 never made them.

Change: a window by LEDBAT (RFC 6817) with window validation (RFC 7661); slow start and congestion avoidance (RFC 5681) for senders. The line coordinator-load and the metrics starts and start_limit tell the window and what limits it.

Tests: start_window, handed_starts; those that guard against the ceilings fail on a window that ends at 128 and at 64 by what they assert; the tests of late calls pass unchanged.

--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -98,6 +98,8 @@
     /// The jobs of the commit that is being stored, and the orders that wait for it.
     commit_in_flight: Option<(FastSet<Name>, Vec<Order>)>,
     needs_placing: bool,
+    /// See [`Coordinator::lacks_starts`].
+    lacks_starts: bool,
     /// When tasks were last placed.
     last_placed: Moment,
     /// When a task of each pool was last placed.
@@ -146,6 +148,7 @@
             ready_orders: Vec::new(),
             commit_in_flight: None,
             needs_placing: false,
+            lacks_starts: false,
             last_placed: takeover.at,
             last_start_in: FastMap::default(),
             last_tick: takeover.at,
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -57,6 +57,7 @@
 
     /// Does so with at most so many tasks, but for a gang, which starts as a whole. What is left is placed next time.
     pub fn place_at_most(&mut self, most: usize, now: Moment) {
+        self.lacks_starts = most == 0 && self.needs_placing;
         if most == 0 || !std::mem::take(&mut self.needs_placing) {
             return;
         }
@@ -67,9 +68,15 @@
         let is_used_up = self.place_jobs(ranked, most, &mut search, now);
         // Gangs that found no room have released what they took, which set the flag although nothing has changed.
         self.needs_placing = is_used_up;
+        self.lacks_starts = is_used_up;
         self.full_pools = search.full_pools();
     }
 
+    /// Returns whether the last placement may have left tasks only because no more could be started at once.
+    pub fn lacks_starts(&self) -> bool {
+        self.lacks_starts
+    }
+
     /// Places at most so many of the waiting tasks of a step, but a gang as a whole.
     pub(super) fn place_step(
         &mut self,
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -8,7 +8,10 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use crate::{CallSummary, CallTimes};
+use crate::{
+    CallSummary, CallTimes,
+    start_window::{Limit, StartWindow},
+};
 
 /// The time between two evaluations.
 const EVALUATION_INTERVAL_MS: Millisecond = 250;
@@ -41,17 +44,22 @@
 /// The time limit of a call as a multiple of the estimate.
 const TIME_LIMIT_FACTOR: Millisecond = 4;
 
-/// The starts that may be under way at first. At 4 KB each they take a link of 10 Mbit/s 50 ms.
-const FIRST_STARTS: usize = 16;
-
-/// The most starts that may be under way.
-const MAX_STARTS: usize = 128;
-
-/// The most rounds of starts that are placed for one transaction: they are sent within 0.8 s.
+/// The most rounds of starts that are placed for one transaction: they are sent within 0.8 s, and one that has waited for
+/// 1 s is given up.
 const MAX_ROUNDS: Millisecond = 16;
 
-/// The starts that may be under way however late calls are, so that some work always starts.
-const MIN_STARTS: usize = 8;
+/// The starts that may be under way, as of the last evaluation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowState {
+    /// How many may be under way.
+    pub size: usize,
+    /// How many are.
+    pub under_way: usize,
+    /// The delay of the fastest calls beyond the round-trip time, in milliseconds.
+    pub delay_ms: Millisecond,
+    /// What keeps more from being under way.
+    pub limit: Limit,
+}
 
 /// The lateness of the coordinator's own calls.
 #[derive(Debug)]
@@ -66,7 +74,7 @@
     round_trip: Option<Millisecond>,
     /// Whether hardly any call of the last evaluation was answered.
     is_unanswered: bool,
-    most_starts: usize,
+    window: StartWindow,
     /// When the starts without an answer so far were sent, in order.
     starts: VecDeque<Moment>,
 }
@@ -81,7 +89,7 @@
             estimate: 0,
             round_trip: None,
             is_unanswered: false,
-            most_starts: FIRST_STARTS,
+            window: StartWindow::new(MAX_DELAY_MS),
             starts: VecDeque::new(),
         }
     }
@@ -126,6 +134,7 @@
     /// Notes that a start was sent.
     pub fn start_sent(&mut self, now: Moment) {
         self.starts.push_back(now);
+        self.window.note_used(self.starts.len());
     }
 
     /// Notes that the start that was sent at this moment was answered or given up.
@@ -143,7 +152,7 @@
         while self.starts.front().is_some_and(|it| now.since(*it) > age) {
             self.starts.pop_front();
         }
-        self.most_starts.saturating_sub(self.starts.len())
+        self.window.size().saturating_sub(self.starts.len())
     }
 
     /// Returns how many starts may be placed now, where their records take `record_ms` to be stored and `waiting` starts
@@ -153,7 +162,13 @@
         let room = self.start_room(now);
         let rounds =
             if self.is_late() { 1 } else { (record_ms / MAX_DELAY_MS).clamp(1, MAX_ROUNDS) };
-        (room + self.most_starts * (rounds as usize - 1)).saturating_sub(waiting)
+        (room + self.window.size() * (rounds as usize - 1)).saturating_sub(waiting)
+    }
+
+    /// Returns how many starts may be under way, how many are, and what keeps them from being more.
+    pub fn window(&self) -> WindowState {
+        let (size, limit) = (self.window.size(), self.window.limit());
+        WindowState { size, under_way: self.starts.len(), delay_ms: self.delay(), limit }
     }
 
     fn note_call(&mut self, now: Moment) {
@@ -192,11 +207,6 @@
 
     fn set_estimate(&mut self, estimate: Millisecond) {
         self.estimate = estimate;
-        self.most_starts = if self.is_late() {
-            let narrowed = self.most_starts as u64 * MAX_DELAY_MS / self.delay();
-            (narrowed as usize).max(MIN_STARTS)
-        } else {
-            (self.most_starts * 2).min(MAX_STARTS)
-        };
+        self.window.evaluate(self.delay());
     }
 }
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -27,7 +27,7 @@
     lease::{Lease, LeaseLost},
     links::{Link, LinkContext},
     load::{Loaded, UnreadableWorkers, load},
-    load_log::LoadLog,
+    load_log::{LoadLog, Starts},
     pools::PoolLog,
     standing::HolderState,
     start_queue::{StartQueue, StartQueueContext},
@@ -266,8 +266,14 @@
 
     fn log_load(&mut self, now: Moment) {
         let jobs_age_ms = now.since(self.link_context.jobs_known.get());
+        let starts = Starts {
+            window: self.link_context.lateness.borrow().window(),
+            waiting: self.start_queue.waiting(),
+            record_ms: self.record_ms,
+            lacks_starts: self.coordinator.lacks_starts(),
+        };
         let mut calls = self.link_context.calls.borrow_mut();
-        if let Some(load) = self.load_log.log(&mut calls, jobs_age_ms, now) {
+        if let Some(load) = self.load_log.log(&mut calls, jobs_age_ms, starts, now) {
             self.cx.metrics.loaded(&load);
         }
     }
--- a/crates/site/src/lead/load_log.rs
+++ b/crates/site/src/lead/load_log.rs
@@ -2,13 +2,16 @@
 
 use std::rc::Rc;
 
-use fuchsiamill_fleet::{CallSummary, CallTimes};
+use fuchsiamill_fleet::{CallSummary, CallTimes, Limit, WindowState};
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::Traffic;
 
 /// The time between two log lines.
 const LOG_INTERVAL_MS: Millisecond = 1_000;
 
+/// What limits the starts; see [`Starts::limit`].
+pub const START_LIMITS: [&str; 4] = ["room", "store", "window", "delay"];
+
 /// The bytes that were exchanged with one kind of peer.
 pub struct PeerTraffic {
     traffic: Rc<Traffic>,
@@ -42,6 +45,34 @@
     pub calls: CallSummary,
     /// The age of the copy of the table of jobs at the end of the period.
     pub jobs_age_ms: Millisecond,
+    /// What the coordinator may have under way at the end of the period.
+    pub starts: Starts,
+}
+
+/// How many starts the coordinator may send, and what keeps more from being sent.
+#[derive(Clone, Copy)]
+pub struct Starts {
+    /// Those that it may have under way itself.
+    pub window: WindowState,
+    /// Placed ones that wait to be sent.
+    pub waiting: usize,
+    /// The time of the last transaction, before whose end its starts are not sent.
+    pub record_ms: Millisecond,
+    /// Whether the last placement left tasks for want of starts.
+    pub lacks_starts: bool,
+}
+
+impl Starts {
+    /// Returns what limits the starts: `room` if all tasks that have room are placed, `store` if the starts wait for their
+    /// records rather than for answers.
+    pub fn limit(&self) -> &'static str {
+        match (self.lacks_starts, self.window.limit) {
+            (false, _) => "room",
+            (true, Limit::None) => "store",
+            (true, Limit::Window) => "window",
+            (true, Limit::Delay) => "delay",
+        }
+    }
 }
 
 impl PeerTraffic {
@@ -80,6 +111,7 @@
         &mut self,
         calls: &mut CallTimes,
         jobs_age_ms: Millisecond,
+        starts: Starts,
         now: Moment,
     ) -> Option<Load> {
         if now.since(self.logged) < LOG_INTERVAL_MS {
@@ -88,7 +120,7 @@
         self.logged = now;
         let calls = calls.take_summary();
         let (store, workers) = (self.store.take(), self.workers.take());
-        let load = Load { store, workers, calls, jobs_age_ms };
+        let load = Load { store, workers, calls, jobs_age_ms, starts };
         tracing::info!(
             event = "coordinator-load",
             calls = calls.answered,
@@ -97,6 +129,12 @@
             longest_ms = calls.longest_ms,
             longest_turn_ms = std::mem::take(&mut self.longest_turn_ms),
             jobs_age_ms,
+            start_window = starts.window.size,
+            starts_under_way = starts.window.under_way,
+            starts_waiting = starts.waiting,
+            delay_ms = starts.window.delay_ms,
+            record_ms = starts.record_ms,
+            start_limit = starts.limit(),
             worker_bytes_sent = load.workers.sent,
             worker_bytes_received = load.workers.received,
             store_bytes_sent = load.store.sent,
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -32,7 +32,7 @@
     Entries, EntryRow, OtherEntries, publish_and_follow as publish_and_follow_entries, strength,
 };
 pub use lease::LeaseRow;
-pub use load_log::{Exchanged, Load};
+pub use load_log::{Exchanged, Load, START_LIMITS};
 pub use standing::{Standing, serve as serve_standing};
 pub use waits::Waits;
 
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    lead::{Exchanged, Load, Waits},
+    lead::{Exchanged, Load, START_LIMITS, Waits},
     logging,
     meters::Meters,
 };
@@ -40,6 +40,8 @@
     runs_to_end: Gauge<u64>,
     longest_to_end: Gauge<f64>,
     exchanged_bytes: Counter<u64>,
+    starts: Gauge<u64>,
+    start_limit: Gauge<u64>,
     worker_call_time: Gauge<f64>,
     jobs_age: Gauge<f64>,
     config_version: Gauge<u64>,
@@ -75,6 +77,8 @@
             runs_to_end: meter.u64_gauge("runs_to_end").build(),
             longest_to_end: meter.f64_gauge("longest_run_to_end").with_unit("s").build(),
             exchanged_bytes: meter.u64_counter("exchanged_bytes").build(),
+            starts: meter.u64_gauge("starts").build(),
+            start_limit: meter.u64_gauge("start_limit").build(),
             worker_call_time: meter.f64_gauge("worker_call_time").with_unit("s").build(),
             jobs_age: meter.f64_gauge("jobs_age").with_unit("s").build(),
             config_version: meter.u64_gauge("config_version").build(),
@@ -173,6 +177,19 @@
         }
         self.worker_call_time.record(load.calls.fastest_quarter_ms as f64 / 1_000.0, &[]);
         self.jobs_age.record(load.jobs_age_ms as f64 / 1_000.0, &[]);
+        let starts = &load.starts;
+        let kinds = [
+            ("window", starts.window.size),
+            ("under-way", starts.window.under_way),
+            ("waiting", starts.waiting),
+        ];
+        for (kind, count) in kinds {
+            self.starts.record(count as u64, &[KeyValue::new("kind", kind)]);
+        }
+        for limit in START_LIMITS {
+            let is_in_force = u64::from(starts.limit() == limit);
+            self.start_limit.record(is_in_force, &[KeyValue::new("limit", limit)]);
+        }
     }
 
     /// Records the version of the configuration in force.
