Revert the window of senders: at most 64 starts each, as before

A review by trials on the type found that it grows unused (10,016 starts at once after 10,000 single ones), counts one trouble several times (four late batches: 2,048 to 128), and takes the slowest worker of a batch for congestion, so that it returns from 4 by one at a time.

--- a/crates/fleet/src/handover.rs
+++ b/crates/fleet/src/handover.rs
@@ -17,8 +17,9 @@
 /// The starts that one sender may have under way at first.
 const FIRST_STARTS: usize = 16;
 
-/// The least starts that one sender may have under way.
+/// The least and the most starts that one sender may have under way.
 const MIN_STARTS: usize = 4;
+const MAX_STARTS: usize = 64;
 
 /// The starts that may wait for a sender, as a multiple of those that it may have under way. Starts beyond that are sent
 /// by the coordinator.
@@ -55,20 +56,12 @@
     under_way: usize,
     /// The most starts that the sender may have under way.
     most: usize,
-    /// Up to here `most` grows by each answered start, beyond it by one for each answer.
-    threshold: usize,
     avoid_until: Moment,
 }
 
 impl Default for SenderLoad {
     fn default() -> Self {
-        Self {
-            waiting: 0,
-            under_way: 0,
-            most: FIRST_STARTS,
-            threshold: usize::MAX,
-            avoid_until: Moment(0),
-        }
+        Self { waiting: 0, under_way: 0, most: FIRST_STARTS, avoid_until: Moment(0) }
     }
 }
 
@@ -81,20 +74,6 @@
     }
 }
 
-impl SenderLoad {
-    /// Adapts the starts that may be under way to an answer, by slow start and congestion avoidance (RFC 5681).
-    fn adapt(&mut self, starts: usize, took_ms: Millisecond) {
-        if took_ms > MAX_ANSWER_MS {
-            self.most = (self.most / 2).max(MIN_STARTS);
-            self.threshold = self.most;
-        } else if self.most < self.threshold {
-            self.most = self.most.saturating_add(starts).min(self.threshold);
-        } else {
-            self.most += 1;
-        }
-    }
-}
-
 impl Handover {
     /// Notes whether the coordinator's own calls are late.
     pub fn note_lateness(&mut self, is_late: bool, now: Moment) {
@@ -153,14 +132,16 @@
     pub fn answered(&mut self, sender: &Name, starts: usize, took_ms: Millisecond) {
         let Some(load) = self.senders.get_mut(sender) else { return };
         load.under_way = load.under_way.saturating_sub(starts);
-        load.adapt(starts, took_ms);
+        load.most = match took_ms <= MAX_ANSWER_MS {
+            true => (load.most + starts).min(MAX_STARTS),
+            false => (load.most / 2).max(MIN_STARTS),
+        };
     }
 
     /// Notes that a sender did not answer `starts` starts, or could not send them.
     pub fn failed(&mut self, sender: &Name, starts: usize, now: Moment) {
         let Some(load) = self.senders.get_mut(sender) else { return };
         load.under_way = load.under_way.saturating_sub(starts);
-        load.threshold = (load.most / 2).max(MIN_STARTS);
         load.most = MIN_STARTS;
         load.avoid_until = now + AVOID_MS;
     }
