The window of starts shrinks while hardly any call is answered, and does not learn its own queue

What could happen (review, on a model of a link; not seen in a play): where hardly any call is answered the window stayed as it was, and starts counted as under way for 50 ms only, so that a window was sent anew every 50 to 130 ms and the link stayed full. And the estimate of the round trip rose by 4 ms a second while the starts' own queue delayed calls, so that the window crept up.

Change: the window is halved, to 16 at the least, while hardly any call is answered, and starts count for the longest time limit of a call meanwhile; the round trip does not rise while the window is in use.

Tests: two of start_window; both fail without the change (a window of 256 stays; 804 starts for a link on which 200 delay calls by 50 ms).

--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -148,7 +148,11 @@
     pub fn start_room(&mut self, now: Moment) -> usize {
         // One that is unanswered for longer than the fastest calls take is with its worker, which may not answer at
         // all.
-        let age = MAX_DELAY_MS.max(self.estimate * 2);
+        // While hardly any call is answered, it may still wait for the link.
+        let age = match self.is_unanswered {
+            true => MAX_TIME_LIMIT_MS,
+            false => MAX_DELAY_MS.max(self.estimate * 2),
+        };
         while self.starts.front().is_some_and(|it| now.since(*it) > age) {
             self.starts.pop_front();
         }
@@ -195,12 +199,15 @@
         let count = calls.answered + calls.unanswered as usize;
         self.is_unanswered = calls.answered * MIN_ANSWERED_DIVISOR < count;
         if self.is_unanswered {
+            // Nothing tells the delay; it is more than what was waited for.
+            self.window.lost();
             return;
         }
+        // Starts that fill the link themselves are no longer route.
+        let rise = if self.window.explains_delay() { 0 } else { ROUND_TRIP_RISE_MS };
         // The first calls may be late already.
-        let round_trip = self
-            .round_trip
-            .map_or(MAX_DELAY_MS, |it| (it + ROUND_TRIP_RISE_MS).min(MAX_ROUND_TRIP_MS));
+        let round_trip =
+            self.round_trip.map_or(MAX_DELAY_MS, |it| (it + rise).min(MAX_ROUND_TRIP_MS));
         self.round_trip = Some(round_trip.min(calls.fastest_quarter_ms));
         self.set_estimate(calls.fastest_quarter_ms.max(self.estimate / 2));
     }
--- a/crates/fleet/src/start_window.rs
+++ b/crates/fleet/src/start_window.rs
@@ -79,6 +79,18 @@
         };
     }
 
+    /// Returns whether the starts themselves may be what delays calls.
+    pub fn explains_delay(&self) -> bool {
+        self.limit != Limit::None && self.size > MIN_STARTS
+    }
+
+    /// Halves the window: hardly any call is answered.
+    pub fn lost(&mut self) {
+        self.most_used = 0;
+        self.limit = Limit::Delay;
+        self.size = (self.size / 2).max(FIRST_STARTS.min(self.size));
+    }
+
     /// Returns the size after a time in which the window was not used: it approaches the one that needs no use.
     fn unused_size(&self) -> usize {
         match self.size > MAX_UNUSED_STARTS {
--- a/crates/fleet/tests/start_window.rs
+++ b/crates/fleet/tests/start_window.rs
@@ -11,6 +11,9 @@
 /// The time between two calls.
 const CALL_MS: Millisecond = 10;
 
+/// Calls within the time between two evaluations, after which it is known that they are not answered.
+const CALLS_UNTIL_KNOWN: usize = 26;
+
 /// The coordinator's calls and starts.
 struct Calls {
     lateness: Lateness,
@@ -25,7 +28,11 @@
     /// Answers calls after this time for so many seconds. If `is_busy`, as many starts as may be are under way, and
     /// answered as late.
     fn play(&mut self, seconds: u64, answer_ms: Millisecond, is_busy: bool) -> usize {
-        for _ in 0..seconds * 1_000 / CALL_MS {
+        self.play_ms(seconds * 1_000, answer_ms, is_busy)
+    }
+
+    fn play_ms(&mut self, ms: Millisecond, answer_ms: Millisecond, is_busy: bool) -> usize {
+        for _ in 0..ms / CALL_MS {
             self.now = self.now + CALL_MS;
             let sent = self.now;
             let starts = if is_busy { self.lateness.start_room(sent) } else { 0 };
@@ -88,3 +95,37 @@
     calls.play(1, 5, true);
     assert_eq!(calls.play(20, 1_000, true), 8);
 }
+
+/// Starts in a queue would be taken for a longer route, and fill the link a little more each second.
+#[test]
+fn delay_by_the_starts_themselves_is_not_learned_as_the_way_to_the_workers() {
+    let mut calls = Calls::new();
+    calls.play(1, 5, true);
+    // A link that takes 0.25 ms for each start under way.
+    let sizes: Vec<usize> = (0..600)
+        .map(|_| {
+            let queue_ms = calls.lateness.window().size as u64 / 4;
+            calls.play_ms(100, 5 + queue_ms, true)
+        })
+        .collect();
+    let most = sizes[300..].iter().max().expect("some time");
+    assert!(*most <= 2 * 4 * 50, "{most}");
+}
+
+/// Starts that are given up and sent anew would keep the link full for good.
+#[test]
+fn starts_are_held_back_while_hardly_any_call_is_answered() {
+    let mut calls = Calls::new();
+    let before = calls.play(1, 5, true);
+    let mut sent = 0;
+    for call in 0..200 {
+        calls.now = calls.now + CALL_MS;
+        let starts = calls.lateness.start_room(calls.now);
+        (0..starts).for_each(|_| calls.lateness.start_sent(calls.now));
+        sent += if call >= CALLS_UNTIL_KNOWN { starts } else { 0 };
+        calls.lateness.unanswered(calls.now);
+    }
+    assert!(calls.lateness.window().size <= 16, "{before}: {:?}", calls.lateness.window());
+    // One window, then the smallest ones once a second.
+    assert!(sent <= before, "{before}: {sent}");
+}
