Acknowledgements wait for the records before them, not for all that wait

What could happen (review, on the coordinator): ends on workers are never acknowledged while more is placed in each round than a transaction stores (90 records), since an acknowledgement waited until no record at all was left; 128 one-task jobs a placement are enough, and the window has no ceiling any more. The worker's next polls are then put off, and its ends are not taken note of.

Change: an order waits for the records that were marked before it. Records are stored in the order in which they were marked.

--- a/crates/fleet/src/coordinator/host_orders.rs
+++ b/crates/fleet/src/coordinator/host_orders.rs
@@ -26,7 +26,7 @@
         }
         for (host, duty) in repeated {
             self.note_order(&host, now);
-            self.pending_orders.push(Order::Host { host, duty });
+            self.give_after_records(Order::Host { host, duty });
         }
     }
 
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -255,7 +255,7 @@
         });
         self.update_reserved(name);
         self.note_order(name, now);
-        self.pending_orders.push(Order::Host { host: name.clone(), duty });
+        self.give_after_records(Order::Host { host: name.clone(), duty });
     }
 
     /// Handles the reply to an order to a host.
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -91,8 +91,11 @@
     /// Rows of records that wait to be stored, in this order.
     dirty_records: VecDeque<RecordKey>,
     dirty_record_set: FastSet<RecordKey>,
+    /// How many records have ever been marked to be stored, and how many of them, in this order, are in a commit.
+    records_marked: u64,
+    records_taken: u64,
     /// Orders that are released once the records of the next commit are stored.
-    pending_orders: Vec<Order>,
+    pending_orders: Vec<outbox::PendingOrder>,
     /// Orders that may be carried out now.
     ready_orders: Vec<Order>,
     /// The jobs of the commit that is being stored, and the orders that wait for it.
@@ -144,6 +147,8 @@
             early_cancels: FastMap::default(),
             dirty_records: VecDeque::new(),
             dirty_record_set: FastSet::default(),
+            records_marked: 0,
+            records_taken: 0,
             pending_orders: Vec::new(),
             ready_orders: Vec::new(),
             commit_in_flight: None,
--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -13,12 +13,29 @@
 }
 
 /// The most records in one commit. The store takes 100 rows, of which the lease and the board are two.
-const COMMIT_RECORDS: usize = 90;
+pub(super) const COMMIT_RECORDS: usize = 90;
 
 /// A commit takes no further record beyond this size. The store takes 1 MB, in base64.
 const COMMIT_BYTES: usize = 400 * 1024;
 
+/// An order that is released once records are stored.
+pub(super) struct PendingOrder {
+    order: Order,
+    /// How many records had been marked when it was given; see [`Coordinator::records_marked`].
+    records: u64,
+}
+
 impl Coordinator {
+    /// Gives an order that is released once all records are stored that are marked now.
+    pub(super) fn give_after_records(&mut self, order: Order) {
+        self.pending_orders.push(PendingOrder { order, records: self.records_marked });
+    }
+
+    /// Returns how many more records the next commit takes.
+    pub(super) fn record_room(&self) -> usize {
+        COMMIT_RECORDS.saturating_sub(self.dirty_records.len())
+    }
+
     /// Notes that the progress of a task has changed.
     pub(super) fn mark_task_dirty(&mut self, id: &TaskId) {
         if let Some(job) = self.jobs.get(&id.job) {
@@ -43,6 +60,7 @@
         let key = RecordKey { job: id.clone(), part };
         if self.dirty_record_set.insert(key.clone()) {
             self.dirty_records.push_back(key);
+            self.records_marked += 1;
             job.dirty_parts += 1;
             job.parts = job.parts.max(part.saturating_add(1));
         }
@@ -63,6 +81,7 @@
             && let Some(key) = self.dirty_records.pop_front()
         {
             self.dirty_record_set.remove(&key);
+            self.records_taken += 1;
             if let Some(job) = self.jobs.get_mut(&key.job) {
                 job.dirty_parts -= 1;
                 let record = job.record(key.part);
@@ -72,27 +91,29 @@
             }
         }
         let orders = std::mem::take(&mut self.pending_orders);
-        // Orders about jobs whose record did not fit wait for the next commit.
-        let (now, later) = orders.into_iter().partition(|it| !self.waits_for_record(it));
+        // Orders whose records did not fit wait for the next commit.
+        let (later, now): (Vec<_>, Vec<_>) =
+            orders.into_iter().partition(|it| self.waits_for_record(it));
         self.pending_orders = later;
+        let now = now.into_iter().map(|it| it.order).collect();
         self.commit_in_flight = Some((ids, now));
         Some(commit)
     }
 
-    fn waits_for_record(&self, order: &Order) -> bool {
-        match order {
+    fn waits_for_record(&self, pending: &PendingOrder) -> bool {
+        match &pending.order {
             Order::Start { task, .. } => self.jobs.get(&task.job).is_some_and(|job| {
                 let (job, part) = (task.job.clone(), job.part_of(task));
                 self.dirty_record_set.contains(&RecordKey { job, part })
             }),
             Order::Host { .. } => false,
-            _ => !self.dirty_record_set.is_empty(),
+            _ => self.records_taken < pending.records,
         }
     }
 
     /// Removes a start order that was not sent because its record is not stored yet.
     pub(super) fn withdraw_start(&mut self, id: &TaskId, run: u32) {
-        self.pending_orders.retain(|it| !is_start_of(it, id, run));
+        self.pending_orders.retain(|it| !is_start_of(&it.order, id, run));
         if let Some((_, orders)) = &mut self.commit_in_flight {
             orders.retain(|it| !is_start_of(it, id, run));
         }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -341,7 +341,9 @@
 
     fn order_start(&mut self, id: &TaskId, now: Moment) {
         let order = self.start_order(id, now);
-        self.pending_orders.extend(order);
+        if let Some(order) = order {
+            self.give_after_records(order);
+        }
     }
 
     /// Returns the order to start a run that was placed.
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -190,7 +190,7 @@
             worker.last_end = last;
             worker.acknowledged = None;
             let born = report.born;
-            self.pending_orders.push(Order::Acknowledge { worker: id.clone(), born, upto: last });
+            self.give_after_records(Order::Acknowledge { worker: id.clone(), born, upto: last });
         } else {
             self.acknowledge_again(id, &report);
         }
