Starts are divided again until they are used, by pools that can use them

Change: what is left is divided again, with turns, until the starts are used up or nothing is left; gangs do not cost other pools; the last obstacle is kept beside the turn; no more jobs have tasks placed than the next commit takes records.

--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -10,6 +10,7 @@
     live::Speed,
     near::Near,
     room::{Found, FreeWorker, RoomSearch},
+    turns::PlaceLimit,
 };
 use crate::{JobSpec, Name, Stage, Step, TaskId};
 
@@ -52,20 +53,26 @@
 impl Coordinator {
     /// Places the waiting tasks that fit, the most urgent jobs first.
     pub fn place(&mut self, now: Moment) {
-        self.place_at_most(usize::MAX, now);
+        self.place_within(PlaceLimit { starts: usize::MAX, records: usize::MAX }, now);
     }
 
-    /// Does so with at most so many tasks, but for a gang, which starts as a whole. What is left is placed next time.
+    /// Does so with at most so many tasks, but for a gang, which starts as a whole, and for no more jobs than the next commit
+    /// takes. What is left is placed next time.
     pub fn place_at_most(&mut self, most: usize, now: Moment) {
-        self.lacks_starts = most == 0 && self.needs_placing;
-        if most == 0 || !std::mem::take(&mut self.needs_placing) {
+        self.place_within(PlaceLimit { starts: most, records: self.record_room() }, now);
+    }
+
+    fn place_within(&mut self, limit: PlaceLimit, now: Moment) {
+        let is_none = limit.starts == 0 || limit.records == 0;
+        self.lacks_starts = is_none && self.needs_placing;
+        if is_none || !std::mem::take(&mut self.needs_placing) {
             return;
         }
         self.last_placed = now;
         self.near_wait_ends = None;
         let mut search = RoomSearch::new(&self.workers, now);
         let ranked = self.rank_jobs(now);
-        let is_used_up = self.place_jobs(ranked, most, &mut search, now);
+        let is_used_up = self.place_jobs(ranked, limit, &mut search, now);
         // Gangs that found no room have released what they took, which set the flag although nothing has changed.
         self.needs_placing = is_used_up;
         self.lacks_starts = is_used_up;
@@ -104,7 +111,7 @@
         let is_waiting = |it: &u32| run.tasks[*it as usize].state == TaskState::Waiting;
         let waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).take(most).collect();
         let is_last = waiting.len() == run.waiting as usize;
-        let near = Near::of(waiting.len());
+        let near = Near::of(run.waiting as usize);
         let mut placed = Vec::new();
         let mut reason = (!is_last).then_some(WaitReason::Turn);
         for index in waiting {
--- a/crates/fleet/src/coordinator/turns.rs
+++ b/crates/fleet/src/coordinator/turns.rs
@@ -2,8 +2,13 @@
 //!
 //! While more tasks wait than may be started at once, the order of jobs alone would give all starts to the pools of the first
 //! jobs, whose workers are full again each time a task ends, and leave the workers of other pools idle. So starts are
-//! divided among pools by the rule that divides hosts; see [`super::shares`]. What a pool has no room for goes to the others
-//! in the order of jobs.
+//! divided among pools by the rule that divides hosts; see [`super::shares`]. What a pool has no room for is divided
+//! again among the others.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+};
 
 use fuchsiamill_model::{FastMap, units::Moment};
 
@@ -18,107 +23,163 @@
 /// start before the others have caught up.
 const EVEN_PART_DIVISOR: usize = 2;
 
-/// The starts that are left of one placement.
-struct StartShares {
-    left: usize,
-    /// What is left of the share of each pool; `None` if there are enough starts for all.
-    by_pool: Option<FastMap<Name, usize>>,
+/// How much one placement may place.
+#[derive(Clone, Copy)]
+pub(super) struct PlaceLimit {
+    /// Tasks, but for gangs, which start as a whole.
+    pub(super) starts: usize,
+    /// Jobs of which tasks are placed. A start waits for its record, and so do the ends that are recorded after it.
+    pub(super) records: usize,
 }
 
-impl StartShares {
-    fn left_for(&self, pool: &Name) -> usize {
-        let share = |by_pool: &FastMap<Name, usize>| by_pool.get(pool).copied().unwrap_or(0);
-        self.by_pool.as_ref().map_or(self.left, |it| share(it).min(self.left))
+impl PlaceLimit {
+    fn is_reached(&self) -> bool {
+        self.starts == 0 || self.records == 0
     }
+}
 
-    fn take(&mut self, pool: &Name, starts: usize) {
-        self.left = self.left.saturating_sub(starts);
-        if let Some(share) = self.by_pool.as_mut().and_then(|it| it.get_mut(pool)) {
-            *share = share.saturating_sub(starts);
-        }
-    }
+/// What a placement has left of the jobs of one pool.
+#[derive(Default)]
+struct PoolTurn {
+    /// Jobs with their positions in the order of jobs, the first one first.
+    jobs: VecDeque<(usize, Name)>,
+    /// Tasks that wait, up to each tier.
+    needs: TierNeeds,
+    /// The starts that the pool has left.
+    share: usize,
 }
 
 impl Coordinator {
-    /// Places at most so many tasks of these jobs, in this order, as far as the shares of their pools go; then tasks of the
-    /// jobs that were left for their shares only. Returns whether all starts are used up.
+    /// Places at most so many tasks of these jobs, in this order, as far as the shares of their pools go. What a pool has no
+    /// room for is divided again among those that have tasks left. Returns whether the limit is reached.
     pub(super) fn place_jobs(
         &mut self,
         ranked: Vec<Name>,
-        most: usize,
+        mut limit: PlaceLimit,
         search: &mut RoomSearch,
         now: Moment,
     ) -> bool {
-        let by_pool = self.shares_of_starts(&ranked, most);
-        let mut shares = StartShares { left: most, by_pool };
-        let mut left_over = Vec::new();
-        for id in ranked {
-            if self.place_job(&id, &mut shares, search, now) {
-                left_over.push(id);
-            }
+        let mut turns = self.turns(ranked);
+        while !limit.is_reached() && !turns.is_empty() {
+            self.share_starts(limit.starts, &mut turns);
+            self.place_shares(&mut turns, &mut limit, search, now);
+            turns.retain(|_, it| !it.jobs.is_empty());
+        }
+        for (_, id) in turns.into_values().flat_map(|it| it.jobs) {
+            self.note_turns(&id, search, now);
         }
-        shares.by_pool = None;
-        for id in left_over {
-            self.place_job(&id, &mut shares, search, now);
+        limit.is_reached()
+    }
+
+    /// Places tasks in the order of jobs as far as the limit and the shares of their pools go.
+    fn place_shares(
+        &mut self,
+        turns: &mut FastMap<Name, PoolTurn>,
+        limit: &mut PlaceLimit,
+        search: &mut RoomSearch,
+        now: Moment,
+    ) {
+        let first = |pool: &Name, it: &PoolTurn| {
+            it.jobs.front().filter(|_| it.share > 0).map(|it| Reverse((it.0, pool.clone())))
+        };
+        let mut order: BinaryHeap<_> = turns.iter().filter_map(|it| first(it.0, it.1)).collect();
+        while !limit.is_reached()
+            && let Some(Reverse((_, pool))) = order.pop()
+            && let Some(turn) = turns.get_mut(&pool)
+            && let Some((_, id)) = turn.jobs.front().cloned()
+        {
+            let share = turn.share.min(limit.starts);
+            let (placed, is_left) = self.place_job(&id, &pool, share, search, now);
+            // A gang starts as a whole, beyond the share of its pool, and other pools do not pay for it.
+            let paid = placed.min(share);
+            turn.share -= paid;
+            limit.starts -= paid;
+            limit.records -= usize::from(placed > 0);
+            turn.needs.iter_mut().for_each(|it| *it = it.saturating_sub(placed as u64));
+            match is_left {
+                true => turn.share = 0,
+                false => drop(turn.jobs.pop_front()),
+            }
+            order.extend(first(&pool, turn));
         }
-        shares.left == 0
     }
 
-    /// Returns whether the share of its pool kept a task of the job from being looked at.
+    /// Returns how many tasks of the job were placed, and whether the limit kept one from being looked at.
     fn place_job(
         &mut self,
         id: &Name,
-        shares: &mut StartShares,
+        pool: &Name,
+        most: usize,
         search: &mut RoomSearch,
         now: Moment,
-    ) -> bool {
-        let Some(pool) = self.jobs.get(id).map(|it| it.spec.route.pool.clone()) else {
-            return false;
-        };
-        let mut is_left = false;
+    ) -> (usize, bool) {
+        let (mut placed, mut is_left) = (0, false);
         for (occurrence, step) in self.open_steps(id, search, now) {
             let key = StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
-            let outcome = self.place_step(&key, search, shares.left_for(&pool), now);
-            shares.take(&pool, outcome.placed);
-            if outcome.placed > 0 {
-                self.last_start_in.insert(pool.clone(), now);
-            }
+            let outcome = self.place_step(&key, search, most.saturating_sub(placed), now);
+            placed += outcome.placed;
             is_left |= outcome.reason == Some(WaitReason::Turn);
             self.note_wait(&key, outcome.reason, outcome.placed > 0, now);
         }
-        is_left
+        if placed > 0 {
+            self.last_start_in.insert(pool.clone(), now);
+        }
+        (placed, is_left)
     }
 
-    /// Returns the share of each pool, or `None` if there are enough starts for all tasks that wait.
-    fn shares_of_starts(&self, ranked: &[Name], most: usize) -> Option<FastMap<Name, usize>> {
-        let jobs = || ranked.iter().filter_map(|it| self.jobs.get(it));
-        let all = jobs().map(|it| it.waiting as usize).fold(0, usize::saturating_add);
-        if all <= most {
-            return None;
+    /// Notes that the steps of a job that may find room wait for their turn.
+    fn note_turns(&mut self, id: &Name, search: &RoomSearch, now: Moment) {
+        for (occurrence, step) in self.open_steps(id, search, now) {
+            let key = StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
+            self.note_wait(&key, Some(WaitReason::Turn), false, now);
         }
-        let mut waiting: FastMap<&Name, TierNeeds> = FastMap::default();
-        for job in jobs() {
-            let open = job.open_steps().into_iter();
-            let tasks: u64 =
-                open.map(|(k, step)| u64::from(job.occurrences[k].steps[step].waiting)).sum();
-            let needs = waiting.entry(&job.spec.route.pool).or_default();
-            needs[position(job.tier)..].iter_mut().for_each(|it| *it += tasks);
+    }
+
+    /// Returns the jobs with tasks that may start, by pool.
+    fn turns(&self, ranked: Vec<Name>) -> FastMap<Name, PoolTurn> {
+        let mut turns: FastMap<Name, PoolTurn> = FastMap::default();
+        for (position, id) in ranked.into_iter().enumerate() {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let tasks: u64 = match job.spec.steps.len() == 1 {
+                true => job.waiting.into(),
+                false => {
+                    let open = job.open_steps().into_iter();
+                    open.map(|(k, step)| u64::from(job.occurrences[k].steps[step].waiting)).sum()
+                }
+            };
+            if tasks == 0 {
+                continue;
+            }
+            let turn = turns.entry(job.spec.route.pool.clone()).or_default();
+            turn.needs[position_of(job.tier)..].iter_mut().for_each(|it| *it += tasks);
+            turn.jobs.push_back((position, id));
         }
-        let mut pools: Vec<(&Name, TierNeeds)> =
-            waiting.into_iter().filter(|it| it.1[TIERS - 1] > 0).collect();
-        pools.sort_by_key(|(pool, _)| (self.last_start_in.get(*pool).copied(), *pool));
-        let even = pools.len().min(most / EVEN_PART_DIVISOR);
-        let needs: Vec<TierNeeds> = pools.iter().map(|it| it.1).collect();
-        let shares = divide((most - even) as u64, &needs);
-        let share = |(at, (pool, _)): (usize, &(&Name, TierNeeds))| {
-            ((*pool).clone(), shares[at] as usize + usize::from(at < even))
+        turns
+    }
+
+    /// Divides the starts among pools; each gets what it needs if there are enough for all tasks that wait.
+    fn share_starts(&self, most: usize, turns: &mut FastMap<Name, PoolTurn>) {
+        let mut pools: Vec<(&Name, &mut PoolTurn)> = turns.iter_mut().collect();
+        pools.sort_by(|a, b| {
+            let key = |it: &Name| self.last_start_in.get(it).copied();
+            (key(a.0), a.0).cmp(&(key(b.0), b.0))
+        });
+        let needs: Vec<TierNeeds> =
+            pools.iter().map(|it| it.1.needs.map(|need| need.max(1))).collect();
+        let all = needs.iter().map(|it| it[TIERS - 1]).fold(0, u64::saturating_add);
+        let even = match all <= most as u64 {
+            true => 0,
+            false => pools.len().min(most.div_ceil(EVEN_PART_DIVISOR)),
         };
-        Some(pools.iter().enumerate().map(share).collect())
+        let shares = divide((most - even) as u64, &needs);
+        for (at, (_, turn)) in pools.into_iter().enumerate() {
+            turn.share = shares[at] as usize + usize::from(at < even);
+        }
     }
 }
 
 /// Returns the first of the needs of a pool that includes work of a tier.
-fn position(tier: Tier) -> usize {
+fn position_of(tier: Tier) -> usize {
     match tier {
         Tier::Standing => 0,
         Tier::InTime => 1,
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -63,6 +63,8 @@
 pub struct Wait {
     /// Why the last placement left tasks of it.
     pub reason: WaitReason,
+    /// Why the last placement did that looked at it.
+    obstacle: WaitReason,
     /// Since when none of its tasks was placed.
     pub since: Moment,
     /// Since when not all of its tasks are placed.
@@ -83,7 +85,11 @@
     ) -> Self {
         let since = before.filter(|_| !has_placed).map_or(now, |it| it.since);
         let begun = before.map_or(now, |it| it.begun);
-        Self { reason, since, begun }
+        let obstacle = match before.filter(|_| reason == WaitReason::Turn) {
+            Some(before) if !has_placed => before.obstacle,
+            _ => reason,
+        };
+        Self { reason, obstacle, since, begun }
     }
 
     fn is_long_at(&self, now: Moment) -> bool {
@@ -93,18 +99,18 @@
     /// Returns whether further hosts are asked for: the workers of its pool have been too full for a while, or have had too many
     /// of its tasks.
     pub(super) fn asks_for_hosts(&self, now: Moment) -> bool {
-        matches!(self.reason, WaitReason::Room | WaitReason::PerWorker) && self.is_long_at(now)
+        matches!(self.obstacle, WaitReason::Room | WaitReason::PerWorker) && self.is_long_at(now)
     }
 
     /// Returns whether room is to be held. Workers with the label or of the size may be there and take no tasks now.
     pub(super) fn asks_for_room(&self, now: Moment) -> bool {
-        let has_none = matches!(self.reason, WaitReason::Label | WaitReason::Size);
+        let has_none = matches!(self.obstacle, WaitReason::Label | WaitReason::Size);
         self.asks_for_hosts(now) || (has_none && self.is_long_at(now))
     }
 
     /// Returns whether no host that the pool might get would do.
     pub(super) fn is_beyond_hosts(&self) -> bool {
-        matches!(self.reason, WaitReason::TeamLimit | WaitReason::Label | WaitReason::Size)
+        matches!(self.obstacle, WaitReason::TeamLimit | WaitReason::Label | WaitReason::Size)
     }
 }
 
