any_place: several pools, few starts, and each pool's turn

The explorer had one pool, and forgave each wait while the starts of a placement were used up. So it could not see what mended: pools left without starts by the first jobs of all pools.

Now a second play has 2 to 7 pools with drawn names and workers, 1 to 60 starts of a placement or no limit, changed by events, and backlogs. While something could start in a pool, a task of that pool has to start within ceil(pools / (starts / 2)) placements beside the bound that was there; nothing is forgiven for starts that are used up. With one start, half of it is none: each placement starts something while anything could start, so that the number of tasks is the bound. Quiet parts go on with five starts after 120 placements, since fewer don't fill a large fleet, so that this last bound is reached by small backlogs only. That a task is the first of its pool is not reckoned: any start of the pool counts.

--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub mod hosts;
 pub mod advice;
 pub mod places;
+pub mod pool_turns;
 pub mod pools;
 pub mod startable;
 pub mod sim_worker;
--- a/crates/fleet/tests/common/places.rs
+++ b/crates/fleet/tests/common/places.rs
@@ -90,6 +90,10 @@
     pub advice: Advice,
     /// The most tasks that one placement places.
     pub most: usize,
+    /// The pools that take tasks.
+    pub pools: Vec<Name>,
+    /// The pools of the tasks that the last placement started.
+    pub started_in: BTreeSet<Name>,
     /// Jobs with a stored cancellation.
     cancelled: BTreeSet<Name>,
     /// The first start of a task before one that comes first.
@@ -118,6 +122,8 @@
             starts: Starts::Begin,
             advice: Advice::Answers(VALID_MS),
             most: usize::MAX,
+            pools: vec!["web".into()],
+            started_in: BTreeSet::new(),
             cancelled: BTreeSet::new(),
             violation: None,
             trace: None,
@@ -250,6 +256,8 @@
         let orders = self.coordinator.take_orders();
         let started = starts(&orders);
         self.check_first(&left, &started);
+        let pool = |it: &(TaskId, u32, Name)| self.specs[&it.0.job].route.pool.clone();
+        self.started_in = started.iter().map(pool).collect();
         orders.into_iter().for_each(|it| self.carry_out(it));
         self.poll_all();
         self.store();
