--- a/crates/fleet/tests/any_place.rs
+++ b/crates/fleet/tests/any_place.rs
@@ -335,26 +335,22 @@
     assert!(fails.is_empty(), "{fails:?}");
 }
 
-mod known_red {
-    use super::*;
-
-    #[test]
-    fn pool_with_room_is_not_left_without_starts() {
-        check(|script| holds(&script, true));
-    }
+#[test]
+fn pool_with_room_is_not_left_without_starts() {
+    check(|script| holds(&script, true));
+}
 
-    /// Pools whose tasks wait for room never get a start, so that they stay the first ones to get one.
-    #[test]
-    fn pools_without_room_do_not_keep_the_turns_of_others() {
-        assert!(holds(&[3_572_481_733, 1_426_041_456, 1_510_962_648], true));
-    }
+/// Pools whose tasks wait for room never get a start, so that they stay the first ones to get one.
+#[test]
+fn pools_without_room_do_not_keep_the_turns_of_others() {
+    assert!(holds(&[3_572_481_733, 1_426_041_456, 1_510_962_648], true));
+}
 
-    /// A gang starts whole, and takes more than the share of its pool.
-    #[test]
-    fn gangs_do_not_take_the_turns_of_other_pools() {
-        let found: [&[u32]; 3] =
-            [&[855_922_008, 1_126_074_480], &[3_173_717_114, 1_064_090_832], &[125, 57_369_072]];
-        let fails: Vec<_> = found.iter().filter(|it| !holds(it, true)).collect();
-        assert!(fails.is_empty(), "{fails:?}");
-    }
+/// A gang starts whole, and takes more than the share of its pool.
+#[test]
+fn gangs_do_not_take_the_turns_of_other_pools() {
+    let found: [&[u32]; 3] =
+        [&[855_922_008, 1_126_074_480], &[3_173_717_114, 1_064_090_832], &[125, 57_369_072]];
+    let fails: Vec<_> = found.iter().filter(|it| !holds(it, true)).collect();
+    assert!(fails.is_empty(), "{fails:?}");
 }
