What a team's limit leaves is kept for its lasting tasks

Cause: each time a short task of a team at its upper limit ended, the next one took what the limit then left. A larger lasting task is placed first, but what it needs was never left at once.

Change: with each plan, after room is held on workers, what lasting tasks take that have waited for 1 s is kept from their team's short tasks, but not from a more urgent queue's. It is kept only for tasks that have a place on the workers of their pool and below the limit beside the team's lasting tasks, a gang as a whole; not while they wait for advice. It stays kept while they wait for room. No worker holds room for what the limit keeps from starting, so that other teams lose nothing. The log's reason of short tasks that wait for this is team-limit, as before.

Open: hosts that the pool does not have yet count only once they are on their way.

--- a/crates/fleet/src/coordinator/held.rs
+++ b/crates/fleet/src/coordinator/held.rs
@@ -2,7 +2,8 @@
 //!
 //! Such a task is placed before others, but a worker on which short tasks follow one another never has room for a larger one,
 //! and a worker that is drained takes no tasks at all. Therefore some workers take no other new tasks until the waiting ones
-//! are placed: those that will have room first, and drained ones only if no others will do.
+//! are placed: those that will have room first, and drained ones only if no others will do. Where a task that has a place there
+//! waits for the upper limit of its team, what it takes of that is kept from the team's short tasks; see [`super::limits`].
 
 use fuchsiamill_model::{
     FastMap, FastSet, Resources,
@@ -11,6 +12,7 @@
 
 use super::{
     Coordinator, StepKey, TaskState, Worker,
+    limits::{LimitWait, LimitsLeft},
     pool_view::{PoolView, RoomWait, Views, WaitUrgency},
     pools::Move,
 };
@@ -63,6 +65,10 @@
     workers: FastMap<Name, u32>,
     /// Drained hosts that hold room.
     recalled: FastSet<Name>,
+    /// How many tasks of each step room is held for.
+    tasks: FastMap<StepKey, u64>,
+    /// Waits for the limits of teams, with the number of tasks that there is a place for.
+    limits: Vec<(LimitWait, u64)>,
 }
 
 impl Coordinator {
@@ -70,14 +76,23 @@
     pub(super) fn hold_room(&mut self, views: &Views, moves: &[Move], now: Moment) {
         let mut held = Held::default();
         let mut leaving = self.leaving_tasks(now);
-        if !leaving.is_empty() || views.values().any(|it| !it.waits.is_empty()) {
+        let limits = self.limits_left(views.values().flat_map(|it| &it.limit_waits), now);
+        let may_fit = |it: &&LimitWait| limits.places(it, it.room.tasks) > 0;
+        let has_waits = |it: &PoolView| {
+            !it.waits.is_empty() || it.limit_waits.iter().any(|wait| may_fit(&wait))
+        };
+        if !leaving.is_empty() || views.values().any(has_waits) {
             let by_pool = self.workers_by_pool(now);
             for (pool, view) in views {
                 let leaving = leaving.remove(pool).unwrap_or_default();
+                if leaving.is_empty() && !has_waits(view) {
+                    continue;
+                }
                 let moved = moves.iter().filter(|it| it.1 == *pool).count() as u64;
                 let coming = view.coming + moved;
                 let workers = by_pool.get(pool).map_or(&[][..], |it| it);
-                self.hold_in_pool(view, &leaving, workers, coming, &mut held, now);
+                let limits = limits.clone();
+                self.hold_in_pool(view, &leaving, limits, (workers, coming), &mut held, now);
             }
         }
         for (id, worker) in &mut self.workers {
@@ -86,6 +101,7 @@
             worker.held_for = held_for;
         }
         self.recall_hosts(held.recalled);
+        self.keep_limits(held.limits, limits);
     }
 
     /// Holds room for the tasks of a pool that wait, then for those that leave their hosts. These have a host as long as
@@ -94,16 +110,14 @@
         &self,
         view: &PoolView,
         leaving: &[RoomWait],
-        workers: &[(&Worker, Option<&Name>)],
-        coming: u64,
+        mut limits: LimitsLeft,
+        (workers, coming): (&[(&Worker, Option<&Name>)], u64),
         held: &mut Held,
         now: Moment,
     ) {
-        if view.waits.is_empty() && leaving.is_empty() {
-            return;
-        }
+        let limited = view.limit_waits.iter().map(|it| &it.room);
         let steps: FastSet<&StepKey> =
-            view.waits.iter().chain(leaving).map(|it| &it.step).collect();
+            view.waits.iter().chain(leaving).chain(limited).map(|it| &it.step).collect();
         let mut candidates = self.hold_candidates(view, workers, &steps, coming, now);
         // Room only shrinks, so that what found none is not searched for again, and neither is anything larger.
         let mut unmet: Vec<Resources> = Vec::new();
@@ -112,39 +126,70 @@
             if unmet.iter().any(|it| wait.size.fits(*it)) {
                 continue;
             }
-            let refused = self.advice.get(&wait.step).map(|it| &it.refused);
-            let suits = |it: &Candidate| {
-                let is_refused = |worker: &Worker| {
-                    refused.is_some_and(|refused| refused.contains(&worker.seen.id))
-                };
-                (may_recall || !it.is_drained()) && !it.worker.is_some_and(is_refused)
-            };
-            if wait.is_gang {
-                let places = candidates.iter().filter(|it| suits(it)).map(|it| it.places(wait));
-                if places.fold(0, u64::saturating_add) < wait.tasks {
-                    continue;
-                }
-            }
-            let mut left = wait.tasks;
-            for it in candidates.iter_mut().filter(|it| suits(it)) {
-                let tasks = it.places(wait).min(left);
-                if tasks == 0 {
-                    continue;
-                }
-                it.hold(wait, tasks);
-                left -= tasks;
+            let taken = self.take_places(&mut candidates, wait, wait.tasks, may_recall, |it| {
                 if let Some(worker) = it.worker {
                     held.workers.entry(worker.seen.id.clone()).or_insert(wait.urgency.priority);
                     held.recalled.extend(it.host.filter(|_| it.is_drained()).cloned());
                 }
-                if left == 0 {
-                    break;
-                }
+            });
+            if may_recall {
+                held.tasks.insert(wait.step.clone(), taken);
             }
-            if left > 0 && !candidates.iter().any(|it| it.room.fits(wait.size)) {
+            if taken < wait.tasks && !candidates.iter().any(|it| it.room.fits(wait.size)) {
                 unmet.push(wait.size);
             }
         }
+        // No worker holds room for tasks that the limit of their team keeps from starting: others may use it until then.
+        for wait in &view.limit_waits {
+            let tasks = limits.places(wait, wait.room.tasks);
+            let taken = held.tasks.get(&wait.room.step).map_or(0, |it| tasks.min(*it));
+            let is_unmet = unmet.iter().any(|it| wait.room.size.fits(*it));
+            let more = if is_unmet { 0 } else { tasks - taken };
+            let found = self.take_places(&mut candidates, &wait.room, more, true, |_| {});
+            if found < more && !candidates.iter().any(|it| it.room.fits(wait.room.size)) {
+                unmet.push(wait.room.size);
+            }
+            let places = limits.take(wait, taken + found);
+            if places > 0 {
+                held.limits.push((wait.clone(), places));
+            }
+        }
+    }
+
+    /// Takes places for so many tasks of a wait, for a gang all or none, and returns for how many there are.
+    fn take_places(
+        &self,
+        candidates: &mut [Candidate],
+        wait: &RoomWait,
+        tasks: u64,
+        may_recall: bool,
+        mut on_taken: impl FnMut(&Candidate),
+    ) -> u64 {
+        let refused = self.advice.get(&wait.step).map(|it| &it.refused);
+        let suits = |it: &Candidate| {
+            let is_refused =
+                |worker: &Worker| refused.is_some_and(|refused| refused.contains(&worker.seen.id));
+            (may_recall || !it.is_drained()) && !it.worker.is_some_and(is_refused)
+        };
+        if wait.is_gang {
+            let places = candidates.iter().filter(|it| suits(it)).map(|it| it.places(wait));
+            if places.fold(0, u64::saturating_add) < tasks {
+                return 0;
+            }
+        }
+        let mut left = tasks;
+        for it in candidates.iter_mut().filter(|it| suits(it)) {
+            if left == 0 {
+                break;
+            }
+            let tasks = it.places(wait).min(left);
+            if tasks > 0 {
+                it.hold(wait, tasks);
+                left -= tasks;
+                on_taken(it);
+            }
+        }
+        tasks - left
     }
 
     /// Returns the workers that would take tasks if they were not drained, by pool.
@@ -218,7 +263,7 @@
     }
 
     /// Returns how long a live task is expected to run on; `None` if it runs until its job is cancelled or is long overdue.
-    fn ends_in(&self, id: &TaskId, now: Moment) -> Option<Millisecond> {
+    pub(super) fn ends_in(&self, id: &TaskId, now: Moment) -> Option<Millisecond> {
         let job = self.jobs.get(&id.job)?;
         let TaskState::Live(live) = &job.task(id)?.state else { return None };
         let expected = self.expected_ms(&job.spec, id.step as usize);
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -85,6 +85,7 @@
     /// Workers whose next life may carry out starts that were meant for the former one, each with the end of that time.
     lives: lives::Lives,
     used_by_team: FastMap<Name, Resources>,
+    kept_of_limits: limits::KeptParts,
     recent_jobs: FastMap<Name, VecDeque<Moment>>,
     /// Cancellations of jobs that were not accepted yet.
     early_cancels: FastMap<Name, retention::EarlyCancel>,
@@ -140,6 +141,7 @@
             workers: FastMap::default(),
             lives: lives::Lives::default(),
             used_by_team: FastMap::default(),
+            kept_of_limits: limits::KeptParts::default(),
             recent_jobs: FastMap::default(),
             early_cancels: FastMap::default(),
             dirty_records: VecDeque::new(),
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -14,6 +14,7 @@
 use super::{
     Coordinator, Host, HostDuty, Job, StepKey, Task, Tier,
     demand::{Demand, DemandKey, HostAffinity, Load},
+    limits::LimitWait,
     pool_view::{AffinityView, PoolNeed, PoolView, RoomWait, Views, WaitUrgency},
     shares,
 };
@@ -137,6 +138,18 @@
                     let wait = RoomWait::new(key, urgency, startable, step_spec);
                     view.waits.push(RoomWait { asks_for_hosts, ..wait });
                 }
+                if let Some(wait) = step.wait.filter(|it| it.asks_for_limit(now))
+                    && waiting > 0
+                    && step_spec.long_running
+                    && self.is_limited(&job.spec.team)
+                {
+                    let key = StepKey { job: job.id.clone(), occurrence: k as u32, step: s as u16 };
+                    let priority = job.spec.route.priority;
+                    let urgency = WaitUrgency { priority, since: wait.since };
+                    let room = RoomWait::new(key, urgency, waiting, step_spec);
+                    let team = job.spec.team.clone();
+                    view.limit_waits.push(LimitWait { team, size: step_spec.size, room });
+                }
                 let is_beyond = step.wait.is_some_and(|it| it.is_beyond_hosts());
                 let blocked = if is_beyond { waiting } else { waiting - startable };
                 let load = Load::of(step_spec.room(), live + waiting);
@@ -197,7 +210,8 @@
                 view.host = any;
             }
             let host = view.host;
-            view.waits.sort_by(|a, b| (a.urgency, &a.step).cmp(&(b.urgency, &b.step)));
+            view.waits.sort_by(|a, b| a.order().cmp(&b.order()));
+            view.limit_waits.sort_by(|a, b| a.room.order().cmp(&b.room.order()));
             let demand = self.demand_for(pool, None);
             view.need.expected = demand.expected(now).millicores_on(host);
             view.need.present = view.load.millicores_on(host);
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -194,7 +194,7 @@
         step: &Step,
         search: &RoomSearch,
     ) -> Option<WaitReason> {
-        match self.fits_limit(&spec.team, step.size) {
+        match self.fits_limit(spec, step) {
             true => search.unmet(spec, step),
             false => Some(WaitReason::TeamLimit),
         }
@@ -229,7 +229,7 @@
         now: Moment,
     ) -> Spot {
         let step = &spec.steps[task.step as usize];
-        if !self.fits_limit(&spec.team, step.size) {
+        if !self.fits_limit(spec, step) {
             return Spot::Nowhere(WaitReason::TeamLimit);
         }
         match self.best_worker(task, spec, near, search, now) {
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -5,6 +5,7 @@
 use super::{
     StepKey,
     demand::{HostAffinity, Load},
+    limits::LimitWait,
     shares::{TIERS, TierNeeds},
 };
 use crate::{Name, Step};
@@ -77,6 +78,8 @@
     pub(super) standing_spread: u64,
     /// The long-running tasks that have waited for room, the most urgent ones first.
     pub(super) waits: Vec<RoomWait>,
+    /// The long-running tasks of teams with an upper limit that have waited, the most urgent ones first.
+    pub(super) limit_waits: Vec<LimitWait>,
     /// Hosts whose workers take tasks.
     pub(super) ready: u64,
     /// Hosts on their way to the pool, or whose workers do not answer yet.
@@ -127,6 +130,11 @@
         }
     }
 
+    /// Returns what orders waits: the most urgent one is the smallest.
+    pub(super) fn order(&self) -> (WaitUrgency, &StepKey) {
+        (self.urgency, &self.step)
+    }
+
     /// Returns how many of the tasks an empty host of this capacity holds.
     pub(super) fn tasks_per(&self, host: Resources) -> u64 {
         host.times(self.size).clamp(1, self.per_worker.max(1))
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -8,7 +8,7 @@
 /// Why a task that may run is not started. Ordered by how far the search for a worker got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum WaitReason {
-    /// Its team runs as much as its limit allows.
+    /// Its team runs as much as its limit allows, or the rest is kept for long-running tasks.
     TeamLimit,
     /// No worker of its pool that takes tasks has the label that it needs.
     Label,
@@ -69,8 +69,8 @@
     pub begun: Moment,
 }
 
-/// Long-running tasks that wait for room for this long ask for further hosts, and hold room on those that there are. Tasks
-/// that end meanwhile often make room.
+/// Long-running tasks that wait for this long ask for further hosts, and hold room on those that there are and below the limit
+/// of their team. Tasks that end meanwhile often make room.
 const ROOM_WAIT_MS: Millisecond = 1_000;
 
 impl Wait {
@@ -102,6 +102,11 @@
         self.asks_for_hosts(now) || (has_none && self.is_long_at(now))
     }
 
+    /// Returns whether what its tasks take of their team's limit is to be kept for them. Advice may never allow them.
+    pub(super) fn asks_for_limit(&self, now: Moment) -> bool {
+        self.reason != WaitReason::Permit && self.is_long_at(now)
+    }
+
     /// Returns whether no host that the pool might get would do.
     pub(super) fn is_beyond_hosts(&self) -> bool {
         matches!(self.reason, WaitReason::TeamLimit | WaitReason::Label | WaitReason::Size)
