--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -147,8 +147,7 @@
     /// Returns how many starts may be sent now.
     pub fn start_room(&mut self, now: Moment) -> usize {
         // One that is unanswered for longer than the fastest calls take is with its worker, which may not answer at
-        // all.
-        // While hardly any call is answered, it may still wait for the link.
+        // all. While hardly any call is answered, it may still wait for the link.
         let age = match self.is_unanswered {
             true => MAX_TIME_LIMIT_MS,
             false => MAX_DELAY_MS.max(self.estimate * 2),
@@ -199,8 +198,7 @@
         let count = calls.answered + calls.unanswered as usize;
         self.is_unanswered = calls.answered * MIN_ANSWERED_DIVISOR < count;
         if self.is_unanswered {
-            // Nothing tells the delay; it is more than what was waited for.
-            self.window.lost();
+            self.window.halve();
             return;
         }
         // Starts that fill the link themselves are no longer route.
--- a/crates/fleet/src/start_window.rs
+++ b/crates/fleet/src/start_window.rs
@@ -79,13 +79,13 @@
         };
     }
 
-    /// Returns whether the starts themselves may be what delays calls.
+    /// Returns whether the starts themselves may be what delays calls, rather than a longer route.
     pub fn explains_delay(&self) -> bool {
         self.limit != Limit::None && self.size > MIN_STARTS
     }
 
-    /// Halves the window: hardly any call is answered.
-    pub fn lost(&mut self) {
+    /// Halves the window, since hardly any call is answered, which tells no delay.
+    pub fn halve(&mut self) {
         self.most_used = 0;
         self.limit = Limit::Delay;
         self.size = (self.size / 2).max(FIRST_STARTS.min(self.size));
