Four transactions' records may wait before no more is placed, and only new ones count

Cause: starts of one job share its record while this waits, so that larger batches take fewer records. With one transaction's worth each placement was small, and a job of which more tasks were placed counted again although its record waited already.

Change: no further task is placed while 360 records wait; a record that waits already costs nothing.

Tests: blocked_pools holds with the bound that it had, three transactions until an end is acknowledged.

--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -13,7 +13,11 @@
 }
 
 /// The most records in one commit. The store takes 100 rows, of which the lease and the board are two.
-pub(super) const COMMIT_RECORDS: usize = 90;
+const COMMIT_RECORDS: usize = 90;
+
+/// While so many records wait, no task is placed. They take four commits, each of which takes some 50 ms, so that ends are
+/// acknowledged before their worker is polled without it.
+const MAX_WAITING_RECORDS: usize = 4 * COMMIT_RECORDS;
 
 /// A commit takes no further record beyond this size. The store takes 1 MB, in base64.
 const COMMIT_BYTES: usize = 400 * 1024;
@@ -31,9 +35,9 @@
         self.pending_orders.push(PendingOrder { order, records: self.records_marked });
     }
 
-    /// Returns how many more records the next commit takes.
+    /// Returns how many more records may wait.
     pub(super) fn record_room(&self) -> usize {
-        COMMIT_RECORDS.saturating_sub(self.dirty_records.len())
+        MAX_WAITING_RECORDS.saturating_sub(self.dirty_records.len())
     }
 
     /// Notes that the progress of a task has changed.
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -56,8 +56,8 @@
         self.place_within(PlaceLimit { starts: usize::MAX, records: usize::MAX }, now);
     }
 
-    /// Does so with at most so many tasks, but for a gang, which starts as a whole, and for no more jobs than the next commit
-    /// takes. What is left is placed next time.
+    /// Does so with at most so many tasks, but for a gang, which starts as a whole, and for as many
+    /// records as may wait to be stored. What is left is placed next time.
     pub fn place_at_most(&mut self, most: usize, now: Moment) {
         self.place_within(PlaceLimit { starts: most, records: self.record_room() }, now);
     }
--- a/crates/fleet/src/coordinator/turns.rs
+++ b/crates/fleet/src/coordinator/turns.rs
@@ -28,7 +28,7 @@
 pub(super) struct PlaceLimit {
     /// Tasks, but for gangs, which start as a whole.
     pub(super) starts: usize,
-    /// Jobs of which tasks are placed. A start waits for its record, and so do the ends that are recorded after it.
+    /// Records that it may add to those that wait. A start waits for its record, and so do the ends that are recorded after it.
     pub(super) records: usize,
 }
 
@@ -89,12 +89,14 @@
             && let Some((_, id)) = turn.jobs.front().cloned()
         {
             let share = turn.share.min(limit.starts);
+            let records = self.record_room();
             let (placed, is_left) = self.place_job(&id, &pool, share, search, now);
             // A gang starts as a whole, beyond the share of its pool, and other pools do not pay for it.
             let paid = placed.min(share);
             turn.share -= paid;
             limit.starts -= paid;
-            limit.records -= usize::from(placed > 0);
+            let more_records = records - self.record_room();
+            limit.records = limit.records.saturating_sub(more_records);
             turn.needs.iter_mut().for_each(|it| *it = it.saturating_sub(placed as u64));
             match is_left {
                 true => turn.share = 0,
