Waits of single lasting tasks are told

While other tasks of its step are stopped and start again, a lasting task that waits was told by no line: the age of the wait of its step began anew with each start.

Each task now keeps when its last run ended, and the age of a step of lasting tasks is the longest wait of one of them.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -77,6 +77,8 @@
     pub stalls: u32,
     /// The checkpoint that was saved last; empty if there is none.
     pub checkpoint: Name,
+    /// When its last run ended; `None` if none has under this coordinator.
+    pub last_run_end: Option<Moment>,
     /// Whether an earlier run turned out to have done the work; the current run is then stopped.
     pub is_superseded: bool,
 }
@@ -121,6 +123,13 @@
         self.wait = reason.map(|reason| Wait::after(self.wait, reason, has_placed, now));
     }
 
+    /// Returns since when the task that has waited longest waits, if that is known.
+    pub(super) fn waits_since(&self) -> Option<Moment> {
+        let begun = self.wait?.begun;
+        let waiting = self.tasks.iter().filter(|it| it.state == TaskState::Waiting);
+        waiting.map(|it| it.last_run_end.unwrap_or(begun)).min()
+    }
+
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
         self.done as usize == self.tasks.len()
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -306,6 +306,9 @@
         let (run, is_superseded) = (task.run, task.is_superseded);
         let state = if is_superseded { TaskState::Done } else { state };
         let Some(TaskState::Live(live)) = job.set_state(id, state) else { return };
+        if let Some(task) = job.task_mut(id) {
+            task.last_run_end = Some(now);
+        }
         if live.phase == Phase::Recorded {
             self.withdraw_start(id, run);
         }
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -126,7 +126,8 @@
     pub step: StepKey,
     /// Why it waits.
     pub reason: WaitReason,
-    /// How long none of its tasks was placed, in milliseconds.
+    /// How long none of its tasks was placed, or, if they run until their job is cancelled, how long one of them has waited; in
+    /// milliseconds.
     pub age_ms: Millisecond,
     /// How many of its tasks wait.
     pub tasks: u32,
@@ -184,12 +185,18 @@
             let wait = step.wait.filter(|_| step.waiting > 0)?;
             let key =
                 StepKey { job: job.id.clone(), occurrence: occurrence as u32, step: number as u16 };
+            // One of the tasks may wait while others of the step start again and again.
+            let long_running = job.spec.steps[number].long_running;
+            let since = match long_running {
+                true => step.waits_since().map_or(wait.since, |it| it.min(wait.since)),
+                false => wait.since,
+            };
             Some(WaitingStep {
                 step: key,
                 reason: wait.reason,
-                age_ms: now.since(wait.since),
+                age_ms: now.since(since),
                 tasks: step.waiting,
-                long_running: job.spec.steps[number].long_running,
+                long_running,
             })
         })
     })
--- a/crates/fleet/tests/told_waits.rs
+++ b/crates/fleet/tests/told_waits.rs
@@ -66,3 +66,24 @@
     bench.step();
     assert_eq!(bench.coordinator.held_runs(&"w1".into()), None);
 }
+
+/// A task waits while others of its step are lost and start again.
+#[test]
+fn wait_of_one_lasting_task_is_told_while_others_of_its_step_start() {
+    let mut bench = Bench::new();
+    ["w1", "w2", "w3"].into_iter().for_each(|it| bench.add(worker(it)));
+    let apart = Step { long_running: true, per_worker: Some(1), ..step(3) };
+    bench.accept("j", job(vec![apart]));
+    assert_eq!(bench.run().len(), 3);
+    for id in ["w3", "w2"] {
+        bench.coordinator.worker_dead(&id.into(), 7, bench.now);
+        bench.wait(1_000);
+        bench.run();
+    }
+    bench.add(worker("w4"));
+    assert_eq!(bench.run().len(), 1);
+    bench.wait(1_000);
+    bench.run();
+    let told = bench.coordinator.waiting_steps(bench.now).next();
+    assert!(told.as_ref().is_some_and(|it| it.age_ms >= 2_000), "{told:?}");
+}
