Lasting tasks start in the order in which they began to wait

Cause: the waiting tasks of a step were placed in the order of their indices, and lasting jobs in the order of their acceptance, so that one that is stopped again and again stays before the others.

Tasks are placed by the end of their last run, and a lasting job by its task that has waited longest. lasting_task_that_waits_longest_is_not_passed_over_by_others_of_its_step and _by_an_earlier_job, both seen failing; the fleet crate's other tests pass.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -126,8 +126,13 @@
     /// Returns since when the task that has waited longest waits, if that is known.
     pub(super) fn waits_since(&self) -> Option<Moment> {
         let begun = self.wait?.begun;
+        Some(self.waits_since_run_end().unwrap_or(begun))
+    }
+
+    /// Returns when the last run of the task that has waited longest ended; `None` if a task waits that has not run.
+    pub(super) fn waits_since_run_end(&self) -> Option<Moment> {
         let waiting = self.tasks.iter().filter(|it| it.state == TaskState::Waiting);
-        waiting.map(|it| it.last_run_end.unwrap_or(begun)).min()
+        waiting.map(|it| it.last_run_end).min().flatten()
     }
 
     /// Returns whether every task is done.
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -109,7 +109,11 @@
             };
         }
         let is_waiting = |it: &u32| run.tasks[*it as usize].state == TaskState::Waiting;
-        let waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).take(most).collect();
+        let mut waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).collect();
+        if wanted.long_running {
+            waiting.sort_by_key(|it| run.tasks[*it as usize].last_run_end);
+        }
+        waiting.truncate(most);
         let is_last = waiting.len() == run.waiting as usize;
         let near = Near::of(run.waiting as usize);
         let mut placed = Vec::new();
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -79,7 +79,8 @@
         let priority = job.spec.route.priority;
         let due = self.due(job);
         if job.spec.is_standing() {
-            return Rank { priority, tier: Tier::Standing, urgency: Urgency::Due(due) };
+            let urgency = Urgency::Due(due + waited_since_acceptance(job));
+            return Rank { priority, tier: Tier::Standing, urgency };
         }
         let (path, work) = self.remaining_work(job);
         let tier = match () {
@@ -145,6 +146,16 @@
     }
 }
 
+/// Returns how long after its acceptance the wait of a job's lasting tasks began, so that those that are stopped again and again
+/// do not stay before those of later jobs.
+fn waited_since_acceptance(job: &Job) -> Millisecond {
+    let steps = job.occurrences.iter().flat_map(|it| &it.steps);
+    let steps = steps.zip(job.spec.steps.iter().cycle());
+    let lasting = steps.filter(|it| it.1.long_running && it.0.waiting > 0);
+    let begun = lasting.map(|it| it.0.waits_since_run_end().unwrap_or(job.accepted)).min();
+    begun.map_or(0, |it| it.since(job.accepted))
+}
+
 /// Returns the length of the longest chain of steps, where each step takes what `step_ms` returns.
 fn critical_path_ms(spec: &JobSpec, mut step_ms: impl FnMut(usize) -> Millisecond) -> Millisecond {
     if spec.steps.len() == 1 {
--- a/crates/fleet/tests/passed_over.rs
+++ b/crates/fleet/tests/passed_over.rs
@@ -231,3 +231,44 @@
     bench.coordinator.tick(bench.now, WALL);
     assert!(bench.coordinator.has_work());
 }
+
+/// The tasks of a step that runs all the time lose their workers one after the other.
+#[test]
+fn lasting_task_that_waits_longest_is_not_passed_over_by_others_of_its_step() {
+    let mut bench = Bench::new();
+    ["w1", "w2", "w3"].into_iter().for_each(|it| bench.add(worker(it)));
+    let apart = Step { long_running: true, per_worker: Some(1), ..step(3) };
+    bench.accept("j", job(vec![apart]));
+    let placed = bench.run();
+    let on = |id: &str| placed.iter().find(|it| it.2 == *id).unwrap().0.clone();
+    let lost = [on("w3"), on("w1")];
+    for id in ["w3", "w1"] {
+        bench.coordinator.worker_dead(&id.into(), 7, bench.now);
+        bench.wait(500);
+        bench.run();
+    }
+    bench.add(worker("w4"));
+    let started: Vec<_> = bench.run().into_iter().map(|it| it.0).collect();
+    assert_eq!(started, lost[..1]);
+}
+
+/// A lasting job that was accepted first loses its worker again and again.
+#[test]
+fn lasting_task_that_waits_longest_is_not_passed_over_by_an_earlier_job() {
+    let mut bench = Bench::new();
+    ["w1", "w2"].into_iter().for_each(|it| bench.add(worker(it)));
+    for id in ["early", "late"] {
+        bench.accept(id, job(vec![Step { long_running: true, size: cores(8), ..step(1) }]));
+        bench.wait(2_000);
+    }
+    let placed = bench.run();
+    for job in ["late", "early"] {
+        let on = placed.iter().find(|it| it.0.job == *job).unwrap().2.clone();
+        bench.coordinator.worker_dead(&on, 7, bench.now);
+        bench.wait(3_000);
+        bench.run();
+    }
+    bench.add(worker("w3"));
+    let started: Vec<_> = bench.run().into_iter().map(|it| it.0.job).collect();
+    assert_eq!(started, ["late"]);
+}
