Hosts that come back are not maintained again before waiting tasks have started

A task that was stopped for a wave without a place elsewhere waits for its host to come back. Where waves overlap, the next wave maintained the empty host again at once, and the one after it again: 2.3 s more for each wave, beyond the 9 s of the users' rule with four.

A host that came up less than 2 s ago and has run nothing is neither drained nor maintained while a lasting task waits that fits there.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -1,5 +1,6 @@
 //! Orders to hosts: maintenance waves, and moves between pools.
 
+mod awaited;
 mod evacuation;
 mod host;
 mod replaced;
@@ -13,7 +14,7 @@
 
 pub use host::{Duty, DutyReply, Host, PendingDuty};
 
-use self::{host::LOST_MS, slots::Slots};
+use self::{awaited::AwaitedRoom, host::LOST_MS, slots::Slots};
 use super::{Coordinator, Order, Worker};
 use crate::{
     HostInfo, HostState, Name,
@@ -130,14 +131,15 @@
             return;
         }
         self.retry_duties(now);
+        let mut awaited = self.awaited_room(now);
         for number in 0..self.waves.len() {
-            self.plan_wave(number, now);
+            self.plan_wave(number, &mut awaited, now);
         }
         self.plan_pools(now);
         self.evacuate(now);
     }
 
-    fn plan_wave(&mut self, index: usize, now: Moment) {
+    fn plan_wave(&mut self, index: usize, awaited: &mut AwaitedRoom, now: Moment) {
         let state = &self.waves[index];
         if state.is_completed {
             return;
@@ -175,6 +177,10 @@
         let left = self.in_order_of_slots(index, left, slots, now);
         let mut draining = FastSet::default();
         for name in left {
+            let is_free = self.is_free(&name, now);
+            if is_free && self.is_awaited(&name, awaited, now) {
+                continue;
+            }
             // A host that may be under an order of a former coordinator already counts as down.
             match self.may_be_under_former_order(&name, now) {
                 true if down > at_once => continue,
@@ -182,7 +188,7 @@
                 false if slots == 0 => continue,
                 false => slots -= 1,
             }
-            if self.is_free(&name, now) {
+            if is_free {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
             } else {
                 draining.insert(name);
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -127,6 +127,16 @@
             && now >= self.avoid_until
     }
 
+    /// Returns whether it takes new tasks once it has answered and is not reserved, as far as is known.
+    pub fn may_become_sound(&self, now: Moment) -> bool {
+        let answers = !self.answered || self.silent_since.is_none();
+        answers
+            && !self.unlisted
+            && !self.unknown.has_unsized
+            && self.seen.state == WorkerState::Ready
+            && now >= self.avoid_until
+    }
+
     /// Avoids the worker until `until`, or longer if it is already avoided for longer.
     pub fn avoid(&mut self, until: Moment) {
         self.avoid_until = self.avoid_until.max(until);
--- a/crates/fleet/tests/common/pools.rs
+++ b/crates/fleet/tests/common/pools.rs
@@ -143,7 +143,12 @@
 
     /// Requests a wave of maintenance of these hosts.
     pub fn maintain(&mut self, hosts: std::ops::Range<usize>, at_once: usize) {
-        let hosts = hosts.map(|it| format!("h{it}").into()).collect();
+        self.maintain_these(hosts.collect(), at_once);
+    }
+
+    /// Requests a wave of maintenance of these hosts.
+    pub fn maintain_these(&mut self, hosts: Vec<usize>, at_once: usize) {
+        let hosts = hosts.into_iter().map(|it| format!("h{it}").into()).collect();
         let number = self.waves.len() as u64 + 1;
         self.waves.push(Wave { number, hosts, within_ms: 20_000, at_once });
         self.ask_waves();
--- /dev/null
+++ b/crates/fleet/tests/wave_stops.rs
@@ -0,0 +1,60 @@
+//! How often and for how long waves stop long-running tasks.
+
+mod common;
+
+use common::{
+    cores,
+    pools::{PoolFleet, job_in, lasting, with_pools},
+};
+use fuchsiamill_fleet::Step;
+use fuchsiamill_model::units::Millisecond;
+
+/// A stop, the maintenance of a host and a start, each with a round.
+const AWAY_BOUND_MS: Millisecond = 300 + 2_000 + 700;
+
+/// Returns hosts that stay in their pool.
+fn pool_of(hosts: usize) -> PoolFleet {
+    let mut config = with_pools(&["web"]);
+    config.pools.retain(|_, it| !it.spare);
+    PoolFleet::new(config, &vec!["web"; hosts])
+}
+
+/// Returns a step of tasks of which each needs a host of its own.
+fn apart(count: u32, max_unavailable: u32) -> Step {
+    let max_unavailable = Some(max_unavailable);
+    Step { per_worker: Some(1), max_unavailable, size: cores(2), ..lasting(count, 2) }
+}
+
+/// The hosts that come back from one wave go to tasks that the next one has stopped since.
+#[test]
+fn task_that_waits_longest_gets_the_next_host() {
+    let mut fleet = pool_of(26);
+    fleet.accept("apart", job_in("web", vec![apart(26, 5)]));
+    fleet.play(3_000);
+    fleet.longest_idle = (0, None);
+    for _ in 0..4 {
+        fleet.maintain(0..26, 26);
+        fleet.play(4_000);
+    }
+    fleet.play(60_000);
+    assert_eq!(fleet.maintained(), 4 * 26);
+    fleet.assert_runs(AWAY_BOUND_MS);
+}
+
+/// A task is placed where it leaves the least room, on hosts that the wave drains next.
+#[test]
+fn stopped_task_goes_to_a_host_that_is_not_due() {
+    let mut fleet = pool_of(12);
+    let large = Step { size: cores(5), ..apart(6, 1) };
+    fleet.accept("large", job_in("web", vec![large]));
+    fleet.play(1_000);
+    let small = Step { max_unavailable: Some(1), ..lasting(1, 2) };
+    fleet.accept("small", job_in("web", vec![small]));
+    fleet.play(3_000);
+    let due = (0..12).filter(|it| !fleet.hosts[*it].running.is_empty()).collect();
+    fleet.maintain_these(due, 1);
+    fleet.play(40_000);
+    assert_eq!(fleet.maintained(), 6);
+    let most = fleet.runs.iter().max_by_key(|it| it.1);
+    assert!(most.is_some_and(|it| *it.1 <= 2), "{most:?}");
+}
