Stopped lasting tasks go to hosts that are not due first

Workers whose hosts are still to be maintained come last for lasting tasks, for held room, and as spare hosts for pools. Of the hosts that are drained, those whose tasks have run longest are emptied first.

--- a/crates/fleet/src/coordinator/held.rs
+++ b/crates/fleet/src/coordinator/held.rs
@@ -221,7 +221,8 @@
         let mut workers = workers.to_vec();
         workers.sort_by_cached_key(|(it, _)| {
             let is_new = it.held_for.is_none();
-            (it.reserved, is_new, self.ending_ms(it, now), it.seen.id.clone())
+            let is_due = self.due.has_worker(&it.seen.id);
+            (it.reserved, is_due, is_new, self.ending_ms(it, now), it.seen.id.clone())
         });
         let on_its_way = |_| Candidate {
             worker: None,
--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -1,6 +1,7 @@
 //! Orders to hosts: maintenance waves, and moves between pools.
 
 mod awaited;
+mod due;
 mod evacuation;
 mod host;
 mod pace;
@@ -13,6 +14,7 @@
     units::{Millisecond, Moment},
 };
 
+pub(super) use due::DueHosts;
 pub use host::{Duty, DutyReply, Host, PendingDuty};
 
 use self::{awaited::AwaitedRoom, host::LOST_MS, pace::DrainedTasks, slots::Slots};
@@ -143,6 +145,7 @@
         for number in 0..self.waves.len() {
             self.plan_wave(number, &mut beside, now);
         }
+        self.update_due();
         self.plan_pools(now);
         self.evacuate(now);
     }
--- a/crates/fleet/src/coordinator/hosts/awaited.rs
+++ b/crates/fleet/src/coordinator/hosts/awaited.rs
@@ -45,13 +45,9 @@
         job.open_steps().into_iter().filter_map(move |(occurrence, number)| {
             let step = &job.spec.steps[number];
             let waiting = job.occurrences[occurrence].steps[number].waiting;
-            let startable =
-                u64::from(waiting).min(self.left_of_limit(&job.spec.team, step.size));
-            let key = StepKey {
-                job: job.id.clone(),
-                occurrence: occurrence as u32,
-                step: number as u16,
-            };
+            let startable = u64::from(waiting).min(self.left_of_limit(&job.spec.team, step.size));
+            let key =
+                StepKey { job: job.id.clone(), occurrence: occurrence as u32, step: number as u16 };
             let urgency = WaitUrgency { priority: job.spec.route.priority, since: now };
             let is_awaited = step.long_running && !step.gang && startable > 0;
             is_awaited.then(|| RoomWait::new(key, urgency, startable, step))
--- a/crates/fleet/src/coordinator/hosts/evacuation.rs
+++ b/crates/fleet/src/coordinator/hosts/evacuation.rs
@@ -45,18 +45,28 @@
         }
     }
 
-    /// Returns the workers that long-running tasks have to leave, those with the fewest tasks first.
+    /// Returns the workers that long-running tasks have to leave, those with the fewest tasks first, and of these the ones whose
+    /// tasks have run longest.
     fn leaving_workers(&self) -> Vec<Name> {
         let is_leaving = |it: &&Worker| it.has_long_running() && it.is_leaving();
         let leaving = self.workers.values().filter(is_leaving);
         let mut leaving: Vec<Name> = leaving.map(|it| it.seen.id.clone()).collect();
-        leaving.sort_by_key(|it| (self.workers[it].live.len(), it.clone()));
+        leaving.sort_by_cached_key(|it| {
+            (self.workers[it].live.len(), self.last_lasting_start(it), it.clone())
+        });
         leaving
     }
 
+    /// Returns when the last long-running task began on a worker.
+    fn last_lasting_start(&self, worker: &Name) -> Option<Moment> {
+        let is_long = |it: &TaskId| self.step_of(it).is_some_and(|step| step.long_running);
+        let long = self.live_on(worker).into_iter().filter(|it| is_long(&it.0));
+        long.map(|it| it.1.since).max()
+    }
+
     /// Returns a search for room besides what tasks need that are being stopped.
     pub(super) fn search_beside_stopped(&self, now: Moment) -> RoomSearch {
-        let mut search = RoomSearch::new(&self.workers, now);
+        let mut search = RoomSearch::new(&self.workers, &self.due, now);
         self.take_places_of_stopped(&self.leaving_workers(), &mut search, now);
         search
     }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -20,6 +20,7 @@
 /// What a worker would look like with one more task; the smallest value wins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Fit {
+    due: bool,
     far: bool,
     disturbs: bool,
     empty: bool,
@@ -70,7 +71,7 @@
         }
         self.last_placed = now;
         self.near_wait_ends = None;
-        let mut search = RoomSearch::new(&self.workers, now);
+        let mut search = RoomSearch::new(&self.workers, &self.due, now);
         let ranked = self.rank_jobs(now);
         let is_used_up = self.place_jobs(ranked, limit, &mut search, now);
         // Gangs that found no room have released what they took, which set the flag although nothing has changed.
@@ -276,7 +277,8 @@
                 continue;
             }
             let near = self.near_rack(task, near);
-            let fit = fit(&self.workers[&it.id], step, near, room);
+            let due = it.is_due && step.long_running;
+            let fit = Fit { due, ..fit(&self.workers[&it.id], step, near, room) };
             reason = WaitReason::Room;
             if best.as_ref().is_none_or(|(than, id, _)| (fit, &it.id) < (*than, *id)) {
                 best = Some((fit, &it.id, position));
@@ -392,5 +394,5 @@
         (_, Some(_)) => worker.best_effort > 0,
         _ => false,
     };
-    Fit { far, disturbs, empty: worker.live.is_empty(), free_millicores }
+    Fit { due: false, far, disturbs, empty: worker.live.is_empty(), free_millicores }
 }
--- a/crates/fleet/src/coordinator/pools.rs
+++ b/crates/fleet/src/coordinator/pools.rs
@@ -58,7 +58,8 @@
     /// hosts will do.
     fn grow(&self, views: &mut Views, spare: &Name, now: Moment) -> Vec<Move> {
         let mut free: Vec<Name> = self.spare_hosts(spare, now).cloned().collect();
-        free.sort();
+        // Hosts that are to be maintained are taken last, from the front.
+        free.sort_by_cached_key(|it| (!self.due.has_host(it), it.clone()));
         let mut moves = Vec::new();
         for is_claim in [true, false] {
             let mut given_up: FastSet<(Name, HostAffinity)> = FastSet::default();
--- a/crates/fleet/src/coordinator/room.rs
+++ b/crates/fleet/src/coordinator/room.rs
@@ -6,7 +6,7 @@
 
 use fuchsiamill_model::{FastMap, FastSet, Resources, units::Moment};
 
-use super::{Worker, waits::WaitReason};
+use super::{Worker, hosts::DueHosts, waits::WaitReason};
 use crate::{JobSpec, Name, Step};
 
 /// The workers that take tasks during one placement, by pool.
@@ -31,6 +31,8 @@
     pub(super) free: Resources,
     /// See [`Worker::held_for`].
     pub(super) held_for: Option<u32>,
+    /// Whether its host is to be maintained.
+    pub(super) is_due: bool,
     /// What it had left of its processor time when the placement began, in millicores.
     pub(super) free_at_first: u32,
 }
@@ -77,7 +79,7 @@
 }
 
 impl RoomSearch {
-    pub(super) fn new(workers: &FastMap<Name, Worker>, now: Moment) -> Self {
+    pub(super) fn new(workers: &FastMap<Name, Worker>, due: &DueHosts, now: Moment) -> Self {
         let mut pools: FastMap<Name, PoolRoom> = FastMap::default();
         for worker in workers.values().filter(|it| it.takes_tasks(now)) {
             let free = worker.free();
@@ -86,6 +88,7 @@
                 capacity: worker.seen.capacity,
                 free,
                 held_for: worker.held_for,
+                is_due: due.has_worker(&worker.seen.id),
                 free_at_first: free.millicores,
             };
             pools.entry(worker.seen.pool.clone()).or_default().workers.push(free);
--- a/crates/fleet/tests/wave_stops.rs
+++ b/crates/fleet/tests/wave_stops.rs
@@ -41,6 +41,24 @@
     fleet.assert_runs(AWAY_BOUND_MS);
 }
 
+/// A task is placed where it leaves the least room, on hosts that the wave drains next.
+#[test]
+fn stopped_task_goes_to_a_host_that_is_not_due() {
+    let mut fleet = pool_of(12);
+    (1..6).for_each(|it| fleet.label(it, "disk"));
+    fleet.accept("moved", job_in("web", vec![lasting(1, 2)]));
+    fleet.play(1_000);
+    assert_eq!(fleet.hosts[0].running.len(), 1);
+    let large = Step { size: cores(5), label: Some("disk".into()), ..apart(5, 1) };
+    fleet.accept("large", job_in("web", vec![large]));
+    fleet.play(3_000);
+    fleet.maintain(0..6, 1);
+    fleet.play(60_000);
+    assert_eq!(fleet.maintained(), 6);
+    let runs = fleet.runs.iter().find(|it| it.0.job == "moved").unwrap();
+    assert_eq!(*runs.1, 2, "runs of one task in one wave");
+}
+
 /// A wave may maintain the whole of a pool at once, and a step may miss a few of its tasks.
 #[test]
 fn wave_leaves_hosts_that_it_cannot_empty_yet_in_their_pool() {
