Lasting tasks wait in one order, whatever else their jobs are

Lasting jobs are ranked by the wait of their task that has waited longest, before scheduled ones; so are the steps of a job.

--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -40,6 +40,8 @@
 /// nothing from these.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
+    /// Since when the job's tasks wait that run until it is cancelled.
+    Lasting(Moment),
     /// When the job should be completed.
     Due(Moment),
     /// The work that is left, in millicore-milliseconds.
@@ -79,7 +81,7 @@
         let priority = job.spec.route.priority;
         let due = self.due(job);
         if job.spec.is_standing() {
-            let urgency = Urgency::Due(due + waited_since_acceptance(job));
+            let urgency = lasting_wait(job).map_or(Urgency::Due(due), Urgency::Lasting);
             return Rank { priority, tier: Tier::Standing, urgency };
         }
         let (path, work) = self.remaining_work(job);
@@ -146,14 +148,17 @@
     }
 }
 
-/// Returns how long after its acceptance the wait of a job's lasting tasks began, so that those that are stopped again and again
-/// do not stay before those of later jobs.
-fn waited_since_acceptance(job: &Job) -> Millisecond {
+/// Returns since when a job's long-running tasks wait, if it has such tasks. Ranked by when the job came, those that are stopped
+/// again and again would stay before those of later jobs.
+fn lasting_wait(job: &Job) -> Option<Moment> {
+    if !job.spec.long_running() {
+        return None;
+    }
     let steps = job.occurrences.iter().flat_map(|it| &it.steps);
     let steps = steps.zip(job.spec.steps.iter().cycle());
     let lasting = steps.filter(|it| it.1.long_running && it.0.waiting > 0);
-    let begun = lasting.map(|it| it.0.waits_since_run_end().unwrap_or(job.accepted)).min();
-    begun.map_or(0, |it| it.since(job.accepted))
+    let since = lasting.map(|it| it.0.waits_since_run_end().unwrap_or(job.accepted)).min();
+    Some(since.unwrap_or(job.accepted))
 }
 
 /// Returns the length of the longest chain of steps, where each step takes what `step_ms` returns.
--- a/crates/fleet/src/coordinator/turns.rs
+++ b/crates/fleet/src/coordinator/turns.rs
@@ -116,7 +116,7 @@
         now: Moment,
     ) -> (usize, bool) {
         let (mut placed, mut is_left) = (0, false);
-        for (occurrence, step) in self.open_steps(id, search, now) {
+        for (occurrence, step) in self.open_steps_in_order(id, search, now) {
             let key = StepKey { job: id.clone(), occurrence: occurrence as u32, step: step as u16 };
             let outcome = self.place_step(&key, search, most.saturating_sub(placed), now);
             placed += outcome.placed;
@@ -129,6 +129,23 @@
         (placed, is_left)
     }
 
+    /// Returns the open steps of a job, those first whose long-running tasks have waited longest.
+    fn open_steps_in_order(
+        &mut self,
+        id: &Name,
+        search: &RoomSearch,
+        now: Moment,
+    ) -> Vec<(usize, usize)> {
+        let mut open = self.open_steps(id, search, now);
+        if let Some(job) = self.jobs.get(id).filter(|it| it.spec.long_running()) {
+            let is_short = |it: &(usize, usize)| !job.spec.steps[it.1].long_running;
+            let since =
+                |it: &(usize, usize)| job.occurrences[it.0].steps[it.1].waits_since_run_end();
+            open.sort_by_key(|it| (is_short(it), since(it)));
+        }
+        open
+    }
+
     /// Notes that the steps of a job that may find room wait for their turn.
     fn note_turns(&mut self, id: &Name, search: &RoomSearch, now: Moment) {
         for (occurrence, step) in self.open_steps(id, search, now) {
