Spare hosts that come back go to pools that lack them before the next wave

Found by the review: a spare host that came back from one wave was maintained by the next before it could move to a pool whose lasting task waited; 11,000 ms without a run for a bound of 5,000 ms (spare_hosts_go_to_waiting_lasting_tasks_between_waves, seen failing, passes). And what is asked for each host costs less: waits for the same room are counted together, and a host is looked at once for all waves.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -141,7 +141,7 @@
         }
         self.retry_duties(now);
         let mut beside =
-            PlannedBeside { awaited: self.awaited_room(now), drained: DrainedTasks::default() };
+            PlannedBeside { awaited: self.awaited_room(), drained: DrainedTasks::default() };
         for number in 0..self.waves.len() {
             self.plan_wave(number, &mut beside, now);
         }
--- a/crates/fleet/src/coordinator/hosts/awaited.rs
+++ b/crates/fleet/src/coordinator/hosts/awaited.rs
@@ -4,16 +4,13 @@
 //! host again before the task has started, and the next wave again.
 
 use fuchsiamill_model::{
-    FastMap, FastSet,
+    FastMap, Resources,
     units::{Millisecond, Moment},
 };
 
 use crate::{
     Name,
-    coordinator::{
-        Coordinator, Job, StepKey, Worker,
-        pool_view::{RoomWait, WaitUrgency},
-    },
+    coordinator::{Coordinator, Host, Job, StepKey, Worker},
 };
 
 /// How long a host that came up is kept for tasks that wait: longer than the first report of its worker, a placement, a record and the
@@ -21,68 +18,110 @@
 const START_WITHIN_MS: Millisecond = 2_000;
 
 /// The long-running tasks that wait, and hosts that are kept for them.
+#[derive(Default)]
 pub(super) struct AwaitedRoom {
     /// Those that no host is kept for, by pool.
-    waits: FastMap<Name, Vec<RoomWait>>,
-    kept: FastSet<Name>,
+    waits: FastMap<Name, Vec<AwaitedTasks>>,
+    /// The hosts that were looked at, and whether each is kept.
+    seen: FastMap<Name, bool>,
+}
+
+/// Tasks that need the same room.
+struct AwaitedTasks {
+    size: Resources,
+    label: Option<Name>,
+    /// The step, if the advice service is asked about its tasks.
+    advised: Option<StepKey>,
+    tasks: u64,
+    /// How many of them a worker may have.
+    per_worker: u64,
 }
 
 impl Coordinator {
     /// Returns the long-running tasks that wait for room and may start by the limits of their teams.
-    pub(super) fn awaited_room(&self, now: Moment) -> AwaitedRoom {
-        let mut waits: FastMap<Name, Vec<RoomWait>> = FastMap::default();
-        if self.waves.iter().any(|it| !it.is_completed) {
-            let open = self.jobs.values().filter(|it| !it.stage.is_over());
-            for job in open.filter(|it| it.spec.long_running() && it.has_waiting()) {
-                let of_pool = waits.entry(job.spec.route.pool.clone()).or_default();
-                of_pool.extend(self.waits_of(job, now));
+    pub(super) fn awaited_room(&self) -> AwaitedRoom {
+        let mut room = AwaitedRoom::default();
+        if self.waves.iter().all(|it| it.is_completed) {
+            return room;
+        }
+        let open = self.jobs.values().filter(|it| !it.stage.is_over() && it.has_waiting());
+        for job in open.filter(|it| it.spec.long_running()) {
+            for (occurrence, step) in job.open_steps() {
+                self.await_step(job, occurrence, step, &mut room);
             }
         }
-        AwaitedRoom { waits, kept: FastSet::default() }
+        room
     }
 
-    fn waits_of<'a>(&'a self, job: &'a Job, now: Moment) -> impl Iterator<Item = RoomWait> + 'a {
-        job.open_steps().into_iter().filter_map(move |(occurrence, number)| {
-            let step = &job.spec.steps[number];
-            let waiting = job.occurrences[occurrence].steps[number].waiting;
-            let startable = u64::from(waiting).min(self.left_of_limit(&job.spec.team, step.size));
-            let key =
-                StepKey { job: job.id.clone(), occurrence: occurrence as u32, step: number as u16 };
-            let urgency = WaitUrgency { priority: job.spec.route.priority, since: now };
-            let is_awaited = step.long_running && !step.gang && startable > 0;
-            is_awaited.then(|| RoomWait::new(key, urgency, startable, step))
-        })
+    fn await_step(&self, job: &Job, occurrence: usize, number: usize, room: &mut AwaitedRoom) {
+        let step = &job.spec.steps[number];
+        let waiting = u64::from(job.occurrences[occurrence].steps[number].waiting);
+        let tasks = waiting.min(self.left_of_limit(&job.spec.team, step.size));
+        if !step.long_running || step.gang || tasks == 0 {
+            return;
+        }
+        let key =
+            || StepKey { job: job.id.clone(), occurrence: occurrence as u32, step: number as u16 };
+        let advised = job.spec.route.advised.then(key);
+        let per_worker = step.per_worker.map_or(u64::MAX, u64::from);
+        let of_pool = room.waits.entry(job.spec.route.pool.clone()).or_default();
+        let is_same = |it: &&mut AwaitedTasks| {
+            it.size == step.room() && it.label == step.label && it.advised == advised
+        };
+        match of_pool.iter_mut().find(is_same) {
+            Some(it) => {
+                it.tasks = it.tasks.saturating_add(tasks);
+                it.per_worker = it.per_worker.saturating_add(per_worker);
+            }
+            None => {
+                let (size, label) = (step.room(), step.label.clone());
+                of_pool.push(AwaitedTasks { size, label, advised, tasks, per_worker });
+            }
+        }
     }
 
     /// Returns whether an empty host is kept for tasks that wait, and takes as many of them as fit there. A host on which something
     /// has run was emptied for its maintenance.
     pub(super) fn is_awaited(&self, name: &Name, room: &mut AwaitedRoom, now: Moment) -> bool {
-        let (Some(host), Some(worker)) = (self.hosts.get(name), self.worker_on(name)) else {
+        if let Some(is_kept) = room.seen.get(name) {
+            return *is_kept;
+        }
+        let is_kept = self.keep_host(name, room, now);
+        room.seen.insert(name.clone(), is_kept);
+        is_kept
+    }
+
+    fn keep_host(&self, name: &Name, room: &mut AwaitedRoom, now: Moment) -> bool {
+        let Some(host) = self.hosts.get(name) else { return false };
+        if now.since(host.up_since) >= START_WITHIN_MS {
             return false;
-        };
-        if room.kept.contains(name) {
-            return true;
         }
-        let has_run = worker.idle_since > worker.known_since;
-        let is_new = now.since(host.up_since) < START_WITHIN_MS && !has_run;
-        if !is_new || !worker.may_become_sound(now) {
+        let worker = self.worker_on(name);
+        let is_used_up = |it: &Worker| it.idle_since > it.known_since || !it.may_become_sound(now);
+        if worker.is_some_and(is_used_up) {
             return false;
         }
-        let waits = room.waits.get_mut(&worker.seen.pool);
-        let suits = |it: &&mut RoomWait| self.tasks_on_empty(worker, it) > 0;
-        let Some(wait) = waits.into_iter().flatten().find(suits) else { return false };
-        wait.tasks -= self.tasks_on_empty(worker, wait);
-        room.kept.insert(name.clone())
+        // A spare host goes to the pool that lacks one.
+        let pools =
+            room.waits.iter_mut().filter(|it| worker.is_none_or(|on| on.seen.pool == *it.0));
+        let mut waits = pools.flat_map(|it| it.1);
+        let Some(wait) = waits.find(|it| self.tasks_on_empty(host, worker, it) > 0) else {
+            return false;
+        };
+        wait.tasks -= self.tasks_on_empty(host, worker, wait);
+        true
     }
 
-    /// Returns how many tasks of a wait fit on a worker that runs nothing.
-    fn tasks_on_empty(&self, worker: &Worker, wait: &RoomWait) -> u64 {
-        let refused = self.advice.get(&wait.step).map(|it| &it.refused);
-        let is_refused = refused.is_some_and(|it| it.contains(&worker.seen.id));
-        let lacks_label = wait.label.as_ref().is_some_and(|it| !worker.has_label(it));
-        match is_refused || lacks_label {
-            true => 0,
-            false => worker.free().times(wait.size).min(wait.per_worker).min(wait.tasks),
+    /// Returns how many tasks fit on a host that runs nothing.
+    fn tasks_on_empty(&self, host: &Host, worker: Option<&Worker>, wait: &AwaitedTasks) -> u64 {
+        let refused =
+            wait.advised.as_ref().and_then(|it| self.advice.get(it)).map(|it| &it.refused);
+        let is_refused = |it: &Worker| refused.is_some_and(|them| them.contains(&it.seen.id));
+        let lacks_label = wait.label.as_ref().is_some_and(|it| !host.seen.labels.contains(it));
+        if worker.is_some_and(is_refused) || lacks_label {
+            return 0;
         }
+        let free = worker.map_or(host.seen.capacity, Worker::free);
+        free.times(wait.size).min(wait.per_worker).min(wait.tasks)
     }
 }
--- a/crates/fleet/tests/order_of_waits.rs
+++ b/crates/fleet/tests/order_of_waits.rs
@@ -106,3 +106,22 @@
     let started: Vec<_> = common::starts(&bench.step()).into_iter().map(|it| it.0.job).collect();
     assert_eq!(started, ["lasting"]);
 }
+
+/// Spare hosts that come back from one wave are maintained for the next before they are moved to the pool that waits for them.
+#[test]
+fn spare_hosts_go_to_waiting_lasting_tasks_between_waves() {
+    let mut fleet =
+        PoolFleet::new(with_pools(&["web"]), &["web", "web", "web", "spare", "spare", "spare"]);
+    let apart = Step { per_worker: Some(1), size: cores(6), ..lasting(3, 2) };
+    fleet.accept("apart", job_in("web", vec![apart]));
+    fleet.play(3_000);
+    fleet.longest_idle = (0, None);
+    let used: Vec<usize> = (0..6).filter(|it| !fleet.hosts[*it].running.is_empty()).collect();
+    let spare: Vec<usize> = (0..6).filter(|it| fleet.hosts[*it].pool == "spare").collect();
+    for _ in 0..4 {
+        fleet.maintain_these(spare.clone(), 3);
+    }
+    used.iter().for_each(|it| fleet.lose(*it));
+    fleet.play(20_000);
+    fleet.assert_runs(AWAY_BOUND_MS);
+}
