Waves stop no task without a place while another of its step waits for long

While a task of the step has waited for 3 to 6 s, longer than a stop for maintenance takes, no other is stopped without a place. After 6 s the wave goes on, since there may be no room for good. wave_stops_no_task_without_a_place_while_another_waits_for_long, seen failing without the change.

--- a/crates/fleet/src/coordinator/hosts/evacuation.rs
+++ b/crates/fleet/src/coordinator/hosts/evacuation.rs
@@ -20,6 +20,12 @@
 /// Long-running tasks are stopped for an empty host only if its other tasks end within this time.
 const EMPTY_WITHIN_MS: Millisecond = 1_000;
 
+/// A task that was stopped runs again within this time if its host comes back from maintenance: a stop, 2 s, and a start.
+const LONG_STOP_MS: Millisecond = 3_000;
+
+/// Waves go on after this time although a task waits: there may be no room for it for good.
+const WAVE_PATIENCE_MS: Millisecond = 6_000;
+
 impl Coordinator {
     /// Stops long-running tasks on reserved and draining workers so that they start elsewhere, at most as many at a
     /// time as their step may miss. Without room elsewhere a task stays, unless its worker can be emptied at once: a host that
@@ -38,13 +44,25 @@
             let is_emptied = self.can_empty(&worker, &tasks, now);
             for task in tasks {
                 let may_stop = self.jobs.get(&task.job).is_some_and(|it| it.may_stop(&task, now));
-                if may_stop && (self.take_place(&task, &mut search, now) || is_emptied) {
+                if may_stop
+                    && (self.take_place(&task, &mut search, now)
+                        || (is_emptied && !self.has_overdue_wait(&task, now)))
+                {
                     self.stop_run(&task, now);
                 }
             }
         }
     }
 
+    /// Returns whether a task of the same step has waited for longer than a stop for maintenance takes. Its room is short then, and
+    /// another stop without a place elsewhere would only add to those that wait.
+    fn has_overdue_wait(&self, task: &TaskId, now: Moment) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let step = &job.occurrences[task.occurrence as usize].steps[task.step as usize];
+        let since = (step.waiting > 0).then(|| step.waits_since()).flatten();
+        since.is_some_and(|it| (LONG_STOP_MS..WAVE_PATIENCE_MS).contains(&now.since(it)))
+    }
+
     /// Returns the workers that long-running tasks have to leave, those with the fewest tasks first, and of these the ones whose
     /// tasks have run longest.
     fn leaving_workers(&self) -> Vec<Name> {
--- a/crates/fleet/tests/wave_stops.rs
+++ b/crates/fleet/tests/wave_stops.rs
@@ -5,6 +5,7 @@
 use common::{
     cores,
     pools::{PoolFleet, job_in, lasting, with_pools},
+    stops,
 };
 use fuchsiamill_fleet::Step;
 use fuchsiamill_model::units::Millisecond;
@@ -74,3 +75,21 @@
     }
     assert_eq!(fleet.maintained(), 26);
 }
+
+/// A task lost its host for good and waits for one while a wave stops others of its step, which need hosts as well.
+#[test]
+fn wave_stops_no_task_without_a_place_while_another_waits_for_long() {
+    let mut fleet = pool_of(6);
+    fleet.accept("apart", job_in("web", vec![apart(6, 2)]));
+    fleet.play(3_000);
+    fleet.lose(0);
+    while fleet.longest_idle.0 < 3_500 {
+        fleet.play(100);
+    }
+    fleet.bench.orders.clear();
+    fleet.maintain(1..6, 5);
+    fleet.play(1_500);
+    assert!(stops(&fleet.bench.orders).is_empty(), "{:?}", stops(&fleet.bench.orders));
+    fleet.play(60_000);
+    assert_eq!(fleet.maintained(), 5);
+}
