Busy hosts with a label are emptied for the lasting task that needs it

Seen by callers: a lasting task that needs a label waited for as long as every host with it was busy with short tasks of another pool (19.9 s of 20 s in the test); a busy host without the label was emptied for its pool instead.

Cause: hosts to drain were chosen by what pools lack of their needs as a whole. What claims lack of a label was served from spare and idle hosts only, and a drained host went to the pool that was shortest.

The claim for a label counts only tasks that the limit of their team lets start and that some host with the label could hold; else hosts would be emptied for nothing. Racks empty no busy host.

--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -169,12 +169,29 @@
                     let live =
                         step.tasks.iter().filter(|it| self.is_live_at(it, &affinity)).count();
                     let load = Load::of(step_spec.room(), live as u64 + waiting);
-                    view.add(affinity, load, job.tier == Tier::Standing);
+                    let standing = match job.tier {
+                        Tier::Standing if startable > 0 && self.may_hold(&affinity, step_spec) => {
+                            Load::of(step_spec.room(), live as u64 + startable)
+                        }
+                        Tier::Standing => Load::of(step_spec.room(), live as u64),
+                        _ => Load::default(),
+                    };
+                    view.add(affinity, load, standing);
                 }
             }
         }
     }
 
+    /// Returns whether a host that satisfies an affinity is large enough for a task of the step.
+    fn may_hold(&self, affinity: &HostAffinity, step: &Step) -> bool {
+        let may_hold = |it: &Host| {
+            it.seen.state != HostState::Down
+                && it.seen.capacity.fits(step.room())
+                && affinity.is_met_by(&it.seen.labels)
+        };
+        self.hosts.values().any(may_hold)
+    }
+
     fn is_live_at(&self, task: &Task, affinity: &HostAffinity) -> bool {
         let worker = task.live().and_then(|it| self.workers.get(&it.worker));
         worker.is_some_and(|it| affinity.is_met_by(&it.seen.labels))
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -176,12 +176,12 @@
 }
 
 impl PoolView {
-    pub(super) fn add(&mut self, affinity: HostAffinity, load: Load, is_standing: bool) {
+    /// Adds work that asks for certain hosts. `standing` is the part that is to run all the time or at a time of day and could
+    /// start there.
+    pub(super) fn add(&mut self, affinity: HostAffinity, load: Load, standing: Load) {
         let part = self.affinities.entry(affinity).or_default();
         part.load = part.load.plus(load);
-        if is_standing {
-            part.standing = part.standing.plus(load);
-        }
+        part.standing = part.standing.plus(standing);
     }
 
     /// Returns the hosts with which the tasks that wait for room can start, where those on their way count.
--- a/crates/fleet/tests/scarce_hosts.rs
+++ b/crates/fleet/tests/scarce_hosts.rs
@@ -3,9 +3,11 @@
 mod common;
 
 use common::{
+    cores,
     pools::{PoolFleet, job_in, lasting, with_pools},
     step,
 };
+use fuchsiamill_fleet::{JobSpec, Step, Team};
 use fuchsiamill_model::units::Millisecond;
 
 const HOSTS: usize = 30;
@@ -103,22 +105,94 @@
     assert!(most <= 2, "{most} moves of one host");
 }
 
-/// Faults that are not mended.
-mod known_red {
-    use fuchsiamill_fleet::Step;
-
-    use super::*;
-
-    /// The only host with a label is busy with short tasks of another pool, which has its share.
-    #[test]
-    fn busy_host_with_a_label_is_emptied_for_the_task_that_needs_it() {
-        let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["aaa"; 6]);
-        fleet.label(4, "kind-b");
-        fleet.accept("mass", job_in("aaa", vec![step(20_000)]));
-        fleet.play(3_000);
-        let labelled = Step { label: Some("kind-b".into()), ..lasting(1, 4) };
-        fleet.accept("long", job_in("zzz", vec![labelled]));
-        fleet.play(20_000);
-        fleet.assert_runs(LASTING_BOUND_MS);
+/// The only host with a label is busy with short tasks of another pool, which has its share.
+#[test]
+fn busy_host_with_a_label_is_emptied_for_the_task_that_needs_it() {
+    let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["aaa"; 6]);
+    fleet.label(4, "kind-b");
+    fleet.accept("mass", job_in("aaa", vec![step(20_000)]));
+    fleet.play(3_000);
+    let labelled = Step { label: Some("kind-b".into()), ..lasting(1, 4) };
+    fleet.accept("long", job_in("zzz", vec![labelled]));
+    fleet.play(20_000);
+    fleet.assert_runs(LASTING_BOUND_MS);
+}
+
+/// Busy hosts in one pool, of which those with the numbers have a label; a task in another pool that keeps its three hosts.
+fn beside_busy(labelled: &[usize], own: Option<Step>, sent: Step, limit: u32) -> PoolFleet {
+    let mut config = with_pools(&["aaa", "zzz"]);
+    config.teams.get_mut("north").unwrap().limit = cores(limit);
+    let south = Team { name: "south".into(), limit: cores(0), ..config.teams["north"].clone() };
+    config.teams.insert(south.name.clone(), south);
+    let pools = ["aaa", "aaa", "aaa", "aaa", "aaa", "aaa", "zzz", "zzz", "zzz"];
+    let mut fleet = PoolFleet::new(config, &pools);
+    labelled.iter().for_each(|it| fleet.label(*it, "kind-b"));
+    let of_south = |spec: JobSpec| JobSpec { team: "south".into(), ..spec };
+    own.into_iter().for_each(|it| fleet.accept("own", of_south(job_in("aaa", vec![it]))));
+    let kept = Step { per_worker: Some(1), ..lasting(3, 1) };
+    fleet.accept("kept", of_south(job_in("zzz", vec![kept])));
+    fleet.accept("mass", of_south(job_in("aaa", vec![step(20_000)])));
+    fleet.play(3_000);
+    fleet.accept("long", job_in("zzz", vec![sent]));
+    fleet.play(20_000);
+    fleet
+}
+
+fn labelled(count: u32, size: u32) -> Step {
+    Step { label: Some("kind-b".into()), ..lasting(count, size) }
+}
+
+fn moves_of_busy(fleet: &PoolFleet) -> Vec<u32> {
+    fleet.hosts[..6].iter().map(|it| it.moves).collect()
+}
+
+#[test]
+fn only_the_host_with_the_label_is_emptied_for_it_and_stays() {
+    let fleet = beside_busy(&[4], None, labelled(1, 4), 0);
+    fleet.assert_runs(LASTING_BOUND_MS);
+    assert_eq!(moves_of_busy(&fleet), [0, 0, 0, 0, 1, 0]);
+}
+
+/// Half of the tasks run near their data, the others wait for a while for room there.
+#[test]
+fn no_busy_host_is_emptied_for_being_near_data() {
+    let near = Step { rack: Some("kind-b".into()), ..lasting(14, 1) };
+    let fleet = beside_busy(&[4, 6], None, near, 0);
+    fleet.assert_runs(LASTING_BOUND_MS);
+    assert_eq!(moves_of_busy(&fleet), [0; 6]);
+}
+
+/// The first pool needs both hosts with the label for a task of its own, with headroom.
+#[test]
+fn pool_gives_no_labelled_host_that_its_own_claim_needs() {
+    let mut fleet = beside_busy(&[3, 4], Some(labelled(1, 7)), labelled(1, 4), 0);
+    for _ in 0..20 {
+        let mut workers = fleet.bench.coordinator.workers().values();
+        assert!(workers.all(|it| !it.reserved));
+        fleet.play(100);
+    }
+    assert_eq!(moves_of_busy(&fleet), [0; 6]);
+}
+
+/// The host is being emptied for another pool when its own one gets a task that needs the label.
+#[test]
+fn labelled_host_stays_where_its_own_claim_needs_it_meanwhile() {
+    let mut fleet = PoolFleet::new(with_pools(&["aaa", "zzz"]), &["zzz"; 6]);
+    fleet.label(4, "kind-b");
+    fleet.accept("mass", job_in("zzz", vec![step(20_000)]));
+    fleet.play(3_000);
+    fleet.accept("long", job_in("aaa", vec![labelled(1, 4)]));
+    fleet.play(200);
+    fleet.accept("own", job_in("zzz", vec![labelled(1, 4)]));
+    fleet.play(20_000);
+    assert_eq!(fleet.hosts[4].moves, 0);
+    assert!(fleet.hosts[4].running.keys().any(|it| it.job == "own"));
+}
+
+#[test]
+fn no_busy_host_is_emptied_for_labelled_tasks_that_cannot_start_there() {
+    for (size, limit) in [(16, 0), (4, 2)] {
+        let fleet = beside_busy(&[4], None, labelled(1, size), limit);
+        assert_eq!(moves_of_busy(&fleet), [0; 6], "size {size}, limit {limit}");
     }
 }
