Claims for hosts with a label count tasks that may not share a worker

Seen by callers: of lasting tasks that need a label and of which a worker may have only some, those beyond the first worker waited while hosts with the label were busy in another pool (19.9 s of 20 s in the test).

Cause: the claim for a label was computed from the sum of sizes only.

Change: it is at least the number of hosts that the limit of tasks a worker makes necessary, as for the claim of a pool, and at most the number of hosts with the label.

Test seen failing on the former code: as_many_labelled_hosts_are_emptied_as_tasks_must_not_share_one.

Result: all tests of the crate pass but those known as red.

--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -171,12 +171,12 @@
                     let load = Load::of(step_spec.room(), live as u64 + waiting);
                     let standing = match job.tier {
                         Tier::Standing if startable > 0 && self.may_hold(&affinity, step_spec) => {
-                            Load::of(step_spec.room(), live as u64 + startable)
+                            live as u64 + startable
                         }
-                        Tier::Standing => Load::of(step_spec.room(), live as u64),
-                        _ => Load::default(),
+                        Tier::Standing => live as u64,
+                        _ => 0,
                     };
-                    view.add(affinity, load, standing);
+                    view.add(affinity, load, standing, step_spec);
                 }
             }
         }
@@ -211,6 +211,7 @@
                 }
                 part.load = part.load.at_most(room);
                 part.standing = part.standing.at_most(room);
+                part.standing_spread = part.standing_spread.min(count);
                 count > 0
             });
             view.load = view.load.minus(beyond);
@@ -253,8 +254,9 @@
                 let hosts_for = |work: u64| {
                     affinity.hosts_for(work, host.millicores.max(1).into(), far_percent)
                 };
-                part.wanted = hosts_for(work);
-                part.claim = hosts_for(with_headroom(part.standing.millicores_on(host)));
+                let claim = hosts_for(with_headroom(part.standing.millicores_on(host)));
+                part.claim = claim.max(part.standing_spread);
+                part.wanted = hosts_for(work).max(part.claim);
                 part.recent_peak = demand.most_needed(part.wanted, now);
             }
             let is_lacking = |it: &(&HostAffinity, &AffinityView)| it.1.wanted > it.1.hosts;
--- a/crates/fleet/src/coordinator/pool_view.rs
+++ b/crates/fleet/src/coordinator/pool_view.rs
@@ -171,17 +171,24 @@
     pub(super) hosts: u64,
     /// Its work that is to run all the time or at a time of day.
     pub(super) standing: Load,
+    /// Such hosts that one of its steps needs for that because a worker may have only some of its tasks.
+    pub(super) standing_spread: u64,
     /// Such hosts that this part needs.
     pub(super) claim: u64,
 }
 
 impl PoolView {
-    /// Adds work that asks for certain hosts. `standing` is the part that is to run all the time or at a time of day and could
-    /// start there.
-    pub(super) fn add(&mut self, affinity: HostAffinity, load: Load, standing: Load) {
+    /// Adds work of a step that asks for certain hosts. `standing` counts its tasks that are to run all the time or at a time of
+    /// day and could start there.
+    pub(super) fn add(&mut self, affinity: HostAffinity, load: Load, standing: u64, step: &Step) {
+        let spread = match (&affinity, step.per_worker) {
+            (HostAffinity::Label(_), Some(most)) => standing.div_ceil(u64::from(most.max(1))),
+            _ => 0,
+        };
         let part = self.affinities.entry(affinity).or_default();
         part.load = part.load.plus(load);
-        part.standing = part.standing.plus(standing);
+        part.standing = part.standing.plus(Load::of(step.room(), standing));
+        part.standing_spread = part.standing_spread.max(spread);
     }
 
     /// Returns the hosts with which the tasks that wait for room can start, where those on their way count.
--- a/crates/fleet/tests/scarce_hosts.rs
+++ b/crates/fleet/tests/scarce_hosts.rs
@@ -153,6 +153,15 @@
     assert_eq!(moves_of_busy(&fleet), [0, 0, 0, 0, 1, 0]);
 }
 
+/// A worker may have only one of the tasks.
+#[test]
+fn as_many_labelled_hosts_are_emptied_as_tasks_must_not_share_one() {
+    let apart = Step { per_worker: Some(1), ..labelled(2, 1) };
+    let fleet = beside_busy(&[3, 4, 5], None, apart, 0);
+    fleet.assert_runs(LASTING_BOUND_MS);
+    assert_eq!(moves_of_busy(&fleet)[3..].iter().sum::<u32>(), 2);
+}
+
 /// Half of the tasks run near their data, the others wait for a while for room there.
 #[test]
 fn no_busy_host_is_emptied_for_being_near_data() {
