--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -169,12 +169,29 @@
                     let live =
                         step.tasks.iter().filter(|it| self.is_live_at(it, &affinity)).count();
                     let load = Load::of(step_spec.room(), live as u64 + waiting);
-                    view.add(affinity, load, job.tier == Tier::Standing);
+                    let standing = match job.tier {
+                        Tier::Standing if startable > 0 && self.may_hold(&affinity, step_spec) => {
+                            live as u64 + startable
+                        }
+                        Tier::Standing => live as u64,
+                        _ => 0,
+                    };
+                    view.add(affinity, load, standing, step_spec);
                 }
             }
         }
     }
 
+    /// Returns whether a host that satisfies an affinity is large enough for a task of the step.
+    fn may_hold(&self, affinity: &HostAffinity, step: &Step) -> bool {
+        let may_hold = |it: &Host| {
+            it.seen.state != HostState::Down
+                && it.seen.capacity.fits(step.room())
+                && affinity.is_met_by(&it.seen.labels)
+        };
+        self.hosts.values().any(may_hold)
+    }
+
     fn is_live_at(&self, task: &Task, affinity: &HostAffinity) -> bool {
         let worker = task.live().and_then(|it| self.workers.get(&it.worker));
         worker.is_some_and(|it| affinity.is_met_by(&it.seen.labels))
@@ -194,6 +211,7 @@
                 }
                 part.load = part.load.at_most(room);
                 part.standing = part.standing.at_most(room);
+                part.standing_spread = part.standing_spread.min(count);
                 count > 0
             });
             view.load = view.load.minus(beyond);
@@ -236,8 +254,9 @@
                 let hosts_for = |work: u64| {
                     affinity.hosts_for(work, host.millicores.max(1).into(), far_percent)
                 };
-                part.wanted = hosts_for(work);
-                part.claim = hosts_for(with_headroom(part.standing.millicores_on(host)));
+                let claim = hosts_for(with_headroom(part.standing.millicores_on(host)));
+                part.claim = claim.max(part.standing_spread);
+                part.wanted = hosts_for(work).max(part.claim);
                 part.recent_peak = demand.most_needed(part.wanted, now);
             }
             let is_lacking = |it: &(&HostAffinity, &AffinityView)| it.1.wanted > it.1.hosts;
