A coordinator logs waits of steps only while it knows that it holds its lease

Whoever looked for the cause of a late start met lines that were wrong: a coordinator that had stood still logged waits of 5.3 to 6.5 s, counted through its own stand-still, for tasks that its successor had started after 2 to 4 s. One that is cut off from the store did the same until it found its lease lost. The log and the metrics by reason asked nothing about the lease.

Change: `Tenure::at` tells from the beginning of the last transaction that took effect whether another process can have taken the lease; the waits are told with the first turn in which none can. A transaction that took effect before the stand-still and is answered after it confirms nothing. While the store is away, or takes more than half a second for a transaction, no waits are told.

thawed_coordinator_logs_no_waits_through_its_stand_still, seen failing (2 lines for 0) with the former decision; known_tenure, wait_is_logged_once_the_lease_is_confirmed and log_lines pass. The log buffer of log_lines moved to tests/common unchanged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod start_budget;
 mod start_window;
 pub mod task;
+mod tenure;
 pub mod timing;
 pub mod worker;
 
@@ -26,6 +27,7 @@
 pub use start_budget::StartBudget;
 pub use start_window::Limit;
 pub use task::{Ending, RunEnd, RunInfo, TaskId};
+pub use tenure::Tenure;
 pub use timing::Timing;
 pub use worker::{HostInfo, HostListing, HostState, WorkerInfo, WorkerReport, WorkerState};
 
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -92,6 +92,7 @@
         self.record_ms = now.since(self.last_commit_begin);
         self.cx.metrics.committed(self.record_ms);
         self.last_commit = now;
+        self.last_confirmed_begin = Some(self.last_commit_begin);
         self.link_context.confirmed.set(now);
         self.store_offset = (lease.store_ms(), now);
         self.lease = Some(lease);
--- a/crates/site/src/lead/election.rs
+++ b/crates/site/src/lead/election.rs
@@ -26,7 +26,7 @@
 const SILENCE_MS: u64 = 1_000;
 
 /// The same for a holder that also refuses connections.
-const REFUSING_SILENCE_MS: u64 = 2 * RENEW_INTERVAL_MS;
+pub(super) const REFUSING_SILENCE_MS: u64 = 2 * RENEW_INTERVAL_MS;
 
 /// A slow store delays the holder's writes, so this many usual response times of the store are added to
 /// these times.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use fuchsiamill_fleet::{Coordinator, Lateness, Name, StartBudget, coordinator::WaveRecord};
+use fuchsiamill_fleet::{
+    Coordinator, Lateness, Name, StartBudget, Tenure, coordinator::WaveRecord,
+};
 use fuchsiamill_model::{
     FastMap,
     units::{Millisecond, Moment},
@@ -20,7 +22,7 @@
 use super::{
     Candidate, RENEW_INTERVAL_MS,
     commits::release,
-    election::WonLease,
+    election::{REFUSING_SILENCE_MS, WonLease},
     event::{Event, EventSender, LinkEvent},
     feeds::Feed,
     hosts::HostWatch,
@@ -69,6 +71,8 @@
     pub(super) last_commit: Moment,
     /// When the last transaction was begun.
     pub(super) last_commit_begin: Moment,
+    /// When the last transaction was begun that is known to have taken effect.
+    pub(super) last_confirmed_begin: Option<Moment>,
     /// How long the last transaction took.
     pub(super) record_ms: Millisecond,
     /// When the work of [`TICK_MS`] was last done.
@@ -195,6 +199,7 @@
             link_context,
             last_commit: taken,
             last_commit_begin: Moment(0),
+            last_confirmed_begin: None,
             record_ms: 0,
             last_tick: Moment(0),
             board_written: Moment(0),
@@ -291,7 +296,8 @@
             self.coordinator.plan_hosts(now);
             self.pool_log.log_changes(self.coordinator.pool_needs(), &self.cx.metrics, now);
             self.log_load(now);
-            self.wait_log.log(&self.coordinator, &self.cx.metrics, now);
+            let tenure = Tenure::at(self.last_confirmed_begin, REFUSING_SILENCE_MS, now);
+            self.wait_log.log(&self.coordinator, &self.cx.metrics, tenure, now);
             self.close_unknown_links();
             self.purge(now);
             self.purge_cancels(now);
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -34,7 +34,7 @@
 pub use lease::LeaseRow;
 pub use load_log::{Exchanged, Load, START_LIMITS};
 pub use standing::{Standing, serve as serve_standing};
-pub use waits::Waits;
+pub use waits::{WaitLog, Waits};
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
--- a/crates/site/src/lead/waits.rs
+++ b/crates/site/src/lead/waits.rs
@@ -1,7 +1,7 @@
 //! Logs steps that wait for long, and why.
 
 use fuchsiamill_fleet::{
-    Coordinator,
+    Coordinator, Tenure,
     coordinator::{WaitReason, WaitingStep},
 };
 use fuchsiamill_model::{
@@ -37,9 +37,16 @@
 }
 
 impl WaitLog {
-    /// Logs the steps that wait for long, long-running ones first, and those that have waited longest.
-    pub fn log(&mut self, coordinator: &Coordinator, metrics: &Metrics, now: Moment) {
-        if now.since(self.logged) < LOG_INTERVAL_MS {
+    /// Logs the steps that wait for long, long-running ones first, and those that have waited longest. Does nothing while another
+    /// coordinator may have started their tasks.
+    pub fn log(
+        &mut self,
+        coordinator: &Coordinator,
+        metrics: &Metrics,
+        tenure: Tenure,
+        now: Moment,
+    ) {
+        if now.since(self.logged) < LOG_INTERVAL_MS || tenure == Tenure::Unknown {
             return;
         }
         self.logged = now;
--- a/crates/site/tests/log_lines.rs
+++ b/crates/site/tests/log_lines.rs
@@ -1,40 +1,10 @@
 //! The log of a busy process is rate-limited by kind, and the dropped lines are counted.
 
-use std::{
-    io::{self, Write},
-    sync::{Arc, Mutex},
-};
+mod common;
 
+use common::LogBuffer;
 use fuchsiamill_site::log_limit::{LINES_PER_SECOND, LineLimiter};
-use tracing_subscriber::{Layer, fmt::MakeWriter, layer::SubscriberExt};
-
-#[derive(Clone, Default)]
-struct LogBuffer(Arc<Mutex<Vec<u8>>>);
-
-impl Write for LogBuffer {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().write(buf)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl<'a> MakeWriter<'a> for LogBuffer {
-    type Writer = LogBuffer;
-
-    fn make_writer(&'a self) -> LogBuffer {
-        self.clone()
-    }
-}
-
-impl LogBuffer {
-    fn lines(&self, kind: &str) -> usize {
-        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
-        text.lines().filter(|it| it.contains(&format!("\"event\":\"{kind}\""))).count()
-    }
-}
+use tracing_subscriber::{Layer, layer::SubscriberExt};
 
 /// A burst of lines of one kind causes dropped lines of that kind only.
 #[test]
