The log tells how far each open wave is and what holds it up

`wave-planned` has these numbers, at most once a second for each open wave and only when they change, and not while another process may have taken the lease.

The numbers come from `Coordinator::wave_progress`, which asks the decisions of the plan again and changes nothing.

Tests: wave_that_cannot_empty_hosts_is_told_with_what_stands_there, hosts_kept_for_waiting_tasks_are_told_with_these, tasks_that_wait_for_hosts_in_maintenance_are_told (seen failing while only the pools of hosts left were counted); of the line: unchanged_wave_is_logged_once, wave_that_changes_all_the_time_is_logged_once_a_second, thawed_coordinator_logs_no_wave.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -3,6 +3,7 @@
 mod awaited;
 mod evacuation;
 mod host;
+mod progress;
 mod replaced;
 mod reserved;
 mod slots;
@@ -13,6 +14,7 @@
 };
 
 pub use host::{Duty, DutyReply, Host, PendingDuty};
+pub use progress::WaveProgress;
 
 use self::{awaited::AwaitedRoom, host::LOST_MS, slots::Slots};
 use super::{Coordinator, Order, Worker};
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -46,7 +46,7 @@
 pub use advice::{Permit, StepKey};
 pub use demand::HostAffinity;
 pub use ending::{RunToEnd, RunsToEnd};
-pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveRecord};
+pub use hosts::{Duty as HostDuty, DutyReply, Host, WaveProgress, WaveRecord};
 pub use job::{Job, Task, TaskState, objective_ms};
 pub use live::{LiveRun, Phase};
 pub use lives::UnlistedWorker;
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -36,6 +36,7 @@
     takeover::{stronger_available, takeover, watch_former, watch_stronger},
     takeover_log::TakeoverLog,
     waits::WaitLog,
+    waves::WaveLog,
 };
 use crate::tables;
 
@@ -92,6 +93,7 @@
     pool_log: PoolLog,
     load_log: LoadLog,
     wait_log: WaitLog,
+    wave_log: WaveLog,
     pub(super) start_queue: StartQueue,
     pub(super) takeover_log: TakeoverLog,
 }
@@ -214,6 +216,7 @@
             pool_log: PoolLog::default(),
             load_log,
             wait_log: WaitLog::default(),
+            wave_log: WaveLog::default(),
             cx,
         })
     }
@@ -298,6 +301,7 @@
             self.log_load(now);
             let tenure = Tenure::at(self.last_confirmed_begin, REFUSING_SILENCE_MS, now);
             self.wait_log.log(&self.coordinator, &self.cx.metrics, tenure, now);
+            self.wave_log.log_changes(&self.coordinator, tenure, now);
             self.close_unknown_links();
             self.purge(now);
             self.purge_cancels(now);
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -20,6 +20,7 @@
 mod takeover;
 mod takeover_log;
 mod waits;
+mod waves;
 
 use std::{cell::Cell, rc::Rc};
 
@@ -35,6 +36,7 @@
 pub use load_log::{Exchanged, Load, START_LIMITS};
 pub use standing::{Standing, serve as serve_standing};
 pub use waits::{WaitLog, Waits};
+pub use waves::WaveLog;
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
