--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -5,6 +5,7 @@
 mod evacuation;
 mod host;
 mod pace;
+mod progress;
 mod replaced;
 mod reserved;
 mod slots;
@@ -16,6 +17,7 @@
 
 pub(super) use due::DueHosts;
 pub use host::{Duty, DutyReply, Host, PendingDuty};
+pub use progress::WaveProgress;
 
 use self::{awaited::AwaitedRoom, host::LOST_MS, pace::DrainedTasks, slots::Slots};
 use super::{Coordinator, Order, Worker};
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -20,6 +20,7 @@
 mod takeover;
 mod takeover_log;
 mod waits;
+mod waves;
 
 use std::{cell::Cell, rc::Rc};
 
@@ -34,7 +35,8 @@
 pub use lease::LeaseRow;
 pub use load_log::{Exchanged, Load, START_LIMITS};
 pub use standing::{Standing, serve as serve_standing};
-pub use waits::Waits;
+pub use waits::{WaitLog, Waits};
+pub use waves::WaveLog;
 
 use crate::{clock::Clock, config::Intent, metrics::Metrics};
 use election::Election;
