Any overlapping waves: lasting tasks get their next run in time

Callers saw lasting tasks without a run for up to 8.9 s where waves overlap; no explorer had more than one wave over the same hosts at a time, nor judged how long a task is away while the hosts of its pool are maintained.

--- a/crates/fleet/tests/common/pools.rs
+++ b/crates/fleet/tests/common/pools.rs
@@ -3,6 +3,7 @@
 pub mod due;
 mod load;
 mod stored;
+pub mod waves;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -61,6 +62,8 @@
     pub specs: BTreeMap<Name, Arc<JobSpec>>,
     /// How often each task was started.
     pub runs: BTreeMap<TaskId, u32>,
+    /// The runs that were stopped, each with the host.
+    stops: Vec<(TaskId, usize)>,
     /// Since when each long-running task has not run.
     pub idle_since: BTreeMap<TaskId, Moment>,
     /// The longest time for which a long-running task did not run, with the task.
@@ -112,6 +115,7 @@
             hosts,
             specs: BTreeMap::new(),
             runs: BTreeMap::new(),
+            stops: Vec::new(),
             idle_since: BTreeMap::new(),
             longest_idle: (0, None),
             accepted: BTreeMap::new(),
@@ -261,8 +265,12 @@
             }
         }
         for (task, run) in stops(orders) {
-            let found = self.hosts.iter_mut().find_map(|it| it.running.get_mut(&task));
-            if let Some(found) = found.filter(|it| it.0 == run) {
+            let on = self.hosts.iter_mut().enumerate();
+            let found = on.filter_map(|(at, it)| Some((at, it.running.get_mut(&task)?))).next();
+            if let Some((host, found)) = found.filter(|it| it.1.0 == run) {
+                if found.2 != Ending::Stopped {
+                    self.stops.push((task.clone(), host));
+                }
                 (found.1, found.2) = (Some(now + STOP_MS), Ending::Stopped);
             }
             self.bench.coordinator.stop_answered(&task, run, now);
--- a/crates/fleet/tests/common/pools/due.rs
+++ b/crates/fleet/tests/common/pools/due.rs
@@ -37,13 +37,13 @@
 }
 
 /// The steps of long-running tasks of open jobs.
-struct Lasting<'a> {
+pub(super) struct Lasting<'a> {
     id: &'a Name,
     number: u16,
-    spec: &'a JobSpec,
+    pub spec: &'a JobSpec,
     step: &'a Step,
     /// The tasks that do not run.
-    idle: Vec<TaskId>,
+    pub idle: Vec<TaskId>,
 }
 
 impl Watch {
@@ -84,7 +84,7 @@
         WAIT_MS + PLAN_MS + longest + MOVE_MS + START_MS + maintenance
     }
 
-    fn lasting(&self) -> Vec<Lasting<'_>> {
+    pub(super) fn lasting(&self) -> Vec<Lasting<'_>> {
         let mut found = Vec::new();
         for (id, spec) in self.specs.iter().filter(|it| !self.is_cancelled(it.0)) {
             for (number, step) in spec.steps.iter().enumerate().filter(|it| it.1.long_running) {
