--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use super::{Coordinator, Job, StepKey, room::RoomSearch};
+use super::{Coordinator, Job, StepKey, TaskState, job::StepRun, room::RoomSearch};
 use crate::Name;
 
 /// Why a task that may run is not started. Ordered by how far the search for a worker got.
@@ -135,6 +135,20 @@
     pub long_running: bool,
 }
 
+impl StepRun {
+    /// Returns since when the task that has waited longest waits, if that is known.
+    pub(super) fn waits_since(&self) -> Option<Moment> {
+        let begun = self.wait?.begun;
+        Some(self.waits_since_run_end().unwrap_or(begun))
+    }
+
+    /// Returns when the last run of the task that has waited longest ended; `None` if a task waits that has not run.
+    pub(super) fn waits_since_run_end(&self) -> Option<Moment> {
+        let waiting = self.tasks.iter().filter(|it| it.state == TaskState::Waiting);
+        waiting.map(|it| it.last_run_end).min().flatten()
+    }
+}
+
 impl Coordinator {
     /// Returns the open steps of a job. If it is known of each that it waits, that is noted and none is returned.
     pub(super) fn open_steps(
