Lost starts begin the wait anew: a finding as a test that fails

A lasting task whose start got no answer and was stopped goes behind tasks that began to wait later. Cause: `end_run` takes a run for one that ran unless its phase is that of a start, and the stop has changed the phase by then.

--- a/crates/fleet/tests/review_findings.rs
+++ b/crates/fleet/tests/review_findings.rs
@@ -1,12 +1,13 @@
-//! Waves beside each other whose hosts have tasks of one long-running step.
+//! Waves beside each other whose hosts have tasks of one long-running step, and lost starts of such tasks.
 
 mod common;
 
 use common::{
-    cores,
+    Bench, cores, job,
     pools::{PoolFleet, PoolHost, job_in, lasting, with_pools},
+    starts, stops, worker,
 };
-use fuchsiamill_fleet::{Config, Step};
+use fuchsiamill_fleet::{Config, Step, coordinator::StartReply};
 
 /// Returns a configuration whose hosts stay in their pool.
 fn one_pool() -> Config {
@@ -46,4 +47,32 @@
         fleet.play(60_000);
         assert_eq!(fleet.maintained(), 2);
     }
+
+    /// Starts of the task that waits longest get no answer, and the worker never has its run.
+    #[test]
+    fn lost_start_does_not_begin_the_wait_anew() {
+        let mut bench = Bench::new();
+        ["w1", "w2"].into_iter().for_each(|it| bench.add(worker(it)));
+        bench.accept("j", job(vec![lasting(2, 8)]));
+        let placed = bench.run();
+        for index in [1, 0] {
+            let on = placed.iter().find(|it| it.0.index == index).unwrap().2.clone();
+            bench.coordinator.worker_dead(&on, 7, bench.now);
+            bench.wait(3_000);
+            bench.run();
+        }
+        bench.add(worker("w3"));
+        for _ in 0..50 {
+            let orders = bench.step();
+            for (task, run, _) in starts(&orders) {
+                assert_eq!(task.index, 1, "the other task, which began to wait later, is started");
+                bench.coordinator.start_answered(&task, run, StartReply::Unknown, bench.now);
+            }
+            for (task, run) in stops(&orders) {
+                bench.coordinator.stop_answered(&task, run, bench.now);
+            }
+            bench.wait(200);
+            bench.report("w3", &[], &[]);
+        }
+    }
 }
