--- a/crates/fleet/src/coordinator/live.rs
+++ b/crates/fleet/src/coordinator/live.rs
@@ -68,6 +68,12 @@
 const AT_WORK_MS: Millisecond = 2_200;
 
 impl LiveRun {
+    /// Returns whether a worker may have begun the run. A start that was refused, withdrawn or lost is no run.
+    pub fn may_have_run(&self) -> bool {
+        let was_lost = self.lost_start.is_some() && self.last_seen_working.is_none();
+        !was_lost && !matches!(self.phase, Phase::Recorded | Phase::Sent | Phase::Unanswered)
+    }
+
     /// Returns whether the run is known to be working, and so serves its users.
     pub fn is_serving(&self, now: Moment) -> bool {
         let is_fresh = self.last_seen_working.is_some_and(|it| now.since(it) <= AT_WORK_MS);
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -308,9 +308,7 @@
         let (run, is_superseded) = (task.run, task.is_superseded);
         let state = if is_superseded { TaskState::Done } else { state };
         let Some(TaskState::Live(live)) = job.set_state(id, state) else { return };
-        // A start that was refused or withdrawn is no run, and its task waits on.
-        let has_run = !matches!(live.phase, Phase::Recorded | Phase::Sent | Phase::Unanswered);
-        if let Some(task) = job.task_mut(id).filter(|_| has_run) {
+        if let Some(task) = job.task_mut(id).filter(|_| live.may_have_run()) {
             task.last_run_end = Some(now);
         }
         if live.phase == Phase::Recorded {
--- a/crates/fleet/tests/order_of_waits.rs
+++ b/crates/fleet/tests/order_of_waits.rs
@@ -5,7 +5,7 @@
 use common::{
     Bench, WALL, cores, every, job,
     pools::{PoolFleet, job_in, lasting, with_pools},
-    step, worker,
+    starts, step, stops, worker,
 };
 use fuchsiamill_fleet::{
     JobSpec, Step,
@@ -125,3 +125,31 @@
     fleet.play(20_000);
     fleet.assert_runs(AWAY_BOUND_MS);
 }
+
+/// Starts of the task that waits longest get no answer, and the worker never has its run.
+#[test]
+fn lost_start_does_not_begin_the_wait_anew() {
+    let mut bench = Bench::new();
+    ["w1", "w2"].into_iter().for_each(|it| bench.add(worker(it)));
+    bench.accept("j", job(vec![lasting(2, 8)]));
+    let placed = bench.run();
+    for index in [1, 0] {
+        let on = placed.iter().find(|it| it.0.index == index).unwrap().2.clone();
+        bench.coordinator.worker_dead(&on, 7, bench.now);
+        bench.wait(3_000);
+        bench.run();
+    }
+    bench.add(worker("w3"));
+    for _ in 0..50 {
+        let orders = bench.step();
+        for (task, run, _) in starts(&orders) {
+            assert_eq!(task.index, 1, "the other task, which began to wait later, is started");
+            bench.coordinator.start_answered(&task, run, StartReply::Unknown, bench.now);
+        }
+        for (task, run) in stops(&orders) {
+            bench.coordinator.stop_answered(&task, run, bench.now);
+        }
+        bench.wait(200);
+        bench.report("w3", &[], &[]);
+    }
+}
