Waves do not wait for the hosts of other waves

Only hosts with a slot are looked at and counted, and each wave may drain its first host with tasks of a step.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -190,10 +190,13 @@
         let left = self.in_order_of_slots(index, left, slots, now);
         let mut draining = FastSet::default();
         for name in left {
+            if slots == 0 && !self.may_be_under_former_order(&name, now) {
+                continue;
+            }
             let is_free = self.is_free(&name, now);
             let is_kept = match is_free {
                 true => self.is_awaited(&name, &mut beside.awaited, now),
-                false => !self.may_drain(&name, &mut beside.drained),
+                false => !self.may_drain(&name, number, &beside.drained),
             };
             if is_kept {
                 continue;
@@ -208,6 +211,7 @@
             if is_free {
                 self.give_duty(&name, Duty::Maintain { wave: number }, now);
             } else {
+                self.count_drained(&name, number, &mut beside.drained);
                 draining.insert(name);
             }
         }
--- a/crates/fleet/src/coordinator/hosts/pace.rs
+++ b/crates/fleet/src/coordinator/hosts/pace.rs
@@ -6,7 +6,7 @@
 use fuchsiamill_model::FastMap;
 
 use crate::{
-    Name, TaskId,
+    Name,
     coordinator::{Coordinator, StepKey},
 };
 
@@ -14,32 +14,42 @@
 const DRAINED_AHEAD: u32 = 2;
 
 /// The tasks of each step that are on drained hosts.
-pub(super) type DrainedTasks = FastMap<StepKey, u32>;
+#[derive(Default)]
+pub(super) struct DrainedTasks {
+    of_all_waves: FastMap<StepKey, u32>,
+    /// Those on hosts of each wave, by its number.
+    of_wave: FastMap<(u64, StepKey), u32>,
+}
 
 impl Coordinator {
-    /// Returns whether a host may be drained beside those whose long-running tasks are counted in `drained`, and counts its own. The
-    /// first host with tasks of a step always may.
-    pub(super) fn may_drain(&self, host: &Name, drained: &mut DrainedTasks) -> bool {
-        let Some(worker) = self.worker_on(host).filter(|it| it.has_long_running()) else {
-            return true;
-        };
-        let mut own = DrainedTasks::default();
-        for task in worker.live.keys().filter(|it| self.is_lasting(it)) {
-            *own.entry(StepKey::from(task)).or_insert(0) += 1;
-        }
-        let may_drain = own.iter().all(|(step, count)| {
-            let before = drained.get(step).copied().unwrap_or(0);
+    /// Returns whether a wave may drain a host beside those whose long-running tasks are counted. The first host of each wave
+    /// with tasks of a step always may, so that no wave waits for the hosts of another.
+    pub(super) fn may_drain(&self, host: &Name, wave: u64, drained: &DrainedTasks) -> bool {
+        self.lasting_on(host).iter().all(|(step, count)| {
+            let is_first = !drained.of_wave.contains_key(&(wave, step.clone()));
+            let before = drained.of_all_waves.get(step).copied().unwrap_or(0);
             let away = self.waiting_tasks(step);
-            before == 0 || before + away + count <= DRAINED_AHEAD * self.max_unavailable(step)
-        });
-        if may_drain {
-            own.into_iter().for_each(|(step, count)| *drained.entry(step).or_insert(0) += count);
+            is_first || before + away + count <= DRAINED_AHEAD * self.max_unavailable(step)
+        })
+    }
+
+    /// Counts the tasks on a host that is drained.
+    pub(super) fn count_drained(&self, host: &Name, wave: u64, drained: &mut DrainedTasks) {
+        for (step, count) in self.lasting_on(host) {
+            *drained.of_wave.entry((wave, step.clone())).or_insert(0) += count;
+            *drained.of_all_waves.entry(step).or_insert(0) += count;
         }
-        may_drain
     }
 
-    fn is_lasting(&self, task: &TaskId) -> bool {
-        self.step_of(task).is_some_and(|it| it.long_running)
+    /// Returns how many long-running tasks of each step are on a host.
+    fn lasting_on(&self, host: &Name) -> FastMap<StepKey, u32> {
+        let mut on: FastMap<StepKey, u32> = FastMap::default();
+        let worker = self.worker_on(host).filter(|it| it.has_long_running());
+        let tasks = worker.into_iter().flat_map(|it| it.live.keys());
+        for task in tasks.filter(|it| self.step_of(it).is_some_and(|step| step.long_running)) {
+            *on.entry(StepKey::from(task)).or_insert(0) += 1;
+        }
+        on
     }
 
     fn waiting_tasks(&self, step: &StepKey) -> u32 {
--- a/crates/fleet/src/coordinator/turns.rs
+++ b/crates/fleet/src/coordinator/turns.rs
@@ -141,7 +141,7 @@
             let is_short = |it: &(usize, usize)| !job.spec.steps[it.1].long_running;
             let since =
                 |it: &(usize, usize)| job.occurrences[it.0].steps[it.1].waits_since_run_end();
-            open.sort_by_key(|it| (is_short(it), since(it)));
+            open.sort_by_cached_key(|it| (is_short(it), since(it)));
         }
         open
     }
