--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -60,6 +60,17 @@
     assert!(failed.is_empty(), "failed, each for the reason above: {failed:?}");
 }
 
+/// Faults that are not mended.
+mod known_red {
+    use super::*;
+
+    /// A worker restarts under its id while a start is under way to it.
+    #[test]
+    fn start_that_reaches_the_next_life_runs_no_task_twice() {
+        soak(1_002_897_494_319, Duration::from_secs(6), false);
+    }
+}
+
 fn soak(seed: u64, time: Duration, is_kept: bool) {
     let mut soak = Soak::start(seed, time, is_kept);
     let fronts: Vec<_> = soak.fleet.entries.iter().map(|it| it.front).collect();
--- a/crates/daemon/tests/limits_hold.rs
+++ b/crates/daemon/tests/limits_hold.rs
@@ -144,14 +144,27 @@
 }
 
 #[test]
-fn limit_is_reached_and_never_passed() {
+fn limit_is_never_passed() {
     let site = site(3);
     let record = under_load(&site, |_| more_run(&site, 100));
     check(&record);
-    assert_eq!(most_running(&record, "north"), LIMIT, "the whole limit is used");
     assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
 }
 
+/// Faults that are not mended.
+mod known_red {
+    use super::*;
+
+    #[test]
+    fn limit_is_reached_and_never_passed() {
+        let site = site(3);
+        let record = under_load(&site, |_| more_run(&site, 100));
+        check(&record);
+        assert_eq!(most_running(&record, "north"), LIMIT, "the whole limit is used");
+        assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
+    }
+}
+
 #[test]
 fn killed_owner_takes_no_limit_along() {
     let mut site = site(3);
