Waves count hosts as lost by lists of hosts, not by the age of the takeover

Cause: a host that no list had shown counted as lost once the coordinator had led for 15 s. That was meant for hosts that a new coordinator has not seen yet. The host was then stored as begun, so that no later coordinator mended it, and a host that came back before the wave's end stayed skipped as well.

Change: each open wave counts for how long whole lists that were requested after the wave was read have lacked a host, or shown it down. Failed lists, unreadable entries, gaps of over 5 s and another coordinator's time do not count. Lost hosts are no longer stored as begun; what a wave was completed without is stored apart. The log tells hosts that are listed for the first time, and how many hosts left of a wave are considered lost.

--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -1,5 +1,6 @@
 //! Orders to hosts: maintenance waves, and moves between pools.
 
+mod absence;
 mod awaited;
 mod due;
 mod evacuation;
@@ -19,7 +20,7 @@
 pub use host::{Duty, DutyReply, Host, PendingDuty};
 pub use progress::WaveProgress;
 
-use self::{awaited::AwaitedRoom, host::LOST_MS, pace::DrainedTasks, slots::Slots};
+use self::{absence::Absences, awaited::AwaitedRoom, pace::DrainedTasks, slots::Slots};
 use super::{Coordinator, Order, Worker};
 use crate::{
     HostInfo, HostState, Name,
@@ -31,12 +32,15 @@
 pub struct WaveState {
     /// The wave as the operator requested it.
     pub wave: Wave,
-    /// Hosts whose maintenance has begun or that are lost.
+    /// Hosts whose maintenance has begun.
     pub begun: FastSet<Name>,
+    /// Hosts that the wave was completed without, since they were lost.
+    pub lost: FastSet<Name>,
     /// Hosts that finish their tasks before they are ordered to be maintained.
     pub draining: FastSet<Name>,
     /// Whether the operator was told that all hosts are done.
     pub is_completed: bool,
+    absences: Absences,
     slots: Slots,
 }
 
@@ -44,8 +48,10 @@
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct WaveRecord {
-    /// Hosts whose maintenance has begun or that are lost.
+    /// Hosts whose maintenance has begun.
     pub begun: Vec<Name>,
+    /// Hosts that the wave was completed without, since they were lost.
+    pub lost: Vec<Name>,
     /// Whether all hosts are done.
     pub is_completed: bool,
 }
@@ -56,6 +62,13 @@
 /// Extra time for the host list to show the end of an order.
 const DUTY_SLACK_MS: Millisecond = 300;
 
+impl WaveState {
+    /// Returns the hosts whose maintenance has not begun.
+    fn left(&self) -> impl Iterator<Item = &Name> {
+        self.wave.hosts.iter().filter(|it| !self.begun.contains(*it))
+    }
+}
+
 /// What the waves that are planned together share.
 struct PlannedBeside {
     awaited: AwaitedRoom,
@@ -84,6 +97,7 @@
         for host in self.hosts.values_mut().filter(|it| it.is_lost(asked)) {
             host.duty.take_if(|it| it.confirmed.is_some());
         }
+        self.note_absences(listing, &names);
         self.hosts_known = true;
         self.end_absent_workers(listing)
     }
@@ -100,7 +114,12 @@
     }
 
     /// Records the waves that the operator requested; `stored` is the progress that an earlier coordinator stored.
-    pub fn waves_requested(&mut self, waves: &[Wave], stored: &FastMap<u64, WaveRecord>) {
+    pub fn waves_requested(
+        &mut self,
+        waves: &[Wave],
+        stored: &FastMap<u64, WaveRecord>,
+        now: Moment,
+    ) {
         for wave in waves {
             if self.waves.iter().any(|it| it.wave == *wave) {
                 continue;
@@ -109,13 +128,15 @@
             let is_kept = |it: &&Name| wave.hosts.contains(it);
             let record = stored.get(&wave.number).cloned().unwrap_or_default();
             // The operator may have written the wave anew, with more hosts, since the record was stored.
-            let is_completed =
-                record.is_completed && wave.hosts.iter().all(|it| record.begun.contains(it));
+            let is_done = |it: &Name| record.begun.contains(it) || record.lost.contains(it);
+            let is_completed = record.is_completed && wave.hosts.iter().all(is_done);
             self.waves.push(WaveState {
                 wave: wave.clone(),
                 begun: record.begun.into_iter().collect(),
+                lost: record.lost.into_iter().filter(|_| is_completed).collect(),
                 draining: drained.iter().filter(is_kept).cloned().collect(),
                 is_completed,
+                absences: Absences::since(now),
                 slots: Slots::default(),
             });
             self.dirty_waves.insert(wave.number);
@@ -130,8 +151,13 @@
         let changed = self.waves.iter().filter(|it| dirty.contains(&it.wave.number));
         changed
             .map(|it| {
-                let begun = it.begun.iter().cloned().collect();
-                (it.wave.number, WaveRecord { begun, is_completed: it.is_completed })
+                let (begun, lost) = (&it.begun, &it.lost);
+                let record = WaveRecord {
+                    begun: begun.iter().cloned().collect(),
+                    lost: lost.iter().cloned().collect(),
+                    is_completed: it.is_completed,
+                };
+                (it.wave.number, record)
             })
             .collect()
     }
@@ -158,35 +184,19 @@
             return;
         }
         let number = state.wave.number;
-        let gone: Vec<Name> = state
-            .wave
-            .hosts
-            .iter()
-            .filter(|it| !state.begun.contains(*it) && self.is_lost(it, now))
-            .cloned()
-            .collect();
-        if !gone.is_empty() {
-            self.waves[index].begun.extend(gone);
-            self.dirty_waves.insert(number);
-        }
-        let state = &self.waves[index];
         let down = self.down_count(state, now);
-        if down == 0 && state.wave.hosts.iter().all(|it| state.begun.contains(it)) {
-            self.waves[index].is_completed = true;
+        if down == 0 && state.left().all(|it| state.absences.is_lost(it)) {
+            let lost = state.left().cloned().collect();
+            let state = &mut self.waves[index];
+            (state.lost, state.is_completed) = (lost, true);
             self.dirty_waves.insert(number);
             self.set_draining(index, FastSet::default());
             return;
         }
         let at_once = state.wave.at_once;
         let mut slots = at_once.saturating_sub(down);
-        let left: Vec<Name> = state
-            .wave
-            .hosts
-            .iter()
-            .filter(|it| !state.begun.contains(*it) && self.is_present(it))
-            .filter(|it| !self.recalled.contains(*it))
-            .cloned()
-            .collect();
+        let may_begin = |it: &&Name| self.is_present(it) && !self.recalled.contains(*it);
+        let left: Vec<Name> = state.left().filter(may_begin).cloned().collect();
         let left = self.in_order_of_slots(index, left, slots, now);
         let mut draining = FastSet::default();
         for name in left {
@@ -234,15 +244,6 @@
             || host.seen.state == HostState::Maintenance
     }
 
-    /// Returns whether a host is considered lost. A host that was never listed may still appear for a while after a
-    /// takeover.
-    fn is_lost(&self, host: &Name, now: Moment) -> bool {
-        match self.hosts.get(host) {
-            Some(host) => host.is_lost(now),
-            None => now.since(self.takeover.at) >= LOST_MS,
-        }
-    }
-
     fn is_present(&self, host: &Name) -> bool {
         self.hosts.get(host).is_some_and(|it| it.seen.state != HostState::Down)
     }
--- a/crates/fleet/src/coordinator/hosts/due.rs
+++ b/crates/fleet/src/coordinator/hosts/due.rs
@@ -26,7 +26,7 @@
     /// Notes which hosts are due.
     pub(super) fn update_due(&mut self) {
         let open = self.waves.iter().filter(|it| !it.is_completed);
-        let due = open.flat_map(|it| it.wave.hosts.iter().filter(|host| !it.begun.contains(*host)));
+        let due = open.flat_map(|it| it.left());
         let hosts: FastSet<Name> = due.cloned().collect();
         let workers =
             hosts.iter().filter_map(|it| self.hosts.get(it)?.seen.worker.clone()).collect();
--- a/crates/fleet/src/coordinator/hosts/progress.rs
+++ b/crates/fleet/src/coordinator/hosts/progress.rs
@@ -12,6 +12,8 @@
     pub number: u64,
     /// Hosts whose maintenance has not begun.
     pub left: u64,
+    /// Hosts left that are considered lost.
+    pub lost: u64,
     /// Hosts left that take no new tasks until theirs have ended.
     pub drained: u64,
     /// Drained hosts with tasks that run until their job is cancelled.
@@ -35,8 +37,7 @@
         let mut room = self.awaited_room();
         let open = self.waves.iter().filter(|it| !it.is_completed);
         open.map(|it| {
-            let left: Vec<&Name> =
-                it.wave.hosts.iter().filter(|host| !it.begun.contains(*host)).collect();
+            let left: Vec<&Name> = it.left().collect();
             let is_kept =
                 |host: &&&Name| self.is_free(host, now) && self.is_awaited(host, &mut room, now);
             let kept = left.iter().filter(is_kept).count() as u64;
@@ -53,6 +54,7 @@
         WaveProgress {
             number: state.wave.number,
             left: left as u64,
+            lost: state.left().filter(|it| state.absences.is_lost(it)).count() as u64,
             drained: state.draining.len() as u64,
             drained_lasting: state.draining.iter().filter(has_lasting).count() as u64,
             down: self.down_count(state, now) as u64,
--- a/crates/site/src/lead/hosts.rs
+++ b/crates/site/src/lead/hosts.rs
@@ -21,6 +21,8 @@
 pub enum HostEvent {
     /// The list of hosts.
     Listed(HostListing),
+    /// The list of hosts could not be read.
+    NotListed,
     /// The outcome of an order to a host.
     Answered(Name, HostDuty, DutyReply),
 }
@@ -50,7 +52,10 @@
                     let listing = HostListing { hosts, is_whole, asked };
                     self.event_sender.send(Event::Host(HostEvent::Listed(listing)));
                 }
-                Err(e) => health.failed(&e),
+                Err(e) => {
+                    health.failed(&e);
+                    self.event_sender.send(Event::Host(HostEvent::NotListed));
+                }
             }
             sleep(LIST_PAUSE).await;
         }
@@ -68,11 +73,18 @@
     hosts
 }
 
-/// Logs which hosts have another state or worker than in the former list.
+/// Logs which hosts have another state or worker than in the former list, and which are new. The first list is not logged.
 fn log_changes(before: &[HostInfo], listed: &[HostInfo]) {
+    if before.is_empty() {
+        return;
+    }
     let before: FastMap<&Name, &HostInfo> = before.iter().map(|it| (&it.host, it)).collect();
     for now in listed {
-        let Some(then) = before.get(&now.host) else { continue };
+        let Some(then) = before.get(&now.host) else {
+            let (host, pool, state) = (&now.host, &now.pool, now.state);
+            tracing::info!(event = "host-listed", %host, %pool, state = ?state);
+            continue;
+        };
         if then.state != now.state || then.worker != now.worker {
             let (host, state) = (&now.host, now.state);
             let (worker, former) = (now.worker.as_deref(), then.worker.as_deref());
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -351,7 +351,7 @@
             let intent = self.cx.intent.borrow();
             (intent.config.clone(), intent.waves.clone())
         };
-        self.coordinator.waves_requested(&waves, &self.waves);
+        self.coordinator.waves_requested(&waves, &self.waves, self.cx.clock.now());
         if let Some(config) = config
             && config.version > self.config_version
         {
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -155,6 +155,7 @@
                     tracing::info!(event = "worker-over", %worker, cause = "no host has it");
                 }
             }
+            HostEvent::NotListed => self.coordinator.host_list_failed(),
             HostEvent::Answered(host, duty, reply) => {
                 tracing::info!(event = "host-answered", %host, duty = ?duty, reply = ?reply);
                 self.coordinator.host_answered(&host, &duty, reply, now);
--- a/crates/site/src/lead/waves.rs
+++ b/crates/site/src/lead/waves.rs
@@ -27,6 +27,7 @@
                 event = "wave-planned",
                 wave = it.number,
                 left = it.left,
+                lost = it.lost,
                 drained = it.drained,
                 drained_lasting = it.drained_lasting,
                 down = it.down,
