--- a/crates/fleet/src/coordinator/hosts.rs
+++ b/crates/fleet/src/coordinator/hosts.rs
@@ -5,7 +5,6 @@
 mod due;
 mod evacuation;
 mod host;
-mod located;
 mod pace;
 mod progress;
 mod replaced;
@@ -103,6 +102,17 @@
         self.end_absent_workers(listing)
     }
 
+    /// Returns whether a new worker of a pool may be on a host with an unconfirmed order, because the worker known on
+    /// that host has ended.
+    pub(super) fn may_be_ordered(&self, pool: &Name) -> bool {
+        let is_ordered = |it: &Host| {
+            it.seen.pool == *pool && it.duty.as_ref().is_some_and(|it| it.confirmed.is_none())
+        };
+        let is_over = |it: &Worker| !it.answered || it.unlisted || it.silent_since.is_some();
+        let ordered = self.hosts.iter().filter(|it| is_ordered(it.1));
+        ordered.map(|it| self.worker_on(it.0)).any(|it| it.is_none_or(is_over))
+    }
+
     /// Records the waves that the operator requested; `stored` is the progress that an earlier coordinator stored.
     pub fn waves_requested(
         &mut self,
@@ -157,7 +167,6 @@
         if !self.hosts_known {
             return;
         }
-        self.update_unlocated();
         self.retry_duties(now);
         let mut beside =
             PlannedBeside { awaited: self.awaited_room(), drained: DrainedTasks::default() };
@@ -258,7 +267,7 @@
         }
         let is_spare = self.config.pools.get(&host.seen.pool).is_some_and(|it| it.spare);
         match self.worker_on(name) {
-            Some(worker) => worker.live.is_empty() && !self.may_be_replaced(worker),
+            Some(worker) => worker.live.is_empty(),
             None => is_spare,
         }
     }
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -112,8 +112,6 @@
     last_tick: Moment,
     hosts: FastMap<Name, Host>,
     hosts_known: bool,
-    /// Whether some worker is on no listed host, as of the last plan.
-    has_unlocated_workers: bool,
     takeover: Takeover,
     recent_host_orders: FastMap<Name, Moment>,
     has_new_host_orders: bool,
@@ -164,7 +162,6 @@
             last_tick: takeover.at,
             hosts: FastMap::default(),
             hosts_known: false,
-            has_unlocated_workers: false,
             takeover,
             recent_host_orders: FastMap::default(),
             has_new_host_orders: false,
