Failing and partial lists of hosts neither stop nor stand in for evidence

What a review of the evidence of lost hosts found, by reading: where lists fail now and then, the count began again each time, so that a wave with a lost host was never completed; and a row that could not be read, kept as down by the reader, counted as evidence, so that a wave could be completed without its host.

Change: a failed or partial list between two whole ones matters only where these are more than 5 s apart, and then none of that time counts; rows count as down in whole lists only. Tests: lists_that_fail_now_and_then_do_not_hold_up_the_wave_for_ever, kept_entry_of_a_host_that_was_down_is_no_evidence.

The explorer counts absences of its own by whole lists, checks completion anew after a takeover, and excuses no host for having been shown once.

--- a/crates/fleet/src/coordinator/hosts/absence.rs
+++ b/crates/fleet/src/coordinator/hosts/absence.rs
@@ -8,7 +8,8 @@
 use super::host::LOST_MS;
 use crate::{HostState, Name, coordinator::Coordinator, worker::HostListing};
 
-/// The most that the time between two lists counts. Lists of the largest fleet take 4 s.
+/// The most that the time between two lists counts, and the longest time with a failed list that counts. Lists of the largest
+/// fleet take 4 s.
 const MAX_GAP_MS: Millisecond = 5_000;
 
 /// What a list shows of a host.
@@ -16,17 +17,19 @@
 enum Shown {
     /// It is there.
     Present,
-    /// It is down, or missing from a whole list.
+    /// A whole list has it as down, or lacks it.
     Away,
-    /// It is missing, but not all entries could be read.
+    /// It is down or missing, but not all entries could be read.
     Unknown,
 }
 
 /// For how long lists have shown a host to be away.
 #[derive(Clone, Copy, Debug)]
 struct Absence {
-    /// The last list that showed it, as long as no list has failed since; the time from it to the next one counts.
-    last: Option<Moment>,
+    /// When the last list that showed it was requested.
+    last: Moment,
+    /// Whether a later list failed or did not tell.
+    is_interrupted: bool,
     /// The time between such lists.
     ms: Millisecond,
 }
@@ -39,6 +42,18 @@
     away: FastMap<Name, Absence>,
 }
 
+impl Absence {
+    /// Counts the time until a list that shows it.
+    fn extend(&mut self, asked: Moment) {
+        let gap = asked.since(self.last);
+        self.ms += match self.is_interrupted && gap > MAX_GAP_MS {
+            true => 0,
+            false => gap.min(MAX_GAP_MS),
+        };
+        (self.last, self.is_interrupted) = (asked, false);
+    }
+}
+
 impl Absences {
     /// `read` is when the wave was read.
     pub(super) fn since(read: Moment) -> Self {
@@ -52,20 +67,19 @@
         }
         match shown {
             Shown::Present => drop(self.away.remove(host)),
-            Shown::Unknown => self.away.get_mut(host).into_iter().for_each(|it| it.last = None),
+            Shown::Unknown => {
+                self.away.get_mut(host).into_iter().for_each(|it| it.is_interrupted = true);
+            }
             Shown::Away => {
-                let new = Absence { last: None, ms: 0 };
-                let absence = self.away.entry(host.clone()).or_insert(new);
-                let gap = absence.last.map_or(0, |it| asked.since(it));
-                absence.ms += gap.min(MAX_GAP_MS);
-                absence.last = Some(asked);
+                let new = Absence { last: asked, is_interrupted: false, ms: 0 };
+                self.away.entry(host.clone()).or_insert(new).extend(asked);
             }
         }
     }
 
     /// Records that a list could not be read.
     fn note_failed_list(&mut self) {
-        self.away.values_mut().for_each(|it| it.last = None);
+        self.away.values_mut().for_each(|it| it.is_interrupted = true);
     }
 
     /// Returns whether a host is considered lost.
@@ -84,11 +98,14 @@
     pub(super) fn note_absences(&mut self, listing: &HostListing, names: &FastSet<&Name>) {
         let shows_all = listing.is_whole && !listing.hosts.is_empty();
         let hosts = &self.hosts;
-        let shown = |host: &Name| match hosts.get(host) {
-            Some(it) if names.contains(host) && it.seen.state != HostState::Down => Shown::Present,
-            Some(_) if names.contains(host) => Shown::Away,
-            _ if shows_all => Shown::Away,
-            _ => Shown::Unknown,
+        let is_up = |host: &Name| {
+            let seen = hosts.get(host).filter(|_| names.contains(host));
+            seen.is_some_and(|it| it.seen.state != HostState::Down)
+        };
+        let shown = |host: &Name| match is_up(host) {
+            true => Shown::Present,
+            false if shows_all => Shown::Away,
+            false => Shown::Unknown,
         };
         for state in self.waves.iter_mut().filter(|it| !it.is_completed) {
             let left = state.wave.hosts.iter().filter(|it| !state.begun.contains(*it));
--- a/crates/fleet/tests/any_join.rs
+++ b/crates/fleet/tests/any_join.rs
@@ -80,3 +80,17 @@
     let rng = Gen::from_size_and_seed(SCRIPT_LEN, SEED);
     QuickCheck::new().rng(rng).tests(SCRIPTS).quickcheck(holds);
 }
+
+mod known_red {
+    use super::*;
+
+    /// The list still shows the host with its former worker, which is over.
+    #[test]
+    fn order_does_not_end_runs_of_the_next_worker() {
+        assert!(holds(&[22109, 0, 2778, 0, 19256, 65535, 2880, 0, 13942, 0, 77, 17096, 0, 0,]));
+        assert!(holds(&[
+            17977, 33080, 34393, 19453, 0, 0, 0, 60982, 54198, 0, 0, 9622, 15533, 52280, 8509, 0,
+            6870, 0, 0, 38004, 0, 56884, 34024, 34079, 14303, 8512,
+        ]));
+    }
+}
--- a/crates/fleet/tests/common/hosts/mod.rs
+++ b/crates/fleet/tests/common/hosts/mod.rs
@@ -82,8 +82,8 @@
     config: Arc<Config>,
     specs: BTreeMap<Name, Arc<JobSpec>>,
     wave: Wave,
-    /// The wave as the coordinator read it, and when.
-    read: Option<(Wave, Moment)>,
+    /// The wave as the coordinator read it.
+    read: Option<Wave>,
     /// The wave that was completed last, and the hosts that it was completed without.
     completed: Option<(Wave, Vec<Name>)>,
     /// Whether this coordinator has read a list of hosts.
@@ -168,8 +168,10 @@
 
     /// Passes the operator's wave to the coordinator.
     pub fn ask_wave(&mut self) {
-        self.read.take_if(|it| it.0 != self.wave);
-        self.read.get_or_insert_with(|| (self.wave.clone(), self.now));
+        if self.read.as_ref() != Some(&self.wave) {
+            self.read = Some(self.wave.clone());
+            self.hosts.values_mut().for_each(|it| it.presence.forget_lists());
+        }
         let waves = std::slice::from_ref(&self.wave);
         self.coordinator.waves_requested(waves, &self.stored_waves, self.now);
     }
@@ -487,6 +489,8 @@
         }
         self.listed.clear();
         (self.read, self.has_listed) = (None, false);
+        let is_stored = self.stored_waves.get(&self.wave.number).is_some_and(|it| it.is_completed);
+        self.completed.take_if(|_| !is_stored);
         self.list();
         for (id, spec) in &self.specs {
             let record = self.stored.get(id);
--- a/crates/fleet/tests/common/hosts/presence.rs
+++ b/crates/fleet/tests/common/hosts/presence.rs
@@ -14,20 +14,22 @@
 
 const NEVER: Moment = Moment(u64::MAX);
 
-/// Whether a host is part of the site, and since when lists have lacked it or shown it down.
+/// The longest time between two lists that counts as evidence.
+const MAX_GAP_MS: Millisecond = 5_000;
+
+/// Whether a host is part of the site, and for how long lists have lacked it or shown it down.
 pub(super) struct Presence {
     joined: Moment,
     left: Moment,
-    /// The first of the lists in a row that show it to be away, if the last one does.
-    away: Option<Moment>,
-    is_shown: bool,
+    /// The last whole list that showed it to be away, and for how long such lists did since the coordinator read the wave.
+    away: Option<(Moment, Millisecond)>,
     /// Its last entry that could be read.
     entry: Option<HostInfo>,
 }
 
 impl Default for Presence {
     fn default() -> Self {
-        Self { joined: START, left: NEVER, away: None, is_shown: false, entry: None }
+        Self { joined: START, left: NEVER, away: None, entry: None }
     }
 }
 
@@ -41,12 +43,19 @@
         self.is_there() && (self.joined == START || now.since(self.joined) >= LIST_LAG_MS)
     }
 
-    fn note(&mut self, is_shown: bool, asked: Moment) {
-        self.is_shown = is_shown;
-        match is_shown {
-            true => self.away = None,
-            false => drop(self.away.get_or_insert(asked)),
-        }
+    fn note(&mut self, is_shown: bool, is_whole: bool, asked: Moment) {
+        let before = self.away;
+        self.away = match (is_shown, before) {
+            (true, _) => None,
+            (false, before) if !is_whole => before,
+            (false, None) => Some((asked, 0)),
+            (false, Some((last, ms))) => Some((asked, ms + asked.since(last).min(MAX_GAP_MS))),
+        };
+    }
+
+    /// Forgets what lists showed before the coordinator read the wave.
+    pub(super) fn forget_lists(&mut self) {
+        self.away = None;
     }
 }
 
@@ -121,15 +130,18 @@
             return;
         }
         let spare = self.config.spare_pool().map(|it| it.name.clone());
-        let (mut hosts, mut is_whole) = (Vec::new(), true);
+        let is_lost =
+            |(number, it): (usize, &SimHost)| it.presence.is_listed(now) && !is_readable(number);
+        let is_whole = !self.hosts.values().enumerate().any(is_lost);
+        let mut hosts = Vec::new();
         for (number, (name, machine)) in self.hosts.iter_mut().enumerate() {
             let is_listed = machine.presence.is_listed(now);
             if is_listed && !is_readable(number) {
-                is_whole = false;
                 hosts.extend(machine.presence.entry.clone());
                 continue;
             }
-            machine.presence.note(is_listed && machine.state != HostState::Down, now);
+            let is_shown = is_listed && machine.state != HostState::Down;
+            machine.presence.note(is_shown, is_whole, now);
             let id = worker_id(name, machine.born);
             let on = machine.has_worker(spare.as_ref()).then_some(id.as_str());
             let seen = HostInfo { state: machine.state, ..host(name, &machine.pool, on) };
@@ -140,14 +152,11 @@
         self.coordinator.hosts_listed(&HostListing { hosts, is_whole, asked: now });
     }
 
-    /// Returns whether a wave may not be completed before this host is maintained: lists show it, or have not lacked it for long
-    /// since the wave was read.
+    /// Returns whether a wave may not be completed before this host is maintained: whole lists have not shown it to be away for
+    /// long since the wave was read.
     pub(super) fn is_due(&self, machine: &SimHost) -> bool {
         let presence = &machine.presence;
-        let read = self.read.as_ref().map_or(self.now, |it| it.1);
-        let is_known = presence.is_shown || presence.joined <= read;
-        let is_away_for_long =
-            presence.away.is_some_and(|since| self.now.since(since.max(read)) >= LOST_MS);
-        !machine.is_maintained && presence.is_there() && is_known && !is_away_for_long
+        let is_away_for_long = presence.away.is_some_and(|it| it.1 >= LOST_MS);
+        !machine.is_maintained && presence.is_there() && !is_away_for_long
     }
 }
--- a/crates/fleet/tests/late_hosts.rs
+++ b/crates/fleet/tests/late_hosts.rs
@@ -226,3 +226,29 @@
     site.play(8_000);
     assert_eq!(site.maintained, ["h1", "h2"]);
 }
+
+/// Some calls for the list are turned away.
+#[test]
+fn lists_that_fail_now_and_then_do_not_hold_up_the_wave_for_ever() {
+    let mut site = Site::after(HOUR_MS);
+    site.ask(&["h1", "gone"]);
+    for _ in 0..LOST_MS / (2 * LIST_PAUSE_MS) + 2 {
+        site.play(LIST_PAUSE_MS);
+        site.bench.wait(LIST_PAUSE_MS);
+        site.bench.coordinator.host_list_failed();
+    }
+    assert!(site.is_completed());
+}
+
+/// Where entries cannot be read, the reader keeps them as they were.
+#[test]
+fn kept_entry_of_a_host_that_was_down_is_no_evidence() {
+    let mut site = Site::after(HOUR_MS);
+    let down = HostInfo { state: HostState::Down, ..host("h2", "web", None) };
+    site.shown.push(down);
+    site.ask(&["h1", "h2"]);
+    site.play(2_000);
+    site.is_whole = false;
+    site.play(40_000);
+    assert!(!site.is_completed());
+}
