Log where a lasting task that waits could run

Of a lasting task that waits, step-waits told only what the last placement ran into: "room" may be a full pool, but also hosts that are drained for a wave, avoided, silent, or taken by starts that no worker has answered.

The line of a step that is to last now has the number of its places on the workers of its pool, of these the ones on silent, avoided and reserved workers and those taken by unconfirmed starts, and the share of its team's limit that is used. They are counted for the logged steps only, once a second, in one pass over the workers. Room that is held has no field, since it is not kept from such tasks. No decision changes.

Open: a task whose start is unanswered or whose worker is silent does not wait, so that step-waits has no line for it; runs-held and starts-given-up tell of it.

--- a/crates/fleet/src/coordinator/limits.rs
+++ b/crates/fleet/src/coordinator/limits.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_model::{FastMap, Resources, units::Moment};
 
-use super::{Coordinator, pool_view::RoomWait};
+use super::{Coordinator, StepKey, pool_view::RoomWait};
 use crate::{JobSpec, Name, Step};
 
 /// The window over which a team's jobs are counted against its weight.
@@ -148,6 +148,20 @@
             .min(part(limit.accelerators, used.accelerators, size.accelerators))
     }
 
+    /// Returns the share of its team's upper limit that runs take, for a step's job: in percent, of the resource of which it is
+    /// the largest. Returns 0 without a limit.
+    pub fn limit_percent(&self, key: &StepKey) -> u64 {
+        let team = self.jobs.get(&key.job).map(|it| &it.spec.team);
+        let limit = team.and_then(|it| self.config.teams.get(it)).map(|it| it.limit);
+        let used = team.and_then(|it| self.used_by_team.get(it));
+        let (limit, used) = (limit.unwrap_or_default(), used.copied().unwrap_or_default());
+        let part =
+            |limit: u32, used: u32| (u64::from(used) * 100).checked_div(limit.into()).unwrap_or(0);
+        part(limit.millicores, used.millicores)
+            .max(part(limit.memory_mib, used.memory_mib))
+            .max(part(limit.accelerators, used.accelerators))
+    }
+
     /// Counts a new job of a team and returns whether it exceeds the team's weight, in jobs per second. The team is not
     /// entitled to hosts for such jobs.
     pub(super) fn is_excess(&mut self, team: &Name, now: Moment) -> bool {
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -56,7 +56,7 @@
 pub use rank::Tier;
 pub use replies::{Refusal, StartReply};
 pub use tick::HeldRuns;
-pub use waits::{Wait, WaitReason, WaitingStep};
+pub use waits::{StepPlaces, Wait, WaitReason, WaitingStep};
 pub use worker::Worker;
 
 use crate::{Config, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing};
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -1,7 +1,11 @@
 //! Why steps wait, and since when.
 
+mod places;
+
 use fuchsiamill_model::units::{Millisecond, Moment};
 
+pub use places::StepPlaces;
+
 use super::{Coordinator, Job, StepKey, TaskState, job::StepRun, room::RoomSearch};
 use crate::Name;
 
--- a/crates/site/src/lead/waits.rs
+++ b/crates/site/src/lead/waits.rs
@@ -2,7 +2,7 @@
 
 use fuchsiamill_fleet::{
     Coordinator, Tenure,
-    coordinator::{WaitReason, WaitingStep},
+    coordinator::{StepKey, WaitReason, WaitingStep},
 };
 use fuchsiamill_model::{
     FastMap,
@@ -64,7 +64,7 @@
             let waits = by_reason.get(&reason).copied().unwrap_or_default();
             metrics.set_waits(reason.as_str(), waits);
         }
-        log_steps(long);
+        log_steps(coordinator, long, now);
         self.log_left_out();
     }
 
@@ -78,11 +78,17 @@
     }
 }
 
-fn log_steps(mut long: Vec<WaitingStep>) {
+fn log_steps(coordinator: &Coordinator, mut long: Vec<WaitingStep>, now: Moment) {
     long.sort_by_key(|it| (!it.long_running, std::cmp::Reverse(it.age_ms)));
     let others = long.len().saturating_sub(MAX_LINES);
-    for it in long.iter().take(MAX_LINES) {
+    long.truncate(MAX_LINES);
+    let lasting: Vec<&StepKey> =
+        long.iter().filter(|it| it.long_running).map(|it| &it.step).collect();
+    let places = coordinator.places_for(&lasting, now);
+    for (number, it) in long.iter().enumerate() {
         let (job, reason) = (&it.step.job, it.reason.as_str());
+        // Long-running steps come first.
+        let places = places.get(number);
         tracing::info!(
             event = "step-waits",
             %job,
@@ -92,6 +98,12 @@
             tasks = it.tasks,
             age_ms = it.age_ms,
             long_running = it.long_running,
+            places = places.map(|it| it.all),
+            silent_places = places.map(|it| it.silent),
+            avoided_places = places.map(|it| it.avoided),
+            reserved_places = places.map(|it| it.reserved),
+            unconfirmed_places = places.map(|it| it.unconfirmed),
+            limit_percent = places.map(|_| coordinator.limit_percent(&it.step)),
         );
     }
     if others > 0 {
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -32,8 +32,14 @@
 
 impl LogBuffer {
     pub fn lines(&self, kind: &str) -> usize {
+        self.text_of(kind).len()
+    }
+
+    /// Returns the lines of this kind.
+    pub fn text_of(&self, kind: &str) -> Vec<String> {
         let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
-        text.lines().filter(|it| it.contains(&format!("\"event\":\"{kind}\""))).count()
+        let is_of_kind = |it: &&str| it.contains(&format!("\"event\":\"{kind}\""));
+        text.lines().filter(is_of_kind).map(String::from).collect()
     }
 }
 
