--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -4,7 +4,7 @@
     fs::{self, File, OpenOptions},
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, ChildStdout, Command, ExitStatus, Stdio},
     sync::Mutex,
     thread,
 };
@@ -87,6 +87,11 @@
         *self.child.lock().unwrap() = started.expect("the daemon starts");
     }
 
+    /// The log that nobody has read since [`Self::restart_unread`].
+    pub fn take_output(&self) -> ChildStdout {
+        self.child.lock().unwrap().stdout.take().expect("the log is a pipe")
+    }
+
     /// What it logged since the test started it first.
     pub fn log(&self) -> String {
         fs::read_to_string(log_of(&self.file)).unwrap_or_default()
