A soak that fails keeps the order of what happened

What was missing: a failing seed printed the runs of one task and the last lines of each entry host; what workers were ordered, and what the soak did, was not kept. Change: a failing soak writes soak-SEED.order.log beside the entry hosts' logs: what the test did, each order to start or stop with its answer and the birth of the life that gave it, each run, and each line of the entry hosts, by the machine's clock.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -14,6 +14,7 @@
 pub mod losses;
 pub mod net;
 pub mod operator;
+pub mod order_log;
 pub mod process;
 pub mod session;
 pub mod soak;
--- a/crates/daemon/tests/common/soak.rs
+++ b/crates/daemon/tests/common/soak.rs
@@ -15,6 +15,7 @@
 use super::{
     fleet::{Fleet, Layout, Process},
     losses::Losses,
+    order_log,
     standing::Standing,
 };
 
@@ -75,6 +76,19 @@
     lapsed: Vec<(Instant, usize)>,
     /// Of the configuration.
     version: u64,
+    seed: u64,
+    /// What was done, and when.
+    acts: Vec<(Instant, String)>,
+}
+
+/// A soak that fails keeps the order of what happened.
+impl Drop for Soak {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            let failure = format!("soak-{}", self.seed);
+            eprintln!("kept {}", order_log::keep(&self.fleet, &failure, &self.acts).display());
+        }
+    }
 }
 
 impl Soak {
@@ -105,6 +119,8 @@
             frozen: Vec::new(),
             lapsed: Vec::new(),
             version: 1,
+            seed,
+            acts: Vec::new(),
         }
     }
 
@@ -123,6 +139,10 @@
         thread::sleep(Duration::from_millis(self.rng.u64(0..PAUSE_MS)));
     }
 
+    fn note(&mut self, act: String) {
+        self.acts.push((Instant::now(), act));
+    }
+
     fn thaw(&mut self) {
         let now = Instant::now();
         for (_, entry) in self.frozen.extract_if(.., |it| it.0 <= now) {
@@ -146,6 +166,7 @@
             _ => return,
         };
         let span = Duration::from_millis(self.link_rng.u64(REFUSE_MS));
+        self.note(format!("links of hosts {refused:?} refuse connections for {span:?}"));
         for host in refused {
             self.fleet.route_fault(self.routes[host], RouteFault::Refuse);
             self.refused.push((Instant::now() + span, host));
@@ -153,6 +174,7 @@
     }
 
     fn restart_worker(&mut self, host: usize) {
+        self.note(format!("the worker of host {host} starts again under its id"));
         let route = self.routes[host];
         self.fleet.route_fault(route, RouteFault::Cut);
         {
@@ -168,7 +190,9 @@
     }
 
     fn act(&mut self) {
-        match self.rng.u32(0..24) {
+        let act = self.rng.u32(0..24);
+        self.note(format!("act {act}, by its number in Soak::act"));
+        match act {
             0 => self.freeze(),
             1 => self.restart(),
             2 => self.restart_several(),
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -160,6 +160,18 @@
     }
 
     fn answer(&self, path: &str, body: &Value, meant: &str) -> Response {
+        let response = self.carry_out(path, body, meant);
+        if matches!(path, "/run-start" | "/run-stop") {
+            let (task, run) = task_of(body);
+            let (fence, born) = (&body["fence_token"], self.born().unwrap_or_default());
+            let order = format!("{path} {task} run {run}, fence {fence}, for {meant}");
+            let outcome = format!("{order}: {} of the life born at {born}", response.status);
+            lock(&self.world).orders.push((Instant::now(), outcome));
+        }
+        response
+    }
+
+    fn carry_out(&self, path: &str, body: &Value, meant: &str) -> Response {
         let mut world = lock(&self.world);
         let Some(worker) = world.worker_mut(self.host) else {
             return Response::empty(StatusCode::MISDIRECTED_REQUEST);
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -100,6 +100,8 @@
     pub runs: Vec<RunRecord>,
     /// Tasks of which two runs were at work at once, or one began after another was done.
     pub twice: Vec<String>,
+    /// Every order to start or stop a run that was carried out or refused, and when.
+    pub orders: Vec<(Instant, String)>,
     /// The links of the entry hosts to the workers, if they are narrow.
     pub links: Option<NarrowLinks>,
     /// Workers renew their leases when they are polled; their reports and what they tell of their health get lost, also
@@ -120,6 +122,7 @@
             rows: Rows::default(),
             runs: Vec::new(),
             twice: Vec::new(),
+            orders: Vec::new(),
             links: None,
             loses_reports: false,
             duties: Vec::new(),
