Known red: the repeat of a start begins a run in the next life of its worker

Cause: a start that ends without an answer is sent again at once. Where a life ended with the start under way, the new connection leads to the next life under the same id, for which the run is new. By reading; the worker's record shows both starts.

--- a/crates/daemon/tests/next_lives.rs
+++ b/crates/daemon/tests/next_lives.rs
@@ -8,7 +8,10 @@
     fleet::{Fleet, job},
     wait_until,
 };
-use fuchsiamill_standin::{admin::RouteFault, fleet::World};
+use fuchsiamill_standin::{
+    admin::RouteFault,
+    fleet::{WorkerFault, World},
+};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -76,3 +79,31 @@
     fleet.check();
     assert_eq!(runs().len(), begun, "runs were stopped or started again");
 }
+
+/// Faults that are not mended.
+mod known_red {
+    use super::*;
+
+    /// The former life was ended while it carried a start out. The repeat began the run again in the next one.
+    #[test]
+    fn repeat_of_a_start_does_not_reach_the_next_life() {
+        let fleet = Fleet::start(1, 1);
+        let routes = fleet.route_workers();
+        let first = fleet.accept(&job(50, &[1]), PATIENCE).expect("accepted");
+        fleet.wait_state(&first, "completed");
+        let host = fleet.site.world().hosts_up("web")[0];
+        fleet.site.world().worker_mut(host).expect("it is up").fault = WorkerFault::AnswersLost;
+        let id = fleet.accept(&job(2_000, &[1]), PATIENCE).expect("accepted");
+        fleet.wait_start(&id);
+        restart_workers(&fleet, &routes, World::rebirth_with_former_entry);
+        fleet.check();
+        let world = fleet.site.world();
+        let of_job = world.runs.iter().filter(|it| it.task.starts_with(&id));
+        let runs: Vec<_> = of_job.map(|it| it.run).collect();
+        assert_eq!(
+            runs.iter().filter(|it| **it == runs[0]).count(),
+            1,
+            "runs that began: {runs:?}"
+        );
+    }
+}
