Tests keep a site's story when they fail

A site of a test now tells a story: what callers send and are told (with the digest by which a claim's row is found), each commit at the table with its conditions, writes, outcome and whether its answer was lost, each run and refusal at the backend servers, faults of the platform and of routes, and the signals that the test sends. A test that fails writes it, in order and by one clock together with the entry hosts' logs, to a file named by the test, its seed and its process, and prints the file's name. It is on for every test that uses common::Site; stand-ins that run by themselves, the measurements and the quick start tell nothing.

No check of a test was changed.

--- a/crates/daemon/tests/common/entry.rs
+++ b/crates/daemon/tests/common/entry.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, fmt::Write as _, net::SocketAddr, ops::Deref};
 
 use fuchsiamill_http::{Request, Response};
+use fuchsiamill_standin::story::Story;
 
 use super::{net, process::Daemon};
 
@@ -21,11 +22,11 @@
 
 impl EntryProcess {
     /// Writes the settings file and starts the process.
-    pub fn start(name: String, settings: BTreeMap<String, String>) -> Self {
+    pub fn start(name: String, settings: BTreeMap<String, String>, story: Story) -> Self {
         let addr = |key: &str| -> SocketAddr { settings[key].parse().expect("an address") };
         let (caller, operator, metrics) =
             (addr("entry.caller"), addr("entry.operator"), addr("entry.metrics"));
-        let daemon = Daemon::start(caller, &ini(&settings));
+        let daemon = Daemon::start_telling(caller, &ini(&settings), name.clone(), story);
         Self { name, caller, operator, metrics, daemon }
     }
 
--- a/crates/daemon/tests/common/load.rs
+++ b/crates/daemon/tests/common/load.rs
@@ -12,6 +12,8 @@
 
 use fuchsiamill_daemon::run::block_on;
 use fuchsiamill_http::{Bounds, Connection, Request, Response};
+use fuchsiamill_model::KeyDigest;
+use fuchsiamill_standin::story::Story;
 use http::{HeaderName, HeaderValue};
 use monoio::time::{Instant, sleep};
 use serde_json::Value;
@@ -77,6 +79,11 @@
 impl Load {
     /// Starts the callers.
     pub fn start(plan: &LoadPlan, seed: u64) -> Self {
+        Self::start_telling(plan, seed, &Story::default())
+    }
+
+    /// Like [`Load::start`]; tells `story` what is sent and what callers are told.
+    pub fn start_telling(plan: &LoadPlan, seed: u64, story: &Story) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let sent = Arc::<Mutex<Vec<Sent>>>::default();
         let numbers = Arc::new(AtomicU64::new(0));
@@ -88,6 +95,7 @@
                     sent: sent.clone(),
                     numbers: numbers.clone(),
                     seed,
+                    story: story.clone(),
                 };
                 thread::spawn(move || callers.run(seed + thread as u64))
             })
@@ -117,6 +125,7 @@
     sent: Arc<Mutex<Vec<Sent>>>,
     numbers: Arc<AtomicU64>,
     seed: u64,
+    story: Story,
 }
 
 impl Callers {
@@ -163,7 +172,13 @@
         if once {
             request = request.header(IDEMPOTENCY_KEY, HeaderValue::from_str(body).unwrap());
         }
+        let who = format!("caller of {entry}");
+        self.story.tell(&who, || match once {
+            true => format!("sends {body} of {team} once, key {}", KeyDigest::of(body)),
+            false => format!("sends {body} of {team}"),
+        });
         let told = exchange(entry, request).await.map_or(Told::Nothing, read);
+        self.story.tell(&who, || format!("{body}: {told:?}"));
         let sent = Sent { team: team.into(), body: body.into(), once, told };
         self.sent.lock().unwrap().push(sent);
     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -18,6 +18,7 @@
 pub mod session;
 pub mod soak;
 pub mod standing;
+pub mod story;
 pub mod waves;
 
 use std::{
@@ -35,10 +36,12 @@
     admin::{BackendMode, PlatformFault, Route, RouteFault, SetMode, SetRouteFault},
     record::{BackendRecord, PlatformRecord},
     site::{DATA_CENTRES, PoolPlan, Standins, team},
+    story::Story,
 };
 
 pub use entry::EntryProcess;
 use net::LoopbackNet;
+use story::StoryKeeper;
 
 /// The longest that a test waits for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -51,6 +54,7 @@
     work_ms: u64,
     settings: BTreeMap<String, String>,
     proxied: Proxied,
+    seed: Option<u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -61,6 +65,8 @@
 
 /// A running site.
 pub struct Site {
+    /// Dropped first, while the entry hosts' logs are there.
+    keeper: StoryKeeper,
     /// The entry hosts.
     pub entries: Vec<EntryProcess>,
     /// The configuration that the site started with.
@@ -79,6 +85,7 @@
             work_ms: 20,
             settings: BTreeMap::new(),
             proxied: Proxied::Nothing,
+            seed: None,
         }
     }
 
@@ -90,7 +97,16 @@
     /// Like [`Site::post`], or `None` when no answer came.
     pub fn try_post(&self, entry: usize, service: &str, key: &str, body: &str) -> Option<Response> {
         let request = Request::post(format!("/v1/services/{service}"), body.to_owned());
-        net::send(self.entries[entry].caller, net::with_key(request, key))
+        let who = format!("caller of {}", entry_name(entry));
+        self.story().tell(&who, || format!("posts {body} to {service} with {key}"));
+        let answer = net::send(self.entries[entry].caller, net::with_key(request, key));
+        self.story().tell(&who, || format!("{body}: {:?}", answer.as_ref().map(|it| it.status)));
+        answer
+    }
+
+    /// What the stand-ins and callers tell; a test that fails keeps it.
+    pub fn story(&self) -> &Story {
+        &self.keeper.story
     }
 
     /// What truly ran at the backend servers.
@@ -121,6 +137,7 @@
 
     /// Puts a fault on the way from one process to another; names are 'entry-0' or 'platform'.
     pub fn route_fault(&self, from: &str, to: &str, fault: RouteFault) {
+        self.story().tell("test", || format!("{from} to {to}: {fault:?}"));
         let listen = self.routes[&(from.to_owned(), to.to_owned())];
         net::post::<_, ()>(self.standins.proxy, "/fault", &SetRouteFault { listen, fault });
     }
@@ -213,6 +230,12 @@
         self
     }
 
+    /// Tells the seed of the test's load, for the name of the story that a failing test keeps.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = Some(seed);
+        self
+    }
+
     /// Starts the stand-ins, writes the configuration to the table and starts the entry hosts.
     pub fn start(self) -> Site {
         let site = self.start_without_waiting();
@@ -228,7 +251,9 @@
         let net = LoopbackNet::new();
         let hosts = self.pools.iter().map(|it| it.hosts).sum();
         let work = Duration::from_millis(self.work_ms);
-        let standins = Standins::start(net.any(), hosts, work).expect("the stand-ins start");
+        let story = Story::kept();
+        let standins = Standins::start_telling(net.any(), hosts, work, &story);
+        let standins = standins.expect("the stand-ins start");
         let peers: Vec<SocketAddr> = (0..self.entry_hosts).map(|_| net.free()).collect();
         let named: Vec<_> =
             peers.iter().enumerate().map(|(it, peer)| (entry_id(it), *peer)).collect();
@@ -236,10 +261,15 @@
             standins.configuration(&self.pools, &self.teams, &named).expect("a configuration");
         standins.seed(&config).expect("an empty table");
         let routes = self.open_routes(&standins, &net, &peers);
-        let entries = (0..self.entry_hosts)
-            .map(|index| self.entry(index, &net, &standins, &peers, &routes))
+        let entries: Vec<_> = (0..self.entry_hosts)
+            .map(|index| {
+                let settings = self.settings_of(index, &net, &standins, &peers, &routes);
+                EntryProcess::start(entry_name(index), settings, story.clone())
+            })
             .collect();
-        Site { entries, config, standins, routes }
+        let logs = entries.iter().map(|it| (it.name.clone(), it.log_file())).collect();
+        let keeper = StoryKeeper { story, seed: self.seed, logs };
+        Site { keeper, entries, config, standins, routes }
     }
 
     fn open_routes(
@@ -265,14 +295,14 @@
         routes
     }
 
-    fn entry(
+    fn settings_of(
         &self,
         index: usize,
         net: &LoopbackNet,
         standins: &Standins,
         peers: &[SocketAddr],
         routes: &BTreeMap<(String, String), SocketAddr>,
-    ) -> EntryProcess {
+    ) -> BTreeMap<String, String> {
         let me = entry_name(index);
         let route =
             |to: String, direct: SocketAddr| *routes.get(&(me.clone(), to)).unwrap_or(&direct);
@@ -296,7 +326,7 @@
         }
         set("operators.ada", KeyDigest::of("ada-key").to_string());
         set("operators.ben", KeyDigest::of("ben-key").to_string());
-        EntryProcess::start(me, settings)
+        settings
     }
 }
 
--- a/crates/daemon/tests/common/process.rs
+++ b/crates/daemon/tests/common/process.rs
@@ -9,6 +9,8 @@
     thread,
 };
 
+use fuchsiamill_standin::story::Story;
+
 use super::wait_until;
 
 /// The last lines of a process's log that a failed test prints.
@@ -19,17 +21,24 @@
 pub struct Daemon {
     file: PathBuf,
     child: Mutex<Child>,
+    name: String,
+    story: Story,
 }
 
 impl Daemon {
     /// Writes the settings `text` and starts the process that listens at `addr`.
     pub fn start(addr: SocketAddr, text: &str) -> Self {
-        let name = format!("{}.ini", addr.to_string().replace(':', "-"));
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        Self::start_telling(addr, text, String::new(), Story::default())
+    }
+
+    /// Like [`Daemon::start`]; what the test does to the process called `name` is told to `story`.
+    pub fn start_telling(addr: SocketAddr, text: &str, name: String, story: Story) -> Self {
+        let file_name = format!("{}.ini", addr.to_string().replace(':', "-"));
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file_name);
         fs::write(&file, text).expect("the settings file");
         let _ = fs::remove_file(log_of(&file));
         let child = Mutex::new(spawn(&file));
-        Self { file, child }
+        Self { file, child, name, story }
     }
 
     /// Whether the process runs.
@@ -49,8 +58,14 @@
         caught.and_then(|it| u64::from_str_radix(it.trim(), 16).ok()).is_some_and(|it| it & 1 == 1)
     }
 
+    /// Where it logs.
+    pub fn log_file(&self) -> PathBuf {
+        log_of(&self.file)
+    }
+
     /// Sends a signal by name, such as `STOP`, `CONT`, `TERM` or `HUP`.
     pub fn signal(&self, signal: &str) {
+        self.story.tell(&self.name, || format!("the test sends {signal}"));
         let pid = self.pid().to_string();
         let status =
             Command::new("kill").args([&format!("-{signal}"), &pid]).status().expect("kill runs");
@@ -59,6 +74,7 @@
 
     /// Ends the process at once.
     pub fn kill(&self) {
+        self.story.tell(&self.name, || "the test kills it");
         let mut child = self.child.lock().unwrap();
         let _ = child.kill();
         let _ = child.wait();
--- a/crates/daemon/tests/whole_site.rs
+++ b/crates/daemon/tests/whole_site.rs
@@ -42,7 +42,7 @@
     for (team, limit) in TEAMS {
         site = site.team(team, limit);
     }
-    site.setting("callers.default-deadline-ms", 5_000).start()
+    site.setting("callers.default-deadline-ms", 5_000).seed(SEED).start()
 }
 
 fn plan(site: &Site) -> LoadPlan {
@@ -132,7 +132,7 @@
     #[test]
     fn invariants_hold_under_faults_that_come_together() {
         let mut site = start();
-        let load = Load::start(&plan(&site), SEED);
+        let load = Load::start_telling(&plan(&site), SEED, site.story());
         wait_until("requests are answered", || load.count() > 500);
 
         site.entries[2].signal("STOP");
@@ -197,7 +197,8 @@
         (SEED + 1, ENTRIES / 2..ENTRIES, load_plan.entries.clone()),
     ];
     for (seed, half, entries) in halves {
-        let load = Load::start(&LoadPlan { entries, ..load_plan.clone() }, seed);
+        let plan = LoadPlan { entries, ..load_plan.clone() };
+        let load = Load::start_telling(&plan, seed, site.story());
         wait_until("requests are answered", || load.count() > 200);
         for entry in half {
             site.entries[entry].signal("TERM");
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -18,6 +18,7 @@
     cli::BackendArgs,
     record::{BackendRecord, Run, RunEnd},
     reply,
+    story::Story,
 };
 
 const RUN_STATE: HeaderName = HeaderName::from_static("run-state");
@@ -59,7 +60,12 @@
 
 /// Starts backend servers on the current runtime.
 pub fn start(plan: &BackendPlan) -> io::Result<Started> {
-    let fleet = Rc::new(Fleet::new());
+    start_telling(plan, Story::default())
+}
+
+/// Like [`start`]; tells `story` what runs and what is refused.
+pub fn start_telling(plan: &BackendPlan, story: Story) -> io::Result<Started> {
+    let fleet = Rc::new(Fleet::new(story));
     let mut servers = Vec::with_capacity(plan.count);
     for index in 0..plan.count {
         let name = format!("backend-{index}");
@@ -80,12 +86,14 @@
     modes: RefCell<BTreeMap<String, BackendMode>>,
     record: RefCell<BackendRecord>,
     by_team: RefCell<BTreeMap<String, u32>>,
+    story: Story,
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(story: Story) -> Self {
         Self {
             began: Instant::now(),
+            story,
             modes: RefCell::default(),
             record: RefCell::default(),
             by_team: RefCell::default(),
@@ -100,7 +108,8 @@
         self.modes.borrow().get(server).copied().unwrap_or_default()
     }
 
-    fn begin(&self, server: &str, server_running: u32, request: &Request) -> usize {
+    fn begin(&self, server: &str, server_running: u32, incoming: &Incoming) -> usize {
+        let request = &incoming.request;
         let team = team_of(request);
         let team_running = {
             let mut by_team = self.by_team.borrow_mut();
@@ -108,13 +117,19 @@
             *running += 1;
             *running
         };
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let left_ms = header_ms(request, REQUEST_TIMEOUT).map(|it| it.as_millis() as u64);
+        self.story.tell(server, || {
+            let at_once = format!("{team_running} of the team, {server_running} here");
+            format!("begins {body} of {team} from {}, left {left_ms:?}, {at_once}", incoming.peer)
+        });
         let mut record = self.record.borrow_mut();
         record.runs.push(Run {
             server: server.into(),
             target: request.target.clone(),
             team,
-            body: String::from_utf8_lossy(&request.body).into_owned(),
-            left_ms: header_ms(request, REQUEST_TIMEOUT).map(|it| it.as_millis() as u64),
+            body,
+            left_ms,
             began_ms: self.now_ms(),
             ended_ms: None,
             end: RunEnd::Running,
@@ -130,6 +145,7 @@
         let run = &mut record.runs[run];
         run.ended_ms = Some(now);
         run.end = end;
+        self.story.tell(&run.server, || format!("ends {} of {}: {end:?}", run.body, run.team));
         if let Some(running) = self.by_team.borrow_mut().get_mut(&run.team) {
             *running -= 1;
         }
@@ -157,11 +173,11 @@
         }
         if matches!(mode, BackendMode::Draining | BackendMode::Refusing) {
             self.fleet.record.borrow_mut().refused += 1;
-            return self.refuse(mode);
+            return self.refuse(&incoming, mode);
         }
         if self.running.get() >= self.plan.slots {
             self.fleet.record.borrow_mut().busy += 1;
-            return self.refuse(mode);
+            return self.refuse(&incoming, mode);
         }
         self.hold(&incoming.request).await;
         let response = self.run(&incoming, mode).await;
@@ -193,7 +209,7 @@
 
     async fn run(&self, incoming: &Incoming, mode: BackendMode) -> Response {
         self.running.set(self.running.get() + 1);
-        let run = self.fleet.begin(&self.name, self.running.get(), &incoming.request);
+        let run = self.fleet.begin(&self.name, self.running.get(), incoming);
         let wanted = header_ms(&incoming.request, "work-ms").unwrap_or(self.plan.work);
         let deadline = header_ms(&incoming.request, REQUEST_TIMEOUT).unwrap_or(Duration::MAX);
         sleep(wanted.min(deadline)).await;
@@ -213,7 +229,11 @@
         self.describe(Response::text(status, body), self.fleet.mode(&self.name))
     }
 
-    fn refuse(&self, mode: BackendMode) -> Response {
+    fn refuse(&self, incoming: &Incoming, mode: BackendMode) -> Response {
+        self.fleet.story.tell(&self.name, || {
+            let body = String::from_utf8_lossy(&incoming.request.body);
+            format!("refuses {body}, {} run here, {mode:?}", self.running.get())
+        });
         let response = Response::empty(StatusCode::SERVICE_UNAVAILABLE);
         self.describe(response.header(RUN_STATE, HeaderValue::from_static("not-run")), mode)
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod reply;
 pub mod run;
 pub mod site;
+pub mod story;
 pub mod worker;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -3,6 +3,7 @@
 mod hosts;
 mod restarts;
 mod store;
+mod told;
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,14 +18,21 @@
 use http::{Method, StatusCode};
 use monoio::time::sleep;
 
-use crate::{admin::PlatformFault, record::PlatformRecord, reply};
+use crate::{admin::PlatformFault, record::PlatformRecord, reply, story::Story};
 
+/// What the platform is called in a story.
+const NAME: &str = "platform";
 const LARGEST_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Starts the platform on the current runtime.
 pub fn start(listen: SocketAddr) -> io::Result<SocketAddr> {
+    start_telling(listen, Story::default())
+}
+
+/// Like [`start`]; tells `story` its commits and faults.
+pub fn start_telling(listen: SocketAddr, story: Story) -> io::Result<SocketAddr> {
     let bounds = Bounds { body_bytes: LARGEST_BODY_BYTES, ..Bounds::default() };
-    reply::serve(listen, bounds, Rc::new(Platform::new()))
+    reply::serve(listen, bounds, Rc::new(Platform::new(story)))
 }
 
 struct Platform {
@@ -34,6 +42,7 @@
     hosts: RefCell<hosts::HostList>,
     record: RefCell<PlatformRecord>,
     fault: Cell<PlatformFault>,
+    story: Story,
 }
 
 enum Delivery {
@@ -70,8 +79,9 @@
 }
 
 impl Platform {
-    fn new() -> Self {
+    fn new(story: Story) -> Self {
         Self {
+            story,
             began: Instant::now(),
             restarts: RefCell::default(),
             store: RefCell::default(),
@@ -94,7 +104,7 @@
     fn serve(&self, incoming: &Incoming) -> Delivery {
         let request = &incoming.request;
         let response = match (&request.method, request.path()) {
-            (&Method::POST, "/table/commit") => return self.commit(&request.body),
+            (&Method::POST, "/table/commit") => return self.commit(incoming),
             (&Method::POST, "/table/get") => {
                 self.record.borrow_mut().reads += 1;
                 reply::with_body(&request.body, |keys: Vec<String>| {
@@ -119,14 +129,16 @@
         Delivery::Answer(response)
     }
 
-    fn commit(&self, body: &[u8]) -> Delivery {
-        let commit: Commit = match serde_json::from_slice(body) {
+    fn commit(&self, incoming: &Incoming) -> Delivery {
+        let commit: Commit = match serde_json::from_slice(&incoming.request.body) {
             Ok(commit) => commit,
             Err(e) => {
                 return Delivery::Answer(Response::text(StatusCode::BAD_REQUEST, e.to_string()));
             }
         };
         let outcome = self.store.borrow_mut().commit(&commit);
+        let told = || told::commit(incoming.peer, &commit, &outcome);
+        self.story.tell(NAME, told);
         let mut record = self.record.borrow_mut();
         match outcome {
             CommitOutcome::Conflict { .. } => record.conflicts += 1,
@@ -136,6 +148,7 @@
                 if let PlatformFault::LoseAnswers { count: count @ 1.. } = self.fault.get() {
                     self.fault.set(PlatformFault::LoseAnswers { count: count - 1 });
                     record.answers_lost += 1;
+                    self.story.tell(NAME, || format!("loses the answer to {}", incoming.peer));
                     return Delivery::Lost;
                 }
             }
@@ -161,6 +174,7 @@
     fn admin(&self, path: &str, body: &[u8]) -> Response {
         match path {
             "fault" => reply::with_body(body, |fault| {
+                self.story.tell(NAME, || format!("fault {fault:?}"));
                 self.fault.set(fault);
                 reply::value(&())
             }),
--- a/crates/standin/src/site.rs
+++ b/crates/standin/src/site.rs
@@ -23,6 +23,7 @@
     backend::{self, BackendPlan},
     platform, proxy,
     run::block_on,
+    story::Story,
     worker::{self, WorkerPlan},
 };
 
@@ -66,12 +67,28 @@
 impl Standins {
     /// Starts them all on threads of this process, on free ports of the address `listen`.
     pub fn start(listen: SocketAddr, hosts: usize, work: Duration) -> Result<Self> {
+        Self::start_telling(listen, hosts, work, &Story::default())
+    }
+
+    /// Like [`Standins::start`]; the platform and the backend servers tell `story` what they do.
+    pub fn start_telling(
+        listen: SocketAddr,
+        hosts: usize,
+        work: Duration,
+        story: &Story,
+    ) -> Result<Self> {
         let plan = BackendPlan { listen, count: hosts, slots: SLOTS, work };
-        let started = on_thread(move || backend::start(&plan))?;
+        let started = on_thread({
+            let story = story.clone();
+            move || backend::start_telling(&plan, story)
+        })?;
         let plan = WorkerPlan { listen, count: hosts, usage_lag: USAGE_LAG_MS };
         let agents = on_thread(move || worker::start(&plan))?;
         Ok(Self {
-            platform: on_thread(move || platform::start(listen))?,
+            platform: on_thread({
+                let story = story.clone();
+                move || platform::start_telling(listen, story)
+            })?,
             backends: started.admin,
             proxy: on_thread(move || proxy::start(listen))?,
             workers: agents.admin,
