A team at its part of a full pool keeps no unit for the next slot

Cause: the owner of a pool said that a team with queued requests wants at least one more unit, also where all slots are in use and the team has its part of them. A loan is not idle while units are wanted, so a borrowed unit without a slot was never given back as long as requests waited, and the owner of another pool, with slots for the team, went without it.

Change: a lane wants one unit beyond what its part and the free slots allow only where none of it runs.

--- a/crates/policy/src/dispatch/pool.rs
+++ b/crates/policy/src/dispatch/pool.rs
@@ -178,8 +178,9 @@
         self.queues.lanes().map(lane_use).filter(is_used).collect()
     }
 
-    /// Returns how many more units a lane could use now: at most one for each queued request, and at least one if any
-    /// request is queued.
+    /// Returns how many more units a lane could use now: at most one for each queued request, and at least one if a
+    /// request is queued and none runs. A lane that has its part of a full pool wants none: a unit that it kept for the
+    /// next slot would be missing in another pool.
     pub(super) fn units_wanted(&self, now: Moment, lane: &Lane) -> u32 {
         let queued = self.queues.queued(lane);
         if queued == 0 {
@@ -187,8 +188,9 @@
         }
         let entitled = self.queues.entitlements(self.slots.open_slots());
         let entitlement = entitled.iter().find(|(it, ..)| it == lane);
+        let running = entitlement.map_or(0, |(.., running)| *running);
         let missing = entitlement.map_or(0, |(_, slots, running)| missing_slots(*slots, *running));
-        queued.min(missing.max(self.slots.free(now)).max(1))
+        queued.min(missing.max(self.slots.free(now)).max(u32::from(running == 0)))
     }
 }
 
