Test: the whole of a limit is granted at once

This one lets the backend servers hold what they get: within 5 s exactly the 12 requests of the limit are held, for a second nothing joins them, and no server is asked for a ninth slot. No other check was changed; the former test stays as it is, in known_red.

--- a/crates/daemon/tests/limits_hold.rs
+++ b/crates/daemon/tests/limits_hold.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use common::{Site, operator, wait_until};
@@ -21,11 +21,19 @@
 const LIMIT: Units = 12;
 const SLOTS: u32 = 8;
 const CALLERS: usize = 24;
+/// The hosts of each pool.
+const HOSTS: usize = 2;
+/// With these the slots of a pool are enough for half of the callers of both teams.
+const ENOUGH_HOSTS: usize = 3;
 const NOBODY: usize = usize::MAX;
 /// The default and the longest time of a request, in milliseconds.
 const DEADLINES_MS: (u64, u64) = (3_000, 4_000);
 /// Both where requests are held at the backend servers: none passes its deadline there.
 const LONG_MS: u64 = 20_000;
+/// The longest time until the whole limit is held; far below the deadline of what is held.
+const REACH_TIME: Duration = Duration::from_secs(5);
+/// How long the whole limit is held.
+const HELD_TIME: Duration = Duration::from_secs(1);
 /// The upper limit of team north once it is lowered.
 const LOWERED: Units = 4;
 /// Both the time left and the moment of a call are told in whole milliseconds.
@@ -35,10 +43,14 @@
     site_with(entry_hosts, DEADLINES_MS)
 }
 
-fn site_with(entry_hosts: usize, (default_ms, longest_ms): (u64, u64)) -> Site {
+fn site_with(entry_hosts: usize, deadlines_ms: (u64, u64)) -> Site {
+    site_of(entry_hosts, HOSTS, deadlines_ms)
+}
+
+fn site_of(entry_hosts: usize, hosts: usize, (default_ms, longest_ms): (u64, u64)) -> Site {
     let site = Site::of(entry_hosts)
-        .pool("rota", 2)
-        .pool("post", 2)
+        .pool("rota", hosts)
+        .pool("post", hosts)
         .team("north", LIMIT)
         .team("south", 100)
         .work_ms(60)
@@ -136,6 +148,18 @@
     serde_json::from_value(rows[0].value.clone()).expect("an escrow row")
 }
 
+/// The team's requests that backend servers hold.
+fn held(site: &Site, team: &str) -> Units {
+    site.backend_record().held.get(team).copied().unwrap_or(0)
+}
+
+/// The team's requests that backend servers hold or run.
+fn at_work(site: &Site, team: &str) -> Units {
+    let record = site.backend_record();
+    let running = of(&record, team).filter(|it| !has_ended(it)).count();
+    running as Units + record.held.get(team).copied().unwrap_or(0)
+}
+
 fn more_run(site: &Site, count: usize) {
     let (north, south) = (ran(site, "north"), ran(site, "south"));
     wait_until("both teams run on", || {
@@ -151,6 +175,28 @@
     assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
 }
 
+/// The backend servers hold what they get, so that nothing granted is on its way back when the rest is granted.
+#[test]
+fn whole_limit_is_granted_at_once_and_never_passed() {
+    let site = site_of(3, ENOUGH_HOSTS, (LONG_MS, LONG_MS));
+    let record = under_load(&site, |_| {
+        set_mode(&site, BackendMode::Holding);
+        let until = Instant::now() + REACH_TIME;
+        while held(&site, "north") < LIMIT {
+            assert!(at_work(&site, "north") <= LIMIT, "above the limit of {LIMIT}");
+            assert!(Instant::now() < until, "{} of {LIMIT} are held", held(&site, "north"));
+        }
+        let until = Instant::now() + HELD_TIME;
+        while Instant::now() < until {
+            assert_eq!(at_work(&site, "north"), LIMIT, "what is held neither ends nor grows");
+        }
+        set_mode(&site, BackendMode::Serving);
+        more_run(&site, 100);
+    });
+    check(&record);
+    assert_eq!(record.busy, 0, "no backend server was asked for a ninth slot");
+}
+
 /// Faults that are not mended.
 mod known_red {
     use super::*;
@@ -284,8 +330,7 @@
     let (mut accepted_ms, mut begun) = (0, 0);
     let record = under_load(&site, |control| {
         set_mode(&site, BackendMode::Holding);
-        let held = || site.backend_record().held.get("north").copied().unwrap_or(0);
-        wait_until("more than the lowered limit is held", || held() > LOWERED);
+        wait_until("more than the lowered limit is held", || held(&site, "north") > LOWERED);
         wait_until("nothing begins", || site.backend_record().runs.iter().all(has_ended));
         begun = site.backend_record().runs.len();
         accepted_ms = lower(&site, control);
