--- a/crates/daemon/tests/whole_site.rs
+++ b/crates/daemon/tests/whole_site.rs
@@ -182,38 +182,38 @@
             assert!(run.team_running <= LOWERED_TO, "began above the lowered limit: {run:?}");
         }
     }
-}
 
-#[test]
-fn every_entry_host_is_replaced_under_load_and_no_request_is_lost() {
-    let mut site = start();
-    let mut load_plan = plan(&site);
-    load_plan.threads = 2;
-    load_plan.once_percent = 0;
-    load_plan.teams.truncate(2);
-    let spared = load_plan.entries.split_off(ENTRIES / 2);
-    let halves = [
-        (SEED, 0..ENTRIES / 2, spared),
-        (SEED + 1, ENTRIES / 2..ENTRIES, load_plan.entries.clone()),
-    ];
-    for (seed, half, entries) in halves {
-        let plan = LoadPlan { entries, ..load_plan.clone() };
-        let load = Load::start_telling(&plan, seed, site.story());
-        wait_until("requests are answered", || load.count() > 200);
-        for entry in half {
-            site.entries[entry].signal("TERM");
-            assert!(site.entries[entry].wait_end().success());
-            site.restart(entry);
-            wait_until("it is ready again", || site.entries[entry].is_ready());
+    #[test]
+    fn every_entry_host_is_replaced_under_load_and_no_request_is_lost() {
+        let mut site = start();
+        let mut load_plan = plan(&site);
+        load_plan.threads = 2;
+        load_plan.once_percent = 0;
+        load_plan.teams.truncate(2);
+        let spared = load_plan.entries.split_off(ENTRIES / 2);
+        let halves = [
+            (SEED, 0..ENTRIES / 2, spared),
+            (SEED + 1, ENTRIES / 2..ENTRIES, load_plan.entries.clone()),
+        ];
+        for (seed, half, entries) in halves {
+            let plan = LoadPlan { entries, ..load_plan.clone() };
+            let load = Load::start_telling(&plan, seed, site.story());
+            wait_until("requests are answered", || load.count() > 200);
+            for entry in half {
+                site.entries[entry].signal("TERM");
+                assert!(site.entries[entry].wait_end().success());
+                site.restart(entry);
+                wait_until("it is ready again", || site.entries[entry].is_ready());
+            }
+            let sent = load.stop();
+            let record = site.backend_record();
+            print_tally(&sent, &record);
+            check_answers(&sent, &record);
+            check_once(&sent, &record);
+            check_limits(&record, SLOTS);
+            let refused: Vec<_> =
+                sent.iter().filter(|it| !matches!(it.told, Told::Answer(_))).take(5).collect();
+            assert!(refused.is_empty(), "refused while others were replaced: {refused:?}");
         }
-        let sent = load.stop();
-        let record = site.backend_record();
-        print_tally(&sent, &record);
-        check_answers(&sent, &record);
-        check_once(&sent, &record);
-        check_limits(&record, SLOTS);
-        let refused: Vec<_> =
-            sent.iter().filter(|it| !matches!(it.told, Told::Answer(_))).take(5).collect();
-        assert!(refused.is_empty(), "refused while others were replaced: {refused:?}");
     }
 }
