Keep rows that were read before their deletion from bringing jobs back

Cause: the coordinator forgets an ended job once the deletion of its rows is confirmed. A read of the whole table of jobs, after a lost history, takes several calls. A row that it read before the deletion arrives afterwards and is taken for a new job. `Coordinator::expiring` guards only the time until the confirmation.

Change: the leader keeps the keys of deleted rows with the version of the deletion and ignores rows of these keys with a lower version, until a read of the table that began after the confirmation is over. Later reads begin later still. A job that is posted again under its id has a higher version. Rows of cancellations without a job are covered as well.

Test seen failing: many_expired rows_that_were_read_before_their_deletion_bring_jobs_back failed on ("ran twice") and passes with the change.

--- a/crates/daemon/tests/many_expired.rs
+++ b/crates/daemon/tests/many_expired.rs
@@ -2,9 +2,15 @@
 
 mod common;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
-use common::fleet::{Fleet, job};
+use common::{
+    fleet::{Fleet, job},
+    wait_until,
+};
 use http::Method;
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -12,6 +18,24 @@
 /// `status-s` of one second, the minute that is added to it, and some more.
 const KEPT: Duration = Duration::from_secs(69);
 
+/// How long jobs are kept after their end.
+const RETENTION: Duration = Duration::from_secs(61);
+
+/// The jobs that are deleted while their table is read, spread over its partitions.
+const JOBS_READ: usize = 40;
+
+/// How long before the deletions the reads begin.
+const READ_LEAD: Duration = Duration::from_secs(2);
+
+/// How late each answer of a read is. The 64 partitions are read 8 at a time.
+const READ_DELAY: Duration = Duration::from_millis(200);
+
+/// How long a read of the table takes, with some more.
+const READ_TIME: Duration = Duration::from_secs(3);
+
+/// The pause between the losses of the feed's history, so that reads of the whole table follow one another.
+const HISTORY_PAUSE: Duration = Duration::from_millis(100);
+
 /// More than fit into one change of the store.
 const JOBS: usize = 150;
 
@@ -31,6 +55,32 @@
     fleet.wait_state(&id, "completed");
 }
 
+/// A read of all rows that began before jobs were deleted brought them back after they were forgotten, and they ran again.
+#[test]
+fn rows_that_were_read_before_their_deletion_bring_jobs_back() {
+    let fleet = Fleet::start_with(1, 4, "status-s = 1\n", |_| {});
+    let begun = Instant::now();
+    for _ in 0..JOBS_READ {
+        fleet.accept(&job(20, &[1]), PATIENCE).expect("accepted");
+    }
+    fleet.check();
+    thread::sleep(RETENTION.saturating_sub(READ_LEAD + begun.elapsed()));
+    fleet.site.world().rows.slow_reads = Some(("jobs", READ_DELAY));
+    wait_until("the jobs are deleted", || {
+        fleet.site.world().rows.forget_history();
+        thread::sleep(HISTORY_PAUSE);
+        fleet.site.world().rows.keys("jobs").is_empty()
+    });
+    thread::sleep(READ_TIME);
+    fleet.site.world().rows.slow_reads = None;
+    // The state of everything is known again, and what came back has begun to run.
+    let id = fleet.accept(&job(50, &[1]), PATIENCE).expect("accepted");
+    fleet.wait_state(&id, "completed");
+    let world = fleet.site.world();
+    assert!(world.twice.is_empty(), "ran twice: {:?}", world.twice);
+    assert_eq!(world.runs.len(), JOBS_READ + 1);
+}
+
 /// Some of them are known by the feed of jobs, and all are read in a takeover.
 #[test]
 fn cancellations_without_jobs_pile_up() {
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -4,12 +4,12 @@
 
 use fuchsiamill_fleet::{JobRecord, Name, RecordKey, coordinator::WaveRecord};
 use fuchsiamill_model::units::{Millisecond, Moment};
-use fuchsiamill_platform::{Key, Tx, TxAnswer, write_wave_state};
+use fuchsiamill_platform::{Key, Store, Tx, TxAnswer, write_wave_state};
 use monoio::time::sleep;
 use serde::Serialize;
 
 use super::{
-    RENEW_INTERVAL_MS,
+    Deletion, RENEW_INTERVAL_MS,
     event::Event,
     leader::Leader,
     lease::{Lease, LeaseLost},
@@ -134,25 +134,26 @@
         }
         let (store, event_sender) = (self.cx.store.clone(), self.event_sender.clone());
         monoio::spawn(async move {
-            for part in tables::job_parts() {
-                let own = expired.iter().filter(|it| tables::job_part(it) == part.as_str());
-                let drops: Vec<Key> =
-                    own.flat_map(|it| [tables::job_key(it), tables::cancel_key(it)]).collect();
-                let tx = Tx { drops, ..Tx::default() };
-                if !tx.drops.is_empty()
-                    && let Err(e) = store.commit(&tx).await
-                {
+            match delete_jobs(&store, &expired).await {
+                Ok(deletions) => {
+                    tracing::info!(event = "purged", jobs = expired.len());
+                    event_sender.send(Event::Purged(expired, deletions));
+                }
+                Err(e) => {
                     tracing::warn!(event = "purge-failed", jobs = expired.len(), error = %e);
                     sleep(PURGE_PAUSE).await;
                     event_sender.send(Event::PurgeFailed(expired));
-                    return;
                 }
             }
-            tracing::info!(event = "purged", jobs = expired.len());
-            event_sender.send(Event::Purged(expired));
         });
     }
 
+    /// Keeps the rows that were deleted from coming back with a read that began before.
+    pub(super) fn note_deleted(&mut self, deletions: Vec<Deletion>) {
+        let now = self.cx.clock.now();
+        deletions.into_iter().for_each(|it| self.deleted_rows.note(it, now));
+    }
+
     /// Deletes the rows of cancellations whose jobs did not come within the retention time. One whose job comes at this
     /// moment stays and holds.
     pub(super) fn purge_cancels(&mut self, now: Moment) {
@@ -166,7 +167,7 @@
         self.is_purging_cancels = true;
         let (store, event_sender) = (self.cx.store.clone(), self.event_sender.clone());
         monoio::spawn(async move {
-            let mut deleted = Vec::new();
+            let (mut deleted, mut deletions) = (Vec::new(), Vec::new());
             for part in tables::job_parts() {
                 let own = expired.iter().filter(|it| tables::job_part(it) == part.as_str());
                 let own: Vec<Name> = own.cloned().collect();
@@ -179,8 +180,9 @@
                     ..Tx::default()
                 };
                 match store.commit(&tx).await {
-                    Ok(TxAnswer::Done { .. }) => {
+                    Ok(TxAnswer::Done { version, .. }) => {
                         tracing::info!(event = "cancels-purged", jobs = own.len());
+                        deletions.push(Deletion { keys: tx.drops, version });
                         deleted.extend(own);
                     }
                     Ok(TxAnswer::Conflict { .. }) => {
@@ -191,7 +193,7 @@
                     }
                 }
             }
-            event_sender.send(Event::CancelsPurged(deleted));
+            event_sender.send(Event::CancelsPurged(deleted, deletions));
         });
     }
 
@@ -225,6 +227,25 @@
     }
 }
 
+/// Deletes the rows of jobs from the table of jobs, with one transaction for each of its partitions.
+async fn delete_jobs(store: &Store, jobs: &[Name]) -> fuchsiamill_platform::Result<Vec<Deletion>> {
+    let mut deletions = Vec::new();
+    for part in tables::job_parts() {
+        let own = jobs.iter().filter(|it| tables::job_part(it) == part.as_str());
+        let keys: Vec<Key> =
+            own.flat_map(|it| [tables::job_key(it), tables::cancel_key(it)]).collect();
+        if keys.is_empty() {
+            continue;
+        }
+        let tx = Tx { drops: keys, ..Tx::default() };
+        // A transaction without conditions cannot conflict.
+        if let TxAnswer::Done { version, .. } = store.commit(&tx).await? {
+            deletions.push(Deletion { keys: tx.drops, version });
+        }
+    }
+    Ok(deletions)
+}
+
 /// Releases the lease, so that another entry host can take it at once.
 pub(super) async fn release(lease: &mut Lease) {
     let released = lease.release().await;
--- a/crates/site/src/lead/event.rs
+++ b/crates/site/src/lead/event.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::{
+    deleted_rows::Deletion,
     feeds::FeedEvent,
     hosts::HostEvent,
     lease::{Lease, LeaseLost},
@@ -31,12 +32,12 @@
     StrongerAvailable,
     /// A transaction was committed, or the lease was found lost.
     Committed(Box<Lease>, Result<(), LeaseLost>),
-    /// The rows of these jobs were deleted from the table of jobs.
-    Purged(Vec<Name>),
+    /// The rows of these jobs were deleted from the table of jobs, by these transactions.
+    Purged(Vec<Name>, Vec<Deletion>),
     /// The rows of these jobs may still exist: the store did not confirm the transaction that deletes them.
     PurgeFailed(Vec<Name>),
-    /// A purge of cancellations is over: those of these jobs, which never came, were deleted.
-    CancelsPurged(Vec<Name>),
+    /// A purge of cancellations is over: those of these jobs, which never came, were deleted by these transactions.
+    CancelsPurged(Vec<Name>, Vec<Deletion>),
 }
 
 /// News from the link to a worker.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Candidate, DurationsRow, RENEW_INTERVAL_MS,
+    Candidate, DeletedRows, DurationsRow, RENEW_INTERVAL_MS,
     commits::release,
     election::{REFUSING_SILENCE_MS, WonLease},
     event::{Event, EventSender, LinkEvent},
@@ -85,6 +85,7 @@
     pub(super) events: mpsc::UnboundedReceiver<Event>,
     /// Records of maintenance waves that earlier coordinators stored, by wave number.
     waves: FastMap<u64, WaveRecord>,
+    pub(super) deleted_rows: DeletedRows,
     /// Rows of the table of progress that are deleted with the next transactions.
     pub(super) purged: Vec<Name>,
     /// Whether rows of cancellations are being deleted. One deletion at a time leaves the store's rate of writes to others.
@@ -213,6 +214,7 @@
             event_sender,
             events,
             waves,
+            deleted_rows: DeletedRows::default(),
             purged: orphans,
             is_purging_cancels: false,
             config_version: 0,
@@ -262,12 +264,14 @@
                 tracing::info!(event = "former-coordinator-over");
                 self.coordinator.former_coordinator_ended(self.cx.clock.now());
             }
-            Event::Purged(jobs) => {
+            Event::Purged(jobs, deletions) => {
+                self.note_deleted(deletions);
                 let rows = self.coordinator.rows_deleted(&jobs);
                 self.purged.extend(rows);
             }
             Event::PurgeFailed(jobs) => self.coordinator.rows_not_deleted(&jobs),
-            Event::CancelsPurged(jobs) => {
+            Event::CancelsPurged(jobs, deletions) => {
+                self.note_deleted(deletions);
                 self.is_purging_cancels = false;
                 self.coordinator.cancels_deleted(&jobs);
             }
--- a/crates/site/src/lead/mod.rs
+++ b/crates/site/src/lead/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod commits;
 mod cordons;
+mod deleted_rows;
 mod durations;
 mod election;
 mod entries;
@@ -31,6 +32,7 @@
 use fuchsiamill_platform::{AdviceClient, HostClient, Store};
 use tokio::sync::watch;
 
+pub use deleted_rows::{DeletedRows, Deletion};
 pub use durations::{DurationsRow, encode as encode_durations, read as read_durations};
 pub use entries::{
     Entries, EntryRow, OtherEntries, publish_and_follow as publish_and_follow_entries, strength,
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -25,11 +25,12 @@
     pub(super) fn apply_jobs(&mut self, event: FeedEvent) {
         match event {
             FeedEvent::Rows(rows) | FeedEvent::Whole(rows) => {
-                for row in &rows {
+                for row in rows.iter().filter(|it| !self.deleted_rows.is_deleted(it)) {
                     apply_job(&mut self.coordinator, row, &[], &self.cx);
                 }
             }
             FeedEvent::Known(asked) => {
+                self.deleted_rows.table_known(asked);
                 let known = &self.link_context.jobs_known;
                 known.set(known.get().max(asked));
             }
--- a/crates/standin/src/fleet/rows.rs
+++ b/crates/standin/src/fleet/rows.rs
@@ -57,6 +57,8 @@
     pub mute_feed: Option<&'static str>,
     /// The table whose reads answer nothing, if there is one.
     pub mute_reads: Option<&'static str>,
+    /// The table whose reads are answered so much later than they are carried out.
+    pub slow_reads: Option<(&'static str, Duration)>,
     /// Changes made.
     pub changes: u64,
     /// Changes that were rejected for their size.
@@ -228,8 +230,9 @@
             }
             "/rows-get" if self.is_mute(&query) => reply::never(incoming).await,
             "/rows-get" => {
-                let world = lock(&self.0);
-                world.rows.read(&query, world.now_ms())
+                let (answer, delay) = self.read(&query);
+                sleep(delay).await;
+                answer
             }
             "/rows-feed" => self.feed(&query).await,
             _ => Response::empty(StatusCode::NOT_FOUND),
@@ -244,6 +247,14 @@
         mute.is_some_and(|mute| query.get("table").is_some_and(|it| it == mute))
     }
 
+    /// Returns the answer to a read, and how much later it is sent.
+    fn read(&self, query: &BTreeMap<String, String>) -> (Response, Duration) {
+        let world = lock(&self.0);
+        let is_read = |table: &str| query.get("table").is_some_and(|it| it == table);
+        let delay = world.rows.slow_reads.filter(|it| is_read(it.0)).map(|it| it.1);
+        (world.rows.read(query, world.now_ms()), delay.unwrap_or_default())
+    }
+
     async fn change(&self, body: &[u8]) -> Response {
         let Ok(tx) = serde_json::from_slice::<Value>(body) else {
             return Response::empty(StatusCode::BAD_REQUEST);
