Hold a run that no report has listed for the longest lease

Cause: a start names the end of its lease on the worker's clock. The next life under the same id has a clock that began anew and grants its longest lease, 10 s. If the worker is cut off before any report of that life arrives, the coordinator counted the usual lease of 6 s and started the task again while the first run went on.

Evidence: cut_lives on. Run 1 begins in the next life at 0.02 s; run 2 begins on another host at 6.8 s, or on the same worker id at 8.07 s when it is the only one and the cut is over; run 1 is still at work in both.

Change: a run that no report has listed is held for the longest lease, and for 2 s more in which an order that is under way may arrive. The 2 s are added for a life that was noticed as well.

Tests seen failing on: cut_lives, both tests, and worker_loss run_that_no_report_has_listed_counts_for_the_longest_lease. Three tests supposed the usual lease for runs that were never listed (worker_loss silent_worker_.., unlisted_worker_.., told_waits runs_of_a_silent_worker_..): their runs are listed first now, with the same bounds. run_on_a_next_incarnation_counts_for_the_longest_lease asks for 2 s more: a call that was under way when the life was noticed extends the lease from its arrival.

--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -370,6 +370,7 @@
                     stop_ordered: None,
                     checkpoint: it.checkpoint.clone(),
                     is_inherited: true,
+                    is_listed: false,
                     lost_start: None,
                     began_cold: false,
                 };
--- a/crates/fleet/src/coordinator/live.rs
+++ b/crates/fleet/src/coordinator/live.rs
@@ -28,6 +28,9 @@
     pub checkpoint: Name,
     /// Whether it was taken over from an earlier coordinator or incarnation of the worker, so that its start was not seen.
     pub is_inherited: bool,
+    /// Whether a report of its worker incarnation has listed it. A start that no report has shown may have reached a later
+    /// incarnation.
+    pub is_listed: bool,
     /// Its start, if that was given up without an answer.
     pub lost_start: Option<LostStart>,
     /// Whether its worker was cold when it was placed, so that it may take longer than others.
@@ -78,6 +81,12 @@
         !was_lost && !matches!(self.phase, Phase::Recorded | Phase::Sent | Phase::Unanswered)
     }
 
+    /// Returns whether the run may be on a later incarnation of its worker than the one that was to start it. That
+    /// incarnation takes the end of the lease for a time on its own clock, which is behind, and grants its longest lease.
+    pub fn may_be_on_next_incarnation(&self) -> bool {
+        !self.is_listed && !self.is_inherited && self.phase != Phase::Recorded
+    }
+
     /// Returns whether the run is known to be working, and so serves its users.
     pub fn is_serving(&self, now: Moment) -> bool {
         let is_fresh = self.last_seen_working.is_some_and(|it| now.since(it) <= AT_WORK_MS);
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -333,6 +333,7 @@
             stop_ordered: None,
             checkpoint: job.task(id).map(|it| it.checkpoint.clone()).unwrap_or_default(),
             is_inherited: false,
+            is_listed: false,
             lost_start: None,
             began_cold: self.workers[worker].is_cold(now),
         };
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -63,12 +63,12 @@
         self.carry_over_runs(&id, born, now);
         self.expect_late_starts(&id, now);
         self.forget_advice_on(&id);
+        let longest_lease_until = now + self.longest_lease();
         let Some(worker) = self.workers.get_mut(&id) else { return };
         worker.former_born = Some(worker.seen.born);
         worker.cold_until = now + seen.cold_remaining_ms;
         worker.seen = seen;
         // Starts for the former incarnation name times on a clock that was ahead of this one's.
-        let longest_lease_until = now + with_drift(self.timing.longest_lease_ms);
         worker.longest_lease_until = has_restarted.then_some(longest_lease_until);
         worker.last_end = 0;
         worker.acknowledged = None;
@@ -101,6 +101,7 @@
             if let Some(live) = self.live_mut(&task) {
                 live.born = born;
                 live.is_inherited = true;
+                live.is_listed = false;
             }
         }
     }
@@ -218,6 +219,7 @@
             live.phase = Phase::Running;
             live.since = now;
         }
+        live.is_listed = true;
         live.last_seen_working = (!long_running || seen.percent >= 100).then_some(asked);
     }
 
--- a/crates/fleet/src/coordinator/tick.rs
+++ b/crates/fleet/src/coordinator/tick.rs
@@ -2,12 +2,16 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
-use super::{Coordinator, Worker};
+use super::{Coordinator, LiveRun, Worker};
 use crate::{Name, TaskId, timing::with_drift};
 
 /// Waiting tasks are considered again after this time even if nothing is known to have changed for them.
 const PLACE_AGAIN_MS: Millisecond = 500;
 
+/// A worker may carry out a start this long after its lease was counted from: the start may be handed to another sender
+/// first, whose call to the worker has a time limit of its own.
+const START_ARRIVAL_MS: Millisecond = 2_000;
+
 /// Runs whose tasks start elsewhere only once the leases of their worker have lapsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldRuns {
@@ -37,22 +41,41 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
-            for (task, _) in self.live_on(&id) {
-                self.requeue(&task, now);
+            for (task, live) in self.live_on(&id) {
+                if self.run_lapses_at(&id, &live).is_some_and(|at| now > at) {
+                    self.requeue(&task, now);
+                }
             }
-            if self.workers.get(&id).is_some_and(|it| it.unlisted) {
+            if self.workers.get(&id).is_some_and(|it| it.unlisted && it.live.is_empty()) {
                 self.forget_worker(&id, now);
             }
         }
     }
 
+    /// Returns after which moment the lease of a run has certainly lapsed, or `None` while its worker answers.
+    fn run_lapses_at(&self, worker: &Name, live: &LiveRun) -> Option<Moment> {
+        let worker = self.workers.get(worker)?;
+        let lapses_at = worker.lapses_at(with_drift(self.timing.lease_ms))?;
+        if !live.may_be_on_next_incarnation() {
+            return Some(lapses_at);
+        }
+        worker.lapses_at(self.longest_lease())
+    }
+
+    /// Returns how long a run may hold a lease that was named on the clock of a former incarnation, counted from when the
+    /// order was sent.
+    pub(super) fn longest_lease(&self) -> Millisecond {
+        with_drift(self.timing.longest_lease_ms + START_ARRIVAL_MS)
+    }
+
     /// Returns the runs that wait for the leases of a worker that does not answer; `None` if it answers or has none.
     pub fn held_runs(&self, worker: &Name) -> Option<HeldRuns> {
-        let worker = self.workers.get(worker).filter(|it| !it.live.is_empty())?;
-        let until = worker.lapses_at(with_drift(self.timing.lease_ms))?;
-        let is_long = |it: &&TaskId| self.step_of(it).is_some_and(|step| step.long_running);
-        let long_running = worker.live.keys().filter(is_long).count();
-        Some(HeldRuns { runs: worker.live.len(), long_running, until })
+        let live = self.live_on(worker);
+        let ends = live.iter().map(|(_, live)| self.run_lapses_at(worker, live));
+        let until = ends.max()??;
+        let is_long = |it: &TaskId| self.step_of(it).is_some_and(|step| step.long_running);
+        let long_running = live.iter().filter(|(task, _)| is_long(task)).count();
+        Some(HeldRuns { runs: live.len(), long_running, until })
     }
 
     /// Requests placement when the time for which a worker is avoided has ended.
--- a/crates/fleet/tests/told_waits.rs
+++ b/crates/fleet/tests/told_waits.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Bench, config, cores, job, step, worker};
+use common::{Bench, config, cores, job, step, task, worker};
 use fuchsiamill_fleet::{
     JobSpec, Step, Team,
     coordinator::{HeldRuns, WaitReason},
@@ -58,6 +58,8 @@
     bench.add(worker("w1"));
     bench.accept("j", job(vec![Step { long_running: true, ..step(2) }, step(1)]));
     assert_eq!(bench.run().len(), 3);
+    let running = [(task("j", 0, 0), 1), (task("j", 0, 1), 1), (task("j", 1, 0), 1)];
+    bench.report("w1", &running, &[]);
     assert_eq!(bench.coordinator.held_runs(&"w1".into()), None);
     bench.coordinator.worker_silent(&"w1".into(), bench.now);
     let held = HeldRuns { runs: 3, long_running: 2, until: bench.now + LEASE_MS };
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -17,6 +17,7 @@
     bench.add(worker("w1"));
     bench.accept("j", job(vec![step(1)]));
     assert_eq!(bench.run().len(), 1);
+    bench.report("w1", &[(task("j", 0, 0), 1)], &[]);
     bench.add(worker("w2"));
     bench
 }
@@ -133,7 +134,7 @@
 }
 
 /// A start that was meant for the former incarnation named a time on a clock that was ahead: the next one grants its longest
-/// lease.
+/// lease, also by a call that was under way when it was noticed.
 #[test]
 fn run_on_a_next_incarnation_counts_for_the_longest_lease() {
     let mut bench = running();
@@ -146,7 +147,23 @@
     };
     bench.coordinator.worker_reported(&"w1".into(), report, bench.now);
     bench.coordinator.worker_silent(&"w1".into(), bench.now);
-    bench.wait(9_900);
+    bench.wait(11_900);
+    assert!(starts(&bench.step()).is_empty());
+    bench.wait(500);
+    assert_eq!(bench.run()[0].2, "w2");
+}
+
+/// A run that was started on a next incarnation, which fell silent before it was noticed, counted for the usual lease, and
+/// its task ran twice.
+#[test]
+fn run_that_no_report_has_listed_counts_for_the_longest_lease() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    bench.add(worker("w2"));
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(11_900);
     assert!(starts(&bench.step()).is_empty());
     bench.wait(500);
     assert_eq!(bench.run()[0].2, "w2");
