Let a later report show which runs a next life lacks

What callers may see: a task started twice. The reply to a start and the report that first shows a next life of its worker travel on different connections and may overtake each other. The report, made before the start was carried out, lacks the run, which was taken for missing and started again at once, while the first run went on.

Cause: runs that are carried over to a next life count as missing in the report that shows that life.

Evidence: the new test, by reading for the daemon.

Change: that report does not decide. The link to the next life polls at once, and its first report was asked for later.

Test seen failing before: worker_loss report_that_shows_a_next_incarnation_does_not_show_missing_runs.

--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -162,7 +162,8 @@
     /// Handles the report of a worker that answered a poll.
     pub fn worker_reported(&mut self, id: &Name, report: WorkerReport, now: Moment) {
         let Some(worker) = self.workers.get(id) else { return };
-        if worker.seen.born != report.born {
+        let is_new_incarnation = worker.seen.born != report.born;
+        if is_new_incarnation {
             // Its entry, which is still to come, tells whether it is cold.
             let seen =
                 WorkerInfo { born: report.born, cold_remaining_ms: 0, ..worker.seen.clone() };
@@ -186,7 +187,10 @@
             self.check_progress(id, run, now);
         }
         self.adjust_best_effort_speeds(id, &report, now);
-        self.requeue_missing(id, &report, now);
+        // A start may have been carried out and answered after the worker made this report. The next one is asked for later.
+        if !is_new_incarnation {
+            self.requeue_missing(id, &report, now);
+        }
         self.stop_unwanted(id, now);
         if let Some(worker) = self.workers.get_mut(id)
             && let Some(last) = report.ended.iter().map(|it| it.number).max()
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -169,6 +169,23 @@
     assert_eq!(bench.run()[0].2, "w2");
 }
 
+/// The reply to a start and the report that first shows the next incarnation travel on different connections. The start,
+/// which that incarnation had carried out after it reported, was taken for lost, and the task ran twice.
+#[test]
+fn report_that_shows_a_next_incarnation_does_not_show_missing_runs() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    bench.add(worker("w2"));
+    report_after_restart(&mut bench, Vec::new());
+    assert!(bench.run().is_empty());
+    report_after_restart(&mut bench, vec![run_info(&task("j", 0, 0), 1, 10)]);
+    assert!(bench.run().is_empty());
+    report_after_restart(&mut bench, Vec::new());
+    assert_eq!(bench.run().len(), 1);
+}
+
 /// The link to a worker that started again went on with what it knew of the former incarnation.
 #[test]
 fn report_of_a_next_incarnation_opens_a_new_link() {
