Keep a task from starting while a worker lists another run of it

What callers may see: two runs of a task at once. A worker is back after its runs were given up, and lists one of them. It was told to stop the run, and the task was started anew in the same turn, while the stop takes time or gets lost.

Cause: listed runs without a record counted for room only.

Change: a task of which a worker lists another run than the recorded one is not placed, and a start whose record is not stored yet is withdrawn. It ends with the next report that lacks the run, with the life, or once the longest lease of a silent worker has lapsed.

Test seen failing before: worker_loss task_does_not_start_while_a_worker_lists_another_run.

--- a/crates/fleet/src/coordinator/listed.rs
+++ b/crates/fleet/src/coordinator/listed.rs
@@ -1,6 +1,8 @@
 //! What a worker lists and the coordinator has no use for: ends that were acknowledged, and runs without a record.
 
-use super::{Coordinator, Order, worker::UnknownRuns};
+use fuchsiamill_model::units::Moment;
+
+use super::{Coordinator, LiveRun, Order, Phase, StepKey, worker::UnknownRuns};
 use crate::{Name, RunInfo, WorkerReport};
 
 impl Coordinator {
@@ -14,23 +16,49 @@
         }
     }
 
-    /// Notes the room of listed runs that the coordinator has not recorded on this worker.
-    pub(super) fn note_unknown_runs(&mut self, id: &Name, listed: &[RunInfo]) {
+    /// Notes the listed runs that the coordinator has not recorded on this worker, and their room. The worker is told to
+    /// stop them; until it no longer lists them, their tasks do not start anew.
+    pub(super) fn note_unknown_runs(&mut self, id: &Name, listed: &[RunInfo], now: Moment) {
+        self.forget_stray_runs(id);
         let mut unknown = UnknownRuns::default();
         for run in listed {
             if self.is_expected(id, run) {
                 continue;
             }
             match self.step_of(&run.task) {
-                Some(step) => unknown.room = unknown.room.plus(step.room()),
+                Some(step) => {
+                    unknown.room = unknown.room.plus(step.room());
+                    self.stray_runs.insert(run.task.clone(), id.clone());
+                }
                 None => unknown.has_unsized = true,
             }
+            let is_unsent = |it: &mut LiveRun| it.phase == Phase::Recorded;
+            if self.live_mut(&run.task).is_some_and(is_unsent) {
+                self.requeue(&run.task, now);
+            }
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let before = std::mem::replace(&mut worker.unknown, unknown);
         self.needs_placing |= before != unknown;
     }
 
+    /// Forgets the runs of a worker that is not known to have them any longer.
+    pub(super) fn forget_stray_runs(&mut self, worker: &Name) {
+        let before = self.stray_runs.len();
+        self.stray_runs.retain(|_, on| on != worker);
+        self.needs_placing |= self.stray_runs.len() < before;
+    }
+
+    /// Returns whether a worker may have runs that are not recorded on it.
+    pub(super) fn has_stray_runs_on(&self, worker: &Name) -> bool {
+        self.stray_runs.values().any(|on| on == worker)
+    }
+
+    /// Returns whether a worker lists a run of this task that is not the recorded one.
+    pub(super) fn has_stray_run(&self, step: &StepKey, index: u32) -> bool {
+        !self.stray_runs.is_empty() && self.stray_runs.contains_key(&step.task(index))
+    }
+
     /// Returns whether a listed run is the one that the coordinator has recorded for its task on this worker.
     pub(super) fn is_expected(&self, worker: &Name, seen: &RunInfo) -> bool {
         let task = self.jobs.get(&seen.task.job).and_then(|it| it.task(&seen.task));
--- a/crates/fleet/src/coordinator/lives.rs
+++ b/crates/fleet/src/coordinator/lives.rs
@@ -86,6 +86,7 @@
 
     pub(super) fn forget_worker(&mut self, id: &Name, now: Moment) {
         self.workers.remove(id);
+        self.forget_stray_runs(id);
         self.expect_late_starts(id, now);
     }
 
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -83,6 +83,8 @@
     /// Ended jobs whose rows are being deleted. Until that is done the rows may be read again.
     expiring: FastSet<Name>,
     workers: FastMap<Name, Worker>,
+    /// Tasks of which a worker lists another run than the recorded one, each with that worker.
+    stray_runs: FastMap<TaskId, Name>,
     /// Workers whose next life may carry out starts that were meant for the former one, each with the end of that time.
     lives: lives::Lives,
     used_by_team: FastMap<Name, Resources>,
@@ -151,6 +153,7 @@
             ended_jobs: FastMap::default(),
             expiring: FastSet::default(),
             workers: FastMap::default(),
+            stray_runs: FastMap::default(),
             lives: lives::Lives::default(),
             used_by_team: FastMap::default(),
             kept_of_limits: limits::KeptParts::default(),
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -104,19 +104,25 @@
             return StepOutcome::waits(reason);
         }
         let run = &job.occurrences[occurrence].steps[step];
+        let count = run.tasks.len() as u32;
         if wanted.gang {
-            return match run.waiting as usize == run.tasks.len() {
+            let is_whole =
+                run.waiting == count && !(0..count).any(|it| self.has_stray_run(key, it));
+            return match is_whole {
                 true => self.place_gang(key, &spec, search, now),
                 false => StepOutcome::waits(WaitReason::Gang),
             };
         }
-        let is_waiting = |it: &u32| run.tasks[*it as usize].state == TaskState::Waiting;
-        let mut waiting: Vec<u32> = (0..run.tasks.len() as u32).filter(is_waiting).collect();
+        let is_waiting = |it: &u32| {
+            run.tasks[*it as usize].state == TaskState::Waiting && !self.has_stray_run(key, *it)
+        };
+        let mut waiting: Vec<u32> = (0..count).filter(is_waiting).collect();
+        let startable = waiting.len();
         if wanted.long_running {
             waiting.sort_by_key(|it| run.tasks[*it as usize].last_run_end);
         }
         waiting.truncate(most);
-        let is_last = waiting.len() == run.waiting as usize;
+        let is_last = waiting.len() == startable;
         let near = Near::of(run.waiting as usize);
         let mut placed = Vec::new();
         let mut reason = (!is_last).then_some(WaitReason::Turn);
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -61,6 +61,7 @@
         let has_restarted = self.workers.get(&id).is_some_and(|it| it.seen.born != 0)
             || self.live_on(&id).iter().any(is_former);
         self.carry_over_runs(&id, born, now);
+        self.forget_stray_runs(&id);
         self.expect_late_starts(&id, now);
         self.forget_advice_on(&id);
         let longest_lease_until = now + self.longest_lease();
@@ -131,6 +132,7 @@
         for (task, _) in self.live_on(id) {
             self.requeue(&task, now);
         }
+        self.forget_stray_runs(id);
         if is_new {
             self.expect_late_starts(id, now);
         }
@@ -177,7 +179,7 @@
         worker.answered = true;
         worker.silent_since = None;
         worker.reports_runs = !report.running.is_empty();
-        self.note_unknown_runs(id, &report.running);
+        self.note_unknown_runs(id, &report.running, now);
         let before = self.workers[id].last_end;
         for end in report.ended.iter().filter(|it| it.number > before) {
             self.run_ended(id, end, now);
--- a/crates/fleet/src/coordinator/tick.rs
+++ b/crates/fleet/src/coordinator/tick.rs
@@ -34,6 +34,7 @@
         self.lives.late_starts.retain(|_, until| now < *until);
         self.needs_placing |= now.since(self.last_placed) >= PLACE_AGAIN_MS;
         let lease = with_drift(self.timing.lease_ms);
+        let longest_lease = self.longest_lease();
         let lapsed: Vec<Name> = self
             .workers
             .iter()
@@ -46,7 +47,12 @@
                     self.requeue(&task, now);
                 }
             }
-            if self.workers.get(&id).is_some_and(|it| it.unlisted && it.live.is_empty()) {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            if worker.has_lapsed(longest_lease, now) {
+                self.forget_stray_runs(&id);
+            }
+            let worker = &self.workers[&id];
+            if worker.unlisted && worker.live.is_empty() && !self.has_stray_runs_on(&id) {
                 self.forget_worker(&id, now);
             }
         }
--- a/crates/fleet/tests/worker_loss.rs
+++ b/crates/fleet/tests/worker_loss.rs
@@ -186,6 +186,27 @@
     assert_eq!(bench.run().len(), 1);
 }
 
+/// A task whose run was given up was started again while its worker still listed that run, which was to be stopped.
+#[test]
+fn task_does_not_start_while_a_worker_lists_another_run() {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench.accept("j", job(vec![step(1)]));
+    assert_eq!(bench.run().len(), 1);
+    let run = (task("j", 0, 0), 1);
+    bench.report("w1", std::slice::from_ref(&run), &[]);
+    bench.coordinator.worker_silent(&"w1".into(), bench.now);
+    bench.wait(6_300);
+    assert!(starts(&bench.step()).is_empty());
+    bench.add(worker("w2"));
+    bench.report("w1", std::slice::from_ref(&run), &[]);
+    let orders = bench.step();
+    assert_eq!(stops(&orders), [(task("j", 0, 0), 1)]);
+    assert!(starts(&orders).is_empty());
+    bench.report("w1", &[], &[]);
+    assert_eq!(bench.run()[0].1, 2);
+}
+
 /// The link to a worker that started again went on with what it knew of the former incarnation.
 #[test]
 fn report_of_a_next_incarnation_opens_a_new_link() {
