Stand-in: mark the lost end of the life that ends

A run that began in two lives of one worker has two records with the same task, number and worker id. When the second life ended before its end was acknowledged, the record of the first was marked as lost, and that of the second stayed `done`: the next start of the task counted as one too many.

Evidence: soak, five tasks. The first record, whose life ended after 150 ms of 217 ms of work, is told as `done, never acknowledged`; the second ended `done` and was never listed to a coordinator (no `task-ended` in the log).

The last record is that of the life that ends, since a later life does not exist yet.

--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -224,12 +224,13 @@
         for it in worker.running.values() {
             self.runs[it.record].ended = Some((Instant::now(), how.to_owned()));
         }
-        // An end that nobody acknowledged is lost with the life: the task may run again.
+        // An end that nobody acknowledged is lost with the life: the task may run again. A former life under the same id may
+        // have begun the same run, so the last record is that of this life.
         for (_, task, run, _) in worker.ended.iter().filter(|it| it.3 == "done") {
             let is_it =
                 |it: &&mut RunRecord| it.task == *task && it.run == *run && it.worker == worker.id;
             if let Some((_, how)) =
-                self.runs.iter_mut().find(is_it).and_then(|it| it.ended.as_mut())
+                self.runs.iter_mut().rfind(is_it).and_then(|it| it.ended.as_mut())
             {
                 *how = LOST_DONE.to_owned();
             }
