Find the startable tasks of a step beside the strays

The choice of waiting tasks of which no worker lists another run is one function now, for gangs as well. No change of behaviour; the tests of the fleet crate pass.

--- a/crates/fleet/src/coordinator/listed.rs
+++ b/crates/fleet/src/coordinator/listed.rs
@@ -2,7 +2,9 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::{Coordinator, LiveRun, Order, Phase, StepKey, worker::UnknownRuns};
+use super::{
+    Coordinator, LiveRun, Order, Phase, StepKey, TaskState, job::StepRun, worker::UnknownRuns,
+};
 use crate::{Name, RunInfo, WorkerReport};
 
 impl Coordinator {
@@ -54,9 +56,13 @@
         self.stray_runs.values().any(|on| on == worker)
     }
 
-    /// Returns whether a worker lists a run of this task that is not the recorded one.
-    pub(super) fn has_stray_run(&self, step: &StepKey, index: u32) -> bool {
-        !self.stray_runs.is_empty() && self.stray_runs.contains_key(&step.task(index))
+    /// Returns the waiting tasks of a step, by index, of which no worker lists another run.
+    pub(super) fn startable_tasks(&self, key: &StepKey, step: &StepRun) -> Vec<u32> {
+        let has_strays = !self.stray_runs.is_empty();
+        let is_stray = |it| has_strays && self.stray_runs.contains_key(&key.task(it));
+        let tasks = (0..).zip(&step.tasks);
+        let waiting = tasks.filter(|(_, it)| it.state == TaskState::Waiting).map(|it| it.0);
+        waiting.filter(|it| !is_stray(*it)).collect()
     }
 
     /// Returns whether a listed run is the one that the coordinator has recorded for its task on this worker.
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -104,20 +104,14 @@
             return StepOutcome::waits(reason);
         }
         let run = &job.occurrences[occurrence].steps[step];
-        let count = run.tasks.len() as u32;
+        let mut waiting = self.startable_tasks(key, run);
+        let startable = waiting.len();
         if wanted.gang {
-            let is_whole =
-                run.waiting == count && !(0..count).any(|it| self.has_stray_run(key, it));
-            return match is_whole {
+            return match startable == run.tasks.len() {
                 true => self.place_gang(key, &spec, search, now),
                 false => StepOutcome::waits(WaitReason::Gang),
             };
         }
-        let is_waiting = |it: &u32| {
-            run.tasks[*it as usize].state == TaskState::Waiting && !self.has_stray_run(key, *it)
-        };
-        let mut waiting: Vec<u32> = (0..count).filter(is_waiting).collect();
-        let startable = waiting.len();
         if wanted.long_running {
             waiting.sort_by_key(|it| run.tasks[*it as usize].last_run_end);
         }
