cut_lives: let the next life take the order before the cut

The log shows that the product held the run (`runs-held` for 12,090 ms) and started it again afterwards. The situation of the test had not come about: it cut the connection and took the worker back within moments, and the repeat of the order fell into the cut, so that the next life never had the run.

The life ends without a sign now, the order is repeated after its time limit, and the test waits until the next life has the run. What it asserts is unchanged.

--- a/crates/daemon/tests/cut_lives.rs
+++ b/crates/daemon/tests/cut_lives.rs
@@ -15,25 +15,23 @@
 /// How far the clock of the first life is ahead of that of the next one: more than the longest lease is longer than others.
 const FIRST_LIFE: Duration = Duration::from_secs(6);
 
-/// Time for the repeat of the start to reach the next life.
-const NEXT_LIFE: Duration = Duration::from_millis(400);
-
 /// How long the runs of a worker that does not answer are held, with the time that it takes to notice.
 const USUAL_LEASE: Duration = Duration::from_millis(7_500);
 
-/// Starts a long task on the only worker of the pool, whose life ends while it carries the order out. The repeat of the order begins
-/// the run in the next life, and the worker is cut off before any report of that life arrives.
+/// Starts a long task on the only worker of the pool, whose life ends without a sign while it carries the order out. The
+/// order is repeated and begins the run in the next life, and the worker is cut off before any report of that life arrives.
 fn run_on_unnoticed_life(fleet: &Fleet, routes: &[SocketAddr]) -> usize {
     thread::sleep(FIRST_LIFE);
     let host = fleet.site.world().hosts_up("web")[0];
     fleet.site.world().worker_mut(host).expect("it is up").fault = WorkerFault::AnswersLost;
     let id = fleet.accept(&job(16_000, &[1]), PATIENCE).expect("accepted");
     fleet.wait_start(&id);
-    fleet.site.world().loses_reports = true;
-    fleet.route_fault(routes[host], RouteFault::Cut);
-    fleet.site.world().rebirth_with_former_entry(host);
-    fleet.route_fault(routes[host], RouteFault::None);
-    thread::sleep(NEXT_LIFE);
+    {
+        let mut world = fleet.site.world();
+        world.loses_reports = true;
+        world.rebirth_with_former_entry(host);
+    }
+    wait_until("the next life has the run", || fleet.site.world().runs.len() == 2);
     fleet.route_fault(routes[host], RouteFault::Cut);
     fleet.site.world().loses_reports = false;
     host
