Log whose cancellations and jobs are whose, and ends of unknown jobs

Change: cancel-asked has the queue and team of the caller and of the job; job-posted has the number of tasks; end-without-job names an end whose job the coordinator does not know, and ends-acknowledged (debug) an acknowledgement that is handed to the link.

--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -68,7 +68,13 @@
 
     /// Stores a request to cancel a job, whether or not the job is there: its post may still be under way, and 410
     /// acknowledges the cancellation like 200. The job of another team does not exist for a team.
-    pub(super) async fn cancel(&self, id: &Name, team: Option<&Name>, limits: Limits) -> Response {
+    pub(super) async fn cancel(
+        &self,
+        id: &Name,
+        queue: &Name,
+        team: Option<&Name>,
+        limits: Limits,
+    ) -> Response {
         // Half of the time is left for the request itself.
         let now = self.clock.now();
         let read_until = now + limits.hold.since(now) / 2;
@@ -81,7 +87,18 @@
             return Response::empty(StatusCode::GONE);
         }
         let outcome = self.insert(tables::cancel_key(id), b"{}".to_vec(), limits).await;
-        tracing::info!(event = "cancel-asked", job = %id, outcome = super::outcome_label(&outcome));
+        let posted_to =
+            job.as_ref().and_then(|row| serde_json::from_slice::<JobSpec>(&row.value).ok());
+        let (job_queue, job_team) = posted_to.map(|it| (it.queue, it.team)).unwrap_or_default();
+        tracing::info!(
+            event = "cancel-asked",
+            job = %id,
+            %queue,
+            team = team.map_or("", Name::as_str),
+            %job_queue,
+            %job_team,
+            outcome = super::outcome_label(&outcome),
+        );
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => {
                 self.cancellations.borrow_mut().note(id.clone(), self.clock.now());
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -158,7 +158,9 @@
                 self.submit(id, *spec, admitted, weight).await
             }
             Ok(QueueRequest::State(id)) => self.state(&id, admitted.owner(), limits.hold).await,
-            Ok(QueueRequest::Cancel(id)) => self.cancel(&id, admitted.owner(), limits).await,
+            Ok(QueueRequest::Cancel(id)) => {
+                self.cancel(&id, &queue.name, admitted.owner(), limits).await
+            }
             Ok(QueueRequest::Count) => self.count(&queue.name, limits.hold).await,
             Err(e) => Response::text(e.status(), e.to_string()),
         }
@@ -205,6 +207,7 @@
             job = %id,
             queue = %queue.name,
             team = %spec.team,
+            tasks = spec.task_count(),
             outcome = outcome_label(&outcome),
             config = self.config_version(),
             took_ms = self.clock.now().since(begun),
--- a/crates/site/src/lead/news.rs
+++ b/crates/site/src/lead/news.rs
@@ -111,6 +111,9 @@
         let taken = known.filter(|it| it.seen.born == report.born).map_or(0, |it| it.last_end);
         for end in report.ended.iter().filter(|it| it.number > taken) {
             let (task, run, ending) = (&end.task, end.run, end.ending);
+            if self.coordinator.job(&task.job).is_none() {
+                tracing::info!(event = "end-without-job", %task, run, worker = %id, number = end.number);
+            }
             // As with starts, the many ends of tasks that are done at once must not push out the others.
             match ending == Ending::Done && run == 1 {
                 true => {
--- a/crates/site/src/lead/orders.rs
+++ b/crates/site/src/lead/orders.rs
@@ -64,6 +64,7 @@
             }
             Order::Acknowledge { worker, born, upto } => {
                 if let Some(link) = self.links.get(&worker).filter(|it| it.worker.born == born) {
+                    tracing::debug!(event = "ends-acknowledged", %worker, born, upto);
                     link.acknowledge(upto);
                 }
             }
