Calls and cancellations reach jobs of their own client account only

Cause: a job was found, shown and cancelled by the id that its caller chose. At an open queue a call without a key read and cancelled the jobs of all queues, and a team those that were posted without a key. A cancellation that came before any job of its id, and was answered 410, was stored for the id alone and cancelled whatever job came next. Change: a request has scopes, the jobs of the key's team or those posted to the open queue. State and cancellation apply to a job in one of them. A cancellation is stored in a row of its scope, so that two callers' requests for one id do not take each other's place, and the coordinator and the senders of starts apply it to jobs in that scope only. Rows of former versions have no scope and hold as before. A job without a team that is posted again to another queue is no repeat.

--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -27,6 +27,9 @@
 /// The key of another team.
 pub const OTHER_KEY: &str = "south-key";
 
+/// The prefix of a queue that takes calls without a key, where a configuration has it.
+pub const OPEN_PREFIX: &str = "/open/";
+
 /// Entry hosts on a stand-in.
 pub struct Fleet {
     pub site: FleetSite,
@@ -279,6 +282,7 @@
         self.send_to(method, &format!("/jobs/{id}"), body, KEY)
     }
 
+    /// Sends a request with this key, or without one if it is empty.
     pub fn send_to(
         &self,
         method: Method,
@@ -287,9 +291,14 @@
         key: &str,
     ) -> Option<Response> {
         let body = body.map(Value::to_string).unwrap_or_default();
-        let key = HeaderValue::from_str(key).expect("a key");
-        let request = Request { method, ..Request::post(path, body) }
-            .header(HeaderName::from_static("x-api-key"), key);
+        let request = Request { method, ..Request::post(path, body) };
+        let request = match key {
+            "" => request,
+            key => request.header(
+                HeaderName::from_static("x-api-key"),
+                HeaderValue::from_str(key).expect("a key"),
+            ),
+        };
         net::send(self.front, request)
     }
 
@@ -359,7 +368,7 @@
                 "name": format!("queue{}", prefix.replace('/', "-")), "host": host,
                 "path_prefix": prefix, "service": pool, "kind": "non_idempotent",
                 "timeout_ms": 3000, "target_duration_ms": 600, "priority": 0,
-                "max_attempts": 3, "stretch": 1.6, "public": false
+                "max_attempts": 3, "stretch": 1.6, "public": prefix == OPEN_PREFIX
             })
         })
         .collect();
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -68,7 +68,8 @@
 pub use worker::Worker;
 
 use crate::{
-    Config, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing, durations::Durations,
+    Cancellation, Config, JobOwner, JobRecord, JobScope, JobSpec, Name, RecordKey, Stage, TaskId,
+    Timing, durations::Durations,
 };
 use limits::EXCESS_WINDOW_MS;
 use retention::EndedJob;
@@ -91,7 +92,7 @@
     kept_of_limits: limits::KeptParts,
     recent_jobs: FastMap<Name, VecDeque<Moment>>,
     /// Cancellations of jobs that were not accepted yet.
-    early_cancels: FastMap<Name, retention::EarlyCancel>,
+    early_cancels: FastMap<Cancellation, retention::EarlyCancel>,
     /// Rows of records that wait to be stored, in this order.
     dirty_records: VecDeque<RecordKey>,
     dirty_record_set: FastSet<RecordKey>,
@@ -214,7 +215,7 @@
         if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return;
         }
-        let is_cancelled = self.early_cancels.remove(&id).is_some();
+        let is_cancelled = self.take_early_cancels(&id, &JobOwner::from(&*spec));
         let mut job = Job::new(id.clone(), spec, now, wall);
         job.open_due(wall);
         // After a takeover older jobs arrive all at once, so the rate at which they were sent is unknown.
@@ -232,7 +233,7 @@
         let inherited = record.map(|it| job.restore(it, now)).unwrap_or_default();
         let is_over = job.stage.is_over();
         if is_over && inherited.is_empty() {
-            self.ended_jobs.insert(id, EndedJob { at: now, parts: job.parts });
+            self.ended_jobs.insert(id, EndedJob::new(&job, now));
             return;
         }
         let spec = job.spec.clone();
@@ -250,17 +251,27 @@
         }
     }
 
-    /// Cancels a job and stops its runs. A cancellation that arrives before its job is kept for `Timing::retention_ms`.
+    /// Cancels the job with this id, whoever posted it, and stops its runs.
     pub fn cancel(&mut self, id: &Name, now: Moment) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            // While the rows of a job are being deleted, the row of a new cancellation may outlast them.
-            if !self.ended_jobs.contains_key(id) || self.expiring.contains(id) {
-                self.note_early_cancel(id, now);
+        self.cancel_in_scope(&Cancellation { job: id.clone(), scope: JobScope::All }, now);
+    }
+
+    /// Cancels a job that is in the scope of the request, and stops its runs. A cancellation that arrives before its job
+    /// is kept for `Timing::retention_ms`.
+    pub fn cancel_in_scope(&mut self, request: &Cancellation, now: Moment) {
+        let id = &request.job;
+        let open =
+            self.jobs.get(id).filter(|it| request.scope.includes(&JobOwner::from(&*it.spec)));
+        if let Some(job) = open {
+            if !job.stage.is_over() {
+                self.end_job(id, Stage::Cancelled, now);
             }
             return;
-        };
-        if !job.stage.is_over() {
-            self.end_job(id, Stage::Cancelled, now);
+        }
+        let ended = self.ended_jobs.get(id).filter(|it| request.scope.includes(&it.owner));
+        // While the rows of a job are being deleted, the row of a new cancellation may outlast them.
+        if ended.is_none() || self.expiring.contains(id) {
+            self.note_early_cancel(request, now);
         }
     }
 
@@ -283,7 +294,7 @@
             && job.live == 0
             && job.dirty_parts == 0
         {
-            self.ended_jobs.insert(id.clone(), EndedJob { at: now, parts: job.parts });
+            self.ended_jobs.insert(id.clone(), EndedJob::new(job, now));
             self.jobs.remove(id);
             self.advice.retain(|step, _| step.job != *id);
         }
--- a/crates/fleet/src/coordinator/retention.rs
+++ b/crates/fleet/src/coordinator/retention.rs
@@ -2,16 +2,24 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::Coordinator;
-use crate::{Name, RecordKey};
+use super::{Coordinator, Job};
+use crate::{Cancellation, JobOwner, JobScope, Name, RecordKey};
 
 /// A job that has ended and has no live runs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct EndedJob {
     /// When that was noted.
     pub at: Moment,
     /// The number of rows of its progress.
     pub parts: u32,
+    /// Whose job it is.
+    pub owner: JobOwner,
+}
+
+impl EndedJob {
+    pub fn new(job: &Job, at: Moment) -> Self {
+        Self { at, parts: job.parts, owner: JobOwner::from(&*job.spec) }
+    }
 }
 
 /// A cancellation of a job that was not accepted yet.
@@ -59,9 +67,23 @@
         }
     }
 
-    pub(super) fn note_early_cancel(&mut self, id: &Name, now: Moment) {
+    /// Returns the scopes of the cancellations that a job which has ended may have; of one that is not known, of those
+    /// without a scope.
+    pub fn cancel_scopes(&self, id: &Name) -> Vec<JobScope> {
+        let ended = self.ended_jobs.get(id).map(|it| it.owner.scopes().to_vec());
+        ended.unwrap_or_else(|| vec![JobScope::All])
+    }
+
+    /// Forgets the cancellations that came before a job of this owner. Returns whether there were any.
+    pub(super) fn take_early_cancels(&mut self, id: &Name, owner: &JobOwner) -> bool {
+        let key = |scope| Cancellation { job: id.clone(), scope };
+        let found = owner.scopes().map(key).map(|it| self.early_cancels.remove(&it));
+        found.iter().any(Option::is_some)
+    }
+
+    pub(super) fn note_early_cancel(&mut self, request: &Cancellation, now: Moment) {
         let new = EarlyCancel { since: now, may_be_deleted: false };
-        let known = self.early_cancels.entry(id.clone()).or_insert(new);
+        let known = self.early_cancels.entry(request.clone()).or_insert(new);
         if known.may_be_deleted {
             *known = new;
         }
@@ -69,23 +91,23 @@
 
     /// Returns at most `most` cancellations that were kept for `Timing::retention_ms` without their jobs; their rows may
     /// be deleted. Each is returned again after another such time unless it is told to be deleted.
-    pub fn take_expired_cancels(&mut self, now: Moment, most: usize) -> Vec<Name> {
+    pub fn take_expired_cancels(&mut self, now: Moment, most: usize) -> Vec<Cancellation> {
         let retention_ms = self.timing.retention_ms;
         let kept = self.early_cancels.iter_mut();
         let expired = kept.filter(|(_, it)| now.since(it.since) >= retention_ms).take(most);
         let mut taken = Vec::new();
-        for (id, cancel) in expired {
+        for (request, cancel) in expired {
             *cancel = EarlyCancel { since: now, may_be_deleted: true };
-            taken.push(id.clone());
+            taken.push(request.clone());
         }
         taken
     }
 
     /// Forgets these cancellations: their rows were deleted. One that was made anew meanwhile is kept.
-    pub fn cancels_deleted(&mut self, jobs: &[Name]) {
-        for id in jobs {
-            if self.early_cancels.get(id).is_some_and(|it| it.may_be_deleted) {
-                self.early_cancels.remove(id);
+    pub fn cancels_deleted(&mut self, requests: &[Cancellation]) {
+        for it in requests {
+            if self.early_cancels.get(it).is_some_and(|known| known.may_be_deleted) {
+                self.early_cancels.remove(it);
             }
         }
     }
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -135,15 +135,12 @@
 pub const RECORD_TASKS: u64 = 256;
 
 impl JobSpec {
-    /// Returns whether `other`, posted with the same id, is this job sent again. Its queue may have another name by then.
+    /// Returns whether `other`, posted with the same id, is this job sent again. Its queue may have another name by then,
+    /// but only its queue tells whose job it is if it has no team.
     pub fn is_repeated_by(&self, other: &JobSpec) -> bool {
         let has_same_work = || self.payload == other.payload && self.steps == other.steps;
-        self.team == other.team && (self.queue == other.queue || has_same_work())
-    }
-
-    /// Returns whether the job is that of a team.
-    pub fn is_of(&self, team: &Name) -> bool {
-        self.team.is_empty() || self.team == *team
+        let may_be_renamed = !self.team.is_empty();
+        self.team == other.team && (self.queue == other.queue || may_be_renamed && has_same_work())
     }
 
     /// Returns the number of tasks of one occurrence.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -130,11 +130,6 @@
         (!rows.is_empty()).then_some(merged)
     }
 
-    /// Returns whether the job is that of a team, as far as that was noted.
-    pub fn is_of(&self, team: &Name) -> bool {
-        self.team.is_empty() || self.team == *team
-    }
-
     /// Returns a bound of the size of the stored form in bytes.
     pub fn size_bound(&self) -> usize {
         let of_task = |it: &TaskRecord| {
--- a/crates/fleet/tests/cancelled_runs.rs
+++ b/crates/fleet/tests/cancelled_runs.rs
@@ -6,7 +6,8 @@
 
 use common::{Bench, START, WALL, config, job, starts, step, stops, task, worker};
 use fuchsiamill_fleet::{
-    JobRecord, Name, Stage, TaskRecord, Timing, WorkerInfo, WorkerReport, coordinator::Takeover,
+    Cancellation, JobRecord, JobScope, Name, Stage, TaskRecord, Timing, WorkerInfo, WorkerReport,
+    coordinator::Takeover,
 };
 
 /// A former coordinator recorded the final stage while its stop was unanswered.
@@ -66,6 +67,10 @@
     Timing::default().retention_ms
 }
 
+fn cancel_of_j() -> Cancellation {
+    Cancellation { job: "j".into(), scope: JobScope::All }
+}
+
 /// The stages that the next change stores.
 fn stored(bench: &mut Bench) -> Vec<(Name, Stage)> {
     let records = bench.coordinator.next_commit().unwrap_or_default().records;
@@ -141,10 +146,10 @@
     bench.add(worker("w1"));
     bench.coordinator.cancel(&"j".into(), bench.now);
     bench.wait(retention_ms());
-    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), ["j"]);
+    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), [cancel_of_j()]);
     assert!(bench.coordinator.take_expired_cancels(bench.now, MOST).is_empty());
     bench.wait(retention_ms());
-    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), ["j"]);
+    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), [cancel_of_j()]);
     bench.accept("j", job(vec![step(1)]));
     bench.report("w1", &[], &[]);
     assert!(bench.run().is_empty());
@@ -180,7 +185,7 @@
     bench.coordinator.cancel(&"j".into(), bench.now);
     bench.coordinator.rows_deleted(&["j".into()]);
     bench.wait(retention_ms());
-    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), ["j"]);
+    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, MOST), [cancel_of_j()]);
 }
 
 #[test]
--- /dev/null
+++ b/crates/fleet/tests/foreign_cancels.rs
@@ -0,0 +1,81 @@
+//! Cancellations of an id that several client accounts use.
+
+mod common;
+
+use common::{Bench, job, starts, step, stops, worker};
+use fuchsiamill_fleet::{Cancellation, JobScope, JobSpec, Stage, Timing};
+
+fn request(scope: JobScope) -> Cancellation {
+    Cancellation { job: "j".into(), scope }
+}
+
+fn by_team(team: &str) -> Cancellation {
+    request(JobScope::Team(team.into()))
+}
+
+fn bench() -> Bench {
+    let mut bench = Bench::new();
+    bench.add(worker("w1"));
+    bench
+}
+
+fn posted(team: &str, queue: &str) -> JobSpec {
+    JobSpec { team: team.into(), queue: queue.into(), ..job(vec![step(1)]) }
+}
+
+/// The stage of the job in the records that are stored next; `None` if there is none.
+fn stored_stage(bench: &mut Bench) -> Option<Stage> {
+    let records = bench.coordinator.next_commit().unwrap_or_default().records;
+    bench.coordinator.committed(bench.now);
+    records.into_iter().find(|it| it.0 == "j").map(|it| it.1.stage)
+}
+
+/// The cancellation of another team, which was told that there is no such job, cancelled the job that came later.
+#[test]
+fn early_cancellation_does_not_apply_to_another_teams_job() {
+    let mut bench = bench();
+    bench.coordinator.cancel_in_scope(&by_team("south"), bench.now);
+    bench.coordinator.cancel_in_scope(&request(JobScope::Queue("open".into())), bench.now);
+    bench.accept("j", posted("north", "jobs"));
+    assert_eq!(starts(&bench.step()).len(), 1);
+}
+
+/// It must hold for a job of its own team although another team has cancelled the same id too.
+#[test]
+fn early_cancellation_applies_beside_another_teams() {
+    for scope in [JobScope::Team("north".into()), JobScope::Queue("open".into()), JobScope::All] {
+        let mut bench = bench();
+        bench.coordinator.cancel_in_scope(&by_team("south"), bench.now);
+        bench.coordinator.cancel_in_scope(&request(scope), bench.now);
+        bench.accept("j", posted("north", "open"));
+        assert_eq!(stored_stage(&mut bench), Some(Stage::Cancelled));
+        assert!(starts(&bench.step()).is_empty());
+    }
+}
+
+/// A cancellation that is read after the job of another team cancelled it.
+#[test]
+fn late_cancellation_does_not_apply_to_another_teams_job() {
+    let mut bench = bench();
+    bench.accept("j", posted("north", "jobs"));
+    bench.coordinator.cancel_in_scope(&by_team("south"), bench.now);
+    assert_eq!(starts(&bench.step()).len(), 1);
+    bench.coordinator.cancel_in_scope(&by_team("north"), bench.now);
+    assert_eq!(stops(&bench.step()).len(), 1);
+}
+
+/// Rows of cancellations that no job has used must not stay for ever, nor may those of a job outlast it.
+#[test]
+fn cancellations_of_all_scopes_are_deleted_in_time() {
+    let mut bench = bench();
+    bench.coordinator.cancel_in_scope(&by_team("south"), bench.now);
+    bench.accept("j", posted("north", "jobs"));
+    bench.coordinator.cancel_in_scope(&by_team("north"), bench.now);
+    bench.step();
+    bench.wait(Timing::default().retention_ms);
+    assert_eq!(bench.coordinator.take_expired(bench.now, 10), ["j"]);
+    let scopes = bench.coordinator.cancel_scopes(&"j".into());
+    assert!(scopes.contains(&JobScope::Team("north".into())));
+    assert!(scopes.contains(&JobScope::Queue("jobs".into())));
+    assert_eq!(bench.coordinator.take_expired_cancels(bench.now, 10), [by_team("south")]);
+}
--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, time::Duration};
 
-use fuchsiamill_fleet::{JobRecord, JobSpec, Name, Stage, admission::Capacities};
+use fuchsiamill_fleet::{
+    Cancellation, JobOwner, JobRecord, JobScope, JobSpec, Name, Stage, admission::Capacities,
+};
 use fuchsiamill_http::Response;
 use fuchsiamill_model::{FastMap, units::Moment};
 use fuchsiamill_platform::{Key, Row, count_reply, state_reply};
@@ -39,70 +41,62 @@
 pub type BoardCache = RefCell<Option<(Board, u64, Moment)>>;
 
 impl Front {
-    /// Answers a request for a job's state by a team, or by anybody. A job of another team does not exist for it.
-    pub(super) async fn state(&self, id: &Name, team: Option<&Name>, deadline: Moment) -> Response {
+    /// Answers a request for a job's state. A job outside of the scopes does not exist for the caller.
+    pub(super) async fn state(&self, id: &Name, scopes: &[JobScope], deadline: Moment) -> Response {
         let Some(progress) = self.read_row(&tables::progress_key(id), deadline).await else {
             return self.store_unavailable();
         };
-        if let Some(row) = progress {
-            return match serde_json::from_slice::<JobRecord>(&row.value) {
-                Ok(record) if team.is_some_and(|it| !record.is_of(it)) => {
-                    Response::empty(StatusCode::GONE)
-                }
-                Ok(record) => state_reply(record.stage),
-                Err(e) => {
-                    tracing::error!(event = "progress-unreadable", job = %id, error = %e);
-                    Response::empty(StatusCode::INTERNAL_SERVER_ERROR)
-                }
-            };
+        let record = match progress.map(|row| serde_json::from_slice::<JobRecord>(&row.value)) {
+            None => None,
+            Some(Ok(record)) => Some(record),
+            Some(Err(e)) => {
+                tracing::error!(event = "progress-unreadable", job = %id, error = %e);
+                return Response::empty(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+        };
+        let stage = record.as_ref().map_or(Stage::Queued, |it| it.stage);
+        let is_own = |it: &JobRecord| {
+            !it.team.is_empty() && scopes.contains(&JobScope::Team(it.team.clone()))
+        };
+        // The record names the team only; the queue is in the row of the job.
+        if record.is_some_and(|it| is_own(&it)) {
+            return state_reply(stage);
         }
         match self.read_row(&tables::job_key(id), deadline).await {
             None => self.store_unavailable(),
-            Some(Some(row)) if team.is_some_and(|it| is_of_another(&row, it)) => {
-                Response::empty(StatusCode::GONE)
-            }
-            Some(Some(_)) => state_reply(Stage::Queued),
-            Some(None) => Response::empty(StatusCode::GONE),
+            Some(Some(row)) if scope_of(&row, scopes).is_some() => state_reply(stage),
+            Some(_) => Response::empty(StatusCode::GONE),
         }
     }
 
     /// Stores a request to cancel a job, whether or not the job is there: its post may still be under way, and 410
-    /// acknowledges the cancellation like 200. The job of another team does not exist for a team.
-    pub(super) async fn cancel(
-        &self,
-        id: &Name,
-        queue: &Name,
-        team: Option<&Name>,
-        limits: Limits,
-    ) -> Response {
+    /// acknowledges the cancellation like 200. A job outside of the scopes does not exist for the caller, and the stored
+    /// request does not apply to it.
+    pub(super) async fn cancel(&self, id: &Name, scopes: &[JobScope], limits: Limits) -> Response {
         // Half of the time is left for the request itself.
         let now = self.clock.now();
         let read_until = now + limits.hold.since(now) / 2;
         let Some(job) = self.read_row(&tables::job_key(id), read_until).await else {
             return self.store_unavailable();
         };
-        if let (Some(row), Some(team)) = (&job, team)
-            && is_of_another(row, team)
-        {
+        let scope = match &job {
+            Some(row) => scope_of(row, scopes),
+            None => scopes.first(),
+        };
+        let Some(scope) = scope else {
+            tracing::info!(event = "cancel-of-another", job = %id, scopes = ?scopes);
             return Response::empty(StatusCode::GONE);
-        }
-        let outcome = self.insert(tables::cancel_key(id), b"{}".to_vec(), limits).await;
-        let posted_to =
-            job.as_ref().and_then(|row| serde_json::from_slice::<JobSpec>(&row.value).ok());
-        let (job_queue, job_team) = posted_to.map(|it| (it.queue, it.team)).unwrap_or_default();
-        tracing::info!(
-            event = "cancel-asked",
-            job = %id,
-            %queue,
-            team = team.map_or("", Name::as_str),
-            %job_queue,
-            %job_team,
-            outcome = super::outcome_label(&outcome),
-        );
+        };
+        let request = Cancellation { job: id.clone(), scope: scope.clone() };
+        let key = tables::cancel_key(&request);
+        let outcome = self.insert(key, tables::cancel_value(scope), limits).await;
+        let outcome_label = super::outcome_label(&outcome);
+        tracing::info!(event = "cancel-asked", job = %id, scope = ?scope, outcome = outcome_label);
         match outcome {
             Inserted::Stored | Inserted::Exists(_) => {
-                self.cancellations.borrow_mut().note(id.clone(), self.clock.now());
-                self.cancel_reply(id, job.is_some(), limits).await
+                let is_there = job.is_some();
+                self.cancellations.borrow_mut().note(request, self.clock.now());
+                self.cancel_reply(id, scope, is_there, limits).await
             }
             Inserted::Refused => self.store_unavailable(),
             Inserted::Unknown => Response::empty(StatusCode::GATEWAY_TIMEOUT),
@@ -110,16 +104,23 @@
     }
 
     /// Answers a stored cancellation. It holds even if the store does not tell in time whether the job is there.
-    async fn cancel_reply(&self, id: &Name, was_there: bool, limits: Limits) -> Response {
+    async fn cancel_reply(
+        &self,
+        id: &Name,
+        scope: &JobScope,
+        was_there: bool,
+        limits: Limits,
+    ) -> Response {
         if was_there {
             return Response::empty(StatusCode::OK);
         }
         let left = Duration::from_millis(limits.deadline.since(self.clock.now()));
         let key = tables::job_key(id);
         let job = timeout(left, self.read_row(&key, limits.hold)).await.ok().flatten();
+        let is_own = |row: &Row| scope_of(row, std::slice::from_ref(scope)).is_some();
         match job {
-            Some(None) => Response::empty(StatusCode::GONE),
-            Some(Some(_)) | None => Response::empty(StatusCode::OK),
+            Some(row) if !row.as_ref().is_some_and(is_own) => Response::empty(StatusCode::GONE),
+            Some(_) | None => Response::empty(StatusCode::OK),
         }
     }
 
@@ -192,7 +193,11 @@
     }
 }
 
-/// Returns whether the row of a job is that of another team.
-fn is_of_another(row: &Row, team: &Name) -> bool {
-    serde_json::from_slice::<JobSpec>(&row.value).is_ok_and(|it| !it.is_of(team))
+/// Returns the first scope that the job in a row is in.
+fn scope_of<'a>(row: &Row, scopes: &'a [JobScope]) -> Option<&'a JobScope> {
+    let spec = serde_json::from_slice::<JobSpec>(&row.value)
+        .inspect_err(|e| tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e))
+        .ok()?;
+    let owner = JobOwner::from(&spec);
+    scopes.iter().find(|it| it.includes(&owner))
 }
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -11,7 +11,9 @@
     time::Duration,
 };
 
-use fuchsiamill_fleet::{Config, JobSpec, Name, Queue, admission::Refusal, job::RouteSettings};
+use fuchsiamill_fleet::{
+    Config, JobScope, JobSpec, Name, Queue, admission::Refusal, job::RouteSettings,
+};
 use fuchsiamill_http::{
     Response,
     server::{Handler, Incoming},
@@ -79,7 +81,7 @@
     pub row_bytes: usize,
     /// The address at which other entry hosts reach this one.
     pub own_address: Name,
-    /// The payloads of accepted jobs.
+    /// The payloads of the jobs that this entry host has accepted.
     pub payloads: Rc<RefCell<Payloads>>,
     /// The cancellations that this entry host has answered.
     pub cancellations: Rc<RefCell<Cancellations>>,
@@ -97,9 +99,12 @@
 }
 
 impl Admitted<'_> {
-    /// Returns the team whose jobs the request is about; `None` on an open queue, whose jobs are everybody's.
-    fn owner(&self) -> Option<&Name> {
-        (!self.queue.open).then_some(&self.team)
+    /// Returns the jobs that the request concerns. The first scope is that of the jobs that the caller may post to the
+    /// queue: those of its team, or on an open queue those of the queue, whoever posts them.
+    fn scopes(&self) -> Vec<JobScope> {
+        let team = (!self.team.is_empty()).then(|| JobScope::Team(self.team.clone()));
+        let queue = self.queue.open.then(|| JobScope::Queue(self.queue.name.clone()));
+        queue.into_iter().chain(team).collect()
     }
 }
 
@@ -157,10 +162,8 @@
                 let weight = config.teams.get(&admitted.team).map(|it| it.weight);
                 self.submit(id, *spec, admitted, weight).await
             }
-            Ok(QueueRequest::State(id)) => self.state(&id, admitted.owner(), limits.hold).await,
-            Ok(QueueRequest::Cancel(id)) => {
-                self.cancel(&id, &queue.name, admitted.owner(), limits).await
-            }
+            Ok(QueueRequest::State(id)) => self.state(&id, &admitted.scopes(), limits.hold).await,
+            Ok(QueueRequest::Cancel(id)) => self.cancel(&id, &admitted.scopes(), limits).await,
             Ok(QueueRequest::Count) => self.count(&queue.name, limits.hold).await,
             Err(e) => Response::text(e.status(), e.to_string()),
         }
@@ -214,7 +217,7 @@
             store_heard_ms = self.store.since_last_answer().map(|it| it.as_millis() as u64),
         );
         if matches!(outcome, Inserted::Stored | Inserted::Unknown) {
-            self.payloads.borrow_mut().keep(id, spec.payload.clone());
+            self.payloads.borrow_mut().keep(id, &spec);
         }
         match outcome {
             Inserted::Exists(row) if is_other(&row) => Response::text(
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use fuchsiamill_fleet::{JobRecord, Name, RecordKey, coordinator::WaveRecord};
-use fuchsiamill_model::units::{Millisecond, Moment};
+use fuchsiamill_fleet::{Cancellation, JobRecord, Name, RecordKey, coordinator::WaveRecord};
+use fuchsiamill_model::{
+    FastSet,
+    units::{Millisecond, Moment},
+};
 use fuchsiamill_platform::{Key, Store, Tx, TxAnswer, write_wave_state};
 use monoio::time::sleep;
 use serde::Serialize;
@@ -31,8 +34,12 @@
 /// The pause after a failed purge.
 const PURGE_PAUSE: Duration = Duration::from_secs(1);
 
-/// The most jobs that are purged at once: two rows each, in transactions of at most [`MAX_TX_ENTRIES`] entries.
-const MAX_PURGED_JOBS: usize = 40;
+/// The most jobs that are purged at once: a row of the job and of its cancellation in each scope, in transactions of at
+/// most [`MAX_TX_ENTRIES`] entries.
+const MAX_PURGED_JOBS: usize = 24;
+
+/// The most cancellations without a job that are purged at once: a condition and a row each.
+const MAX_PURGED_CANCELS: usize = 40;
 
 impl Leader {
     /// Begins a transaction if there is something to store or the lease has to be renewed.
@@ -132,9 +139,16 @@
         if expired.is_empty() {
             return;
         }
+        let cancellations = |id: &Name| {
+            let scopes = self.coordinator.cancel_scopes(id).into_iter();
+            let key = |scope| tables::cancel_key(&Cancellation { job: id.clone(), scope });
+            scopes.map(key).collect::<Vec<_>>()
+        };
+        let keys = |id: &Name| [vec![tables::job_key(id)], cancellations(id)].concat();
+        let rows: Vec<Key> = expired.iter().flat_map(keys).collect();
         let (store, event_sender) = (self.cx.store.clone(), self.event_sender.clone());
         monoio::spawn(async move {
-            match delete_jobs(&store, &expired).await {
+            match delete_rows(&store, rows).await {
                 Ok(deletions) => {
                     tracing::info!(event = "purged", jobs = expired.len());
                     event_sender.send(Event::Purged(expired, deletions));
@@ -160,7 +174,7 @@
         if self.is_purging_cancels {
             return;
         }
-        let expired = self.coordinator.take_expired_cancels(now, MAX_PURGED_JOBS);
+        let expired = self.coordinator.take_expired_cancels(now, MAX_PURGED_CANCELS);
         if expired.is_empty() {
             return;
         }
@@ -169,14 +183,14 @@
         monoio::spawn(async move {
             let (mut deleted, mut deletions) = (Vec::new(), Vec::new());
             for part in tables::job_parts() {
-                let own = expired.iter().filter(|it| tables::job_part(it) == part.as_str());
-                let own: Vec<Name> = own.cloned().collect();
+                let own = expired.iter().filter(|it| tables::job_part(&it.job) == part.as_str());
+                let own: Vec<Cancellation> = own.cloned().collect();
                 if own.is_empty() {
                     continue;
                 }
                 let tx = Tx {
-                    expected: own.iter().map(|it| (tables::job_key(it), 0)).collect(),
-                    drops: own.iter().map(|it| tables::cancel_key(it)).collect(),
+                    expected: absent_jobs(&own),
+                    drops: own.iter().map(tables::cancel_key).collect(),
                     ..Tx::default()
                 };
                 match store.commit(&tx).await {
@@ -227,13 +241,18 @@
     }
 }
 
-/// Deletes the rows of jobs from the table of jobs, with one transaction for each of its partitions.
-async fn delete_jobs(store: &Store, jobs: &[Name]) -> fuchsiamill_platform::Result<Vec<Deletion>> {
+/// Returns the conditions that none of the jobs is there. A job may have cancellations of several scopes.
+fn absent_jobs(requests: &[Cancellation]) -> Vec<(Key, u64)> {
+    let jobs: FastSet<&Name> = requests.iter().map(|it| &it.job).collect();
+    jobs.into_iter().map(|it| (tables::job_key(it), 0)).collect()
+}
+
+/// Deletes rows from the table of jobs, with one transaction for each of its partitions.
+async fn delete_rows(store: &Store, rows: Vec<Key>) -> fuchsiamill_platform::Result<Vec<Deletion>> {
     let mut deletions = Vec::new();
     for part in tables::job_parts() {
-        let own = jobs.iter().filter(|it| tables::job_part(it) == part.as_str());
-        let keys: Vec<Key> =
-            own.flat_map(|it| [tables::job_key(it), tables::cancel_key(it)]).collect();
+        let own = rows.iter().filter(|it| it.part == part.as_str());
+        let keys: Vec<Key> = own.cloned().collect();
         if keys.is_empty() {
             continue;
         }
--- a/crates/site/src/lead/event.rs
+++ b/crates/site/src/lead/event.rs
@@ -1,7 +1,7 @@
 //! Events of the leader's loop.
 
 use fuchsiamill_fleet::{
-    Name, TaskId, WorkerReport,
+    Cancellation, Name, TaskId, WorkerReport,
     coordinator::{Permit, StartReply, StepKey},
 };
 use fuchsiamill_model::units::Moment;
@@ -36,8 +36,8 @@
     Purged(Vec<Name>, Vec<Deletion>),
     /// The rows of these jobs may still exist: the store did not confirm the transaction that deletes them.
     PurgeFailed(Vec<Name>),
-    /// A purge of cancellations is over: those of these jobs, which never came, were deleted by these transactions.
-    CancelsPurged(Vec<Name>, Vec<Deletion>),
+    /// A purge of cancellations is over: these, whose jobs never came, were deleted by these transactions.
+    CancelsPurged(Vec<Cancellation>, Vec<Deletion>),
 }
 
 /// News from the link to a worker.
--- a/crates/site/src/lead/leader.rs
+++ b/crates/site/src/lead/leader.rs
@@ -270,10 +270,10 @@
                 self.purged.extend(rows);
             }
             Event::PurgeFailed(jobs) => self.coordinator.rows_not_deleted(&jobs),
-            Event::CancelsPurged(jobs, deletions) => {
+            Event::CancelsPurged(requests, deletions) => {
                 self.note_deleted(deletions);
                 self.is_purging_cancels = false;
-                self.coordinator.cancels_deleted(&jobs);
+                self.coordinator.cancels_deleted(&requests);
             }
         }
         None
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -158,8 +158,8 @@
         return;
     }
     let now = cx.clock.now();
-    if let Some(id) = tables::cancelled_job(&row.key.key) {
-        coordinator.cancel(&Name::from(id), now);
+    if let Some(request) = tables::read_cancellation(row) {
+        coordinator.cancel_in_scope(&request, now);
         return;
     }
     match serde_json::from_slice::<JobSpec>(&row.value) {
--- a/crates/site/src/senders/serve.rs
+++ b/crates/site/src/senders/serve.rs
@@ -81,16 +81,16 @@
         permission: Option<Permission>,
         time_limit: Duration,
     ) -> Outcome {
+        let (job, now) = (&start.task.job, self.clock.now());
+        let kept = self.payloads.borrow().get(job);
         // With another outcome the coordinator, which has not heard of the cancellation yet, would send the start itself.
-        if self.cancellations.borrow().contains(&start.task.job, self.clock.now()) {
+        if self.cancellations.borrow().contains(job, kept.as_ref().map(|it| &it.owner), now) {
             return Outcome::Replied(StartReply::NotSent);
         }
         if let Some(outcome) = self.refusal_for_evacuation(start) {
             return outcome;
         }
-        let Some(payload) = self.payloads.borrow().get(&start.task.job) else {
-            return Outcome::NotSent;
-        };
+        let Some(payload) = kept.map(|it| it.payload) else { return Outcome::NotSent };
         let client = self.client(start, fence);
         let ticket = (!start.ticket.is_empty()).then_some(start.ticket.as_str());
         let Some(time_left) = self.time_left(permission) else { return Outcome::NotSent };
--- a/crates/site/src/story.rs
+++ b/crates/site/src/story.rs
@@ -2,7 +2,9 @@
 
 use anyhow::{Context, Result};
 use fuchsiamill_api::story::{JobStory, StepStory, TaskStory};
-use fuchsiamill_fleet::{JobRecord, JobSpec, Name, RECORD_TASKS, RecordKey, TaskRecord};
+use fuchsiamill_fleet::{
+    Cancellation, JobOwner, JobRecord, JobSpec, Name, RECORD_TASKS, RecordKey, TaskRecord,
+};
 use fuchsiamill_http::Response;
 use fuchsiamill_platform::{Key, Store};
 use http::StatusCode;
@@ -32,8 +34,18 @@
 pub async fn read(store: &Store, id: &Name) -> Result<Option<JobStory>> {
     let Some(spec) = row::<JobSpec>(store, &tables::job_key(id)).await? else { return Ok(None) };
     let progress = progress(store, id, &spec).await?;
-    let (cancel, _) = store.read_row(&tables::cancel_key(id)).await?;
-    Ok(Some(JobStory { cancel_asked: cancel.is_some(), ..story(id, &spec, progress.as_ref()) }))
+    let cancel_asked = is_cancel_asked(store, id, &spec).await?;
+    Ok(Some(JobStory { cancel_asked, ..story(id, &spec, progress.as_ref()) }))
+}
+
+async fn is_cancel_asked(store: &Store, id: &Name, spec: &JobSpec) -> Result<bool> {
+    for scope in JobOwner::from(spec).scopes() {
+        let key = tables::cancel_key(&Cancellation { job: id.clone(), scope });
+        if store.read_row(&key).await?.0.is_some() {
+            return Ok(true);
+        }
+    }
+    Ok(false)
 }
 
 /// Reads the rows of a job's progress; of a job with many occurrences only the first [`MAX_ROWS`].
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -1,7 +1,8 @@
 //! Tables, partitions and keys of the rows that the product keeps in the platform's store.
 
-use fuchsiamill_fleet::Name;
-use fuchsiamill_platform::{Key, tables as shared};
+use fuchsiamill_fleet::{Cancellation, JobScope, Name};
+use fuchsiamill_platform::{Key, Row, tables as shared};
+use sha2::{Digest, Sha256};
 
 /// The table of accepted jobs and requests to cancel them. Written by every entry host.
 pub const JOBS: &str = "jobs";
@@ -36,14 +37,44 @@
     Key::new(JOBS, &job_part(id), id)
 }
 
-/// Returns the key of the request to cancel a job.
-pub fn cancel_key(id: &str) -> Key {
-    Key::new(JOBS, &job_part(id), &format!("{id}{CANCEL_SUFFIX}"))
+/// The bytes of a digest that stand in a key. Names of teams and queues have any length, keys at most 200 bytes.
+const DIGEST_BYTES: usize = 12;
+
+/// Returns the key of a request to cancel a job. Each scope has a row of its own, so that no caller's request takes the
+/// place of another one's.
+pub fn cancel_key(request: &Cancellation) -> Key {
+    let Cancellation { job, scope } = request;
+    let of_scope = match scope {
+        JobScope::All => String::new(),
+        JobScope::Team(name) => format!(".t{}", digest(name)),
+        JobScope::Queue(name) => format!(".q{}", digest(name)),
+    };
+    Key::new(JOBS, &job_part(job), &format!("{job}{CANCEL_SUFFIX}{of_scope}"))
 }
 
-/// Returns the job that a row of the table of jobs requests to cancel; `None` if the key is that of a job.
-pub fn cancelled_job(key: &str) -> Option<&str> {
-    key.strip_suffix(CANCEL_SUFFIX)
+/// Returns the value of the row of a request to cancel a job in this scope.
+pub fn cancel_value(scope: &JobScope) -> Vec<u8> {
+    serde_json::to_vec(scope).expect("a scope serialises to JSON")
+}
+
+/// Returns the request to cancel a job that a row of the table of jobs has; `None` if the row is that of a job.
+pub fn read_cancellation(row: &Row) -> Option<Cancellation> {
+    let (job, of_scope) = row.key.key.split_once(CANCEL_SUFFIX)?;
+    let scope = match of_scope.is_empty() {
+        // Former versions stored no scope.
+        true => JobScope::All,
+        false => serde_json::from_slice(&row.value)
+            .inspect_err(
+                |e| tracing::error!(event = "cancel-unreadable", key = %row.key.key, error = %e),
+            )
+            .unwrap_or(JobScope::Team(Name::default())),
+    };
+    Some(Cancellation { job: job.into(), scope })
+}
+
+fn digest(name: &str) -> String {
+    let digest = Sha256::digest(name.as_bytes());
+    digest.iter().take(DIGEST_BYTES).map(|it| format!("{it:02x}")).collect()
 }
 
 /// Returns the key of a row of a job's progress. The name of the first row is the job's id.
--- a/crates/site/tests/deleted_rows.rs
+++ b/crates/site/tests/deleted_rows.rs
@@ -1,5 +1,6 @@
 //! Rows that were deleted while a read of their table was under way.
 
+use fuchsiamill_fleet::{Cancellation, JobScope};
 use fuchsiamill_model::units::Moment;
 use fuchsiamill_platform::{Key, Row};
 use fuchsiamill_site::{
@@ -18,8 +19,12 @@
     Row { key, value: Vec::new(), version, is_removed: false }
 }
 
+fn cancel_key() -> Key {
+    tables::cancel_key(&Cancellation { job: JOB.into(), scope: JobScope::Team("north".into()) })
+}
+
 fn with_deleted_job() -> DeletedRows {
-    let keys = vec![tables::job_key(JOB), tables::cancel_key(JOB)];
+    let keys = vec![tables::job_key(JOB), cancel_key()];
     let mut rows = DeletedRows::default();
     rows.note(Deletion { keys, version: DELETED_AT }, CONFIRMED);
     rows
@@ -30,7 +35,7 @@
 fn row_read_before_its_deletion_is_deleted() {
     let rows = with_deleted_job();
     assert!(rows.is_deleted(&row(tables::job_key(JOB), DELETED_AT - 1)));
-    assert!(rows.is_deleted(&row(tables::cancel_key(JOB), DELETED_AT - 1)));
+    assert!(rows.is_deleted(&row(cancel_key(), DELETED_AT - 1)));
 }
 
 /// A job that is sent again after its rows were deleted, or a cancellation, would be lost.
@@ -38,7 +43,7 @@
 fn row_written_after_the_deletion_is_not_deleted() {
     let rows = with_deleted_job();
     assert!(!rows.is_deleted(&row(tables::job_key(JOB), DELETED_AT + 1)));
-    assert!(!rows.is_deleted(&row(tables::cancel_key(JOB), DELETED_AT + 1)));
+    assert!(!rows.is_deleted(&row(cancel_key(), DELETED_AT + 1)));
     assert!(!rows.is_deleted(&row(tables::job_key("91ab3c00d94b36f8"), DELETED_AT - 1)));
 }
 
