Keep a payload only if its job is certainly stored

Cause: an entry host keeps the payloads of posts whose outcome the store did not tell, under the id alone. The row of that id may be another job's: of another team, or of the same one with other work. Starts that the coordinator hands to this host were then sent with the wrong payload, so that the accepted work was not done. Change: a payload is kept if its insertion is confirmed. After an unknown outcome the coordinator sends the starts itself, as it does for hosts that have dropped a payload. Test seen failing: handed_calls unanswered_post_of_another_team_does_not_replace_the_payload, without the change, not within 30 s; with it, passed.

--- a/crates/daemon/tests/handed_calls.rs
+++ b/crates/daemon/tests/handed_calls.rs
@@ -8,9 +8,13 @@
     time::Duration,
 };
 
-use common::fleet::{Fleet, job};
+use common::{
+    fleet::{Fleet, OTHER_KEY, job},
+    wait_until,
+};
 use fuchsiamill_daemon::run::block_on;
 use fuchsiamill_peer::Link;
+use fuchsiamill_standin::{admin::RouteFault, fleet::RunRecord};
 use http::Method;
 use serde_json::{Value, json};
 
@@ -121,3 +125,24 @@
     let reply = hand_over(&fleet, &elsewhere, &task_of(&id, 3), TIME_LIMIT_MS);
     assert_eq!(reply["outcomes"], json!([{ "Replied": "Running" }]));
 }
+
+/// Another team's post of a known id, whose outcome the store did not tell, replaced the payload that starts are sent with.
+#[test]
+fn unanswered_post_of_another_team_does_not_replace_the_payload() {
+    let fleet = Fleet::start(1, 1);
+    let id = fleet.accept(&job(20, &[1]), PATIENCE).expect("accepted");
+    fleet.wait_state(&id, "completed");
+    fleet.store_fault(0, RouteFault::HoldBack);
+    let path = format!("/jobs/{id}");
+    let answer =
+        fleet.entries[0].send_to(Method::POST, &path, Some(&job(LONG_MS, &[1])), OTHER_KEY);
+    assert_eq!(answer.expect("an answer").status.as_u16(), 504);
+    fleet.store_fault(0, RouteFault::None);
+    let worker = Worker::of(&fleet, 0);
+    hand_over(&fleet, &worker, &task_of(&id, 1), TIME_LIMIT_MS);
+    wait_until("the run of the accepted job's payload ends", || {
+        let world = fleet.site.world();
+        let is_done = |it: &RunRecord| it.ended.as_ref().is_some_and(|it| it.1 == "done");
+        world.runs.iter().any(|it| it.task.ends_with(".0.1") && is_done(it))
+    });
+}
--- a/crates/site/src/front/mod.rs
+++ b/crates/site/src/front/mod.rs
@@ -216,7 +216,8 @@
             took_ms = self.clock.now().since(begun),
             store_heard_ms = self.store.since_last_answer().map(|it| it.as_millis() as u64),
         );
-        if matches!(outcome, Inserted::Stored | Inserted::Unknown) {
+        // After another outcome the job of this id may be another one.
+        if outcome == Inserted::Stored {
             self.payloads.borrow_mut().keep(id, &spec);
         }
         match outcome {
