--- a/crates/fleet/tests/foreign_cancels.rs
+++ b/crates/fleet/tests/foreign_cancels.rs
@@ -79,3 +79,11 @@
     assert!(scopes.contains(&JobScope::Queue("jobs".into())));
     assert_eq!(bench.coordinator.take_expired_cancels(bench.now, 10), [by_team("south")]);
 }
+
+/// Without a team only the queue tells whose job it is: its caller could not see the job at the other queue.
+#[test]
+fn post_without_a_team_to_another_queue_is_no_repeat() {
+    assert!(posted("", "open").is_repeated_by(&posted("", "open")));
+    assert!(!posted("", "open").is_repeated_by(&posted("", "other")));
+    assert!(posted("north", "open").is_repeated_by(&posted("north", "other")));
+}
