Bound the memory that bodies of callers' requests take together

Cause: an entry host reads bodies of up to 4 MB from up to 2,000 connections, of anybody. Change: the largest body is four times the largest row, which a job has to fit in. Bodies of more than 8 KB that are under way count up to 16 MB together, from the head to the answer; beyond that a request is refused at once with 503. Test seen failing: large_bodies, on: 222,088 KiB at the peak with 100 unfinished bodies of 2 MB, for a bound of 163,840. held_bodies guards the common bound; it does not compile without the change. Measured: large_bodies and held_bodies passed, fleet_path, small_limits, bounded_exchange and paused_connects too.

--- a/crates/daemon/src/caller/problem.rs
+++ b/crates/daemon/src/caller/problem.rs
@@ -59,5 +59,9 @@
             Problem::not_run(ProblemKind::Overloaded, "Too many connections are open.")
                 .retry_after(MS_PER_SECOND)
         }
+        Malformed::Overloaded => {
+            Problem::not_run(ProblemKind::Overloaded, "Too many large requests are under way.")
+                .retry_after(MS_PER_SECOND)
+        }
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -185,6 +185,7 @@
     Bounds {
         head_bytes: callers.head_bytes,
         body_bytes: callers.body_bytes,
+        held_body_bytes: usize::MAX,
         head_time: Duration::from_millis(callers.head_ms),
         body_time: Duration::from_millis(callers.body_ms),
         idle_time: Duration::from_millis(callers.idle_ms),
--- a/crates/http/src/bounds.rs
+++ b/crates/http/src/bounds.rs
@@ -9,6 +9,9 @@
     pub head_bytes: usize,
     /// The largest body, in bytes.
     pub body_bytes: usize,
+    /// The most bytes of bodies that all connections of a server hold together, from their heads to their answers. Bodies of
+    /// up to 8 KiB are not counted.
+    pub held_body_bytes: usize,
     /// The longest time for a head, from its first byte.
     pub head_time: Duration,
     /// The longest time for a body, from the end of its head.
@@ -24,6 +27,7 @@
         Self {
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
+            held_body_bytes: usize::MAX,
             head_time: Duration::from_secs(10),
             body_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(60),
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -17,6 +17,8 @@
     Cut,
     /// The bound on connections is reached.
     TooManyConnections,
+    /// The bound on the bytes of bodies that the server holds is reached.
+    Overloaded,
 }
 
 /// Why an exchange with a server gave no whole answer.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod error;
 pub mod framing;
+mod held;
 pub mod json;
 pub mod message;
 pub mod progress;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,6 +14,7 @@
 use crate::{
     bounds::Bounds,
     error::Malformed,
+    held::HeldBytes,
     message::{Request, Response},
 };
 
@@ -30,7 +31,9 @@
         let status = match malformed {
             Malformed::Idle | Malformed::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Malformed::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Malformed::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
+            Malformed::TooManyConnections | Malformed::Overloaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Malformed::Garbage | Malformed::Cut => StatusCode::BAD_REQUEST,
         };
         Response::empty(status)
@@ -116,13 +119,15 @@
     bounds: Bounds,
     handler: Rc<H>,
     open: Rc<Cell<usize>>,
+    held: Rc<HeldBytes>,
 }
 
 impl<H: Handler + 'static> Server<H> {
     /// Binds `addr`; port 0 takes a free port.
     pub fn bind(addr: SocketAddr, bounds: Bounds, handler: Rc<H>) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
-        Ok(Self { listener, bounds, handler, open: Rc::default() })
+        let held = HeldBytes::new(bounds.held_body_bytes);
+        Ok(Self { listener, bounds, handler, open: Rc::default(), held })
     }
 
     /// The bound address.
@@ -155,7 +160,8 @@
         let _ = stream.set_nodelay(true);
         let open = Open::new(self.open.clone());
         self.handler.accepted(open.count());
-        let connection = ServerConnection::new(stream, peer, self.bounds, self.handler.clone());
+        let (handler, held) = (self.handler.clone(), self.held.clone());
+        let connection = ServerConnection::new(stream, peer, self.bounds, handler, held);
         if open.count() > self.bounds.connections {
             monoio::spawn(async move {
                 let _open = open;
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -32,6 +32,7 @@
     budget::{BoundedRead, ReadBudget},
     error::Malformed,
     framing::{Framing, framing, strip_hop_by_hop},
+    held::{HeldBytes, Reservation},
     message::{Request, Response},
 };
 
@@ -53,7 +54,7 @@
 }
 
 enum Received {
-    Request(Request),
+    Request(Request, Reservation),
     Refused(Malformed),
     Closed,
 }
@@ -65,14 +66,21 @@
     bounds: Bounds,
     handler: Rc<H>,
     peer: SocketAddr,
+    held: Rc<HeldBytes>,
 }
 
 impl<H: Handler> ServerConnection<H> {
-    pub(super) fn new(stream: TcpStream, peer: SocketAddr, bounds: Bounds, handler: Rc<H>) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        bounds: Bounds,
+        handler: Rc<H>,
+        held: Rc<HeldBytes>,
+    ) -> Self {
         let (read, write) = stream.into_split();
         let budget = ReadBudget::new(bounds);
         let decoder = RequestDecoder::new(BoundedRead::new(read, budget.clone()));
-        Self { decoder, encoder: GenericEncoder::new(write), budget, bounds, handler, peer }
+        Self { decoder, encoder: GenericEncoder::new(write), budget, bounds, handler, peer, held }
     }
 
     pub(super) async fn refuse_whole(mut self, malformed: Malformed) {
@@ -103,8 +111,9 @@
                     }
                 }
             };
-            let request = match self.receive(raw).await {
-                Received::Request(request) => request,
+            // The bytes of the body count until its answer is sent.
+            let (request, _held) = match self.receive(raw).await {
+                Received::Request(request, held) => (request, held),
                 Received::Refused(malformed) => return self.refuse_whole(malformed).await,
                 Received::Closed => return,
             };
@@ -130,20 +139,25 @@
                 };
             }
         };
-        match framing(raw.headers()) {
+        let bytes = match framing(raw.headers()) {
             Framing::Ambiguous => return Received::Refused(Malformed::Garbage),
             Framing::Length(bytes) if bytes > self.bounds.body_bytes => {
                 return Received::Refused(Malformed::TooLarge);
             }
-            _ => {}
-        }
+            Framing::Length(bytes) => bytes,
+            Framing::Chunked => self.bounds.body_bytes,
+            Framing::Undelimited => 0,
+        };
+        let Some(held) = self.held.reserve(bytes) else {
+            return Received::Refused(Malformed::Overloaded);
+        };
         if expects_continue(&raw) && self.send_continue().await.is_err() {
             return Received::Closed;
         }
-        self.read_body(raw).await
+        self.read_body(raw, held).await
     }
 
-    async fn read_body(&mut self, raw: RawRequest) -> Received {
+    async fn read_body(&mut self, raw: RawRequest, held: Reservation) -> Received {
         self.budget.start_body(self.bounds.body_time);
         let (head, payload) = raw.into_parts();
         let fill = pin!(self.decoder.fill_payload());
@@ -158,7 +172,8 @@
         }
         let target =
             head.uri.path_and_query().map_or_else(|| head.uri.to_string(), |it| it.to_string());
-        Received::Request(Request { method: head.method, target, headers: head.headers, body })
+        let request = Request { method: head.method, target, headers: head.headers, body };
+        Received::Request(request, held)
     }
 
     async fn answer(&mut self, request: Request) -> (Response, Ahead) {
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -72,6 +72,14 @@
 /// The most concurrent connections of callers.
 const MAX_CALLER_CONNECTIONS: usize = 2_000;
 
+/// The largest body of a caller's request, as a multiple of the largest row: a job is stored in one row, in a form that is
+/// hardly smaller than its body.
+const BODY_BYTES_PER_ROW_BYTE: usize = 4;
+
+/// The most bytes of bodies that are held for all callers together. Each takes several times its length while it is decoded
+/// and stored, and the smallest entry hosts have 160 MB.
+const MAX_HELD_BODY_BYTES: usize = 16 * 1024 * 1024;
+
 /// A running entry host.
 pub struct Entry {
     is_stopping: Rc<Cell<bool>>,
@@ -195,7 +203,12 @@
             cancellations,
             admission,
         };
-        let bounds = Bounds { connections: MAX_CALLER_CONNECTIONS, ..Bounds::default() };
+        let bounds = Bounds {
+            connections: MAX_CALLER_CONNECTIONS,
+            body_bytes: settings.row_bytes * BODY_BYTES_PER_ROW_BYTE,
+            held_body_bytes: MAX_HELD_BODY_BYTES,
+            ..Bounds::default()
+        };
         let server = Server::bind(settings.callers, bounds, Rc::new(front))
             .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
         let (stop, shutdown) = shutdown_pair();
