Purge cancellations beside another team's job, and read records and rows of other versions safely

(1) A cancellation whose id is another team's job is kept, and with it, for as long as that job lasts, all others of its transaction: their rows were never deleted. (2) A coordinator of a former version does not know the key of a scoped cancellation, so that an acknowledged cancellation did not hold while versions are mixed. (3) The record of a former job of an id may outlast it and gave its stage to another team's job. (4) A row of an unknown scope counted as that of jobs without a team. Change: a purge leaves out the cancellations whose jobs are there and goes on with the others. A cancellation whose job was read has the key that all versions know; only one that comes before its job has a key of its scope. A record of another team is not used. A row that cannot be read is logged and applies to nothing. cancel-of-another has the owner.

--- a/crates/daemon/tests/foreign_calls.rs
+++ b/crates/daemon/tests/foreign_calls.rs
@@ -70,7 +70,7 @@
     fleet.wait_state(ID, "completed");
 }
 
-/// A cancellation that comes before its job holds for the jobs of its own team, also beside one of another team.
+/// A cancellation that came before its job was lost beside one of another team.
 #[test]
 fn early_cancellation_cancels_a_job_of_its_own_team() {
     let fleet = fleet();
@@ -81,7 +81,7 @@
     assert!(fleet.site.world().runs.is_empty());
 }
 
-/// An early cancellation holds for a job of its own open queue, and after a takeover.
+/// An early cancellation at an open queue was lost in a takeover.
 #[test]
 fn early_cancellation_at_an_open_queue_cancels_its_job() {
     let fleet = fleet();
--- a/crates/daemon/tests/many_expired.rs
+++ b/crates/daemon/tests/many_expired.rs
@@ -8,9 +8,10 @@
 };
 
 use common::{
-    fleet::{Fleet, job},
+    fleet::{Fleet, OTHER_KEY, job, lasting_job},
     wait_until,
 };
+use fuchsiamill_site::tables;
 use http::Method;
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -100,3 +101,27 @@
     let left = fleet.site.world().rows.keys("jobs");
     assert!(left.is_empty(), "{left:?}");
 }
+
+/// The cancellation of an id that was another team's job kept all others of its partition from being deleted.
+#[test]
+fn cancellation_beside_another_teams_job_keeps_others_from_being_deleted() {
+    const ID: &str = "5c0e7a21d94b3603";
+    let fleet = Fleet::start_with(2, 2, "status-s = 1\n", |_| {});
+    let ids = (0u64..).map(|it| format!("{it:016x}"));
+    let others: Vec<String> =
+        ids.filter(|it| tables::job_part(it) == tables::job_part(ID)).take(4).collect();
+    for id in others.iter().map(String::as_str).chain([ID]) {
+        let path = format!("/jobs/{id}");
+        let answer = fleet.entries[0].send_to(Method::DELETE, &path, None, OTHER_KEY);
+        assert_eq!(answer.expect("an answer").status.as_u16(), 410);
+    }
+    let posted = fleet.entries[0].post(ID, &lasting_job(1, 500)).expect("an answer");
+    assert!(posted.status.is_success());
+    // A takeover gives all cancellations the same age.
+    fleet.entries[fleet.wait_coordinator()].replace(false);
+    fleet.wait_ready();
+    thread::sleep(KEPT);
+    let left = fleet.site.world().rows.keys("jobs");
+    let left: Vec<_> = left.iter().filter(|it| !it.contains(ID)).collect();
+    assert!(left.is_empty(), "{left:?}");
+}
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -114,6 +114,9 @@
     /// their own row is stored.
     pub fn merge(rows: &[(u32, JobRecord)], spec: &JobSpec) -> Option<JobRecord> {
         let first = rows.iter().find(|it| it.0 == 0).map(|it| &it.1);
+        if first.is_some_and(|it| !it.may_be_of(&spec.team)) {
+            return None;
+        }
         let mut merged = JobRecord {
             stage: first.map_or_else(Stage::default, |it| it.stage),
             ended_ms: first.map_or(0, |it| it.ended_ms),
@@ -130,6 +133,12 @@
         (!rows.is_empty()).then_some(merged)
     }
 
+    /// Returns whether the record may be that of a job of this team. The record of a former job of the same id may outlast
+    /// its job; former versions noted no team.
+    pub fn may_be_of(&self, team: &Name) -> bool {
+        self.team.is_empty() || self.team == *team
+    }
+
     /// Returns a bound of the size of the stored form in bytes.
     pub fn size_bound(&self) -> usize {
         let of_task = |it: &TaskRecord| {
--- a/crates/fleet/src/scope.rs
+++ b/crates/fleet/src/scope.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum JobScope {
-    /// All jobs. Only cancellations that former versions stored have this scope.
+    /// All jobs. Former versions stored cancellations without a scope.
     #[default]
     All,
     /// The jobs of a team.
--- a/crates/fleet/tests/foreign_cancels.rs
+++ b/crates/fleet/tests/foreign_cancels.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Bench, job, starts, step, stops, worker};
-use fuchsiamill_fleet::{Cancellation, JobScope, JobSpec, Stage, Timing};
+use fuchsiamill_fleet::{Cancellation, JobRecord, JobScope, JobSpec, Stage, Timing};
 
 fn request(scope: JobScope) -> Cancellation {
     Cancellation { job: "j".into(), scope }
@@ -40,7 +40,7 @@
     assert_eq!(starts(&bench.step()).len(), 1);
 }
 
-/// It must hold for a job of its own team although another team has cancelled the same id too.
+/// A cancellation was lost if another team had cancelled the same id before its job came.
 #[test]
 fn early_cancellation_applies_beside_another_teams() {
     for scope in [JobScope::Team("north".into()), JobScope::Queue("open".into()), JobScope::All] {
@@ -53,7 +53,7 @@
     }
 }
 
-/// A cancellation that is read after the job of another team cancelled it.
+/// A cancellation that was read after another team's job cancelled that job.
 #[test]
 fn late_cancellation_does_not_apply_to_another_teams_job() {
     let mut bench = bench();
@@ -87,3 +87,13 @@
     assert!(!posted("", "open").is_repeated_by(&posted("", "other")));
     assert!(posted("north", "open").is_repeated_by(&posted("north", "other")));
 }
+
+/// The record of a former job of the same id, which may outlast it, ended another team's job.
+#[test]
+fn record_of_another_teams_job_does_not_end_a_job() {
+    let record =
+        JobRecord { stage: Stage::Completed, team: "north".into(), ..JobRecord::default() };
+    let rows = [(0, record)];
+    assert!(JobRecord::merge(&rows, &posted("south", "jobs")).is_none());
+    assert!(JobRecord::merge(&rows, &posted("north", "jobs")).is_some());
+}
--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -54,17 +54,20 @@
                 return Response::empty(StatusCode::INTERNAL_SERVER_ERROR);
             }
         };
-        let stage = record.as_ref().map_or(Stage::Queued, |it| it.stage);
         let is_own = |it: &JobRecord| {
             !it.team.is_empty() && scopes.contains(&JobScope::Team(it.team.clone()))
         };
         // The record names the team only; the queue is in the row of the job.
-        if record.is_some_and(|it| is_own(&it)) {
-            return state_reply(stage);
+        if let Some(own) = record.as_ref().filter(|it| is_own(it)) {
+            return state_reply(own.stage);
         }
         match self.read_row(&tables::job_key(id), deadline).await {
             None => self.store_unavailable(),
-            Some(Some(row)) if scope_of(&row, scopes).is_some() => state_reply(stage),
+            Some(Some(row)) if scope_of(&row, scopes).is_some() => {
+                let team = owner_of(&row).unwrap_or_default().team;
+                let own = record.filter(|it| it.may_be_of(&team));
+                state_reply(own.map_or(Stage::Queued, |it| it.stage))
+            }
             Some(_) => Response::empty(StatusCode::GONE),
         }
     }
@@ -84,11 +87,15 @@
             None => scopes.first(),
         };
         let Some(scope) = scope else {
-            tracing::info!(event = "cancel-of-another", job = %id, scopes = ?scopes);
+            let owner = job.as_ref().and_then(owner_of);
+            tracing::info!(event = "cancel-of-another", job = %id, scopes = ?scopes, owner = ?owner);
             return Response::empty(StatusCode::GONE);
         };
         let request = Cancellation { job: id.clone(), scope: scope.clone() };
-        let key = tables::cancel_key(&request);
+        let key = match &job {
+            Some(_) => tables::cancel_key_of_job(id),
+            None => tables::cancel_key(&request),
+        };
         let outcome = self.insert(key, tables::cancel_value(scope), limits).await;
         let outcome_label = super::outcome_label(&outcome);
         tracing::info!(event = "cancel-asked", job = %id, scope = ?scope, outcome = outcome_label);
@@ -195,9 +202,13 @@
 
 /// Returns the first scope that the job in a row is in.
 fn scope_of<'a>(row: &Row, scopes: &'a [JobScope]) -> Option<&'a JobScope> {
-    let spec = serde_json::from_slice::<JobSpec>(&row.value)
-        .inspect_err(|e| tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e))
-        .ok()?;
-    let owner = JobOwner::from(&spec);
+    let owner = owner_of(row)?;
     scopes.iter().find(|it| it.includes(&owner))
 }
+
+/// Returns whose job is in a row; `None` if the row cannot be decoded.
+fn owner_of(row: &Row) -> Option<JobOwner> {
+    let spec = serde_json::from_slice::<JobSpec>(&row.value)
+        .inspect_err(|e| tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e));
+    spec.ok().map(|it| JobOwner::from(&it))
+}
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -38,8 +38,8 @@
 /// most [`MAX_TX_ENTRIES`] entries.
 const MAX_PURGED_JOBS: usize = 24;
 
-/// The most cancellations without a job that are purged at once: a condition and a row each.
-const MAX_PURGED_CANCELS: usize = 40;
+/// The most cancellations without a job that are purged at once: a condition and two rows each.
+const MAX_PURGED_CANCELS: usize = 30;
 
 impl Leader {
     /// Begins a transaction if there is something to store or the lease has to be renewed.
@@ -184,26 +184,15 @@
             let (mut deleted, mut deletions) = (Vec::new(), Vec::new());
             for part in tables::job_parts() {
                 let own = expired.iter().filter(|it| tables::job_part(&it.job) == part.as_str());
-                let own: Vec<Cancellation> = own.cloned().collect();
-                if own.is_empty() {
-                    continue;
-                }
-                let tx = Tx {
-                    expected: absent_jobs(&own),
-                    drops: own.iter().map(tables::cancel_key).collect(),
-                    ..Tx::default()
-                };
-                match store.commit(&tx).await {
-                    Ok(TxAnswer::Done { version, .. }) => {
-                        tracing::info!(event = "cancels-purged", jobs = own.len());
-                        deletions.push(Deletion { keys: tx.drops, version });
-                        deleted.extend(own);
-                    }
-                    Ok(TxAnswer::Conflict { .. }) => {
-                        tracing::info!(event = "cancels-kept", jobs = own.len());
+                match delete_cancels(&store, own.cloned().collect()).await {
+                    Ok(Some((requests, deletion))) => {
+                        tracing::info!(event = "cancels-purged", jobs = requests.len());
+                        deletions.push(deletion);
+                        deleted.extend(requests);
                     }
+                    Ok(None) => {}
                     Err(e) => {
-                        tracing::warn!(event = "purge-failed", jobs = own.len(), error = %e);
+                        tracing::warn!(event = "purge-failed", part = %part, error = %e);
                     }
                 }
             }
@@ -241,6 +230,36 @@
     }
 }
 
+/// Deletes the rows of cancellations, all of one partition, but for those whose jobs are there. Returns the requests whose
+/// rows are deleted, or `None` if all jobs are there.
+async fn delete_cancels(
+    store: &Store,
+    mut requests: Vec<Cancellation>,
+) -> fuchsiamill_platform::Result<Option<(Vec<Cancellation>, Deletion)>> {
+    while !requests.is_empty() {
+        // A request that was stored beside its job has the other key.
+        let keys = |it: &Cancellation| [tables::cancel_key(it), tables::cancel_key_of_job(&it.job)];
+        let drops: FastSet<Key> = requests.iter().flat_map(keys).collect();
+        let drops = drops.into_iter().collect();
+        let tx = Tx { expected: absent_jobs(&requests), drops, ..Tx::default() };
+        match store.commit(&tx).await? {
+            TxAnswer::Done { version, .. } => {
+                return Ok(Some((requests, Deletion { keys: tx.drops, version })));
+            }
+            TxAnswer::Conflict { rows } => {
+                let there: FastSet<Name> = rows.into_iter().map(|it| it.key.key).collect();
+                let all = requests.len();
+                requests.retain(|it| !there.contains(&it.job));
+                tracing::info!(event = "cancels-kept", jobs = all - requests.len());
+                if requests.len() == all {
+                    break;
+                }
+            }
+        }
+    }
+    Ok(None)
+}
+
 /// Returns the conditions that none of the jobs is there. A job may have cancellations of several scopes.
 fn absent_jobs(requests: &[Cancellation]) -> Vec<(Key, u64)> {
     let jobs: FastSet<&Name> = requests.iter().map(|it| &it.job).collect();
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -158,8 +158,11 @@
         return;
     }
     let now = cx.clock.now();
-    if let Some(request) = tables::read_cancellation(row) {
-        coordinator.cancel_in_scope(&request, now);
+    if tables::is_cancellation(&row.key.key) {
+        match tables::read_cancellation(row) {
+            Ok(request) => coordinator.cancel_in_scope(&request, now),
+            Err(e) => tracing::error!(event = "cancel-unreadable", key = %row.key.key, error = %e),
+        }
         return;
     }
     match serde_json::from_slice::<JobSpec>(&row.value) {
--- a/crates/site/src/tables.rs
+++ b/crates/site/src/tables.rs
@@ -37,11 +37,19 @@
     Key::new(JOBS, &job_part(id), id)
 }
 
+/// What former versions stored in the row of a request to cancel a job.
+const NO_SCOPE: &[u8] = b"{}";
+
 /// The bytes of a digest that stand in a key. Names of teams and queues have any length, keys at most 200 bytes.
 const DIGEST_BYTES: usize = 12;
 
-/// Returns the key of a request to cancel a job. Each scope has a row of its own, so that no caller's request takes the
-/// place of another one's.
+/// Returns the key of a request to cancel a job that was read. Former versions use it for all requests, and know no other.
+pub fn cancel_key_of_job(id: &str) -> Key {
+    cancel_key(&Cancellation { job: id.into(), scope: JobScope::All })
+}
+
+/// Returns the key of a request to cancel a job that may still come. Each scope has a row of its own, so that no caller's
+/// request takes the place of another one's.
 pub fn cancel_key(request: &Cancellation) -> Key {
     let Cancellation { job, scope } = request;
     let of_scope = match scope {
@@ -57,19 +65,24 @@
     serde_json::to_vec(scope).expect("a scope serialises to JSON")
 }
 
-/// Returns the request to cancel a job that a row of the table of jobs has; `None` if the row is that of a job.
-pub fn read_cancellation(row: &Row) -> Option<Cancellation> {
-    let (job, of_scope) = row.key.key.split_once(CANCEL_SUFFIX)?;
-    let scope = match of_scope.is_empty() {
-        // Former versions stored no scope.
+/// Returns whether a key of the table of jobs is that of a request to cancel a job.
+pub fn is_cancellation(key: &str) -> bool {
+    key.contains(CANCEL_SUFFIX)
+}
+
+/// Reads a request to cancel a job.
+///
+/// # Errors
+///
+/// Fails if the value has no scope that this version knows. Former versions stored `{}`, which stands for all jobs.
+pub fn read_cancellation(row: &Row) -> serde_json::Result<Cancellation> {
+    let key = &row.key.key;
+    let job = key.split_once(CANCEL_SUFFIX).map_or(key.as_str(), |it| it.0).into();
+    let scope = match row.value == NO_SCOPE {
         true => JobScope::All,
-        false => serde_json::from_slice(&row.value)
-            .inspect_err(
-                |e| tracing::error!(event = "cancel-unreadable", key = %row.key.key, error = %e),
-            )
-            .unwrap_or(JobScope::Team(Name::default())),
+        false => serde_json::from_slice(&row.value)?,
     };
-    Some(Cancellation { job: job.into(), scope })
+    Ok(Cancellation { job, scope })
 }
 
 fn digest(name: &str) -> String {
--- a/crates/site/tests/answered_cancellations.rs
+++ b/crates/site/tests/answered_cancellations.rs
@@ -39,6 +39,7 @@
     assert!(cancellations.contains(&"1".into(), None, BEGIN));
 }
 
+/// A team that cancelled an id kept the starts of another team's job of that id from being sent.
 #[test]
 fn cancellation_by_another_team_blocks_no_starts() {
     let mut cancellations = Cancellations::default();
