Keep a job's state for what has run, not for all its tasks

Cause: the coordinator made an entry of some 200 bytes or more for each task of each step of each due occurrence when it learned of a job, and one for each done task when it read the progress after a takeover. One accepted job of 130 steps of 10,000 tasks took each coordinator in turn over its memory; jobs of other client accounts, accepted with 200, never started. A body of 138 bytes with a million due occurrences did the same.

Change: Tasks keeps one bit a task of a step that has begun, and an entry only for tasks that have run and are not done. Steps that are done keep no tasks, occurrences that are done no steps. Due occurrences are opened as long as the open ones have at most 1,024 steps together, the next ones as earlier ones are done. JobRecord has done tasks as ranges, in memory as in the stored form, which is unchanged. Placement walks open occurrences only and counts live tasks without a walk over all of them.

Tests: wide_records.rs reads all_tasks() instead of tasks, since done tasks are ranges now; what it asserts is the same. Records are compared by what they tell of each task.

--- a/crates/fleet/src/coordinator/admission.rs
+++ b/crates/fleet/src/coordinator/admission.rs
@@ -3,7 +3,7 @@
 use fuchsiamill_model::units::{Millisecond, Moment};
 
 use super::{
-    Coordinator, Host, Job, Task, Tier,
+    Coordinator, Host, Job, Tier,
     demand::Load,
     limits::EXCESS_WINDOW_MS,
     pool_view::{PoolView, Views},
@@ -70,10 +70,10 @@
         let is_late = job.tier == Tier::Late;
         let is_worthless = is_late && self.is_worthless(job, now);
         let (mut left, mut ahead) = (0u64, 0u64);
-        for (k, run) in job.occurrences.iter().enumerate() {
+        for (k, run) in job.open_occurrences() {
             for (s, step) in run.steps.iter().enumerate().filter(|it| !it.1.is_done()) {
                 let spec = &job.spec.steps[s];
-                let live = step.tasks.iter().filter_map(Task::live).count() as u64;
+                let live = u64::from(step.tasks.live());
                 let running = Load::of(spec.room(), live);
                 if is_standing {
                     view.standing_runs = view.standing_runs.plus(running);
--- a/crates/fleet/src/coordinator/gang.rs
+++ b/crates/fleet/src/coordinator/gang.rs
@@ -35,7 +35,8 @@
     /// Returns the newest checkpoint of a gang; after a takeover, which has no order of them, that of any member.
     fn gang_checkpoint(&self) -> Name {
         let newest = self.gang_checkpoints.seen.last();
-        let stored = || self.tasks.iter().map(|it| &it.checkpoint).find(|it| !it.is_empty());
+        let saved = || self.tasks.known().filter(|it| !it.1.checkpoint.is_empty());
+        let stored = || saved().min_by_key(|it| it.0).map(|it| &it.1.checkpoint);
         newest.or_else(stored).cloned().unwrap_or_default()
     }
 }
@@ -66,6 +67,6 @@
         let Some(job) = self.jobs.get_mut(job) else { return };
         let step = job.step_mut(occurrence, step);
         let checkpoint = step.gang_checkpoint();
-        step.tasks.iter_mut().for_each(|it| it.checkpoint = checkpoint.clone());
+        step.tasks.set_checkpoints(&checkpoint);
     }
 }
--- a/crates/fleet/src/coordinator/hosts/evacuation.rs
+++ b/crates/fleet/src/coordinator/hosts/evacuation.rs
@@ -200,10 +200,11 @@
     /// Returns whether a task may be stopped together with so many others of its step that are at work.
     pub fn may_stop_beside(&self, id: &TaskId, beside: u32, now: Moment) -> bool {
         let step_spec = &self.spec.steps[id.step as usize];
-        let is_away = |it: &Task| !it.live().is_some_and(|live| live.is_serving(now));
+        let is_serving = |it: &Task| it.live().is_some_and(|live| live.is_serving(now));
         let tasks = &self.occurrences[id.occurrence as usize].steps[id.step as usize].tasks;
-        let others = tasks.iter().enumerate().filter(|it| it.0 != id.index as usize);
-        let away = others.filter(|it| is_away(it.1)).count() as u32;
+        let others = tasks.known().filter(|it| it.0 != id.index);
+        let serving = others.filter(|it| is_serving(it.1)).count() as u32;
+        let away = tasks.count().saturating_sub(1) - serving;
         !step_spec.long_running || away + beside < step_spec.max_unavailable.unwrap_or(1)
     }
 }
--- a/crates/fleet/src/coordinator/hosts/pace.rs
+++ b/crates/fleet/src/coordinator/hosts/pace.rs
@@ -55,7 +55,7 @@
     fn waiting_tasks(&self, step: &StepKey) -> u32 {
         let job = self.jobs.get(&step.job);
         let run = job.and_then(|it| it.occurrences.get(step.occurrence as usize));
-        run.map_or(0, |it| it.steps[step.step as usize].waiting)
+        run.and_then(|it| it.steps.get(step.step as usize)).map_or(0, |it| it.waiting)
     }
 
     fn max_unavailable(&self, step: &StepKey) -> u32 {
--- a/crates/fleet/src/coordinator/job.rs
+++ b/crates/fleet/src/coordinator/job.rs
@@ -4,10 +4,8 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment, WallTime};
 
-use super::{
-    LiveRun, Phase, Tier, Wait, WaitReason, gang::GangCheckpoints, health::RunningMean, live::Speed,
-};
-use crate::{JobRecord, JobSpec, Name, RECORD_TASKS, Stage, TaskId, TaskRecord};
+use super::{LiveRun, Tasks, Tier, Wait, WaitReason, gang::GangCheckpoints, health::RunningMean};
+use crate::{JobSpec, Name, Stage, TaskId};
 
 /// A job that has not ended, or whose last runs are being stopped.
 #[derive(Clone, Debug)]
@@ -24,8 +22,12 @@
     pub excess: bool,
     /// Its tier in the last placement that looked at it.
     pub tier: Tier,
-    /// Occurrences that are due, by number.
+    /// Occurrences that were opened, by number.
     pub occurrences: Vec<Occurrence>,
+    /// The number of occurrences that are done and have no runs.
+    pub closed: u32,
+    /// The number of the first occurrence that is not closed.
+    pub first_open: usize,
     /// The number of tasks that may be on a worker.
     pub live: u32,
     /// The number of tasks that wait for a worker, including those whose step may not run yet.
@@ -41,7 +43,7 @@
 /// One pass through a job's steps.
 #[derive(Clone, Debug)]
 pub struct Occurrence {
-    /// The steps, in the order of the specification.
+    /// The steps, in the order of the specification; none once all are done and have no runs.
     pub steps: Vec<StepRun>,
 }
 
@@ -49,7 +51,7 @@
 #[derive(Clone, Debug)]
 pub struct StepRun {
     /// The tasks, by index.
-    pub tasks: Vec<Task>,
+    pub tasks: Tasks,
     /// The number of tasks that are done.
     pub done: u32,
     /// The number of tasks that wait for a worker.
@@ -105,10 +107,20 @@
     }
 }
 
+/// The most steps of open occurrences of one job, unless a single occurrence has more. Each takes some 200 bytes before one of
+/// its tasks has run; the occurrences that are due beyond them are opened as earlier ones are done.
+const MAX_OPEN_STEPS: usize = 1_024;
+
+impl Occurrence {
+    fn is_closed(&self) -> bool {
+        self.steps.is_empty()
+    }
+}
+
 impl StepRun {
     fn new(count: u32) -> Self {
         Self {
-            tasks: vec![Task::default(); count as usize],
+            tasks: Tasks::new(count),
             done: 0,
             waiting: count,
             durations: RunningMean::default(),
@@ -125,7 +137,7 @@
 
     /// Returns whether every task is done.
     pub fn is_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
+        self.done == self.tasks.count()
     }
 }
 
@@ -142,6 +154,8 @@
             excess: false,
             tier,
             occurrences: Vec::new(),
+            closed: 0,
+            first_open: 0,
             live: 0,
             waiting: 0,
             has_begun: false,
@@ -150,7 +164,7 @@
         }
     }
 
-    /// Opens the occurrences that are due.
+    /// Opens the occurrences that are due, as long as the open ones have no more than [`MAX_OPEN_STEPS`] steps together.
     pub fn open_due(&mut self, wall: WallTime) {
         let due = match self.spec.schedule {
             None => 1,
@@ -160,12 +174,46 @@
                 passed.min(it.times.into()) as usize
             }
         };
-        while self.occurrences.len() < due {
+        let most = (MAX_OPEN_STEPS / self.spec.steps.len().max(1)).max(1);
+        while self.occurrences.len() < due && self.open_count() < most {
             self.open_next();
         }
     }
 
-    fn open_next(&mut self) {
+    fn open_count(&self) -> usize {
+        self.occurrences.len() - self.closed as usize
+    }
+
+    /// Returns the occurrences that may have work left, with their numbers.
+    pub fn open_occurrences(&self) -> impl Iterator<Item = (usize, &Occurrence)> {
+        let opened = self.occurrences.iter().enumerate().skip(self.first_open);
+        opened.filter(|it| !it.1.is_closed())
+    }
+
+    /// Releases what is kept of a step, and of its occurrence, if they are done and have no runs.
+    pub(super) fn close_done(&mut self, occurrence: usize, step: usize) {
+        let run = &mut self.occurrences[occurrence];
+        let step = &mut run.steps[step];
+        if !step.is_done() || step.tasks.live() > 0 {
+            return;
+        }
+        step.tasks.close();
+        if run.steps.iter().all(|it| it.tasks.is_over()) {
+            run.steps = Vec::new();
+            self.closed += 1;
+            let later = self.occurrences[self.first_open..].iter();
+            self.first_open += later.take_while(|it| it.is_closed()).count();
+        }
+    }
+
+    /// Returns about how many bytes the job's state takes besides its specification.
+    pub fn state_bytes(&self) -> usize {
+        let steps = self.occurrences.iter().flat_map(|it| &it.steps);
+        let tasks: usize = steps.map(|it| size_of::<StepRun>() + it.tasks.heap_bytes()).sum();
+        size_of::<Self>() + self.occurrences.capacity() * size_of::<Occurrence>() + tasks
+    }
+
+    pub(super) fn open_next(&mut self) {
         let steps = self.spec.steps.iter().map(|it| StepRun::new(it.count)).collect();
         self.waiting += self.spec.steps.iter().map(|it| it.count).sum::<u32>();
         self.occurrences.push(Occurrence { steps });
@@ -175,7 +223,7 @@
     pub fn is_done(&self) -> bool {
         let expected = self.spec.schedule.map_or(1, |it| it.times as usize);
         self.occurrences.len() == expected
-            && self.occurrences.iter().all(|it| it.steps.iter().all(StepRun::is_done))
+            && self.open_occurrences().all(|it| it.1.steps.iter().all(StepRun::is_done))
     }
 
     /// Returns whether the tasks of a step may run: all steps that it depends on are done.
@@ -192,7 +240,7 @@
     /// Returns the occurrence and step numbers of the steps that may run and have waiting tasks.
     pub fn open_steps(&self) -> Vec<(usize, usize)> {
         let mut open = Vec::new();
-        for (k, run) in self.occurrences.iter().enumerate() {
+        for (k, run) in self.open_occurrences() {
             for (s, step) in run.steps.iter().enumerate() {
                 if step.waiting > 0 && self.is_open(k, s) {
                     open.push((k, s));
@@ -202,7 +250,7 @@
         open
     }
 
-    /// Returns one step of one occurrence, which must exist.
+    /// Returns one step of one occurrence, which must exist and not be closed.
     pub fn step_mut(&mut self, occurrence: usize, step: usize) -> &mut StepRun {
         &mut self.occurrences[occurrence].steps[step]
     }
@@ -210,99 +258,81 @@
     /// Returns a task, or `None` if the job has no such task.
     pub fn task(&self, id: &TaskId) -> Option<&Task> {
         let run = self.occurrences.get(id.occurrence as usize)?;
-        run.steps.get(id.step as usize)?.tasks.get(id.index as usize)
+        match run.steps.get(id.step as usize) {
+            Some(step) => step.tasks.get(id.index),
+            None if run.is_closed() => self.closed_task(id),
+            None => None,
+        }
     }
 
-    /// Returns a task for changes, or `None` if the job has no such task.
+    fn closed_task(&self, id: &TaskId) -> Option<&Task> {
+        let step = self.spec.steps.get(id.step as usize)?;
+        (id.index < step.count).then(Task::done)
+    }
+
+    /// Returns a task for changes other than of its state, or `None` if the job has no such task or it is done.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
         let run = self.occurrences.get_mut(id.occurrence as usize)?;
-        run.steps.get_mut(id.step as usize)?.tasks.get_mut(id.index as usize)
+        run.steps.get_mut(id.step as usize)?.tasks.get_mut(id.index)
     }
 
     /// Changes a task's state and updates the counts of its step and of the job. Returns the former state.
     pub fn set_state(&mut self, id: &TaskId, state: TaskState) -> Option<TaskState> {
         let step = self.occurrences.get_mut(id.occurrence as usize)?;
         let step = step.steps.get_mut(id.step as usize)?;
-        let task = step.tasks.get_mut(id.index as usize)?;
-        match &task.state {
-            TaskState::Waiting => {
-                step.waiting -= 1;
-                self.waiting -= 1;
-            }
-            TaskState::Done => step.done -= 1,
-            TaskState::Live(_) => self.live -= 1,
-        }
+        let is_superseded = step.tasks.get(id.index)?.is_superseded;
+        let is_done = state == TaskState::Done;
         match &state {
             TaskState::Waiting => {
                 step.waiting += 1;
                 self.waiting += 1;
             }
-            TaskState::Done if task.is_superseded => {}
+            TaskState::Done if is_superseded => {}
             TaskState::Done => step.done += 1,
             TaskState::Live(_) => self.live += 1,
         }
-        Some(std::mem::replace(&mut task.state, state))
+        let former = step.tasks.set_state(id.index, state)?;
+        match &former {
+            TaskState::Waiting => {
+                step.waiting -= 1;
+                self.waiting -= 1;
+            }
+            TaskState::Done => step.done -= 1,
+            TaskState::Live(_) => self.live -= 1,
+        }
+        if is_done {
+            self.close_done(id.occurrence as usize, id.step as usize);
+        }
+        Some(former)
     }
 
     /// Counts a task as done although a run of it that is no longer needed may still be live.
     pub fn supersede(&mut self, id: &TaskId) {
         let step = self.step_mut(id.occurrence as usize, id.step as usize);
-        step.done += 1;
-        step.tasks[id.index as usize].is_superseded = true;
+        if let Some(task) = step.tasks.get_mut(id.index) {
+            task.is_superseded = true;
+            step.done += 1;
+        }
     }
 
     /// Returns the tasks that may be on a worker, each with its run.
     pub fn live_tasks(&self) -> Vec<(TaskId, LiveRun)> {
         let mut live = Vec::new();
-        self.each_task(|id, task| {
-            if let Some(it) = task.live() {
-                live.push((id, it.clone()));
-            }
-        });
-        live
-    }
-
-    fn each_task(&self, mut f: impl FnMut(TaskId, &Task)) {
-        for (k, run) in self.occurrences.iter().enumerate() {
-            for (s, step) in run.steps.iter().enumerate() {
-                for (i, task) in step.tasks.iter().enumerate() {
-                    let id = TaskId {
-                        job: self.id.clone(),
-                        occurrence: k as u32,
-                        step: s as u16,
-                        index: i as u32,
-                    };
-                    f(id, task);
-                }
-            }
-        }
-    }
-
-    /// Visits the tasks whose progress is in one row.
-    fn each_task_of(&self, part: u32, mut f: impl FnMut(TaskId, &Task)) {
-        let count = self.spec.task_count();
-        let first = u64::from(part) * RECORD_TASKS;
-        let rows = first..first + RECORD_TASKS;
-        for k in first.checked_div(count).unwrap_or(0)..self.occurrences.len() as u64 {
-            let mut begin = k * count;
-            for (s, step) in self.occurrences[k as usize].steps.iter().enumerate() {
-                let end = begin + step.tasks.len() as u64;
-                for position in begin.max(rows.start)..end.min(rows.end) {
-                    let index = (position - begin) as u32;
-                    let id = TaskId {
-                        job: self.id.clone(),
-                        occurrence: k as u32,
-                        step: s as u16,
-                        index,
-                    };
-                    f(id, &step.tasks[index as usize]);
+        for (k, run) in self.open_occurrences() {
+            for (s, step) in run.steps.iter().enumerate().filter(|it| it.1.tasks.live() > 0) {
+                let begin = live.len();
+                for (index, task) in step.tasks.known() {
+                    let Some(it) = task.live() else { continue };
+                    let (occurrence, step) = (k as u32, s as u16);
+                    live.push((
+                        TaskId { job: self.id.clone(), occurrence, step, index },
+                        it.clone(),
+                    ));
                 }
-                begin = end;
-            }
-            if begin >= rows.end {
-                return;
+                live[begin..].sort_unstable_by_key(|it| it.0.index);
             }
         }
+        live
     }
 
     /// Returns all tasks of the step that a task belongs to.
@@ -315,76 +345,6 @@
     pub fn part_of(&self, id: &TaskId) -> u32 {
         self.spec.record_part((id.occurrence, id.step, id.index))
     }
-
-    /// Returns one row of the job's record as it is stored.
-    pub fn record(&self, part: u32) -> JobRecord {
-        let team = if part == 0 { self.spec.team.clone() } else { Name::default() };
-        let mut record = JobRecord { stage: self.stage, team, ..JobRecord::default() };
-        if self.stage.is_over() && self.live == 0 {
-            return record;
-        }
-        self.each_task_of(part, |id, task| {
-            if task.run == 0 {
-                return;
-            }
-            let on = task.live().map(|it| (it.worker.clone(), it.born));
-            record.tasks.push(TaskRecord {
-                occurrence: id.occurrence,
-                step: id.step,
-                index: id.index,
-                run: task.run,
-                failures: task.failures,
-                done: task.state == TaskState::Done || task.is_superseded,
-                on,
-                checkpoint: task.checkpoint.clone(),
-            });
-        });
-        record
-    }
-
-    /// Restores what an earlier coordinator stored; returns the tasks that may be on a worker.
-    pub fn restore(&mut self, record: &JobRecord, now: Moment) -> Vec<(TaskId, LiveRun)> {
-        self.stage = record.stage;
-        self.parts = record.parts.max(1);
-        self.has_begun = record.tasks.iter().any(|it| it.done || it.failures > 0);
-        let mut live = Vec::new();
-        for it in &record.tasks {
-            let expected = self.spec.schedule.map_or(1, |it| it.times);
-            while self.occurrences.len() <= it.occurrence as usize && it.occurrence < expected {
-                self.open_next();
-            }
-            let id = it.id(&self.id);
-            let Some(task) = self.task_mut(&id) else { continue };
-            task.run = it.run;
-            task.failures = it.failures;
-            task.checkpoint = it.checkpoint.clone();
-            if let Some((worker, born)) = &it.on {
-                let run = LiveRun {
-                    worker: worker.clone(),
-                    born: *born,
-                    phase: Phase::Inherited,
-                    since: now,
-                    last_seen_working: None,
-                    progress: None,
-                    speed: Speed::Unknown,
-                    stop_ordered: None,
-                    checkpoint: it.checkpoint.clone(),
-                    is_inherited: true,
-                    is_listed: false,
-                    lost_start: None,
-                    began_cold: false,
-                };
-                self.set_state(&id, TaskState::Live(run.clone()));
-                if it.done {
-                    self.supersede(&id);
-                }
-                live.push((id, run));
-            } else if it.done {
-                self.set_state(&id, TaskState::Done);
-            }
-        }
-        live
-    }
 }
 
 /// Returns the time within which a job should be completed, counted from its acceptance; `critical_path` is how long
--- a/crates/fleet/src/coordinator/listed.rs
+++ b/crates/fleet/src/coordinator/listed.rs
@@ -2,9 +2,7 @@
 
 use fuchsiamill_model::units::Moment;
 
-use super::{
-    Coordinator, LiveRun, Order, Phase, StepKey, TaskState, job::StepRun, worker::UnknownRuns,
-};
+use super::{Coordinator, LiveRun, Order, Phase, StepKey, job::StepRun, worker::UnknownRuns};
 use crate::{Name, RunInfo, WorkerReport};
 
 impl Coordinator {
@@ -60,9 +58,7 @@
     pub(super) fn startable_tasks(&self, key: &StepKey, step: &StepRun) -> Vec<u32> {
         let has_strays = !self.stray_runs.is_empty();
         let is_stray = |it| has_strays && self.stray_runs.contains_key(&key.task(it));
-        let tasks = (0..).zip(&step.tasks);
-        let waiting = tasks.filter(|(_, it)| it.state == TaskState::Waiting).map(|it| it.0);
-        waiting.filter(|it| !is_stray(*it)).collect()
+        step.tasks.waiting().filter(|it| !is_stray(*it)).collect()
     }
 
     /// Returns whether a listed run is the one that the coordinator has recorded for its task on this worker.
--- a/crates/fleet/src/coordinator/live.rs
+++ b/crates/fleet/src/coordinator/live.rs
@@ -2,8 +2,8 @@
 
 use fuchsiamill_model::units::{Millisecond, Moment};
 
-use super::replies::LostStart;
-use crate::Name;
+use super::{Coordinator, TaskState, replies::LostStart};
+use crate::{Name, Step, TaskId};
 
 /// A run that takes room on a worker.
 #[derive(Clone, Debug, PartialEq)]
@@ -112,3 +112,23 @@
     /// An earlier coordinator recorded the run; the worker has not reported on it yet.
     Inherited,
 }
+
+impl Coordinator {
+    pub(super) fn set_phase(&mut self, id: &TaskId, phase: Phase, now: Moment) {
+        if let Some(live) = self.live_mut(id) {
+            live.phase = phase;
+            live.since = now;
+        }
+    }
+
+    pub(super) fn step_of(&self, id: &TaskId) -> Option<&Step> {
+        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
+    }
+
+    pub(super) fn live_mut(&mut self, id: &TaskId) -> Option<&mut LiveRun> {
+        match &mut self.jobs.get_mut(&id.job)?.task_mut(id)?.state {
+            TaskState::Live(live) => Some(live),
+            _ => None,
+        }
+    }
+}
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -35,7 +35,9 @@
 mod room;
 mod shares;
 mod sharing;
+mod stored;
 mod takeover;
+mod tasks;
 mod tick;
 mod turns;
 mod waits;
@@ -63,6 +65,7 @@
 pub use rank::Tier;
 pub use replies::{Refusal, StartReply};
 pub use takeover::Takeover;
+pub use tasks::Tasks;
 pub use tick::HeldRuns;
 pub use waits::{StepPlaces, Wait, WaitReason, WaitingStep};
 pub use worker::Worker;
@@ -362,24 +365,6 @@
         worker.add_run(id.clone(), step);
     }
 
-    fn set_phase(&mut self, id: &TaskId, phase: Phase, now: Moment) {
-        if let Some(live) = self.live_mut(id) {
-            live.phase = phase;
-            live.since = now;
-        }
-    }
-
-    pub(super) fn step_of(&self, id: &TaskId) -> Option<&crate::Step> {
-        self.jobs.get(&id.job)?.spec.steps.get(id.step as usize)
-    }
-
-    pub(super) fn live_mut(&mut self, id: &TaskId) -> Option<&mut LiveRun> {
-        match &mut self.jobs.get_mut(&id.job)?.task_mut(id)?.state {
-            TaskState::Live(live) => Some(live),
-            _ => None,
-        }
-    }
-
     /// Counts the accepted jobs of each queue of which no worker is known to have started a task. A start order that
     /// was sent does not count: it may get lost or be refused.
     pub fn waiting(&self) -> FastMap<Name, u64> {
--- a/crates/fleet/src/coordinator/near.rs
+++ b/crates/fleet/src/coordinator/near.rs
@@ -11,7 +11,7 @@
     units::{Millisecond, Moment},
 };
 
-use super::{Coordinator, Host, HostDuty, Job, Worker};
+use super::{Coordinator, Host, HostDuty, Job, Task, Worker};
 use crate::{JobSpec, Name, Step, TaskId};
 
 /// The longest wait for room near a step's data. If no task there has ended by then, the tasks there are long ones.
@@ -51,7 +51,9 @@
     /// Returns the rack in which other tasks of a step run.
     fn rack_in_use(&self, job: &Job, occurrence: usize, step: usize) -> Option<Name> {
         let tasks = &job.occurrences[occurrence].steps[step].tasks;
-        tasks.iter().find_map(|it| self.workers.get(&it.live()?.worker)?.rack().cloned())
+        let rack = |it: &Task| self.workers.get(&it.live()?.worker)?.rack();
+        let racks = tasks.known().filter_map(|(index, it)| Some((index, rack(it)?)));
+        racks.min_by_key(|it| it.0).map(|it| it.1.clone())
     }
 
     /// Returns the fullest rack with room for `tasks` tasks of a step, or else the rack with room for most of them.
--- a/crates/fleet/src/coordinator/needs.rs
+++ b/crates/fleet/src/coordinator/needs.rs
@@ -122,10 +122,10 @@
 
     /// Adds a job's tasks that run or could run to the present work.
     fn add_work(&self, view: &mut PoolView, job: &Job, now: Moment) {
-        for (k, run) in job.occurrences.iter().enumerate() {
+        for (k, run) in job.open_occurrences() {
             for (s, step) in run.steps.iter().enumerate() {
                 let step_spec = &job.spec.steps[s];
-                let live = step.tasks.iter().filter_map(Task::live).count() as u64;
+                let live = u64::from(step.tasks.live());
                 let waiting = if job.is_open(k, s) { u64::from(step.waiting) } else { 0 };
                 if live + waiting == 0 {
                     continue;
@@ -175,7 +175,7 @@
                 for affinity in HostAffinity::of_step(step_spec) {
                     // A task that already runs far from its data is not moved any more.
                     let live =
-                        step.tasks.iter().filter(|it| self.is_live_at(it, &affinity)).count();
+                        step.tasks.known().filter(|it| self.is_live_at(it.1, &affinity)).count();
                     let load = Load::of(step_spec.room(), live as u64 + waiting);
                     let standing = match job.tier {
                         Tier::Standing if startable > 0 && self.may_hold(&affinity, step_spec) => {
--- a/crates/fleet/src/coordinator/outbox.rs
+++ b/crates/fleet/src/coordinator/outbox.rs
@@ -3,7 +3,7 @@
 use fuchsiamill_model::{FastSet, units::Moment};
 
 use super::{Coordinator, Order, Phase};
-use crate::{JobRecord, Name, RecordKey, TaskId};
+use crate::{DoneRange, JobRecord, Name, RecordKey, TaskId};
 
 /// Records to store, all or none of them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -69,10 +69,11 @@
     /// Has the rows of a wide job stored that was read from one row, as former versions stored it.
     pub(super) fn split_record(&mut self, id: &Name, record: &JobRecord) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let part = |it: &crate::TaskRecord| {
-            job.spec.record_part((it.occurrence, it.step, it.index)).saturating_add(1)
-        };
-        job.parts = record.tasks.iter().map(part).max().unwrap_or(1);
+        let last_of = |it: &DoneRange| it.first.saturating_add(it.count).saturating_sub(1);
+        let tasks = record.tasks.iter().map(|it| (it.occurrence, it.step, it.index));
+        let done = record.done.iter().map(|it| (it.occurrence, it.step, last_of(it)));
+        let parts = tasks.chain(done).map(|it| job.spec.record_part(it).saturating_add(1));
+        job.parts = parts.max().unwrap_or(1);
         if job.parts > 1 {
             self.mark_all_dirty(id);
         }
--- a/crates/fleet/src/coordinator/place.rs
+++ b/crates/fleet/src/coordinator/place.rs
@@ -107,13 +107,13 @@
         let mut waiting = self.startable_tasks(key, run);
         let startable = waiting.len();
         if wanted.gang {
-            return match startable == run.tasks.len() {
+            return match startable == run.tasks.count() as usize {
                 true => self.place_gang(key, &spec, search, now),
                 false => StepOutcome::waits(WaitReason::Gang),
             };
         }
         if wanted.long_running {
-            waiting.sort_by_key(|it| run.tasks[*it as usize].last_run_end);
+            waiting.sort_by_key(|it| run.tasks.get(*it).and_then(|it| it.last_run_end));
         }
         waiting.truncate(most);
         let is_last = waiting.len() == startable;
@@ -165,7 +165,7 @@
         self.align_gang(&key.job, occurrence, step);
         let near = Near::of(wanted.count as usize);
         let tasks = &self.jobs[&key.job].occurrences[occurrence].steps[step].tasks;
-        let run = tasks.iter().map(|it| it.run).max().unwrap_or(0) + 1;
+        let run = tasks.known().map(|it| it.1.run).max().unwrap_or(0) + 1;
         let mut placed: Vec<(TaskId, usize)> = Vec::new();
         let mut reason = None;
         for index in 0..wanted.count {
--- a/crates/fleet/src/coordinator/rank.rs
+++ b/crates/fleet/src/coordinator/rank.rs
@@ -120,9 +120,11 @@
     pub(super) fn remaining_work(&self, job: &Job) -> (Millisecond, u64) {
         let mut work = 0u64;
         let path = job.spec.path_ms(|step| {
-            let run = job.occurrences.first().map(|it| &it.steps[step]);
             let count = u64::from(job.spec.steps[step].count);
-            let left = run.map_or(count, |it| count - u64::from(it.done));
+            let left = match job.occurrences.first() {
+                Some(run) => run.steps.get(step).map_or(0, |it| count - u64::from(it.done)),
+                None => count,
+            };
             let expected = self.ranked_ms(&job.spec, step);
             let millicores = u64::from(job.spec.steps[step].size.millicores);
             work = work.saturating_add(left.saturating_mul(expected).saturating_mul(millicores));
@@ -154,7 +156,7 @@
     if !job.spec.long_running() {
         return None;
     }
-    let steps = job.occurrences.iter().flat_map(|it| &it.steps);
+    let steps = job.open_occurrences().flat_map(|it| &it.1.steps);
     let steps = steps.zip(job.spec.steps.iter().cycle());
     let lasting = steps.filter(|it| it.1.long_running && it.0.waiting > 0);
     let since = lasting.map(|it| it.0.waits_since_run_end().unwrap_or(job.accepted)).min();
--- a/crates/fleet/src/coordinator/waits.rs
+++ b/crates/fleet/src/coordinator/waits.rs
@@ -148,8 +148,13 @@
 
     /// Returns when the last run of the task that has waited longest ended; `None` if a task waits that has not run.
     pub(super) fn waits_since_run_end(&self) -> Option<Moment> {
-        let waiting = self.tasks.iter().filter(|it| it.state == TaskState::Waiting);
-        waiting.map(|it| it.last_run_end).min().flatten()
+        let waiting = self.tasks.known().filter(|it| it.1.state == TaskState::Waiting);
+        let (mut count, mut first) = (0, None);
+        for end in waiting.map(|it| it.1.last_run_end) {
+            count += 1;
+            first = Some(first.map_or(end, |it: Option<Moment>| it.min(end)));
+        }
+        first.filter(|_| count == self.waiting).flatten()
     }
 }
 
@@ -198,7 +203,7 @@
 }
 
 fn waiting_steps_of(job: &Job, now: Moment) -> impl Iterator<Item = WaitingStep> {
-    job.occurrences.iter().enumerate().flat_map(move |(occurrence, run)| {
+    job.open_occurrences().flat_map(move |(occurrence, run)| {
         run.steps.iter().enumerate().filter_map(move |(number, step)| {
             let wait = step.wait.filter(|_| step.waiting > 0)?;
             let key =
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -151,10 +151,15 @@
     /// Returns the number of the row in which the progress of a task is stored. The rows of a job follow the order of its
     /// tasks.
     pub fn record_part(&self, (occurrence, step, index): (u32, u16, u32)) -> u32 {
+        let position = self.record_position((occurrence, step, index));
+        u32::try_from(position / RECORD_TASKS).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of tasks before this one in the order of the rows.
+    pub(crate) fn record_position(&self, (occurrence, step, index): (u32, u16, u32)) -> u64 {
         let before: u64 = self.steps.iter().take(step.into()).map(|it| u64::from(it.count)).sum();
         let first = u64::from(occurrence).saturating_mul(self.task_count());
-        let position = first.saturating_add(before).saturating_add(index.into());
-        u32::try_from(position / RECORD_TASKS).unwrap_or(u32::MAX)
+        first.saturating_add(before).saturating_add(index.into())
     }
 
     /// Returns whether the job runs until it is cancelled.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,7 +26,7 @@
 pub use handover::{Handover, Sender};
 pub use job::{JobSpec, RECORD_TASKS, Schedule, Step};
 pub use lateness::{Lateness, WindowState};
-pub use record::{JobRecord, RecordKey, Stage, TaskRecord};
+pub use record::{DoneRange, JobRecord, RecordKey, Stage, TaskRecord};
 pub use scope::{Cancellation, JobOwner, JobScope};
 pub use start_budget::StartBudget;
 pub use start_window::Limit;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, Name, TaskId};
+use crate::{JobSpec, Name, RECORD_TASKS, TaskId};
 
 /// The state of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,12 +40,14 @@
 }
 
 /// The progress of a job. Tasks that never started are left out.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(from = "Packed", into = "Packed")]
 pub struct JobRecord {
     /// The state of the job.
     pub stage: Stage,
-    /// Progress of the tasks that have started at least once.
+    /// Tasks that are done and have no run.
+    pub done: Vec<DoneRange>,
+    /// Progress of the other tasks that have started at least once.
     pub tasks: Vec<TaskRecord>,
     /// Time at which the job reached its final stage, on the store's clock; 0 if it was not noted.
     pub ended_ms: u64,
@@ -55,6 +57,19 @@
     pub parts: u32,
 }
 
+/// Consecutive tasks of a step that are done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DoneRange {
+    /// Occurrence of the job, counted from 0.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u16,
+    /// Index of the first task within its step.
+    pub first: u32,
+    /// Number of tasks.
+    pub count: u32,
+}
+
 /// The progress of one task. Of a task that is done, only its position in the job and a run that may go on are stored.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TaskRecord {
@@ -119,12 +134,18 @@
             ended_ms: first.map_or(0, |it| it.ended_ms),
             ..JobRecord::default()
         };
-        for (part, record) in rows {
-            let is_own = |it: &&TaskRecord| {
-                let own = spec.record_part((it.occurrence, it.step, it.index));
-                own == *part || !rows.iter().any(|it| it.0 == own)
-            };
-            merged.tasks.extend(record.tasks.iter().filter(is_own).cloned());
+        let mut ordered: Vec<&(u32, JobRecord)> = rows.iter().collect();
+        ordered.sort_unstable_by_key(|it| it.0);
+        let is_stored = |part| ordered.binary_search_by_key(&part, |it| it.0).is_ok();
+        for (part, record) in &ordered {
+            let is_own = |own: u32| own == *part || !is_stored(own);
+            let part_of = |it: &&TaskRecord| spec.record_part((it.occurrence, it.step, it.index));
+            merged.tasks.extend(record.tasks.iter().filter(|it| is_own(part_of(it))).cloned());
+            for (own, range) in record.done.iter().flat_map(|it| it.by_part(spec)) {
+                if is_own(own) {
+                    merged.push_done(range);
+                }
+            }
             merged.parts = merged.parts.max(part.saturating_add(1));
         }
         (!rows.is_empty()).then_some(merged)
@@ -136,13 +157,94 @@
             let worker = it.on.as_ref().map_or(0, |on| on.0.len() + WORKER_BYTES);
             TASK_BYTES + worker + it.checkpoint.len()
         };
-        self.tasks.iter().map(of_task).sum::<usize>() + RECORD_BYTES
+        let tasks = self.tasks.iter().map(of_task).sum::<usize>();
+        tasks + self.done.len() * RANGE_BYTES + RECORD_BYTES
+    }
+
+    /// Returns whether it has no task that has started.
+    pub fn has_no_tasks(&self) -> bool {
+        self.done.is_empty() && self.tasks.is_empty()
+    }
+
+    /// Returns one entry for each task that has started, those of done ranges too, by position.
+    pub fn all_tasks(&self) -> Vec<TaskRecord> {
+        let done = self.done.iter().flat_map(|it| {
+            let range = it.first..it.first.saturating_add(it.count);
+            range.map(|index| TaskRecord {
+                occurrence: it.occurrence,
+                step: it.step,
+                index,
+                run: 1,
+                done: true,
+                ..TaskRecord::default()
+            })
+        });
+        let mut tasks: Vec<TaskRecord> = done.chain(self.tasks.iter().cloned()).collect();
+        tasks.sort_by_key(|it| (it.occurrence, it.step, it.index));
+        tasks
+    }
+
+    /// Adds done tasks, to the last range if they follow it.
+    pub(crate) fn push_done(&mut self, it: DoneRange) {
+        match self.done.last_mut() {
+            Some(last)
+                if (last.occurrence, last.step, last.first.checked_add(last.count))
+                    == (it.occurrence, it.step, Some(it.first)) =>
+            {
+                last.count = last.count.saturating_add(it.count);
+            }
+            _ => self.done.push(it),
+        }
+    }
+}
+
+/// Records are equal if they tell the same of each task, as a range or one by one.
+impl PartialEq for JobRecord {
+    fn eq(&self, other: &Self) -> bool {
+        (self.stage, self.ended_ms, &self.team, self.parts)
+            == (other.stage, other.ended_ms, &other.team, other.parts)
+            && self.all_tasks() == other.all_tasks()
+    }
+}
+
+impl DoneRange {
+    /// Returns the range in pieces by the row in which each is stored.
+    fn by_part(self, spec: &JobSpec) -> impl Iterator<Item = (u32, DoneRange)> {
+        let count = spec.steps.get(usize::from(self.step)).map_or(0, |it| it.count);
+        let end = self.first.saturating_add(self.count).min(count);
+        let mut first = self.first;
+        std::iter::from_fn(move || {
+            let count = end.checked_sub(first).filter(|it| *it > 0)?;
+            let position = spec.record_position((self.occurrence, self.step, first));
+            let count = u64::from(count).min(RECORD_TASKS - position % RECORD_TASKS) as u32;
+            let piece = DoneRange { first, count, ..self };
+            first += count;
+            Some((spec.record_part((self.occurrence, self.step, piece.first)), piece))
+        })
+    }
+
+    /// Takes a task out of the ranges; returns whether it was in one.
+    fn take(ranges: &mut Vec<DoneRange>, (occurrence, step, index): (u32, u16, u32)) -> bool {
+        let has = |it: &DoneRange| {
+            (it.occurrence, it.step) == (occurrence, step)
+                && index >= it.first
+                && index - it.first < it.count
+        };
+        let Some(at) = ranges.iter().position(has) else { return false };
+        let before = ranges[at];
+        let after = before.count - (index - before.first) - 1;
+        ranges[at].count = index - before.first;
+        if after > 0 {
+            ranges.push(DoneRange { first: index + 1, count: after, ..before });
+        }
+        true
     }
 }
 
-/// Bounds of what a record, a task in it and a worker, without its id, take in the stored form.
+/// Bounds of what a record, a task in it, a range of done tasks and a worker, without its id, take in the stored form.
 const RECORD_BYTES: usize = 128;
 const TASK_BYTES: usize = 90;
+const RANGE_BYTES: usize = 48;
 const WORKER_BYTES: usize = 30;
 
 impl TaskRecord {
@@ -187,7 +289,8 @@
 impl From<JobRecord> for Packed {
     fn from(it: JobRecord) -> Packed {
         let JobRecord { stage, ended_ms, team, .. } = it;
-        let mut packed = Packed { stage, ended_ms, team, ..Packed::default() };
+        let done = it.done.iter().map(|it| (it.occurrence, it.step, it.first, it.count)).collect();
+        let mut packed = Packed { stage, ended_ms, team, done, ..Packed::default() };
         for task in it.tasks {
             match task.done {
                 true => packed.push_done(&task),
@@ -235,25 +338,17 @@
 
 impl From<Packed> for JobRecord {
     fn from(it: Packed) -> JobRecord {
+        let range = |(occurrence, step, first, count)| DoneRange { occurrence, step, first, count };
+        let mut done: Vec<DoneRange> = it.done.into_iter().map(range).collect();
         let mut tasks = Vec::new();
-        for (occurrence, step, first, count) in it.done {
-            let done = |index| TaskRecord {
-                occurrence,
-                step,
-                index,
-                run: 1,
-                done: true,
-                ..TaskRecord::default()
-            };
-            tasks.extend((first..first.saturating_add(count)).map(done));
-        }
         for (occurrence, step, index, run, worker) in it.superseded {
-            let place = (occurrence, step, index);
-            let task = tasks.iter_mut().find(|it| (it.occurrence, it.step, it.index) == place);
-            let Some(task) = task else { continue };
-            task.run = run;
-            task.on = it.workers.get(worker as usize).cloned();
+            if DoneRange::take(&mut done, (occurrence, step, index)) {
+                let on = it.workers.get(worker as usize).cloned();
+                let base = TaskRecord { occurrence, step, index, ..TaskRecord::default() };
+                tasks.push(TaskRecord { run, done: true, on, ..base });
+            }
         }
+        done.retain(|it| it.count > 0);
         let first = tasks.len();
         for (occurrence, step, index, run, failures, worker) in it.tasks {
             let on = usize::try_from(worker).ok().and_then(|at| it.workers.get(at).cloned());
@@ -272,7 +367,8 @@
                 task.checkpoint = checkpoint;
             }
         }
-        JobRecord { stage: it.stage, tasks, ended_ms: it.ended_ms, team: it.team, parts: 0 }
+        let Packed { stage, ended_ms, team, .. } = it;
+        JobRecord { stage, done, tasks, ended_ms, team, parts: 0 }
     }
 }
 
--- a/crates/fleet/tests/wide_records.rs
+++ b/crates/fleet/tests/wide_records.rs
@@ -106,8 +106,9 @@
     end_tasks(&mut bench, 0..1_000);
     store(&mut bench, &mut rows);
     let record = merged(&rows, &job(vec![small_step(WIDE)]));
-    assert_eq!(record.tasks.len(), WIDE as usize);
-    assert_eq!(record.tasks.iter().filter(|it| it.done).count(), 1_000);
+    let tasks = record.all_tasks();
+    assert_eq!(tasks.len(), WIDE as usize);
+    assert_eq!(tasks.iter().filter(|it| it.done).count(), 1_000);
 }
 
 /// One end rewrote the progress of all tasks of its job.
@@ -154,7 +155,7 @@
     let mut bench = successor(&spec, &merged(&rows, &spec));
     store(&mut bench, &mut rows);
     assert_eq!(rows.keys().collect::<Vec<_>>(), ["j", "j.1", "j.2"]);
-    let mut tasks = merged(&rows, &spec).tasks;
+    let mut tasks = merged(&rows, &spec).all_tasks();
     tasks.sort_by_key(|it| it.index);
     assert_eq!(tasks, record.tasks);
 }
@@ -167,7 +168,7 @@
     let whole = JobRecord { tasks: (0..600).map(done).collect(), ..JobRecord::default() };
     let last = JobRecord { tasks: (512..600).map(done).collect(), ..JobRecord::default() };
     let record = JobRecord::merge(&[(0, whole), (2, last)], &spec).unwrap();
-    assert_eq!(record.tasks.len(), 600);
+    assert_eq!(record.all_tasks().len(), 600);
 }
 
 #[test]
@@ -181,7 +182,7 @@
     bench.wait(7_000);
     bench.report("w1", &[], &[]);
     store(&mut bench, &mut rows);
-    assert!(merged(&rows, &job(vec![small_step(600)])).tasks.is_empty());
+    assert!(merged(&rows, &job(vec![small_step(600)])).has_no_tasks());
     bench.wait(200_000);
     let expired = bench.coordinator.take_expired(bench.now, 10);
     let deleted = bench.coordinator.rows_deleted(&expired);
@@ -201,5 +202,5 @@
     bench.coordinator.accept("j".into(), Arc::new(spec.clone()), Some(&record), bench.now, wall);
     let mut rows = Rows::new();
     store(&mut bench, &mut rows);
-    assert_eq!(merged(&rows, &spec).tasks.len(), TIMES as usize);
+    assert_eq!(merged(&rows, &spec).all_tasks().len(), TIMES as usize);
 }
--- a/crates/site/src/lead/commits.rs
+++ b/crates/site/src/lead/commits.rs
@@ -93,9 +93,7 @@
 
     fn log_job_end(&self, (id, record): &(Name, JobRecord)) {
         // The record of a job that is over is rewritten while some of its tasks are still being stopped.
-        if record.stage.is_over()
-            && record.tasks.is_empty()
-            && RecordKey::from_row_name(id).part == 0
+        if record.stage.is_over() && record.has_no_tasks() && RecordKey::from_row_name(id).part == 0
         {
             let stage = record.stage.as_str();
             tracing::info!(event = "job-ended", job = %id, stage);
--- a/crates/site/src/story.rs
+++ b/crates/site/src/story.rs
@@ -87,9 +87,14 @@
 
 /// Returns the steps of all occurrences up to the last one with a recorded task, and at least those of the first.
 fn steps(spec: &JobSpec, progress: &JobRecord) -> Vec<StepStory> {
-    let last = progress.tasks.iter().map(|it| it.occurrence).max().unwrap_or(0);
+    let done = progress.done.iter().map(|it| it.occurrence);
+    let last = progress.tasks.iter().map(|it| it.occurrence).chain(done).max().unwrap_or(0);
     let occurrences = 0..=last;
     let all = occurrences.flat_map(|k| spec.steps.iter().enumerate().map(move |it| (k, it)));
+    let done_of = |occurrence, step| {
+        let own = progress.done.iter().filter(|it| (it.occurrence, it.step) == (occurrence, step));
+        own.map(|it| it.count).sum::<u32>()
+    };
     all.map(|(occurrence, (number, step))| {
         let step_number = number as u16;
         let of_step = || {
@@ -106,7 +111,7 @@
             occurrence,
             step: step_number,
             count: step.count,
-            done: of_step().filter(|it| it.done).count() as u32,
+            done: done_of(occurrence, step_number) + of_step().filter(|it| it.done).count() as u32,
             after: step.after.clone(),
             tasks: of_step().filter(|it| !it.done).map(task).collect(),
         }
