--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -282,6 +282,11 @@
         self.send_to(method, &format!("/jobs/{id}"), body, KEY)
     }
 
+    /// The id of its process.
+    pub fn pid(&self) -> u32 {
+        self.daemon.pid()
+    }
+
     /// Sends a request with this key, or without one if it is empty.
     pub fn send_to(
         &self,
