Pause after an accept that failed

Cause: a process out of descriptors answered nothing any more, neither callers nor the readiness check nor other entry hosts, and used a whole processor, also after its callers had gone. Each accept failed at once, and the loop went on with the next one without yielding to the other tasks of the thread, which would have closed connections. Change: servers of crates/http and crates/peer accept through Acceptor, which counts failures (metric accept_failures), logs them at most every 5 s, and pauses for 50 ms after each.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 //! Bodies are held whole, so that an answer that was cut short is an error and never a short body.
 //! Head, body and time are bounded in front of the library's decoder; ambiguous framing is refused.
 
+pub mod accept;
 pub mod bounds;
 pub mod budget;
 pub mod connection;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,12 +6,13 @@
 
 use futures_util::future::{Either, select};
 use http::StatusCode;
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use tokio::sync::watch;
 
 use connection::ServerConnection;
 
 use crate::{
+    accept::Acceptor,
     bounds::Bounds,
     error::Malformed,
     message::{Request, Response},
@@ -112,7 +113,7 @@
 
 /// A listening server.
 pub struct Server<H> {
-    listener: TcpListener,
+    acceptor: Acceptor,
     bounds: Bounds,
     handler: Rc<H>,
     open: Rc<Cell<usize>>,
@@ -121,31 +122,29 @@
 impl<H: Handler + 'static> Server<H> {
     /// Binds `addr`; port 0 takes a free port.
     pub fn bind(addr: SocketAddr, bounds: Bounds, handler: Rc<H>) -> io::Result<Self> {
-        let listener = TcpListener::bind(addr)?;
-        Ok(Self { listener, bounds, handler, open: Rc::default() })
+        let acceptor = Acceptor::bind(addr)?;
+        Ok(Self { acceptor, bounds, handler, open: Rc::default() })
     }
 
     /// The bound address.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.acceptor.local_addr()
     }
 
     /// Accepts until it is stopped, then waits for the connections that are still open.
     pub async fn run(self, mut shutdown: Shutdown) {
         loop {
-            let accepted = {
-                let accept = pin!(self.listener.accept());
+            let (stream, peer) = {
+                let accept = pin!(self.acceptor.accept());
                 let stop = pin!(shutdown.wait());
                 match select(accept, stop).await {
                     Either::Left((accepted, _)) => accepted,
                     Either::Right(_) => break,
                 }
             };
-            if let Ok((stream, peer)) = accepted {
-                self.spawn(stream, peer, shutdown.clone());
-            }
+            self.spawn(stream, peer, shutdown.clone());
         }
-        drop(self.listener);
+        drop(self.acceptor);
         while self.open.get() > 0 {
             monoio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -2,9 +2,10 @@
 
 use std::{io, net::SocketAddr, rc::Rc};
 
+use fuchsiamill_http::accept::Acceptor;
 use monoio::{
     io::{OwnedWriteHalf, Splitable},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
 };
 use tokio::sync::mpsc;
 
@@ -12,26 +13,25 @@
 
 /// The listening peer port.
 pub struct PeerServer {
-    listener: TcpListener,
+    acceptor: Acceptor,
 }
 
 impl PeerServer {
     /// Binds `addr`; port 0 takes a free port.
     pub fn bind(addr: SocketAddr) -> io::Result<Self> {
-        Ok(Self { listener: TcpListener::bind(addr)? })
+        Ok(Self { acceptor: Acceptor::bind(addr)? })
     }
 
     /// The bound address.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
+        self.acceptor.local_addr()
     }
 
     /// Accepts for ever.
     pub async fn run(self, router: Rc<Router>) {
         loop {
-            if let Ok((stream, _)) = self.listener.accept().await {
-                monoio::spawn(converse(stream, router.clone()));
-            }
+            let (stream, _) = self.acceptor.accept().await;
+            monoio::spawn(converse(stream, router.clone()));
         }
     }
 }
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -1,12 +1,13 @@
 //! The metrics of an entry host: opentelemetry counters, gauges and latency histograms, exported as Prometheus text.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use anyhow::Result;
 use fuchsiamill_fleet::{
     coordinator::{PoolNeed, RunsToEnd},
     durations::{RATIO_BOUNDS, Totals},
 };
+use fuchsiamill_http::accept;
 use fuchsiamill_model::FastMap;
 use opentelemetry::{
     KeyValue,
@@ -56,6 +57,9 @@
     duration_ratios: Counter<u64>,
     duration_keys: Gauge<u64>,
     durations_row_age: Gauge<f64>,
+    accept_failures: Counter<u64>,
+    /// The failed accepts that `accept_failures` has counted already.
+    counted_failures: Cell<u64>,
     log_lines_left_out: Counter<u64>,
     /// The dropped log lines of each kind that `log_lines_left_out` has counted already.
     counted_dropped: RefCell<FastMap<String, u64>>,
@@ -101,6 +105,8 @@
             duration_ratios: meter.u64_counter("duration_ratios").build(),
             duration_keys: meter.u64_gauge("duration_keys").build(),
             durations_row_age: meter.f64_gauge("durations_row_age").with_unit("s").build(),
+            accept_failures: meter.u64_counter("accept_failures").build(),
+            counted_failures: Cell::default(),
             log_lines_left_out: meter.u64_counter("log_lines_left_out").build(),
             counted_dropped: RefCell::default(),
             meters,
@@ -257,6 +263,8 @@
 
     /// Returns all metrics as Prometheus text.
     pub fn text(&self) -> Result<String> {
+        let failures = accept::failures();
+        self.accept_failures.add(failures - self.counted_failures.replace(failures), &[]);
         let mut counted = self.counted_dropped.borrow_mut();
         for (kind, dropped) in logging::dropped_line_counts() {
             let before = counted.insert(kind.clone(), dropped).unwrap_or(0);
