Divide the descriptors among the kinds of connections

Cause: while the store was silent, each request of a caller took a connection to it, so that callers took the descriptors of everything else; accepts then failed, of the readiness check and of other entry hosts as well. Change: the limit is read at the start, 200 of it are left to files, and the rest is divided (descriptors.rs). Reads of the store for callers wait for one of their connections within the request's own limit, and are refused as not sent after that (503 with Retry-After); own calls do not wait behind them. Calls relayed for other entry hosts have a share, and are answered as not sent beyond it. The listeners for readiness and for metrics have shares of their own. Of too many connections of other entry hosts the one unused for longest is closed. Connections over a server's bound are refused with an answer up to a 32nd part more, and closed without one beyond that. Connections to workers have no bound yet (docs/design/rules.md).

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -28,6 +28,9 @@
     operator::{self, Operators},
 };
 
+/// The most open connections of other entry hosts.
+const MAX_PEER_CONNECTIONS: usize = 256;
+
 /// How long a shutdown waits for the table to take the last claims.
 const CLAIMS_TIME: Duration = Duration::from_secs(5);
 
@@ -70,8 +73,8 @@
         let platform = &settings.platform;
         let time = Duration::from_millis(platform.request_timeout_ms);
         let mut router = Router::default();
-        let peer =
-            PeerServer::bind(settings.entry.peer).context("The peer port cannot be bound.")?;
+        let peer = PeerServer::bind(settings.entry.peer, MAX_PEER_CONNECTIONS)
+            .context("The peer port cannot be bound.")?;
         let peer_addr = peer.local_addr()?;
         let table = Rc::new(TableClient::new(platform.table, time));
         let objects = Rc::new(ObjectClient::new(platform.objects, time));
--- a/crates/http/src/bounds.rs
+++ b/crates/http/src/bounds.rs
@@ -19,6 +19,17 @@
     pub connections: usize,
 }
 
+/// How many connections may be open beyond the bound to be told so, as a divisor of the bound.
+const REFUSED_CONNECTIONS_DIVISOR: usize = 32;
+
+impl Bounds {
+    /// How many connections beyond [`Bounds::connections`] may be open at once to be refused. Further ones are closed without
+    /// an answer.
+    pub fn refused_connections(&self) -> usize {
+        self.connections / REFUSED_CONNECTIONS_DIVISOR + 1
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -154,6 +154,10 @@
         let _ = stream.set_nodelay(true);
         let open = Open::new(self.open.clone());
         self.handler.accepted(open.count());
+        if open.count() > self.bounds.connections + self.bounds.refused_connections() {
+            tracing::debug!(event = "connection-dropped", %peer);
+            return;
+        }
         let connection = ServerConnection::new(stream, peer, self.bounds, self.handler.clone());
         if open.count() > self.bounds.connections {
             monoio::spawn(async move {
--- a/crates/peer/tests/calls_and_notices.rs
+++ b/crates/peer/tests/calls_and_notices.rs
@@ -5,6 +5,8 @@
 use fuchsiamill_peer::{Error, Failure, Link, PeerServer, Router, call_channel, notice_channel};
 use monoio::{LegacyDriver, RuntimeBuilder, time::timeout};
 
+const MAX_PEER_CONNECTIONS: usize = 3;
+
 const PATIENCE: Duration = Duration::from_secs(10);
 
 fn block_on<F: Future>(future: F) -> F::Output {
@@ -12,7 +14,7 @@
 }
 
 fn serve(router: Router) -> Link {
-    let server = PeerServer::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let server = PeerServer::bind("127.0.0.1:0".parse().unwrap(), MAX_PEER_CONNECTIONS).unwrap();
     let addr = server.local_addr().unwrap();
     monoio::spawn(server.run(Rc::new(router)));
     Link::start(addr)
@@ -82,3 +84,36 @@
         assert_eq!(notice["from"], "entry-0");
     });
 }
+
+/// Guards against connections of peers that are gone, which take the place of those that are there.
+#[test]
+fn connection_unused_for_longest_makes_room() {
+    block_on(async {
+        let mut router = Router::default();
+        let (tx, mut rx) = call_channel();
+        router.route("double", tx);
+        monoio::spawn(async move {
+            while let Some(call) = rx.recv().await {
+                let Some((n, reply)) = call.parse::<u32>() else { continue };
+                reply.send(Ok(2 * n));
+            }
+        });
+        let addr = "127.0.0.1:0".parse().unwrap();
+        let server = PeerServer::bind(addr, MAX_PEER_CONNECTIONS).unwrap();
+        let addr = server.local_addr().unwrap();
+        monoio::spawn(server.run(Rc::new(router)));
+        let mut links = Vec::new();
+        for n in 0..2 * MAX_PEER_CONNECTIONS as u32 {
+            let link = Link::start(addr);
+            assert_eq!(link.call("double", &n, PATIENCE).await, Ok(2 * n));
+            links.push(link);
+        }
+        let closed = monoio::net::TcpStream::connect(addr).await.unwrap();
+        drop(closed);
+        assert_eq!(
+            links[0].call("double", &7, PATIENCE).await,
+            Ok(14),
+            "a closed one is made anew"
+        );
+    });
+}
--- a/crates/site/src/entry.rs
+++ b/crates/site/src/entry.rs
@@ -15,7 +15,7 @@
 };
 use fuchsiamill_model::{FastMap, units::Moment};
 use fuchsiamill_peer::{PeerServer, Router};
-use fuchsiamill_platform::{AdviceClient, HostClient, Store};
+use fuchsiamill_platform::{AdviceClient, HostClient, Store, StoreLimits};
 use fuchsiamill_settings::Fleet;
 use futures_util::future::join;
 use http::StatusCode;
@@ -26,6 +26,7 @@
     clock::Clock,
     config::{Intent, IntentFollower},
     dependency::Dependency,
+    descriptors::{self, Shares},
     front::{Admission, Front, Insert, Submitter},
     lead::{
         Candidate, Entries, EntryRow, LeaseRow, Standing, publish_and_follow_entries,
@@ -69,9 +70,6 @@
 /// late.
 const KEEP_MARGIN_MS: u64 = 60_000;
 
-/// The most concurrent connections of callers.
-const MAX_CALLER_CONNECTIONS: usize = 2_000;
-
 /// A running entry host.
 pub struct Entry {
     is_stopping: Rc<Cell<bool>>,
@@ -119,7 +117,11 @@
     /// Binds the listeners and starts all tasks.
     pub fn start(settings: &Fleet) -> Result<Self> {
         let clock = Clock::start();
-        let store = Rc::new(Store::new(settings.store, STORE_TIMEOUT));
+        let shares = Shares::of(descriptors::limit());
+        tracing::info!(event = "connections", ?shares);
+        let limits =
+            StoreLimits { caller_reads: shares.caller_reads, relayed_calls: shares.relayed_calls };
+        let store = Rc::new(Store::with_limits(settings.store, STORE_TIMEOUT, limits));
         let is_stopping = Rc::new(Cell::new(false));
         let (tx, intent) = watch::channel(Intent::default());
         let health = Dependency::new("store");
@@ -135,7 +137,8 @@
         let (_, shutdown) = shutdown_pair();
         let status_handler = Rc::new(status_handler);
         for addr in std::iter::once(settings.ready).chain(settings.metrics) {
-            let server = Server::bind(addr, Bounds::default(), status_handler.clone())
+            let bounds = Bounds { connections: shares.status, ..Bounds::default() };
+            let server = Server::bind(addr, bounds, status_handler.clone())
                 .with_context(|| format!("cannot listen at {addr} for readiness and metrics"))?;
             monoio::spawn(server.run(shutdown.clone()));
         }
@@ -170,7 +173,7 @@
                 metrics.clone(),
             );
             senders::serve(&mut router, service);
-            let server = PeerServer::bind(addr)
+            let server = PeerServer::bind(addr, shares.peers)
                 .with_context(|| format!("cannot listen at {addr} for other entry hosts"))?;
             monoio::spawn(server.run(Rc::new(router)));
         }
@@ -195,7 +198,7 @@
             cancellations,
             admission,
         };
-        let bounds = Bounds { connections: MAX_CALLER_CONNECTIONS, ..Bounds::default() };
+        let bounds = Bounds { connections: shares.callers, ..Bounds::default() };
         let server = Server::bind(settings.callers, bounds, Rc::new(front))
             .with_context(|| format!("cannot listen at {} for callers", settings.callers))?;
         let (stop, shutdown) = shutdown_pair();
--- a/crates/site/src/front/admission.rs
+++ b/crates/site/src/front/admission.rs
@@ -189,7 +189,9 @@
     }
 
     async fn look_up(&self, id: &Name) -> (Found, Option<Row>) {
-        match timeout(LOOKUP_TIME, self.store.read_row(&tables::job_key(id))).await {
+        let key = tables::job_key(id);
+        let read = self.store.read_row_for_caller(&key, LOOKUP_TIME);
+        match timeout(LOOKUP_TIME, read).await {
             Ok(Ok((Some(row), _))) => (Found::Row, Some(row)),
             Ok(Ok((None, _))) => (Found::Nothing, None),
             Ok(Err(_)) | Err(_) => {
--- a/crates/site/src/front/lookup.rs
+++ b/crates/site/src/front/lookup.rs
@@ -130,7 +130,7 @@
             if let Some(waiting) = self.fresh_count(queue) {
                 return count_reply(waiting);
             }
-            match self.read_board().await {
+            match self.read_board(deadline).await {
                 true if self.fresh_count(queue).is_some() => {}
                 _ if self.clock.now() + READ_PAUSE.as_millis() as u64 >= deadline => {
                     return self.store_unavailable();
@@ -149,9 +149,10 @@
         is_fresh.then(|| board.waiting.get(queue).copied().unwrap_or(0))
     }
 
-    async fn read_board(&self) -> bool {
+    async fn read_board(&self, deadline: Moment) -> bool {
         let asked = self.clock.now();
-        match self.store.read_row(&tables::board_key()).await {
+        let wait = Duration::from_millis(deadline.since(asked));
+        match self.store.read_row_for_caller(&tables::board_key(), wait).await {
             Ok((Some(row), now_ms)) => match serde_json::from_slice(&row.value) {
                 Ok(board) => {
                     *self.board.borrow_mut() = Some((board, now_ms, asked));
@@ -177,7 +178,8 @@
             if self.store.is_silent() {
                 return None;
             }
-            match self.store.read_row(key).await {
+            let wait = Duration::from_millis(deadline.since(self.clock.now()));
+            match self.store.read_row_for_caller(key, wait).await {
                 Ok((row, _)) => return Some(row),
                 Err(e) => tracing::debug!(event = "read-failed", key = %key.key, error = %e),
             }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod dependency;
+pub mod descriptors;
 pub mod entry;
 pub mod front;
 pub mod lead;
