Answer requests read behind another one when stopping

Cause: a caller that had sent several requests on one connection got the answer to the first one only if the server was stopped meanwhile, though the others had been read. Evidence: by reading, and by the test; no incident was traced to it. Change: the answer closes the connection only if no further request was read. Entry's grace bounds it: a caller that goes on sending is cut off at its end. Test seen failing: requests_read_before_a_stop_are_answered, on the former code: no answer to the second request.

--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -108,9 +108,11 @@
                 Received::Refused(malformed) => return self.refuse_whole(malformed).await,
                 Received::Closed => return,
             };
-            let keep = persistence(&request, &shutdown);
+            let wanted = persistence(&request);
             let (response, next) = self.answer(request).await;
-            let keep = if shutdown.is_stopping() { Persistence::Close } else { keep };
+            // A request that was read behind this one is answered also when the server is stopping.
+            let is_last = shutdown.is_stopping() && !matches!(next, Ahead::Message(_));
+            let keep = if is_last { Persistence::Close } else { wanted };
             if self.send(response, keep).await.is_err() || keep == Persistence::Close {
                 return;
             }
@@ -246,14 +248,10 @@
     Close,
 }
 
-fn persistence(request: &Request, shutdown: &Shutdown) -> Persistence {
+fn persistence(request: &Request) -> Persistence {
     let close =
         request.text_header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
-    if close || request.method == Method::HEAD || shutdown.is_stopping() {
-        Persistence::Close
-    } else {
-        Persistence::Keep
-    }
+    if close || request.method == Method::HEAD { Persistence::Close } else { Persistence::Keep }
 }
 
 fn expects_continue(raw: &RawRequest) -> bool {
