--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -101,6 +101,12 @@
                     let stop = pin!(shutdown.wait());
                     match select(next, stop).await {
                         Either::Left((raw, _)) => raw,
+                        Either::Right((_, next)) if budget.has_message_begun() => {
+                            match monoio::time::timeout(STOP_ARRIVAL_TIME, next).await {
+                                Ok(raw) => raw,
+                                Err(_) => return,
+                            }
+                        }
                         Either::Right((_, next)) => {
                             budget.interrupt();
                             match next.await {
@@ -117,9 +123,11 @@
                 Received::Refused(malformed) => return self.refuse_whole(malformed).await,
                 Received::Closed => return,
             };
-            let keep = persistence(&request, &shutdown);
+            let wanted = persistence(&request);
             let (response, next) = self.answer(request).await;
-            let keep = if shutdown.is_stopping() { Persistence::Close } else { keep };
+            // A request that was read behind this one is answered also when the server is stopping.
+            let is_last = shutdown.is_stopping() && !matches!(next, Ahead::Message(_));
+            let keep = if is_last { Persistence::Close } else { wanted };
             if self.send(response, keep).await.is_err() || keep == Persistence::Close {
                 return;
             }
@@ -255,20 +263,19 @@
 
 const FAR_AHEAD: Duration = Duration::from_secs(24 * 3600);
 
+/// How long a stopping server waits for the rest of a head that is arriving.
+const STOP_ARRIVAL_TIME: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Persistence {
     Keep,
     Close,
 }
 
-fn persistence(request: &Request, shutdown: &Shutdown) -> Persistence {
+fn persistence(request: &Request) -> Persistence {
     let close =
         request.text_header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
-    if close || request.method == Method::HEAD || shutdown.is_stopping() {
-        Persistence::Close
-    } else {
-        Persistence::Keep
-    }
+    if close || request.method == Method::HEAD { Persistence::Close } else { Persistence::Keep }
 }
 
 fn expects_continue(raw: &RawRequest) -> bool {
