Log the ends that workers list and forget

Change: a link logs, at debug, the count that a poll tells for the first time (ends-told) and the ends that the answer lists (ends-listed), with the term and the worker's birth. The stand-in notes which ends a poll makes a worker forget, with its fence and the life. The entry hosts of a soak log at debug, so that the log of a failed one has all of it. Test seen failing: none, lines of the log only.

--- a/crates/daemon/tests/common/order_log.rs
+++ b/crates/daemon/tests/common/order_log.rs
@@ -8,6 +8,9 @@
 
 use super::fleet::Fleet;
 
+/// The setting by which entry hosts log the ends that workers list and that are acknowledged.
+pub const LOGS: &str = "log-level = debug";
+
 /// Writes what the test did, what workers were ordered and ran, and what the entry hosts logged into one file, which has
 /// the name of the failure. Returns the file.
 pub fn keep(fleet: &Fleet, failure: &str, acts: &[(Instant, String)]) -> PathBuf {
--- a/crates/daemon/tests/common/soak.rs
+++ b/crates/daemon/tests/common/soak.rs
@@ -16,7 +16,7 @@
     evacuations::Evacuations,
     fleet::{Fleet, Layout, Process},
     losses::Losses,
-    order_log,
+    order_log::{self, LOGS},
     recuts::Recuts,
     standing::Standing,
 };
@@ -52,7 +52,7 @@
 const ENTRY_MS: u64 = 1_500;
 
 /// Settings of an entry host that is much weaker than the others.
-const WEAK: &str = "link-mbps = 10";
+const WEAK: &str = "log-level = debug\nlink-mbps = 10";
 
 /// How long a run goes on after the order to stop it.
 const STOP_TIME: Duration = Duration::from_millis(300);
@@ -103,12 +103,12 @@
     pub fn start(seed: u64, time: Duration, is_kept: bool) -> Self {
         // A generator of its own leaves the scripts of kept seeds as they were.
         let mut late_rng = Rng::with_seed(seed ^ LATE_SEED);
-        let weak = if late_rng.bool() { WEAK } else { "" };
+        let weak = if late_rng.bool() { WEAK } else { LOGS };
         let layout = match is_kept {
             true => Layout::of_web(HOSTS),
             false => Standing::layout(seed, HOSTS),
         };
-        let fleet = Fleet::start_pools(&[weak, "", ""], layout, |_| {});
+        let fleet = Fleet::start_pools(&[weak, LOGS, LOGS], layout, |_| {});
         each_worker(&fleet, |it| it.stop_time = STOP_TIME);
         let routes = fleet.route_workers();
         let losses = Losses::start(&fleet, seed, (!is_kept).then_some(time));
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -10,7 +10,9 @@
     time::Duration,
 };
 
-use fuchsiamill_fleet::{CallTimes, Lateness, StartBudget, WorkerInfo, timing::elapsed_at_least};
+use fuchsiamill_fleet::{
+    CallTimes, Lateness, StartBudget, WorkerInfo, WorkerReport, timing::elapsed_at_least,
+};
 use fuchsiamill_http::ExchangeError;
 use fuchsiamill_model::units::{Millisecond, Moment};
 use fuchsiamill_platform::{CallError, Traffic, WorkerCallError, WorkerClient};
@@ -254,12 +256,17 @@
         // The numbers of ends are those of one incarnation. A new connection may lead to the next one, which would forget
         // ends that it has never listed. Leases are renewed there too: the answers may get lost, and the polls arrive.
         let is_known = self.client.keeps_poll_connection();
-        let (waits, is_silent, recorded_upto) = {
+        let (waits, is_silent, recorded_upto, acknowledged_upto) = {
             let mut state = self.state.borrow_mut();
             let must_look = std::mem::take(&mut state.must_look);
             let waits = is_known && state.is_busy && !state.is_silent && !must_look;
-            (waits, state.is_silent, if is_known { state.recorded_upto } else { 0 })
+            let recorded_upto = if is_known { state.recorded_upto } else { 0 };
+            (waits, state.is_silent, recorded_upto, state.acknowledged_upto)
         };
+        if recorded_upto > acknowledged_upto {
+            let (worker, fence) = (&self.worker.id, self.context.fence);
+            tracing::debug!(event = "ends-told", %worker, fence, seen_upto = recorded_upto);
+        }
         let renews = !is_silent && self.may_renew(asked);
         let deadline = renews.then(|| self.deadline(asked)).flatten();
         if deadline.is_some() {
@@ -297,8 +304,12 @@
                 state.has_unanswered_poll = false;
                 state.acknowledged_upto = recorded_upto;
                 let last_end = held.report.ended.iter().map(|it| it.number).max().unwrap_or(0);
+                let is_new_end = last_end > state.last_end;
                 state.last_end = last_end.max(state.last_end);
                 drop(state);
+                if is_new_end || recorded_upto > acknowledged_upto {
+                    self.log_ends(&held.report, recorded_upto);
+                }
                 self.send(LinkEvent::Reported(self.worker.id.clone(), held.report));
                 NextStep::Poll
             }
@@ -312,6 +323,14 @@
         }
     }
 
+    /// Logs which ends the worker lists, after a poll that told it that the ends up to `seen_upto` are stored.
+    fn log_ends(&self, report: &WorkerReport, seen_upto: u64) {
+        let (worker, fence, born) = (&self.worker.id, self.context.fence, report.born);
+        let (first, last) = (report.ended.first(), report.ended.last());
+        let (first, last) = (first.map_or(0, |it| it.number), last.map_or(0, |it| it.number));
+        tracing::debug!(event = "ends-listed", %worker, fence, born, seen_upto, first, last);
+    }
+
     /// Returns once a poll that waits at the worker is to be abandoned.
     async fn interrupted(&self, waits: bool) {
         if !waits {
--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -189,7 +189,12 @@
             worker.deadline = worker.deadline.max(deadline.min(longest));
         }
         match path {
-            "/hold" => hold(worker, body),
+            "/hold" => {
+                let forgotten = forget_ends(worker, body);
+                let answer = hold(worker);
+                world.orders.extend(forgotten.map(|it| (Instant::now(), it)));
+                answer
+            }
             "/run-stop" => stop(&mut world, self.host, body),
             "/run-start" => start(&mut world, self.host, body),
             "/pace" => reply::value(&json!({ "clock_ms": worker.clock_ms() })),
@@ -203,9 +208,20 @@
     Response::json(StatusCode::CONFLICT, body.to_string())
 }
 
-fn hold(worker: &mut Worker, body: &Value) -> Response {
+/// Forgets the ends that a poll acknowledges; tells which, if there are any.
+fn forget_ends(worker: &mut Worker, body: &Value) -> Option<String> {
     let seen = body["seen_upto"].as_u64().unwrap_or(0);
-    worker.ended.retain(|it| it.0 > seen);
+    let forgotten: Vec<String> = worker
+        .ended
+        .extract_if(.., |it| it.0 <= seen)
+        .map(|(number, task, run, how)| format!("{number}: {task} run {run} {how}"))
+        .collect();
+    let poll = format!("/hold up to {seen}, fence {}, for {}", body["fence_token"], worker.id);
+    let life = format!("the life born at {}", worker.born);
+    (!forgotten.is_empty()).then(|| format!("{poll}: {life} forgets {forgotten:?}"))
+}
+
+fn hold(worker: &Worker) -> Response {
     let running: Vec<Value> = worker
         .running
         .iter()
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -100,7 +100,7 @@
     pub runs: Vec<RunRecord>,
     /// Tasks of which two runs were at work at once, or one began after another was done.
     pub twice: Vec<String>,
-    /// Every order to start or stop a run that was carried out or refused, and when.
+    /// Every order to start or stop a run that was carried out or refused, every poll by which a worker forgot ends, and when.
     pub orders: Vec<(Instant, String)>,
     /// The links of the entry hosts to the workers, if they are narrow.
     pub links: Option<NarrowLinks>,
