Stand-in: a call on a narrow link ends with the life it was sent to

Cause: a call that waited for its turn on a narrow link was carried out by whatever life of the worker was there by then, although the connection on which it came had ended. The other delays of the stand-in, late orders and polls that wait for an end, end with the life. Evidence: the log of a failed run: a poll of term 4 with the count 3 is sent at 38.410, the worker starts again under its id at 38.449, and the new life forgets its ends 1 and 2 at 39.606 by that poll. Change: such a call is not answered once the life that it reached has ended. This is less than the stand-in did before: docs/design/rules.md reads the platform's page so that the next life rejects calls to the former one, and the design takes a connection to lead to one life.

--- a/crates/standin/src/fleet/workers.rs
+++ b/crates/standin/src/fleet/workers.rs
@@ -53,11 +53,16 @@
             return self.serve(incoming).await;
         }
         // The call arrives although its sender gives it up.
-        let (port, (tx, rx)) = (self.clone(), oneshot::channel());
+        let (port, born, (tx, rx)) = (self.clone(), self.born(), oneshot::channel());
         monoio::spawn(async move {
             port.pass_link(incoming.peer, incoming.request.body.len()).await;
+            // A worker that has ended meanwhile takes the call with it, as its connections end.
+            let answer = match port.born() == born {
+                true => port.serve(incoming).await,
+                false => reply::never(incoming).await,
+            };
             // The sender may be gone.
-            let _ = tx.send(port.serve(incoming).await);
+            let _ = tx.send(answer);
         });
         rx.await.unwrap_or_else(|_| Response::empty(StatusCode::SERVICE_UNAVAILABLE))
     }
