Acknowledge no end whose job's row cannot be read

Cause: an end of a run whose job the coordinator does not know was acknowledged with the others, though nothing was recorded of it. The job may be in the store in a row that this process cannot read: a coordinator that reads it later starts the done task again. Change: the loader tells the coordinator which jobs' rows it cannot read. Ends are acknowledged up to the first one of such a job, until the row is read or gone. From 100 listed ends on all are acknowledged, since a worker lists 500 at a time and the ends of other jobs must not be hidden.

--- a/crates/fleet/src/coordinator/listed.rs
+++ b/crates/fleet/src/coordinator/listed.rs
@@ -5,9 +5,32 @@
 use super::{
     Coordinator, LiveRun, Order, Phase, StepKey, TaskState, job::StepRun, worker::UnknownRuns,
 };
-use crate::{Name, RunInfo, WorkerReport};
+use crate::{Name, RunEnd, RunInfo, WorkerReport};
+
+/// The most ends that a worker goes on listing because some of them cannot be recorded. It lists 500 at a time, so that the
+/// ends after these are listed too.
+const MAX_HELD_ENDS: usize = 100;
 
 impl Coordinator {
+    /// Notes that the row of a job is there and cannot be read. Ends of its runs are not acknowledged, since nothing can
+    /// be recorded of them and a coordinator that reads the row would start them again.
+    pub fn job_unreadable(&mut self, id: &Name) {
+        self.unreadable_jobs.insert(id.clone());
+    }
+
+    /// Notes that the row of a job is gone.
+    pub fn job_row_removed(&mut self, id: &Name) {
+        self.unreadable_jobs.remove(id);
+    }
+
+    /// Returns the number of the last listed end up to which all ends are recorded or need no record; 0 if there is none.
+    pub(super) fn last_settled_end(&self, report: &WorkerReport) -> u64 {
+        let has_room = !report.has_more_ends && report.ended.len() < MAX_HELD_ENDS;
+        let is_held = |it: &RunEnd| has_room && self.unreadable_jobs.contains(&it.task.job);
+        let settled = report.ended.iter().take_while(|it| !is_held(it));
+        settled.map(|it| it.number).max().unwrap_or(0)
+    }
+
     /// Acknowledges ends that a worker lists although their acknowledgement was released before it was polled: the link
     /// that was to send it may have been replaced.
     pub(super) fn acknowledge_again(&mut self, id: &Name, report: &WorkerReport) {
--- a/crates/fleet/src/coordinator/mod.rs
+++ b/crates/fleet/src/coordinator/mod.rs
@@ -68,8 +68,8 @@
 pub use worker::Worker;
 
 use crate::{
-    Cancellation, Config, JobOwner, JobRecord, JobScope, JobSpec, Name, RecordKey, Stage, TaskId,
-    Timing, durations::Durations,
+    Cancellation, Config, JobOwner, JobRecord, JobSpec, Name, RecordKey, Stage, TaskId, Timing,
+    durations::Durations,
 };
 use limits::EXCESS_WINDOW_MS;
 use retention::EndedJob;
@@ -93,6 +93,8 @@
     recent_jobs: FastMap<Name, VecDeque<Moment>>,
     /// Cancellations of jobs that were not accepted yet.
     early_cancels: FastMap<Cancellation, retention::EarlyCancel>,
+    /// Jobs whose rows are there and cannot be read.
+    unreadable_jobs: FastSet<Name>,
     /// Rows of records that wait to be stored, in this order.
     dirty_records: VecDeque<RecordKey>,
     dirty_record_set: FastSet<RecordKey>,
@@ -160,6 +162,7 @@
             kept_of_limits: limits::KeptParts::default(),
             recent_jobs: FastMap::default(),
             early_cancels: FastMap::default(),
+            unreadable_jobs: FastSet::default(),
             dirty_records: VecDeque::new(),
             dirty_record_set: FastSet::default(),
             records_marked: 0,
@@ -215,6 +218,7 @@
         if self.jobs.contains_key(&id) || self.ended_jobs.contains_key(&id) {
             return;
         }
+        self.unreadable_jobs.remove(&id);
         let is_cancelled = self.take_early_cancels(&id, &JobOwner::from(&*spec));
         let mut job = Job::new(id.clone(), spec, now, wall);
         job.open_due(wall);
@@ -251,30 +255,6 @@
         }
     }
 
-    /// Cancels the job with this id, whoever posted it, and stops its runs.
-    pub fn cancel(&mut self, id: &Name, now: Moment) {
-        self.cancel_in_scope(&Cancellation { job: id.clone(), scope: JobScope::All }, now);
-    }
-
-    /// Cancels a job that is in the scope of the request, and stops its runs. A cancellation that arrives before its job
-    /// is kept for `Timing::retention_ms`.
-    pub fn cancel_in_scope(&mut self, request: &Cancellation, now: Moment) {
-        let id = &request.job;
-        let open =
-            self.jobs.get(id).filter(|it| request.scope.includes(&JobOwner::from(&*it.spec)));
-        if let Some(job) = open {
-            if !job.stage.is_over() {
-                self.end_job(id, Stage::Cancelled, now);
-            }
-            return;
-        }
-        let ended = self.ended_jobs.get(id).filter(|it| request.scope.includes(&it.owner));
-        // While the rows of a job are being deleted, the row of a new cancellation may outlast them.
-        if ended.is_none() || self.expiring.contains(id) {
-            self.note_early_cancel(request, now);
-        }
-    }
-
     /// Ends a job and stops its live runs.
     fn end_job(&mut self, id: &Name, stage: Stage, now: Moment) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/fleet/src/coordinator/reports.rs
+++ b/crates/fleet/src/coordinator/reports.rs
@@ -194,8 +194,8 @@
             self.requeue_missing(id, &report, now);
         }
         self.stop_unwanted(id, now);
+        let last = self.last_settled_end(&report);
         if let Some(worker) = self.workers.get_mut(id)
-            && let Some(last) = report.ended.iter().map(|it| it.number).max()
             && last > before
         {
             worker.last_end = last;
--- a/crates/fleet/src/coordinator/retention.rs
+++ b/crates/fleet/src/coordinator/retention.rs
@@ -3,7 +3,7 @@
 use fuchsiamill_model::units::Moment;
 
 use super::{Coordinator, Job};
-use crate::{Cancellation, JobOwner, JobScope, Name, RecordKey};
+use crate::{Cancellation, JobOwner, JobScope, Name, RecordKey, Stage};
 
 /// A job that has ended and has no live runs.
 #[derive(Clone, Debug)]
@@ -74,6 +74,30 @@
         ended.unwrap_or_else(|| vec![JobScope::All])
     }
 
+    /// Cancels the job with this id, whoever posted it, and stops its runs.
+    pub fn cancel(&mut self, id: &Name, now: Moment) {
+        self.cancel_in_scope(&Cancellation { job: id.clone(), scope: JobScope::All }, now);
+    }
+
+    /// Cancels a job that is in the scope of the request, and stops its runs. A cancellation that arrives before its job
+    /// is kept for `Timing::retention_ms`.
+    pub fn cancel_in_scope(&mut self, request: &Cancellation, now: Moment) {
+        let id = &request.job;
+        let open =
+            self.jobs.get(id).filter(|it| request.scope.includes(&JobOwner::from(&*it.spec)));
+        if let Some(job) = open {
+            if !job.stage.is_over() {
+                self.end_job(id, Stage::Cancelled, now);
+            }
+            return;
+        }
+        let ended = self.ended_jobs.get(id).filter(|it| request.scope.includes(&it.owner));
+        // While the rows of a job are being deleted, the row of a new cancellation may outlast them.
+        if ended.is_none() || self.expiring.contains(id) {
+            self.note_early_cancel(request, now);
+        }
+    }
+
     /// Forgets the cancellations that came before a job of this owner. Returns whether there were any.
     pub(super) fn take_early_cancels(&mut self, id: &Name, owner: &JobOwner) -> bool {
         let key = |scope| Cancellation { job: id.clone(), scope };
--- a/crates/site/src/lead/load.rs
+++ b/crates/site/src/lead/load.rs
@@ -155,6 +155,7 @@
     cx: &Candidate,
 ) {
     if row.is_removed {
+        coordinator.job_row_removed(&row.key.key);
         return;
     }
     let now = cx.clock.now();
@@ -168,7 +169,10 @@
             let record = JobRecord::merge(progress, &spec);
             coordinator.accept(id, Arc::new(spec), record.as_ref(), now, cx.clock.wall());
         }
-        Err(e) => tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e),
+        Err(e) => {
+            tracing::error!(event = "job-unreadable", job = %row.key.key, error = %e);
+            coordinator.job_unreadable(&row.key.key);
+        }
     }
 }
 
