A test of client accounts that use each other's ids

Change: shared_ids draws 200 interleavings of posts, questions and cancellations under one id by two teams and the callers of an open queue, at two entry hosts. It checks what each account is told, that at most one post is accepted, and which payload the workers got; for that the stand-in of a worker records the payload of each run.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -19,6 +19,7 @@
 pub mod process;
 pub mod recuts;
 pub mod session;
+pub mod shared_ids;
 pub mod soak;
 pub mod standing;
 pub mod story;
--- a/crates/standin/src/fleet/world.rs
+++ b/crates/standin/src/fleet/world.rs
@@ -45,6 +45,8 @@
     pub run: u64,
     /// The worker.
     pub worker: String,
+    /// What the order to start carried as `spec`.
+    pub payload: String,
     /// When it began.
     pub began: Instant,
     /// When and how it ended.
@@ -343,6 +345,7 @@
             task: task.to_owned(),
             run,
             worker: worker.id.clone(),
+            payload: payload.to_owned(),
             began: now,
             ended: None,
         });
