The soak judges requests without an answer, shared ids and large jobs

Cause: the callers of the soak repeated a request whose connection ended without an answer, so that no run could show that one was lost (LOST). They had one client account and small jobs only. Change: requests that were sent whole and whose connection ended without a complete answer are counted by cause and judged by LOST: later than 200 ms after the last byte, around SIGTERM, SIGHUP or a changed configuration, with nothing unplanned on the entry host or the store from 3 s before. Callers over plain sockets pipeline, send bodies in parts and post jobs of up to 1,600 tasks in 1 to 4 steps; a further part of the soak does planned work alone. Other accounts play rounds of shared ids. All of it has generators of its own: kept seeds keep their scripts. Known and drawn seeds run beside each other. What a soak does to entry hosts is in a file of its own.

--- a/crates/daemon/tests/common/callers.rs
+++ b/crates/daemon/tests/common/callers.rs
@@ -12,7 +12,7 @@
 
 use fastrand::Rng;
 use fuchsiamill_daemon::run::block_on;
-use fuchsiamill_http::{Connection, Request, Response};
+use fuchsiamill_http::{Connection, ExchangeError, Request, Response};
 use http::{HeaderName, HeaderValue, Method};
 use monoio::time::sleep;
 use serde_json::Value;
@@ -21,6 +21,7 @@
     PATIENCE,
     fleet::{KEY, job},
     net,
+    unanswered::Unanswered,
 };
 
 /// The longest pause between two jobs of a caller.
@@ -56,7 +57,7 @@
 /// Callers, each on a thread of its own.
 pub struct Callers {
     is_over: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<Vec<Call>>>,
+    threads: Vec<JoinHandle<(Vec<Call>, Vec<Unanswered>)>>,
 }
 
 impl Callers {
@@ -69,6 +70,7 @@
                     rng: Rng::with_seed(seed ^ (number + 1)),
                     kept: fronts.into_iter().map(|it| (it, None)).collect(),
                     calls: Vec::new(),
+                    unanswered: Vec::new(),
                 };
                 block_on(caller.call(&is_over))
             })
@@ -77,10 +79,13 @@
         Self { is_over, threads }
     }
 
-    /// Ends them once the cancellations that they mean to make are answered; gives all of their jobs.
-    pub fn finish(self) -> Vec<Call> {
+    /// Ends them once the cancellations that they mean to make are answered; gives all of their jobs, and the requests
+    /// whose connection ended without an answer.
+    pub fn finish(self) -> (Vec<Call>, Vec<Unanswered>) {
         self.is_over.store(true, Ordering::Relaxed);
-        self.threads.into_iter().flat_map(|it| it.join().expect("a caller ends")).collect()
+        let all = self.threads.into_iter().map(|it| it.join().expect("a caller ends"));
+        let (calls, unanswered): (Vec<_>, Vec<_>) = all.unzip();
+        (calls.into_iter().flatten().collect(), unanswered.into_iter().flatten().collect())
     }
 }
 
@@ -88,10 +93,11 @@
     rng: Rng,
     kept: Vec<(SocketAddr, Option<Connection>)>,
     calls: Vec<Call>,
+    unanswered: Vec<Unanswered>,
 }
 
 impl Caller {
-    async fn call(mut self, is_over: &AtomicBool) -> Vec<Call> {
+    async fn call(mut self, is_over: &AtomicBool) -> (Vec<Call>, Vec<Unanswered>) {
         while !is_over.load(Ordering::Relaxed) {
             self.cancel_due(Instant::now()).await;
             self.post().await;
@@ -104,7 +110,7 @@
             self.cancel_due(all).await;
             sleep(RETRY_PAUSE).await;
         }
-        self.calls
+        (self.calls, self.unanswered)
     }
 
     async fn post(&mut self) {
@@ -153,9 +159,17 @@
         let request = Request { method, ..Request::post(format!("/jobs/{id}"), body) }
             .header(HeaderName::from_static("x-api-key"), HeaderValue::from_static(KEY));
         let deadline = monoio::time::Instant::now() + ANSWER_TIME;
-        let answer = connection.exchange(request, deadline).await.ok();
+        let sent = Instant::now();
+        let answer = connection.exchange(request, deadline).await;
         *kept = Some(connection).filter(Connection::is_reusable);
-        answer
+        if let Err(e) = &answer
+            && !matches!(e, ExchangeError::Late | ExchangeError::Send(_))
+        {
+            let how = e.to_string();
+            let one = Unanswered { entry: number, what: "call", sent, ended: Instant::now(), how };
+            self.unanswered.push(one);
+        }
+        answer.ok()
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -16,13 +16,17 @@
 pub mod net;
 pub mod operator;
 pub mod order_log;
+pub mod pressers;
 pub mod process;
 pub mod recuts;
 pub mod session;
 pub mod shared_ids;
 pub mod soak;
+pub mod soak_entries;
+pub mod soak_faults;
 pub mod standing;
 pub mod story;
+pub mod unanswered;
 pub mod waves;
 
 use std::{
--- a/crates/daemon/tests/common/soak.rs
+++ b/crates/daemon/tests/common/soak.rs
@@ -9,19 +9,22 @@
 use fastrand::Rng;
 use fuchsiamill_standin::{
     admin::RouteFault,
-    fleet::{NarrowLinks, StoreFault, Worker, WorkerFault},
+    fleet::{NarrowLinks, StoreFault, WorkerFault},
 };
 
 use super::{
     evacuations::Evacuations,
-    fleet::{Fleet, Layout, Process},
+    fleet::{Fleet, Layout},
     losses::Losses,
     order_log,
     recuts::Recuts,
+    shared_ids::PREFIXES,
+    soak_faults::{ROUTE_FAULTS, STORE_FAULTS, WORKER_FAULTS, each_worker},
     standing::Standing,
+    unanswered::Disturbances,
 };
 
-const ENTRY_HOSTS: usize = 3;
+pub(super) const ENTRY_HOSTS: usize = 3;
 const HOSTS: usize = 5;
 
 /// The most actions without a pause between them.
@@ -30,9 +33,6 @@
 /// The longest pause between two actions.
 const PAUSE_MS: u64 = 250;
 
-/// How long a paused process stands still.
-const FREEZE_MS: u64 = 2_500;
-
 /// The longest time for which the entry of a worker is gone.
 const LAPSE_MS: u64 = 3_000;
 
@@ -60,7 +60,7 @@
 /// A site under faults.
 pub struct Soak {
     pub fleet: Fleet,
-    rng: Rng,
+    pub(super) rng: Rng,
     /// Decides what makes coordinators late.
     late_rng: Rng,
     /// Decides what happens to the links of workers.
@@ -77,14 +77,18 @@
     /// The workers that start again and are cut off soon after; none for kept seeds.
     recuts: Option<Recuts>,
     /// Entry hosts that stand still, and until when.
-    frozen: Vec<(Instant, usize)>,
+    pub(super) frozen: Vec<(Instant, usize)>,
     /// Workers whose entries lapsed, and when these come back.
     lapsed: Vec<(Instant, usize)>,
     /// Of the configuration.
-    version: u64,
-    seed: u64,
+    pub(super) version: u64,
+    pub(super) seed: u64,
     /// What was done, and when.
     acts: Vec<(Instant, String)>,
+    /// What concerns entry hosts and the store.
+    pub disturbances: Disturbances,
+    /// The queues of other accounts, if there are any.
+    pub(super) shared: &'static [&'static str],
 }
 
 /// A soak that fails keeps the order of what happened.
@@ -129,6 +133,8 @@
             version: 1,
             seed,
             acts: Vec::new(),
+            disturbances: Disturbances::default(),
+            shared: &[],
         }
     }
 
@@ -137,6 +143,13 @@
         self.recuts = Some(Recuts::start(&self.fleet, self.seed));
     }
 
+    /// Adds the queues of other client accounts.
+    pub fn add_accounts(&mut self) {
+        self.shared = &PREFIXES;
+        self.version += 1;
+        self.fleet.configure(self.version, &["/jobs/", PREFIXES[0], PREFIXES[1]]);
+    }
+
     /// Does what is due and a series of actions, and pauses.
     pub fn step(&mut self) {
         self.thaw();
@@ -164,6 +177,7 @@
         let now = Instant::now();
         for (_, entry) in self.frozen.extract_if(.., |it| it.0 <= now) {
             self.fleet.entries[entry].signal("CONT");
+            self.disturbances.end("freeze", Some(entry));
         }
         for (_, host) in self.lapsed.extract_if(.., |it| it.0 <= now) {
             self.fleet.site.world().list(host);
@@ -230,23 +244,32 @@
             2 => self.restart_several(),
             3 | 4 => self.lose_coordinator(),
             5 => {
-                let entry = self.any_entry();
-                if entry.hears_hup() {
-                    entry.signal("HUP");
-                }
+                let entry = self.rng.usize(0..ENTRY_HOSTS);
+                self.reload(entry);
             }
             6 => self.configure(),
             7 | 8 => {
                 let fault = *self.rng.choice(&ROUTE_FAULTS).expect("a fault");
-                self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), fault);
+                let entry = self.rng.usize(0..ENTRY_HOSTS);
+                self.disturb_store_of(entry, fault);
+            }
+            9..=11 => {
+                let entry = self.rng.usize(0..ENTRY_HOSTS);
+                self.disturb_store_of(entry, RouteFault::None);
             }
-            9..=11 => self.fleet.store_fault(self.rng.usize(0..ENTRY_HOSTS), RouteFault::None),
             12 => {
                 let fault = *self.rng.choice(&STORE_FAULTS).expect("a fault");
+                self.disturbances.begin("store fault", None);
                 self.fleet.site.world().rows.fault = fault;
             }
-            13 | 14 => self.fleet.site.world().rows.fault = StoreFault::None,
-            15 => self.fleet.site.world().rows.forget_history(),
+            13 | 14 => {
+                self.fleet.site.world().rows.fault = StoreFault::None;
+                self.disturbances.end("store fault", None);
+            }
+            15 => {
+                self.disturbances.strike("lost history", None);
+                self.fleet.site.world().rows.forget_history();
+            }
             16 => {
                 let mut world = self.fleet.site.world();
                 let host = self.rng.usize(0..world.host_count());
@@ -275,67 +298,26 @@
     fn delay_coordinators(&mut self) {
         let mut world = self.fleet.site.world();
         match self.late_rng.u32(0..12) {
-            0 => world.links = Some(NarrowLinks::new(self.late_rng.u32(LINK_BYTES_PER_S))),
-            1 => world.rows.mute_feed = Some("jobs"),
-            2 | 3 => world.links = None,
-            4 | 5 => world.rows.mute_feed = None,
+            0 => {
+                self.disturbances.begin("narrow links", None);
+                world.links = Some(NarrowLinks::new(self.late_rng.u32(LINK_BYTES_PER_S)));
+            }
+            1 => {
+                self.disturbances.begin("mute feed", None);
+                world.rows.mute_feed = Some("jobs");
+            }
+            2 | 3 => {
+                world.links = None;
+                self.disturbances.end("narrow links", None);
+            }
+            4 | 5 => {
+                world.rows.mute_feed = None;
+                self.disturbances.end("mute feed", None);
+            }
             _ => {}
         }
     }
 
-    fn any_entry(&mut self) -> &Process {
-        &self.fleet.entries[self.rng.usize(0..ENTRY_HOSTS)]
-    }
-
-    fn is_frozen(&self, entry: usize) -> bool {
-        self.losses.silent == Some(entry) || self.frozen.iter().any(|it| it.1 == entry)
-    }
-
-    fn lose_for_good(&mut self) {
-        self.losses.act(&self.fleet, |entry| self.frozen.iter().any(|it| it.1 == entry));
-    }
-
-    fn freeze(&mut self) {
-        let entry = self.rng.usize(0..ENTRY_HOSTS);
-        if !self.is_frozen(entry) {
-            self.fleet.entries[entry].signal("STOP");
-            let span = Duration::from_millis(self.rng.u64(100..FREEZE_MS));
-            self.frozen.push((Instant::now() + span, entry));
-        }
-    }
-
-    fn restart(&mut self) {
-        let entry = self.rng.usize(0..ENTRY_HOSTS);
-        if !self.is_frozen(entry) {
-            self.fleet.entries[entry].replace(self.rng.bool());
-        }
-    }
-
-    /// Several shut down at once while a configuration comes, one after another is up again.
-    fn restart_several(&mut self) {
-        let first = self.rng.usize(0..ENTRY_HOSTS);
-        let others = (0..ENTRY_HOSTS).filter(|it| *it != first && !self.is_frozen(*it));
-        let others: Vec<usize> = others.collect();
-        others.iter().for_each(|it| self.fleet.entries[*it].signal("TERM"));
-        self.configure();
-        for entry in others {
-            self.fleet.entries[entry].wait_end();
-            self.fleet.entries[entry].restart();
-        }
-    }
-
-    fn lose_coordinator(&mut self) {
-        if let Some(leader) = self.fleet.coordinator().filter(|it| !self.is_frozen(*it)) {
-            self.fleet.entries[leader].replace(false);
-        }
-    }
-
-    fn configure(&mut self) {
-        self.version += 1;
-        let queues: &[&str] = if self.rng.bool() { &["/jobs/"] } else { &["/jobs/", "/other/"] };
-        self.fleet.configure(self.version, queues);
-    }
-
     fn lapse(&mut self) {
         let mut world = self.fleet.site.world();
         let host = self.rng.usize(0..world.host_count());
@@ -348,9 +330,10 @@
     pub fn heal(&mut self) {
         for (_, entry) in self.frozen.drain(..) {
             self.fleet.entries[entry].signal("CONT");
+            self.disturbances.end("freeze", Some(entry));
         }
         for entry in 0..ENTRY_HOSTS {
-            self.fleet.store_fault(entry, RouteFault::None);
+            self.disturb_store_of(entry, RouteFault::None);
         }
         {
             let mut world = self.fleet.site.world();
@@ -358,6 +341,9 @@
             world.rows.mute_feed = None;
             world.links = None;
         }
+        for it in ["store fault", "narrow links", "mute feed"] {
+            self.disturbances.end(it, None);
+        }
         for (_, host) in self.lapsed.drain(..) {
             self.fleet.site.world().list(host);
         }
@@ -368,34 +354,3 @@
         each_worker(&self.fleet, |it| it.fault = WorkerFault::None);
     }
 }
-
-fn each_worker(fleet: &Fleet, mut act: impl FnMut(&mut Worker)) {
-    let mut world = fleet.site.world();
-    for host in 0..world.host_count() {
-        if let Some(worker) = world.worker_mut(host) {
-            act(worker);
-        }
-    }
-}
-
-const ROUTE_FAULTS: [RouteFault; 5] = [
-    RouteFault::Delay { ms: 150 },
-    RouteFault::Cut,
-    RouteFault::HoldForward,
-    RouteFault::HoldBack,
-    RouteFault::HoldBoth,
-];
-
-const STORE_FAULTS: [StoreFault; 4] =
-    [StoreFault::Down, StoreFault::Silent, StoreFault::Slow(200), StoreFault::LoseAnswers(40)];
-
-const WORKER_FAULTS: [WorkerFault; 8] = [
-    WorkerFault::None,
-    WorkerFault::None,
-    WorkerFault::Silent,
-    WorkerFault::AnswersLost,
-    WorkerFault::Late(1_500),
-    WorkerFault::StopsLate(1_000),
-    WorkerFault::StopsLate(6_000),
-    WorkerFault::OrdersLate(1_500),
-];
--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -6,6 +6,7 @@
 mod common;
 
 use std::{
+    net::SocketAddr,
     panic::catch_unwind,
     thread,
     time::{Duration, Instant},
@@ -14,6 +15,8 @@
 use common::{
     callers::{Call, Callers},
     fleet::{Fleet, job},
+    pressers::{Pressed, Pressers},
+    shared_ids::{self, SharedIds},
     soak::Soak,
     wait_until,
 };
@@ -39,6 +42,12 @@
 
 const CALLERS: u64 = 3;
 
+/// Callers over plain sockets.
+const PRESSERS: u64 = 8;
+
+/// Callers that play rounds of shared ids.
+const SHARERS: u64 = 2;
+
 /// A run of a cancelled job is not begun later than this after the answer: `cancel_ms` of the platform.
 const BEGIN_TIME: Duration = Duration::from_millis(3_000);
 
@@ -56,14 +65,21 @@
 fn promises_hold_under_overlapping_faults() {
     let fresh = number("SOAK_SEED", fastrand::u64(..1 << 40));
     let known = REGRESSIONS.iter().chain(WHOLE_REGRESSIONS).copied();
-    let seeds = known.chain((0..number("SOAK_SEEDS", 2)).map(|it| fresh + it));
+    let lanes: [Vec<u64>; 2] =
+        [known.collect(), (0..number("SOAK_SEEDS", 2)).map(|it| fresh + it).collect()];
     let time = Duration::from_secs(number("SOAK_SECONDS", 6));
-    let fails = |seed: &u64| {
+    let fails = move |seed: &u64| {
         println!("seed {seed}");
         let script = if REGRESSIONS.contains(seed) { Script::Kept } else { Script::Whole };
         catch_unwind(|| soak(*seed, time, script)).is_err()
     };
-    let failed: Vec<u64> = seeds.filter(fails).collect();
+    // Two at a time keep CI's run under two minutes.
+    let failed: Vec<u64> = thread::scope(|scope| {
+        let run = |lane: Vec<u64>| {
+            scope.spawn(move || lane.into_iter().filter(fails).collect::<Vec<_>>())
+        };
+        lanes.map(run).into_iter().flat_map(|it| it.join().expect("a lane ends")).collect()
+    });
     assert!(failed.is_empty(), "failed, each for the reason above: {failed:?}");
 }
 
@@ -91,11 +107,15 @@
 
 fn soak(seed: u64, time: Duration, script: Script) {
     let mut soak = Soak::start(seed, time, script == Script::Kept);
-    if script == Script::Whole {
+    let is_whole = script == Script::Whole;
+    if is_whole {
         soak.add_recuts();
+        soak.add_accounts();
     }
     let fronts: Vec<_> = soak.fleet.entries.iter().map(|it| it.front).collect();
     let callers = Callers::start(CALLERS, &fronts, seed);
+    let pressers = is_whole.then(|| Pressers::start(PRESSERS, &fronts, seed, true));
+    let sharers = is_whole.then(|| SharedIds::start(SHARERS, &fronts, seed));
     let until = Instant::now() + time;
     while Instant::now() < until {
         soak.step();
@@ -104,15 +124,36 @@
     if let Some(it) = &mut soak.evacuations {
         it.finish(&soak.fleet);
     }
-    soak.losses.check_lasting(&soak.fleet);
-    let calls = callers.finish();
+    soak.end_losses();
+    let (calls, mut unanswered) = callers.finish();
+    let mut pressed = pressers.map(Pressers::finish).unwrap_or_default();
+    let rounds = sharers.map(SharedIds::finish).unwrap_or_default();
+    unanswered.append(&mut pressed.unanswered);
     check(&soak, &calls, seed);
+    pressed.check(&soak.fleet);
+    shared_ids::check(&soak.fleet, &rounds);
     if let Some(it) = &soak.evacuations {
         it.check(&soak.fleet, seed);
     }
     if let Some(it) = &mut soak.standing {
         it.check(&soak.fleet, seed);
     }
+    if is_whole {
+        let pressed = press_planned_work(&mut soak, &fronts, seed);
+        unanswered.extend(pressed.unanswered);
+    }
+    let broken = soak.disturbances.broken(&unanswered);
+    assert!(broken.is_empty(), "seed {seed}: requests without an answer: {broken:#?}");
+}
+
+/// Callers beside planned work alone.
+fn press_planned_work(soak: &mut Soak, fronts: &[SocketAddr], seed: u64) -> Pressed {
+    let pressers = Pressers::start(PRESSERS, fronts, !seed, false);
+    soak.plan_work();
+    let pressed = pressers.finish();
+    soak.fleet.wait_ready();
+    pressed.check(&soak.fleet);
+    pressed
 }
 
 /// Checks what callers were promised, now that nothing is in the way.
