The soak's planned work begins with free hosts

Cause: the part before it fills all hosts with lasting and short tasks. Change: the tasks that make hosts short are cancelled after their check.

--- a/crates/daemon/tests/fleet_soak.rs
+++ b/crates/daemon/tests/fleet_soak.rs
@@ -137,6 +137,7 @@
     }
     if let Some(it) = &mut soak.standing {
         it.check(&soak.fleet, seed);
+        it.finish(&soak.fleet);
     }
     if is_whole {
         let pressed = press_planned_work(&mut soak, &fronts, seed);
