The soak names the latest disturbance beside a request without an answer

Cause: the cause that was printed was the first disturbance since 3 s before the request, such as a lost history, where a later kill was nearer. Change: the latest one is named. What is judged as broken is the same.

--- a/crates/daemon/tests/common/unanswered.rs
+++ b/crates/daemon/tests/common/unanswered.rs
@@ -94,7 +94,8 @@
         for it in all {
             let concerns = |span: &&Span| span.entry.is_none_or(|entry| entry == it.entry);
             let find = |is_planned, from| {
-                let mut spans = self.0.iter().filter(concerns);
+                // The latest is the nearest to the cause.
+                let mut spans = self.0.iter().rev().filter(concerns);
                 spans.find(|span| span.is_planned == is_planned && span.overlaps(from, it.ended))
             };
             let unplanned = find(false, it.sent - CONTACT_TIME);
