Take back the bound of left-out workers, and list the fault

Cause: keeps at most half of a pool left out for what its tasks did, by who was blamed first. Where a sound worker is left out first, for being slow or for one job's tasks, the next one is not left out however badly it fails, and all work of the pool goes there: jobs end as failed after their attempts.

--- a/crates/fleet/src/coordinator/health.rs
+++ b/crates/fleet/src/coordinator/health.rs
@@ -71,26 +71,6 @@
 }
 
 impl Coordinator {
-    /// Avoids a worker for what its tasks did, unless most of its pool would be avoided for that: then it is the tasks of
-    /// some job, and the other jobs of the pool would find no worker.
-    fn avoid_for_tasks(&mut self, id: &Name, until: Moment, now: Moment) {
-        let Some(pool) = self.workers.get(id).map(|it| it.seen.pool.clone()) else { return };
-        let others = self.workers.iter().filter(|it| it.0 != id && it.1.seen.pool == pool);
-        let (avoided, sound) = others.fold((0, 0), |(avoided, sound), (_, it)| {
-            match (now < it.blamed_until, it.takes_tasks(now)) {
-                (true, _) => (avoided + 1, sound),
-                (false, true) => (avoided, sound + 1),
-                (false, false) => (avoided, sound),
-            }
-        });
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let is_alone = avoided + sound == 0;
-        if now < worker.blamed_until || is_alone || avoided < sound {
-            worker.blamed_until = worker.blamed_until.max(until);
-            worker.avoid(until);
-        }
-    }
-
     /// Updates the health of a worker after a run on it has ended.
     pub(super) fn note_run_end(&mut self, worker: &Name, id: &TaskId, ending: Ending, now: Moment) {
         let has_run_well = self.live_mut(id).is_some_and(|it| {
@@ -104,8 +84,7 @@
             self.learn_done(id, now);
             ratio = self.sibling_ratio(id, now);
         }
-        let id = worker;
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(worker) = self.workers.get_mut(worker) else { return };
         match ending {
             Ending::Done => {
                 worker.failures = 0;
@@ -115,20 +94,16 @@
             Ending::Failed => worker.failures += 1,
             _ => {}
         }
-        let mut avoid_ms = 0;
         if worker.failures >= FAILURES_TO_AVOID {
-            avoid_ms = AVOID_FAILING_MS;
+            worker.avoid(now + AVOID_FAILING_MS);
         }
         if let Some(ratio) = ratio {
             worker.slowness.note(ratio);
             if worker.slowness.samples >= SLOW_SAMPLES && worker.slowness.mean > SLOW_FACTOR {
-                avoid_ms = avoid_ms.max(AVOID_SLOW_MS);
+                worker.avoid(now + AVOID_SLOW_MS);
                 worker.slowness = RunningMean::default();
             }
         }
-        if avoid_ms > 0 {
-            self.avoid_for_tasks(id, now + avoid_ms, now);
-        }
     }
 
     /// Returns how many times as long a run took as the tasks of its step that were done before it. Tasks of different
@@ -172,7 +147,9 @@
         if percent != seen.percent {
             live.progress = Some((seen.percent, now));
         } else if seen.percent < 100 && now.since(since) >= patience << stalls {
-            self.avoid_for_tasks(worker, now + AVOID_FAILING_MS, now);
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.avoid(now + AVOID_FAILING_MS);
+            }
             self.count_stall(&seen.task);
             self.stop_run(&seen.task, now);
         }
--- a/crates/fleet/src/coordinator/worker.rs
+++ b/crates/fleet/src/coordinator/worker.rs
@@ -64,8 +64,6 @@
     pub silent_since: Option<Moment>,
     /// The worker takes no new tasks before this moment.
     pub avoid_until: Moment,
-    /// Until when it is avoided because tasks failed, stalled or were slow there.
-    pub blamed_until: Moment,
     /// Consecutive failures of different tasks.
     pub failures: u32,
     /// The number of tasks on it that serve users of their own.
@@ -111,7 +109,6 @@
             longest_lease_until: None,
             silent_since: None,
             avoid_until: Moment(0),
-            blamed_until: Moment(0),
             failures: 0,
             serving: 0,
             best_effort: 0,
--- a/crates/fleet/tests/slow_workers.rs
+++ b/crates/fleet/tests/slow_workers.rs
@@ -114,26 +114,6 @@
     assert!(bench.run().iter().any(|it| it.2 == "w1"));
 }
 
-/// One team's tasks that fail wherever they run made all workers of the pool avoided, for all teams.
-#[test]
-fn tasks_that_fail_everywhere_leave_workers_to_other_teams() {
-    let mut bench = Bench::new();
-    for id in ["w1", "w2", "w3", "w4"] {
-        bench.add(worker(id));
-    }
-    for round in 0..12 {
-        bench.accept(&format!("failing-{round}"), job(vec![step(4)]));
-        for (task, run, on) in bench.run() {
-            bench.report(&on, &[], &[(task, run, Ending::Failed)]);
-        }
-        bench.coordinator.cancel(&format!("failing-{round}").as_str().into(), bench.now);
-        bench.wait(50);
-    }
-    let of_other = JobSpec { team: "other".into(), ..job(vec![step(1)]) };
-    bench.accept("other", of_other);
-    assert!(bench.run().iter().any(|it| it.0.job == "other"));
-}
-
 /// A task that runs all the time may fail at any moment; three such failures in an hour left its worker out.
 #[test]
 fn worker_on_which_tasks_run_for_long_is_not_left_out_for_their_failures() {
@@ -174,3 +154,28 @@
     }
     panic!("the slow worker was never left out");
 }
+
+/// Faults that are not mended.
+mod known_red {
+    use super::*;
+
+    /// One team's tasks that fail wherever they run made all workers of the pool avoided, for all teams.
+    #[test]
+    fn tasks_that_fail_everywhere_leave_workers_to_other_teams() {
+        let mut bench = Bench::new();
+        for id in ["w1", "w2", "w3", "w4"] {
+            bench.add(worker(id));
+        }
+        for round in 0..12 {
+            bench.accept(&format!("failing-{round}"), job(vec![step(4)]));
+            for (task, run, on) in bench.run() {
+                bench.report(&on, &[], &[(task, run, Ending::Failed)]);
+            }
+            bench.coordinator.cancel(&format!("failing-{round}").as_str().into(), bench.now);
+            bench.wait(50);
+        }
+        let of_other = JobSpec { team: "other".into(), ..job(vec![step(1)]) };
+        bench.accept("other", of_other);
+        assert!(bench.run().iter().any(|it| it.0.job == "other"));
+    }
+}
