--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -29,7 +29,7 @@
 };
 
 /// The most open connections of other entry hosts.
-const MAX_PEER_CONNECTIONS: usize = 256;
+const MAX_PEER_CONNECTIONS: usize = 4_096;
 
 /// How long a shutdown waits for the table to take the last claims.
 const CLAIMS_TIME: Duration = Duration::from_secs(5);
--- a/crates/http/src/held.rs
+++ b/crates/http/src/held.rs
@@ -28,7 +28,7 @@
 
     /// Counts the bytes of a body before it is read; `None` if the server holds too many.
     pub fn reserve(self: &Rc<Self>, bytes: usize) -> Option<Reservation> {
-        let bytes = if bytes <= SMALL_BODY_BYTES { 0 } else { bytes };
+        let bytes = if bytes <= SMALL_BODY_BYTES { 0 } else { bytes.min(self.most) };
         let held = self.held.get().checked_add(bytes).filter(|it| *it <= self.most)?;
         self.held.set(held);
         Some(Reservation { all: self.clone(), bytes })
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     pin::pin,
     rc::Rc,
+    time::Duration,
 };
 
 use fuchsiamill_http::accept::Acceptor;
@@ -26,6 +27,10 @@
     open: Rc<RefCell<Vec<Rc<Conversation>>>>,
 }
 
+/// A connection is closed to make room only if it was unused for this long: longer than any call takes, so that none is
+/// under way there.
+const MIN_UNUSED: Duration = Duration::from_secs(30);
+
 /// A connection of a peer.
 struct Conversation {
     peer: SocketAddr,
@@ -36,7 +41,7 @@
 
 impl PeerServer {
     /// Binds `addr`; port 0 takes a free port. If there are more than `max_connections`, the one that has been unused for
-    /// longest is closed: its peer may be gone without having closed it.
+    /// longest is closed, if any has been unused for long: its peer may be gone without having closed it.
     pub fn bind(addr: SocketAddr, max_connections: usize) -> io::Result<Self> {
         Ok(Self { acceptor: Acceptor::bind(addr)?, max_connections, open: Rc::default() })
     }
@@ -70,7 +75,8 @@
         if open.len() < self.max_connections {
             return;
         }
-        let oldest = (0..open.len()).min_by_key(|it| open[*it].last_used.get());
+        let is_unused = |it: &usize| open[*it].last_used.get().elapsed() >= MIN_UNUSED;
+        let oldest = (0..open.len()).filter(is_unused).min_by_key(|it| open[*it].last_used.get());
         if let Some(conversation) = oldest.map(|it| open.swap_remove(it)) {
             tracing::warn!(event = "peer-connection-closed", peer = %conversation.peer, open = open.len());
             conversation.close.notify_one();
