--- a/crates/daemon/tests/common/fleet.rs
+++ b/crates/daemon/tests/common/fleet.rs
@@ -331,6 +331,25 @@
     }
 }
 
+/// Polls the worker with this id under a fence, and acknowledges its ends up to a number.
+pub fn send_poll(addr: SocketAddr, id: &str, fence: u64, upto: u64) -> Option<Response> {
+    call_worker(addr, id, "/hold", &json!({ "fence_token": fence, "seen_upto": upto }))
+}
+
+/// Orders the worker with this id to start run 1 of a task under a fence.
+pub fn send_start(addr: SocketAddr, id: &str, task: &str, fence: u64) -> Option<Response> {
+    let start = json!({
+        "task": task, "run": 1, "spec": "", "deadline_ms": 60_000, "fence_token": fence
+    });
+    call_worker(addr, id, "/run-start", &start)
+}
+
+fn call_worker(addr: SocketAddr, id: &str, path: &str, body: &Value) -> Option<Response> {
+    let name = HeaderName::from_static("x-fuchsiamill-expect-instance");
+    let value = HeaderValue::from_str(id).expect("an id");
+    net::send(addr, Request::post(path, body.to_string()).header(name, value))
+}
+
 /// A job whose steps follow one another; each has so many tasks of so many milliseconds.
 pub fn job(ms: u64, steps: &[u32]) -> Value {
     let steps: Vec<Value> = steps
--- a/crates/site/src/lead/links.rs
+++ b/crates/site/src/lead/links.rs
@@ -265,7 +265,7 @@
         };
         if recorded_upto > acknowledged_upto {
             let (worker, fence) = (&self.worker.id, self.context.fence);
-            tracing::debug!(event = "ends-told", %worker, fence, seen_upto = recorded_upto);
+            tracing::debug!(event = "ends-told", %worker, fence, recorded_upto);
         }
         let renews = !is_silent && self.may_renew(asked);
         let deadline = renews.then(|| self.deadline(asked)).flatten();
@@ -323,12 +323,12 @@
         }
     }
 
-    /// Logs which ends the worker lists, after a poll that told it that the ends up to `seen_upto` are stored.
-    fn log_ends(&self, report: &WorkerReport, seen_upto: u64) {
+    /// Logs which ends the worker lists, after a poll that told it that the ends up to `recorded_upto` are stored.
+    fn log_ends(&self, report: &WorkerReport, recorded_upto: u64) {
         let (worker, fence, born) = (&self.worker.id, self.context.fence, report.born);
         let (first, last) = (report.ended.first(), report.ended.last());
         let (first, last) = (first.map_or(0, |it| it.number), last.map_or(0, |it| it.number));
-        tracing::debug!(event = "ends-listed", %worker, fence, born, seen_upto, first, last);
+        tracing::debug!(event = "ends-listed", %worker, fence, born, recorded_upto, first, last);
     }
 
     /// Returns once a poll that waits at the worker is to be abandoned.
